--- /dev/null
+++ b/src/utils/logger.ts
@@ -0,0 +1,62 @@
+/** Structured logs: one line of key=value pairs for each event, written to standard error. */
+import winston from 'winston';
+
+/** Values that a log line may carry. */
+export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
+
+/** Log levels, most severe first. */
+export type LogLevel = 'error' | 'warn' | 'info' | 'debug';
+
+/** Writes events. The event name is a short hyphenated text. */
+export interface Logger {
+  error(event: string, fields?: LogFields): void;
+  warn(event: string, fields?: LogFields): void;
+  info(event: string, fields?: LogFields): void;
+  debug(event: string, fields?: LogFields): void;
+}
+
+const PLAIN_VALUE = /^[\w.:/@+-]+$/;
+
+function formatValue(value: string | number | boolean): string {
+  const text = String(value);
+  return PLAIN_VALUE.test(text) ? text : JSON.stringify(text);
+}
+
+/** Formats one event as key=value pairs; values with spaces or quotes are JSON strings. */
+export function formatEvent(level: string, event: string, fields: LogFields): string {
+  const pairs = [`time=${new Date().toISOString()}`, `level=${level}`, `event=${event}`];
+  for (const [key, value] of Object.entries(fields)) {
+    if (value !== undefined) pairs.push(`${key}=${formatValue(value)}`);
+  }
+  return pairs.join(' ');
+}
+
+/** Creates a logger whose lines all carry `common`. */
+export function createLogger(level: LogLevel, common: LogFields = {}): Logger {
+  const output = winston.createLogger({
+    level,
+    format: winston.format.printf((info) => String(info.message)),
+    transports: [
+      new winston.transports.Console({ stderrLevels: ['error', 'warn', 'info', 'debug'] }),
+    ],
+  });
+  const write = (at: LogLevel, event: string, fields: LogFields = {}) => {
+    if (output.isLevelEnabled(at)) {
+      output.log(at, formatEvent(at, event, { ...common, ...fields }));
+    }
+  };
+  return {
+    error: (event, fields) => write('error', event, fields),
+    warn: (event, fields) => write('warn', event, fields),
+    info: (event, fields) => write('info', event, fields),
+    debug: (event, fields) => write('debug', event, fields),
+  };
+}
+
+/** A logger that writes nothing, for tests. */
+export const SILENT_LOGGER: Logger = {
+  error: () => {},
+  warn: () => {},
+  info: () => {},
+  debug: () => {},
+};
