--- /dev/null
+++ b/src/plugins/callStats.ts
@@ -0,0 +1,155 @@
+/** Per-route statistics of calls on this node: burn rings and latency histograms. */
+import { build, decodeFromCompressedBase64, encodeIntoCompressedBase64 } from 'hdr-histogram-js';
+import type { Histogram } from 'hdr-histogram-js';
+import type { CompiledRoute } from '../types/routing.js';
+import type { Outcome } from '../types/outcome.js';
+import type { RouteName } from '../types/ids.js';
+import { BURN_WINDOWS_MIN, BurnRing } from './burnRate.js';
+import type { BurnCounts } from './burnRate.js';
+
+const MICROSECONDS_PER_MS = 1000;
+/** Latencies above this are recorded as this, in microseconds. */
+const MAX_TRACKED_US = 600_000_000;
+
+/** Statistics of one route on one node, in the form that nodes exchange. */
+export interface RouteStats {
+  readonly route: string;
+  readonly windows: Readonly<Record<number, BurnCounts>>;
+  readonly outcomes: Readonly<Record<Outcome['kind'], number>>;
+  /** Histogram of microseconds, HdrHistogram V2 compressed encoding in base64. */
+  readonly latency: string;
+}
+
+interface RouteEntry {
+  readonly ring: BurnRing;
+  readonly histogram: Histogram;
+  readonly outcomes: Record<Outcome['kind'], number>;
+}
+
+function createHistogram(): Histogram {
+  // Equal fixed ranges on all nodes let their histograms be added; about 8 KB each.
+  return build({
+    bitBucketSize: 32,
+    highestTrackableValue: MAX_TRACKED_US,
+    numberOfSignificantValueDigits: 2,
+  });
+}
+
+/** True when the call spends error budget: a server error, or no answer by our own fault. */
+function isFailure(outcome: Outcome): boolean {
+  switch (outcome.kind) {
+    case 'answered':
+      return outcome.status >= 500;
+    case 'notRun':
+      // The caller's own faults do not spend the operators' error budget.
+      return outcome.reason !== 'bad-request' && outcome.reason !== 'cancelled';
+    case 'unknown':
+      return outcome.reason !== 'cancelled';
+    default:
+      return outcome satisfies never;
+  }
+}
+
+/** Collects the calls of this node. Bounded by the number of routes in the configuration. */
+export class CallStats {
+  private readonly entries = new Map<RouteName, RouteEntry>();
+
+  /** Records one finished call with its latency in milliseconds. */
+  record(route: CompiledRoute, outcome: Outcome, latencyMs: number): void {
+    const entry = this.requireEntry(route.name);
+    const bound = route.config.objective?.latencyMs;
+    const isSlow = bound !== undefined && latencyMs > bound;
+    entry.ring.record(Date.now(), isFailure(outcome), isSlow);
+    const micros = Math.max(0, Math.round(latencyMs * MICROSECONDS_PER_MS));
+    entry.histogram.recordValue(Math.min(MAX_TRACKED_US, micros));
+    entry.outcomes[outcome.kind] += 1;
+  }
+
+  /** Returns the statistics of each route that was called. */
+  list(): RouteStats[] {
+    const now = Date.now();
+    const stats: RouteStats[] = [];
+    for (const [route, entry] of this.entries) {
+      const windows: Record<number, BurnCounts> = {};
+      for (const windowMin of BURN_WINDOWS_MIN) windows[windowMin] = entry.ring.sum(now, windowMin);
+      stats.push({
+        route,
+        windows,
+        outcomes: { ...entry.outcomes },
+        latency: encodeIntoCompressedBase64(entry.histogram),
+      });
+    }
+    return stats;
+  }
+
+  /** Drops routes that the configuration no longer has, so that renamed routes do not add up. */
+  evictRoutes(known: ReadonlyMap<RouteName, CompiledRoute>): void {
+    for (const name of this.entries.keys()) {
+      if (!known.has(name)) this.entries.delete(name);
+    }
+  }
+
+  private requireEntry(route: RouteName): RouteEntry {
+    const existing = this.entries.get(route);
+    if (existing !== undefined) return existing;
+    const entry: RouteEntry = {
+      ring: new BurnRing(),
+      histogram: createHistogram(),
+      outcomes: { answered: 0, notRun: 0, unknown: 0 },
+    };
+    this.entries.set(route, entry);
+    return entry;
+  }
+}
+
+function addCounts(left: BurnCounts, right: BurnCounts): BurnCounts {
+  return {
+    total: left.total + right.total,
+    failed: left.failed + right.failed,
+    slow: left.slow + right.slow,
+  };
+}
+
+/** Merged statistics of one route over many nodes; latencies in milliseconds. */
+export interface MergedStats {
+  readonly route: string;
+  readonly windows: Readonly<Record<number, BurnCounts>>;
+  readonly outcomes: Readonly<Record<Outcome['kind'], number>>;
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+}
+
+/** Merges the statistics of several nodes by route. Throws on a malformed histogram. */
+export function mergeStats(all: readonly RouteStats[]): MergedStats[] {
+  const merged = new Map<string, { histogram: Histogram; stats: RouteStats }>();
+  for (const stats of all) {
+    const histogram = decodeFromCompressedBase64(stats.latency);
+    const existing = merged.get(stats.route);
+    if (existing === undefined) {
+      merged.set(stats.route, { histogram, stats });
+    } else {
+      existing.histogram.add(histogram);
+      const windows: Record<number, BurnCounts> = {};
+      const zero = { total: 0, failed: 0, slow: 0 };
+      for (const windowMin of BURN_WINDOWS_MIN) {
+        windows[windowMin] = addCounts(
+          existing.stats.windows[windowMin] ?? zero,
+          stats.windows[windowMin] ?? zero,
+        );
+      }
+      const outcomes = {
+        answered: existing.stats.outcomes.answered + stats.outcomes.answered,
+        notRun: existing.stats.outcomes.notRun + stats.outcomes.notRun,
+        unknown: existing.stats.outcomes.unknown + stats.outcomes.unknown,
+      };
+      existing.stats = { ...stats, windows, outcomes };
+    }
+  }
+  return [...merged.values()].map(({ histogram, stats }) => ({
+    route: stats.route,
+    windows: stats.windows,
+    outcomes: stats.outcomes,
+    p50Ms: histogram.getValueAtPercentile(50) / MICROSECONDS_PER_MS,
+    p99Ms: histogram.getValueAtPercentile(99) / MICROSECONDS_PER_MS,
+  }));
+}
--- /dev/null
+++ b/src/plugins/metrics.ts
@@ -0,0 +1,96 @@
+/** Metrics in the Prometheus text format. */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import type { ControlCounters, ConfigStore, MemberTable } from '../types/interfaces.js';
+import type { Outcome } from '../types/outcome.js';
+import type { CompiledRoute } from '../types/routing.js';
+import type { UsageSampler } from './processUsage.js';
+
+const LATENCY_BUCKETS_S = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
+
+/** Parts that the gauges read at scrape time. */
+export interface MetricsSources {
+  readonly store: ConfigStore;
+  readonly table: MemberTable;
+  readonly counters: ControlCounters;
+  readonly usage: UsageSampler;
+}
+
+/** Metrics of one node. */
+export interface Metrics {
+  /** Records one finished call. */
+  record(route: CompiledRoute, outcome: Outcome, latencyMs: number): void;
+  /** Renders all metrics as text. */
+  render(): Promise<string>;
+  readonly contentType: string;
+}
+
+function registerGauges(registry: Registry, sources: MetricsSources): void {
+  const { store, table, counters, usage } = sources;
+  const registers = [registry];
+  const gauge = (name: string, help: string, read: () => number) =>
+    new Gauge({
+      name,
+      help,
+      registers,
+      collect() {
+        this.set(read());
+      },
+    });
+  gauge(
+    'lycheelane_config_version',
+    'Installed configuration version.',
+    () => store.getTag().version,
+  );
+  gauge('lycheelane_ready', '1 when the node serves calls.', () => (store.isReady() ? 1 : 0));
+  gauge('lycheelane_relay', '1 when the node is a relay.', () => (table.isRelay() ? 1 : 0));
+  gauge(
+    'lycheelane_members_alive',
+    'Members with verdict alive.',
+    () => table.listMembers().filter((member) => member.verdict === 'alive').length,
+  );
+  gauge(
+    'lycheelane_process_cpu_percent',
+    'Share of one core in percent.',
+    () => usage.get().cpuPercent,
+  );
+  gauge('lycheelane_process_resident_bytes', 'Resident memory.', () => usage.get().residentBytes);
+  const control = new Gauge({
+    name: 'lycheelane_control_bytes_total',
+    help: 'Control traffic by direction and message type.',
+    labelNames: ['type'],
+    registers,
+    collect() {
+      for (const [type, sum] of Object.entries(counters.snapshot())) {
+        control.set({ type }, sum.bytes);
+      }
+    },
+  });
+}
+
+/** Creates the metrics of a node. */
+export function createMetrics(sources: MetricsSources): Metrics {
+  const registry = new Registry();
+  const calls = new Counter({
+    name: 'lycheelane_calls_total',
+    help: 'Finished calls by route and outcome.',
+    labelNames: ['route', 'outcome', 'reason'],
+    registers: [registry],
+  });
+  const latency = new Histogram({
+    name: 'lycheelane_call_seconds',
+    help: 'Latency of calls at the entry node.',
+    labelNames: ['route'],
+    buckets: LATENCY_BUCKETS_S,
+    registers: [registry],
+  });
+  registerGauges(registry, sources);
+  return {
+    contentType: registry.contentType,
+    render: () => registry.metrics(),
+    record(route, outcome, latencyMs) {
+      const reason = outcome.kind === 'answered' ? '' : outcome.reason;
+      calls.inc({ route: route.name, outcome: outcome.kind, reason });
+      latency.observe({ route: route.name }, latencyMs / 1000);
+    },
+  };
+}
