--- a/scripts/generate.js
+++ b/scripts/generate.js
@@ -133,6 +133,27 @@
   return `${NOTICE}/* eslint-disable */\n${esm}\n`;
 }
 
+/** Lists the known keys of each object of the configuration, by path with `*` for any name. */
+function generateConfigKeys(config) {
+  const table = {};
+  const collectKeys = (schema, path) => {
+    const target = schema.$ref ? config.definitions[schema.$ref.split('/').pop()] : schema;
+    if (target.properties) table[path.join('/')] = Object.keys(target.properties);
+    for (const [key, value] of Object.entries(target.properties ?? {})) {
+      collectKeys(value, [...path, key]);
+    }
+    if (typeof target.additionalProperties === 'object') {
+      collectKeys(target.additionalProperties, [...path, '*']);
+    }
+  };
+  collectKeys(config, []);
+  const text = JSON.stringify(table, null, 2);
+  return `${NOTICE}
+/** Known keys of each object of the configuration, by path with \`*\` for any name. */
+export const CONFIG_KEYS: Readonly<Record<string, readonly string[]>> = ${text};
+`;
+}
+
 function generateDeclarations() {
   const lines = Object.keys(VALIDATORS).map((name) => `export declare const ${name}: Validator;`);
   return `${NOTICE}
@@ -159,6 +180,7 @@
     'types.ts': await generateTypes(schemas),
     'validators.js': generateValidators(schemas),
     'validators.d.ts': generateDeclarations(),
+    'configKeys.ts': generateConfigKeys(schemas.find((schema) => schema.$id === 'config')),
   };
   const isCheck = process.argv.includes('--check');
   let stale = 0;
--- /dev/null
+++ b/src/core/config/acceptBundle.ts
@@ -0,0 +1,155 @@
+/** The one decision by which a configuration version is accepted. */
+import { err, ok, type Result } from 'neverthrow';
+import { buildError, type StepError } from '../../errors.js';
+import type { Bundle, Head } from '../../generated/types.js';
+import type { PlatformClient, PlatformObject } from '../../types/interfaces.js';
+import { computeDelayMs, waitMs, type BackoffBounds } from '../../utils/backoff.js';
+import { buildHead } from './buildBundle.js';
+import { findOperation } from './findOperation.js';
+import { formatBundleName, HEAD_NAME, readBundle, readHead } from './readHead.js';
+
+/** What is known after an attempt to accept a bundle. */
+export type AcceptOutcome =
+  | { readonly kind: 'accepted'; readonly version: number; readonly operationId: string }
+  /** The head moved past without this operation, which did not and cannot take effect. */
+  | { readonly kind: 'superseded'; readonly operationId: string }
+  /** A write was sent and its fate cannot be told; `config status` tells later. */
+  | { readonly kind: 'unknown'; readonly operationId: string; readonly cause: StepError };
+
+/** How often and how patiently the platform is asked. */
+export interface AcceptOptions {
+  readonly maxAttempts?: number;
+  readonly backoff?: BackoffBounds;
+  /** Waits between attempts; replaced in tests. */
+  readonly wait?: (delayMs: number) => Promise<void>;
+}
+
+const STEP = 'config.accept';
+// Together at most about 6 s of waiting: longer than a restart of the platform's front end,
+// shorter than what an operator waits for at a prompt.
+const DEFAULT_ATTEMPTS = 6;
+const DEFAULT_BACKOFF: BackoffBounds = { baseMs: 200, maxMs: 2000 };
+
+/** Kinds after which the same conditional request can be sent again. */
+function isTransient(error: StepError): boolean {
+  return ['unavailable', 'answer-lost', 'timeout', 'busy'].includes(error.kind);
+}
+
+class Attempts {
+  private used = 0;
+
+  constructor(private readonly options: AcceptOptions) {}
+
+  /** Waits before the next attempt; false when there is none left. */
+  async waitForNext(): Promise<boolean> {
+    const {
+      maxAttempts = DEFAULT_ATTEMPTS,
+      backoff = DEFAULT_BACKOFF,
+      wait = waitMs,
+    } = this.options;
+    this.used += 1;
+    if (this.used >= maxAttempts) return false;
+    await wait(computeDelayMs(backoff, this.used - 1));
+    return true;
+  }
+}
+
+/** Creates the bundle object. Until the head names it, it has no effect. */
+async function createBundle(
+  platform: PlatformClient,
+  bundle: Bundle,
+  options: AcceptOptions,
+): Promise<Result<void, StepError>> {
+  const attempts = new Attempts(options);
+  for (;;) {
+    const created = await platform.create(formatBundleName(bundle.operationId), bundle);
+    if (created.isOk()) return ok(undefined);
+    if (created.error.kind === 'conflict') {
+      // The operation id is random, so an existing object is that of an earlier attempt.
+      const stored = await readBundle(platform, bundle.operationId);
+      if (stored.isErr()) return err(stored.error);
+      if (stored.value?.digest === bundle.digest) return ok(undefined);
+      const message = `another bundle is stored as ${bundle.operationId}`;
+      return err(buildError('mismatch', STEP, 'platform', message));
+    }
+    if (!isTransient(created.error) || !(await attempts.waitForNext())) {
+      return err(created.error);
+    }
+  }
+}
+
+function writeHead(
+  platform: PlatformClient,
+  bundle: Bundle,
+  parent: PlatformObject<Head> | undefined,
+): Promise<Result<number, StepError>> {
+  const head = buildHead(bundle, parent?.value);
+  if (!parent) return platform.create(HEAD_NAME, head);
+  return platform.update(HEAD_NAME, head, parent.version);
+}
+
+/** Reads the head to learn what became of a write; `open` means that it can be repeated. */
+async function resolveWrite(
+  platform: PlatformClient,
+  bundle: Bundle,
+): Promise<Result<'accepted' | 'superseded' | 'open', StepError>> {
+  const head = await readHead(platform);
+  if (head.isErr()) return err(head.error);
+  const { operationId, version } = bundle;
+  const found = await findOperation(platform, head.value?.value, operationId, version);
+  if (found.isErr()) return err(found.error);
+  if (found.value.kind !== 'untraceable') return ok(found.value.kind);
+  const message = `version ${version} is older than the versions that are kept`;
+  return err(buildError('stale', STEP, 'platform', message));
+}
+
+async function moveHead(
+  platform: PlatformClient,
+  bundle: Bundle,
+  parent: PlatformObject<Head> | undefined,
+  options: AcceptOptions,
+): Promise<Result<AcceptOutcome, StepError>> {
+  const { operationId, version } = bundle;
+  const attempts = new Attempts(options);
+  // True once a write was sent whose effect is open: it may take effect even after later refusals.
+  let mayBeWritten = false;
+  for (;;) {
+    const written = await writeHead(platform, bundle, parent);
+    if (written.isOk()) return ok({ kind: 'accepted', version, operationId });
+    let { error } = written;
+    if (error.kind !== 'conflict' && !isTransient(error)) {
+      return mayBeWritten ? ok({ kind: 'unknown', operationId, cause: error }) : err(error);
+    }
+    mayBeWritten ||= error.kind === 'answer-lost' || error.kind === 'timeout';
+    const resolved = await resolveWrite(platform, bundle);
+    if (resolved.isErr()) {
+      error = resolved.error;
+    } else if (resolved.value === 'accepted') {
+      return ok({ kind: 'accepted', version, operationId });
+    } else if (resolved.value === 'superseded') {
+      return ok({ kind: 'superseded', operationId });
+    }
+    if (!(await attempts.waitForNext())) {
+      return mayBeWritten ? ok({ kind: 'unknown', operationId, cause: error }) : err(error);
+    }
+  }
+}
+
+/**
+ * Stores a bundle and moves the head from its parent to it, in one conditional write. `parent` is
+ * the head as it was read when the bundle was built. An error means that nothing was accepted.
+ */
+export async function acceptBundle(
+  platform: PlatformClient,
+  bundle: Bundle,
+  parent: PlatformObject<Head> | undefined,
+  options: AcceptOptions = {},
+): Promise<Result<AcceptOutcome, StepError>> {
+  if ((parent?.value.operationId ?? '') !== bundle.parent.operationId) {
+    const message = 'the bundle was built on another version than the head';
+    return err(buildError('mismatch', STEP, 'self', message));
+  }
+  const created = await createBundle(platform, bundle, options);
+  if (created.isErr()) return err(created.error);
+  return moveHead(platform, bundle, parent, options);
+}
--- /dev/null
+++ b/src/core/config/buildBundle.ts
@@ -0,0 +1,45 @@
+/** Construction of bundles and of the head that names them. */
+import { randomUUID } from 'node:crypto';
+import type { Bundle, Head } from '../../generated/types.js';
+import { brandText, type OperationId } from '../../types/ids.js';
+import { computeDigest } from '../../utils/digest.js';
+import type { ConfigContent } from './renderSite.js';
+
+/** Reference to an accepted version; version 0 with empty texts when there is none. */
+export type VersionReference = Bundle['parent'];
+
+/** The parent of the first version. */
+export const NO_PARENT: VersionReference = { version: 0, digest: '', operationId: '' };
+
+/** Entries that the head keeps. */
+export const MAX_RECENT = 128;
+
+/** Builds the bundle that follows `parent`, with a new operation id. */
+export function buildBundle(
+  content: ConfigContent,
+  parent: VersionReference,
+  author?: string,
+): Bundle {
+  const { base, overlays } = content;
+  return {
+    version: parent.version + 1,
+    operationId: brandText<OperationId>(randomUUID()),
+    parent: {
+      version: parent.version,
+      digest: parent.digest,
+      operationId: parent.operationId,
+    },
+    base,
+    overlays,
+    digest: computeDigest({ base, overlays }),
+    acceptedAtMs: Date.now(),
+    ...(author ? { author } : {}),
+  };
+}
+
+/** Builds the head that names `bundle`; the newest entry of `recent` comes first. */
+export function buildHead(bundle: Bundle, previous: Head | undefined): Head {
+  const { version, operationId, digest } = bundle;
+  const recent = [{ version, operationId, digest }, ...(previous?.recent ?? [])];
+  return { version, digest, operationId, recent: recent.slice(0, MAX_RECENT) };
+}
--- /dev/null
+++ b/src/core/config/checkConfig.ts
@@ -0,0 +1,120 @@
+/** The check that every configuration passes before it is accepted and before it is compiled. */
+import type { MeshConfig } from '../../generated/types.js';
+import { validateConfig, validateOverlay } from '../../generated/validators.js';
+import { checkSchema, type SchemaFault } from './checkSchema.js';
+import { getAtPath, type ConfigFault, type JsonPath } from './configFault.js';
+import { findAmbiguousRoutes } from './matchRoutes.js';
+import { renderSite, RESERVED_KEYS, type ConfigContent, type JsonObject } from './renderSite.js';
+import { suggestName } from './suggestName.js';
+
+/** Result of a check: every fault, and the rendered sites with defaults when there is none. */
+export interface CheckedConfig {
+  readonly faults: readonly ConfigFault[];
+  /** By site; the empty name is the base, which data centres without overlay run. */
+  readonly sites: ReadonlyMap<string, MeshConfig>;
+}
+
+const SITE_NAME = /^[a-z0-9][a-z0-9-]{0,62}$/;
+
+function findReservedKeys(value: unknown, path: JsonPath): SchemaFault[] {
+  if (value === null || typeof value !== 'object') return [];
+  return Object.keys(value).flatMap((key) => {
+    const inner = [...path, key];
+    if (!RESERVED_KEYS.includes(key)) {
+      return findReservedKeys((value as JsonObject)[key], inner);
+    }
+    const message = `"${key}" cannot be merged and is reserved`;
+    return [{ path: inner, atKey: true, message, expected: 'another name' }];
+  });
+}
+
+function checkReferences(config: MeshConfig, overlay: JsonObject | undefined): SchemaFault[] {
+  const services = Object.keys(config.services);
+  const faults: SchemaFault[] = [];
+  for (const [name, route] of Object.entries(config.routes)) {
+    if (Object.hasOwn(config.services, route.service)) continue;
+    if (getAtPath(overlay, ['services', route.service]) === null) {
+      faults.push({
+        path: ['services', route.service],
+        atKey: false,
+        message: `service "${route.service}" is deleted, but route "${name}" uses it`,
+        expected: `no deletion, or route "${name}" deleted or sent to another service too`,
+      });
+      continue;
+    }
+    const guess = suggestName(route.service, services);
+    faults.push({
+      path: ['routes', name, 'service'],
+      atKey: false,
+      message: `service "${route.service}" is not defined`,
+      expected: guess ? `"${guess}"` : 'the name of a defined service',
+    });
+  }
+  return faults;
+}
+
+function checkMatches(config: MeshConfig): SchemaFault[] {
+  return findAmbiguousRoutes(config.routes).map(([first, second]) => ({
+    path: ['routes', second, 'match'],
+    atKey: false,
+    message: `matches the same requests as route "${first}"`,
+    expected: 'another authority, path prefix or set of methods',
+  }));
+}
+
+/** Names the file that has to change: the overlay when it states the value or deletes it. */
+function locateFault(fault: SchemaFault, overlay: unknown, site: string): ConfigFault {
+  return { ...fault, site: getAtPath(overlay, fault.path) === undefined ? '' : site };
+}
+
+/** Adds a fault unless it is known: a fault of the base shows in every rendered site. */
+function addFault(faults: ConfigFault[], fault: ConfigFault): void {
+  const isKnown = faults.some(
+    (other) =>
+      other.site === fault.site &&
+      other.message === fault.message &&
+      JSON.stringify(other.path) === JSON.stringify(fault.path),
+  );
+  if (!isKnown) faults.push(fault);
+}
+
+function checkLayers(content: ConfigContent, faults: ConfigFault[]): boolean {
+  let canRender = true;
+  const addAll = (site: string, found: readonly SchemaFault[]) => {
+    found.forEach((fault) => addFault(faults, { ...fault, site }));
+  };
+  for (const [site, layer] of [['', content.base] as const, ...Object.entries(content.overlays)]) {
+    const reserved = findReservedKeys(layer, []);
+    addAll(site, reserved);
+    if (reserved.length > 0) canRender = false;
+    if (site !== '') addAll(site, checkSchema(validateOverlay, structuredClone(layer)));
+    if (site !== '' && !SITE_NAME.test(site)) {
+      const message = `bad site name "${site}"`;
+      const expected = 'the name of a data centre: lower-case letters, digits and hyphens';
+      addFault(faults, { site, path: [], atKey: false, message, expected });
+    }
+  }
+  return canRender;
+}
+
+/**
+ * Checks the base, every overlay and every rendered site, and lists every fault. All sites are
+ * checked wherever one is compiled, so that either every site accepts a version or none does.
+ */
+export function checkConfig(content: ConfigContent): CheckedConfig {
+  const faults: ConfigFault[] = [];
+  const sites = new Map<string, MeshConfig>();
+  if (!checkLayers(content, faults)) return { faults, sites };
+  for (const site of ['', ...Object.keys(content.overlays)]) {
+    const overlay = content.overlays[site];
+    const rendered = renderSite(content, site);
+    const found = checkSchema(validateConfig, rendered);
+    if (found.length === 0) {
+      const config = rendered as unknown as MeshConfig;
+      found.push(...checkReferences(config, overlay), ...checkMatches(config));
+      sites.set(site, config);
+    }
+    for (const fault of found) addFault(faults, locateFault(fault, overlay, site));
+  }
+  return { faults, sites };
+}
--- /dev/null
+++ b/src/core/config/suggestName.ts
@@ -0,0 +1,31 @@
+/** Suggestions for misspelt names. */
+
+function computeEditDistance(a: string, b: string): number {
+  let row = Array.from({ length: b.length + 1 }, (_, index) => index);
+  for (let i = 1; i <= a.length; i += 1) {
+    const next = [i];
+    for (let j = 1; j <= b.length; j += 1) {
+      const change = (row[j - 1] ?? 0) + (a[i - 1] === b[j - 1] ? 0 : 1);
+      next.push(Math.min(change, (row[j] ?? 0) + 1, (next[j - 1] ?? 0) + 1));
+    }
+    row = next;
+  }
+  return row[b.length] ?? 0;
+}
+
+/** Returns the known name nearest to a misspelt one, or undefined when none is near. */
+export function suggestName(name: string, known: readonly string[]): string | undefined {
+  // A third of the letters: `timeoutMS` and `slot` get a suggestion, unrelated words do not.
+  const limit = Math.max(1, Math.floor(name.length / 3));
+  let best: string | undefined;
+  let bestDistance = limit + 1;
+  for (const candidate of known) {
+    if (Math.abs(candidate.length - name.length) > limit) continue;
+    const distance = computeEditDistance(name.toLowerCase(), candidate.toLowerCase());
+    if (distance < bestDistance) {
+      best = candidate;
+      bestDistance = distance;
+    }
+  }
+  return best;
+}
