Add the configuration commands of the command line

Cause: operators need to check, compare and apply their files, and to learn what became of an apply whose response was lost.

Change: `lycheelane config check|render|diff|apply|status|pull|history`. Apply merges with the recorded parent by JSON path, retries after a lost race, and edits the working files in place so that comments stay. Bundles beyond the last 256 versions are removed; `config/bundles` lists them, because the head names only 128.

Ruled out: a list of `bundles/` for the removal, whose response can reach 256 MB; walking 128 parents at each apply.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -33,7 +33,7 @@
       'import-x/prefer-default-export': 'off',
       'import-x/no-extraneous-dependencies': 'off',
       'no-void': ['error', { allowAsStatement: true }],
-      'no-underscore-dangle': ['error', { allow: ['_def'] }],
+      'no-underscore-dangle': ['error', { allow: ['_unsafeUnwrap', '_unsafeUnwrapErr'] }],
     },
   },
   {
--- a/scripts/generate.js
+++ b/scripts/generate.js
@@ -20,6 +20,8 @@
   validateHead: 'platform#/properties/head',
   validateKeyPartition: 'platform#/properties/keyPartition',
   validateSeeds: 'platform#/properties/seeds',
+  validateBundleIndex: 'platform#/properties/bundleIndex',
+  validateNodesAnswer: 'operator#/properties/nodes',
   validateMember: 'messages#/definitions/member',
   validatePing: 'messages#/properties/ping',
   validatePingIndirect: 'messages#/properties/pingIndirect',
--- /dev/null
+++ b/src/cli/baseCommand.ts
@@ -0,0 +1,62 @@
+/** Flags, output and errors that all commands share. */
+import { Command, Flags } from '@oclif/core';
+import type { Result } from 'neverthrow';
+import { createHttpPlatform } from '../core/platform/httpPlatform.js';
+import type { StepError } from '../errors.js';
+import type { PlatformClient } from '../types/interfaces.js';
+import { EXIT_CODES, getExitCode } from './exitCodes.js';
+
+/** Flag of commands that read or write the platform. */
+export const PLATFORM_FLAG = {
+  platform: Flags.string({
+    description: 'URL of the platform object API',
+    env: 'LYCHEELANE_PLATFORM',
+    required: true,
+  }),
+};
+
+/** Flags of commands that ask a node. */
+export const NODE_FLAGS = {
+  node: Flags.string({ description: 'URL of a node’s operator port', env: 'LYCHEELANE_NODE' }),
+  'node-token': Flags.string({
+    description: 'bearer token of the operator port',
+    env: 'LYCHEELANE_NODE_TOKEN',
+  }),
+};
+
+/** Flag of commands that work on files. */
+export const DIR_FLAG = {
+  dir: Flags.string({ description: 'directory of base.jsonc and overlays/', default: '.' }),
+};
+
+/** Base of all commands: text for people, or one JSON value with `--json`. */
+export abstract class BaseCommand extends Command {
+  static override enableJsonFlag = true;
+
+  /** Ends the command with the message of an error, which names step and peer. */
+  protected fail(error: StepError): never {
+    const message = `${error.message} (step ${error.step}, ${error.peer})`;
+    return this.error(message, { exit: getExitCode(error), code: error.kind });
+  }
+
+  /** Returns the value of a result, or ends the command. */
+  protected unwrap<Value>(result: Result<Value, StepError>): Value {
+    return result.isOk() ? result.value : this.fail(result.error);
+  }
+
+  /** Runs a step with a client of the platform and closes the client. */
+  protected async withPlatform<Value>(
+    url: string,
+    run: (platform: PlatformClient) => Promise<Value>,
+  ): Promise<Value> {
+    if (!URL.canParse(url)) {
+      this.error(`--platform is not a URL: ${url}`, { exit: EXIT_CODES.faulty });
+    }
+    const platform = createHttpPlatform(url);
+    try {
+      return await run(platform);
+    } finally {
+      await platform.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/cli/commands/config/apply.ts
@@ -0,0 +1,107 @@
+import { userInfo } from 'node:os';
+import { Flags } from '@oclif/core';
+import { formatFault } from '../../../core/config/configFault.js';
+import { BaseCommand, DIR_FLAG, NODE_FLAGS, PLATFORM_FLAG } from '../../baseCommand.js';
+import { applyConfig, type ApplyOutcome } from '../../config/applyConfig.js';
+import type { ForceReport } from '../../config/assessNodes.js';
+import { formatFileFault } from '../../config/checkFiles.js';
+import { formatConflict, formatProgress } from '../../config/formatOutput.js';
+import { waitInForce } from '../../config/waitInForce.js';
+import { EXIT_CODES, finishCommand } from '../../exitCodes.js';
+import { fetchNodes } from '../../fetchNodes.js';
+
+const POLL_INTERVAL_MS = 500;
+
+/** `lycheelane config apply [--wait]` */
+export default class ConfigApply extends BaseCommand {
+  static override summary = 'Have the files accepted as the next version.';
+
+  static override flags = {
+    ...DIR_FLAG,
+    ...PLATFORM_FLAG,
+    ...NODE_FLAGS,
+    author: Flags.string({ description: 'name in the history; default: the user name' }),
+    wait: Flags.boolean({ description: 'wait until the version is in force', dependsOn: ['node'] }),
+    timeout: Flags.integer({ description: 'limit of --wait in seconds', default: 30, min: 1 }),
+  };
+
+  private lastProgress = '';
+
+  /** Runs the command. */
+  async run() {
+    const { flags } = await this.parse(ConfigApply);
+    const author = (flags.author ?? userInfo().username).slice(0, 256);
+    const outcome = this.unwrap(
+      await this.withPlatform(flags.platform, (platform) =>
+        applyConfig(platform, flags.dir, { author }),
+      ),
+    );
+    const exitCode = this.printOutcome(outcome);
+    const isDone = outcome.kind === 'accepted' || outcome.kind === 'unchanged';
+    if (!isDone || !flags.wait || !flags.node) return finishCommand(exitCode, outcome);
+    const { node, timeout, 'node-token': token } = flags;
+    const { report, lastError } = await waitInForce(
+      () => fetchNodes(node, token),
+      outcome.version,
+      {
+        timeoutMs: timeout * 1000,
+        intervalMs: POLL_INTERVAL_MS,
+        onReport: (current) => this.printProgress(current),
+      },
+    );
+    if (lastError) this.logToStderr(`node ${node}: ${lastError.message}`);
+    return finishCommand(this.printReport(outcome.version, report), { ...outcome, report });
+  }
+
+  private printOutcome(outcome: ApplyOutcome): number {
+    switch (outcome.kind) {
+      case 'accepted':
+      case 'unchanged': {
+        const text = outcome.kind === 'accepted' ? 'accepted as' : 'nothing to apply,';
+        this.log(`${text} version ${outcome.version}, operation ${outcome.operationId}`);
+        outcome.updatedFiles.forEach((file) => this.log(`merged into ${file}`));
+        outcome.warnings.forEach((warning) => this.warn(warning));
+        return EXIT_CODES.done;
+      }
+      case 'faulty':
+        outcome.faults.forEach((fault) => this.logToStderr(formatFileFault(fault)));
+        return EXIT_CODES.faulty;
+      case 'conflict':
+        outcome.conflicts.forEach((conflict) => this.logToStderr(formatConflict(conflict)));
+        return EXIT_CODES.conflict;
+      case 'mergeFaulty':
+        this.logToStderr('the edits here and those of others do not fit together:');
+        outcome.faults.forEach((fault) => this.logToStderr(formatFault(fault)));
+        return EXIT_CODES.conflict;
+      case 'unknown':
+        this.logToStderr(
+          `unknown whether operation ${outcome.operationId} was accepted: ` +
+            `${outcome.cause.message}\nask later with: lycheelane config status ${outcome.operationId}`,
+        );
+        return EXIT_CODES.unknown;
+      default:
+        return outcome satisfies never;
+    }
+  }
+
+  private printProgress(report: ForceReport): void {
+    const text = formatProgress(report);
+    if (text !== this.lastProgress) this.log(text);
+    this.lastProgress = text;
+  }
+
+  private printReport(version: number, report: ForceReport | undefined): number {
+    if (report?.isEverywhere) {
+      this.log(`version ${version} is in force everywhere`);
+      return EXIT_CODES.done;
+    }
+    this.logToStderr(`version ${version} is accepted, but not in force everywhere`);
+    for (const { nodeId, dataCentre, reason } of report?.pending ?? []) {
+      this.logToStderr(`  ${nodeId} (${dataCentre}): ${reason}`);
+    }
+    for (const { name, reachable } of report?.dataCentres ?? []) {
+      if (!reachable) this.logToStderr(`  ${name}: data centre cannot be reached`);
+    }
+    return EXIT_CODES.notInForce;
+  }
+}
--- /dev/null
+++ b/src/cli/commands/config/history.ts
@@ -0,0 +1,28 @@
+import { Flags } from '@oclif/core';
+import { listHistory } from '../../../core/config/listHistory.js';
+import { KEPT_VERSIONS } from '../../../core/config/pruneBundles.js';
+import { BaseCommand, PLATFORM_FLAG } from '../../baseCommand.js';
+
+/** `lycheelane config history` */
+export default class ConfigHistory extends BaseCommand {
+  static override summary = 'List accepted versions, newest first.';
+
+  static override flags = {
+    ...PLATFORM_FLAG,
+    limit: Flags.integer({ description: 'versions', default: 20, min: 1, max: KEPT_VERSIONS }),
+  };
+
+  /** Runs the command. */
+  async run() {
+    const { flags } = await this.parse(ConfigHistory);
+    const versions = this.unwrap(
+      await this.withPlatform(flags.platform, (platform) => listHistory(platform, flags.limit)),
+    );
+    for (const { version, operationId, digest, acceptedAtMs, author } of versions) {
+      const time = acceptedAtMs === undefined ? '-' : new Date(acceptedAtMs).toISOString();
+      this.log(`${version}  ${time}  ${operationId}  ${digest.slice(0, 12)}  ${author ?? '-'}`);
+    }
+    if (versions.length === 0) this.log('no version is accepted yet');
+    return { versions };
+  }
+}
--- /dev/null
+++ b/src/cli/config/assessNodes.ts
@@ -0,0 +1,70 @@
+/** Which nodes enforce a version, and why others do not. */
+import type { NodesAnswer, NodeStatus } from '../../generated/types.js';
+
+/** Progress of one data centre. */
+export interface DataCentreProgress {
+  readonly name: string;
+  readonly nodes: number;
+  readonly inForce: number;
+  readonly reachable: boolean;
+  readonly sinceMs: number | null;
+}
+
+/** A node that does not enforce the version. */
+export interface PendingNode {
+  readonly nodeId: string;
+  readonly dataCentre: string;
+  readonly version: number;
+  readonly reason: string;
+}
+
+/** State of a version in the fleet. */
+export interface ForceReport {
+  readonly version: number;
+  readonly dataCentres: readonly DataCentreProgress[];
+  readonly pending: readonly PendingNode[];
+  /** True when every node that can be reached has the version. */
+  readonly isReachedInForce: boolean;
+  /** True when that holds and every data centre can be reached. */
+  readonly isEverywhere: boolean;
+}
+
+function explainPending(node: NodeStatus, version: number, isReachable: boolean): string {
+  if (!isReachable) return 'its data centre cannot be reached';
+  if (node.refusal && node.refusal.version >= version) {
+    return `refused version ${node.refusal.version}: ${node.refusal.reason}`;
+  }
+  if (node.verdict === 'suspect') return 'does not answer pings';
+  if (node.version === 0) return 'has no configuration yet';
+  return `still at version ${node.version}`;
+}
+
+/** Assesses an answer of `GET /v1/nodes?scope=all`; dead nodes and nodes that left do not count. */
+export function assessNodes(answer: NodesAnswer, version: number): ForceReport {
+  const nodes = answer.nodes.filter(({ verdict, state }) => verdict !== 'dead' && state !== 'left');
+  const byName = new Map(answer.dataCentres.map((dataCentre) => [dataCentre.name, dataCentre]));
+  const names = new Set([...byName.keys(), ...nodes.map(({ dataCentre }) => dataCentre)]);
+  const isReachable = (name: string) => byName.get(name)?.reachable ?? true;
+  const isInForce = (node: NodeStatus) => node.version >= version;
+  const dataCentres = [...names].sort().map((name): DataCentreProgress => {
+    const local = nodes.filter(({ dataCentre }) => dataCentre === name);
+    return {
+      name,
+      nodes: local.length,
+      inForce: local.filter(isInForce).length,
+      reachable: isReachable(name),
+      sinceMs: byName.get(name)?.sinceMs ?? null,
+    };
+  });
+  const late = nodes.filter((node) => !isInForce(node));
+  const pending = late.map((node): PendingNode => {
+    const { nodeId, dataCentre } = node;
+    const reason = explainPending(node, version, isReachable(dataCentre));
+    return { nodeId, dataCentre, version: node.version, reason };
+  });
+  const isReachedInForce =
+    nodes.length > 0 && late.every(({ dataCentre }) => !isReachable(dataCentre));
+  const isEverywhere =
+    isReachedInForce && late.length === 0 && dataCentres.every(({ reachable }) => reachable);
+  return { version, dataCentres, pending, isReachedInForce, isEverywhere };
+}
--- /dev/null
+++ b/src/cli/config/editText.ts
@@ -0,0 +1,41 @@
+/** Edits of JSON with comments that keep the comments and the layout of what does not change. */
+import { isDeepStrictEqual } from 'node:util';
+import { applyEdits, modify } from 'jsonc-parser';
+import { diffContent, type JsonChange } from '../../core/config/diffContent.js';
+import { getAtPath } from '../../core/config/configFault.js';
+import type { JsonObject } from '../../core/config/renderSite.js';
+import { parseFile } from './workingFiles.js';
+
+const FORMATTING = { insertSpaces: true, tabSize: 2, eol: '\n' };
+
+/** Formats a value as a new file. */
+export function formatNewFile(value: JsonObject): string {
+  return `${JSON.stringify(value, null, 2)}\n`;
+}
+
+function setValue(text: string, path: readonly (string | number)[], value: unknown): string {
+  const edits = modify(text, [...path], value, { formattingOptions: FORMATTING });
+  return applyEdits(text, edits);
+}
+
+function applyChange(text: string, { path, after }: JsonChange): string {
+  const changed = setValue(text, path, after);
+  if (parseFile('', '', changed).faults.length === 0) return changed;
+  // Removing the only key of an object leaves its trailing comma behind, which is no JSON.
+  const parent = path.slice(0, -1);
+  const { [String(path.at(-1))]: removed, ...rest } = getAtPath(
+    parseFile('', '', text).value,
+    parent,
+  ) as JsonObject;
+  return parent.length === 0 ? formatNewFile(rest) : setValue(text, parent, rest);
+}
+
+/** Returns `text` changed so that it holds `target`. */
+export function editText(text: string, current: JsonObject, target: JsonObject): string {
+  let edited = text;
+  for (const change of diffContent(current, target)) edited = applyChange(edited, change);
+  const { value, faults } = parseFile('', '', edited);
+  // Comments are worth less than the right values, should an edit have gone wrong.
+  const isRight = faults.length === 0 && isDeepStrictEqual(value, target);
+  return isRight ? edited : formatNewFile(target);
+}
--- /dev/null
+++ b/src/cli/config/formatOutput.ts
@@ -0,0 +1,38 @@
+/** Texts of the configuration commands. */
+import { formatPath } from '../../core/config/configFault.js';
+import type { JsonChange } from '../../core/config/diffContent.js';
+import type { MergeConflict } from '../../core/config/mergeThreeWay.js';
+import type { ForceReport } from './assessNodes.js';
+
+function formatValue(value: unknown): string {
+  return value === undefined ? '(absent)' : JSON.stringify(value);
+}
+
+/** Formats an overlapping edit with its key and the values of both sides. */
+export function formatConflict({ path, parent, ours, theirs }: MergeConflict): string {
+  return [
+    `${formatPath(path)}: edited here and by somebody else`,
+    `  before: ${formatValue(parent)}`,
+    `  here:   ${formatValue(ours)}`,
+    `  theirs: ${formatValue(theirs)}`,
+  ].join('\n');
+}
+
+/** Formats a difference as one line; `+` added, `-` removed, `~` changed. */
+export function formatChange({ path, before, after }: JsonChange): string {
+  const name = formatPath(path);
+  if (before === undefined) return `+ ${name}: ${formatValue(after)}`;
+  if (after === undefined) return `- ${name}: ${formatValue(before)}`;
+  return `~ ${name}: ${formatValue(before)} -> ${formatValue(after)}`;
+}
+
+/** Formats the progress of each data centre, one line each. */
+export function formatProgress({ dataCentres, version }: ForceReport): string {
+  return dataCentres
+    .map(({ name, nodes, inForce, reachable, sinceMs }) => {
+      const since = sinceMs ? ` since ${new Date(sinceMs).toISOString()}` : '';
+      const note = reachable ? '' : `, unreachable${since}`;
+      return `  ${name}: ${inForce} of ${nodes} nodes at version ${version}${note}`;
+    })
+    .join('\n');
+}
--- /dev/null
+++ b/src/cli/exitCodes.ts
@@ -0,0 +1,30 @@
+import type { StepError } from '../errors.js';
+
+/** Exit codes of the command line. */
+export const EXIT_CODES = {
+  done: 0,
+  failed: 1,
+  /** Wrong usage, or faulty files. */
+  faulty: 2,
+  /** Conflict with another edit. */
+  conflict: 3,
+  /** It is unknown whether the version was accepted. */
+  unknown: 4,
+  /** Accepted, but not in force everywhere before the time limit. */
+  notInForce: 5,
+} as const;
+
+/** Steps that fail because of the operator's directory, not of the platform. */
+const FILE_STEPS: readonly string[] = ['config.files', 'config.parent'];
+
+/** Returns the exit code of an error: usage and file faults are told from failures. */
+export function getExitCode({ step, kind }: StepError): number {
+  const isUsage = step.startsWith('config.') && (kind === 'refused' || kind === 'stale');
+  return isUsage || FILE_STEPS.includes(step) ? EXIT_CODES.faulty : EXIT_CODES.failed;
+}
+
+/** Sets the exit code of the process and returns the value that `--json` prints. */
+export function finishCommand<Value>(exitCode: number, value: Value): Value {
+  process.exitCode = exitCode;
+  return value;
+}
--- a/src/core/config/checkConfig.ts
+++ b/src/core/config/checkConfig.ts
@@ -28,6 +28,12 @@
   });
 }
 
+function hasReservedKey(content: ConfigContent): boolean {
+  return [content.base, ...Object.values(content.overlays)].some(
+    (layer) => findReservedKeys(layer, []).length > 0,
+  );
+}
+
 function checkReferences(config: MeshConfig, overlay: JsonObject | undefined): SchemaFault[] {
   const services = Object.keys(config.services);
   const faults: SchemaFault[] = [];
@@ -78,15 +84,14 @@
   if (!isKnown) faults.push(fault);
 }
 
-function checkLayers(content: ConfigContent, faults: ConfigFault[]): boolean {
-  let canRender = true;
+/** Checks the base for reserved names and each overlay by itself, without rendering a site. */
+export function checkLayers(content: ConfigContent): ConfigFault[] {
+  const faults: ConfigFault[] = [];
   const addAll = (site: string, found: readonly SchemaFault[]) => {
     found.forEach((fault) => addFault(faults, { ...fault, site }));
   };
   for (const [site, layer] of [['', content.base] as const, ...Object.entries(content.overlays)]) {
-    const reserved = findReservedKeys(layer, []);
-    addAll(site, reserved);
-    if (reserved.length > 0) canRender = false;
+    addAll(site, findReservedKeys(layer, []));
     if (site !== '') addAll(site, checkSchema(validateOverlay, structuredClone(layer)));
     if (site !== '' && !SITE_NAME.test(site)) {
       const message = `bad site name "${site}"`;
@@ -94,7 +99,7 @@
       addFault(faults, { site, path: [], atKey: false, message, expected });
     }
   }
-  return canRender;
+  return faults;
 }
 
 /**
@@ -102,9 +107,9 @@
  * checked wherever one is compiled, so that either every site accepts a version or none does.
  */
 export function checkConfig(content: ConfigContent): CheckedConfig {
-  const faults: ConfigFault[] = [];
+  const faults = checkLayers(content);
   const sites = new Map<string, MeshConfig>();
-  if (!checkLayers(content, faults)) return { faults, sites };
+  if (hasReservedKey(content)) return { faults, sites };
   for (const site of ['', ...Object.keys(content.overlays)]) {
     const overlay = content.overlays[site];
     const rendered = renderSite(content, site);
--- /dev/null
+++ b/src/core/config/pruneBundles.ts
@@ -0,0 +1,74 @@
+/** Removal of old bundles, so that the platform's store does not grow with every change. */
+import { err, ok, type Result } from 'neverthrow';
+import type { StepError } from '../../errors.js';
+import type { BundleIndex, Head } from '../../generated/types.js';
+import { validateBundleIndex } from '../../generated/validators.js';
+import type { PlatformClient } from '../../types/interfaces.js';
+import { formatBundleName } from './readHead.js';
+
+/** Versions whose bundles are kept, for history, status and merges. */
+export const KEPT_VERSIONS = 256;
+
+/** Platform object that lists stored bundles: `recent` of the head covers only 128 of them. */
+export const INDEX_NAME = 'config/bundles';
+
+/** Bounds the work of one apply when earlier ones could not remove anything. */
+const MAX_REMOVALS = 32;
+
+type IndexEntry = BundleIndex['bundles'][number];
+
+function mergeEntries(head: Head, known: readonly IndexEntry[]): IndexEntry[] {
+  const entries = new Map<string, IndexEntry>();
+  for (const { version, operationId } of [...head.recent, ...known]) {
+    entries.set(operationId, { version, operationId });
+  }
+  return [...entries.values()].sort((a, b) => b.version - a.version);
+}
+
+async function removeBundle(platform: PlatformClient, operationId: string): Promise<boolean> {
+  const name = formatBundleName(operationId);
+  const found = await platform.read(name);
+  if (found.isErr()) return false;
+  if (found.value === undefined) return true;
+  const removed = await platform.remove(name, found.value.version);
+  return removed.isOk() || removed.error.kind === 'not-found';
+}
+
+/** Removes the bundle of an operation that lost its race; failure leaves an unused object. */
+export async function removeLostBundle(
+  platform: PlatformClient,
+  operationId: string,
+): Promise<void> {
+  await removeBundle(platform, operationId);
+}
+
+/**
+ * Removes the bundles of versions beyond the last 256 and returns their number. What fails is left
+ * to the next apply, and so is an index that another editor has just written.
+ */
+export async function pruneBundles(
+  platform: PlatformClient,
+  head: Head,
+): Promise<Result<number, StepError>> {
+  const index = await platform.read<BundleIndex>(INDEX_NAME);
+  if (index.isErr()) return err(index.error);
+  const stored = index.value;
+  // A malformed index is replaced: it only lists what may be removed.
+  const known = stored && validateBundleIndex(stored.value) ? stored.value.bundles : [];
+  const kept: IndexEntry[] = [];
+  let removed = 0;
+  for (const entry of mergeEntries(head, known)) {
+    const isOld = entry.version <= head.version - KEPT_VERSIONS;
+    if (isOld && removed < MAX_REMOVALS && (await removeBundle(platform, entry.operationId))) {
+      removed += 1;
+    } else {
+      kept.push(entry);
+    }
+  }
+  const value: BundleIndex = { bundles: kept };
+  const written = stored
+    ? await platform.update(INDEX_NAME, value, stored.version)
+    : await platform.create(INDEX_NAME, value);
+  if (written.isErr() && written.error.kind !== 'conflict') return err(written.error);
+  return ok(removed);
+}
--- a/src/core/platform/httpPlatform.ts
+++ b/src/core/platform/httpPlatform.ts
@@ -4,6 +4,7 @@
 import { buildError, type StepError } from '../../errors.js';
 import type { PlatformClient, PlatformObject, WatchAnswer } from '../../types/interfaces.js';
 import { decodeList, decodeObject, decodeVersion, decodeWatch } from './decodeAnswer.js';
+import { MAX_VALUE_BYTES } from './limits.js';
 import { buildStatusError, toTransportError } from './platformErrors.js';
 import { readLimitedText } from './readLimitedText.js';
 
@@ -19,9 +20,6 @@
   readonly connections?: number;
 }
 
-/** Largest value that the platform accepts, in bytes. */
-export const MAX_VALUE_BYTES = 1_048_576;
-
 const DEFAULTS = {
   timeoutMs: 5000,
   // A watch response wraps a value of the largest size.
