Add the platform stand-in

Other parts need an object API to develop and test against.

The stand-in serves the API of design section 16 over HTTP: conditional writes, lists, long-poll watches from a bounded change log (410 before its start), call counters by kind, and the faults down, delayMs, loseWriteAnswers, cutWatches, staleWatch and failPercent.

A stale watch replays the change before the newest one and does not advance.

--- /dev/null
+++ b/test/standins/platform.test.ts
@@ -0,0 +1,208 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { request } from 'undici';
+import { startPlatform, type Platform } from '../../standins/platform/server.js';
+
+interface Answer {
+  readonly status: number;
+  readonly etag: string | undefined;
+  readonly body: unknown;
+}
+
+async function sendCall(
+  platform: Platform,
+  method: 'GET' | 'PUT' | 'DELETE',
+  path: string,
+  headers: Record<string, string> = {},
+  body?: string,
+): Promise<Answer> {
+  const answer = await request(platform.url + path, { method, headers, body });
+  const text = await answer.body.text();
+  const etag = answer.headers.etag?.toString();
+  return { status: answer.statusCode, etag, body: text === '' ? undefined : JSON.parse(text) };
+}
+
+async function withPlatform(run: (platform: Platform) => Promise<void>): Promise<void> {
+  const platform = await startPlatform({ logBounds: { maxChanges: 4, maxBytes: 4_000_000 } });
+  try {
+    await run(platform);
+  } finally {
+    await platform.close();
+  }
+}
+
+/** Waits for a state of the stand-in that its own counters show. */
+async function waitUntil(isTrue: () => boolean): Promise<void> {
+  while (!isTrue()) {
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+}
+
+const OBJECT = '/v1/objects/config/head';
+const WATCH = '/v1/watch/config/head';
+const LARGEST = JSON.stringify('x'.repeat(1_048_574));
+
+// Guards against a stand-in that accepts a write whose condition does not hold, or refuses one
+// that does: every guarantee about accepted versions rests on this table.
+const writes: readonly {
+  name: string;
+  exists: boolean;
+  method?: 'PUT' | 'DELETE';
+  headers: Record<string, string>;
+  body?: string;
+  status: number;
+  version?: number;
+}[] = [
+  { name: 'create', exists: false, headers: { 'if-none-match': '*' }, status: 201, version: 1 },
+  { name: 'create again', exists: true, headers: { 'if-none-match': '*' }, status: 412 },
+  { name: 'update', exists: true, headers: { 'if-match': '"1"' }, status: 200, version: 2 },
+  { name: 'update of another version', exists: true, headers: { 'if-match': '"7"' }, status: 412 },
+  { name: 'update without object', exists: false, headers: { 'if-match': '"1"' }, status: 412 },
+  { name: 'no condition', exists: true, headers: {}, status: 428 },
+  { name: 'unquoted version', exists: true, headers: { 'if-match': '1' }, status: 400 },
+  {
+    name: 'two conditions',
+    exists: true,
+    headers: { 'if-match': '"1"', 'if-none-match': '*' },
+    status: 400,
+  },
+  { name: 'not JSON', exists: true, headers: { 'if-match': '"1"' }, body: '{', status: 400 },
+  {
+    name: 'largest value',
+    exists: false,
+    headers: { 'if-none-match': '*' },
+    body: LARGEST,
+    status: 201,
+    version: 1,
+  },
+  {
+    name: 'one byte too many',
+    exists: false,
+    headers: { 'if-none-match': '*' },
+    body: `${LARGEST} `,
+    status: 413,
+  },
+  { name: 'remove', exists: true, method: 'DELETE', headers: { 'if-match': '"1"' }, status: 204 },
+  {
+    name: 'remove of another version',
+    exists: true,
+    method: 'DELETE',
+    headers: { 'if-match': '"2"' },
+    status: 412,
+  },
+  {
+    name: 'remove without object',
+    exists: false,
+    method: 'DELETE',
+    headers: { 'if-match': '"1"' },
+    status: 404,
+  },
+  { name: 'remove unconditionally', exists: true, method: 'DELETE', headers: {}, status: 428 },
+];
+for (const entry of writes) {
+  test(`platform write: ${entry.name}`, () =>
+    withPlatform(async (platform) => {
+      if (entry.exists) {
+        await sendCall(platform, 'PUT', OBJECT, { 'if-none-match': '*' }, '{"a":1}');
+      }
+      const { method = 'PUT', headers } = entry;
+      const body = method === 'PUT' ? (entry.body ?? '{"a":2}') : undefined;
+      const answer = await sendCall(platform, method, OBJECT, headers, body);
+      assert.equal(answer.status, entry.status);
+      if (entry.version !== undefined) assert.equal(answer.etag, `"${entry.version}"`);
+      const after = await sendCall(platform, 'GET', OBJECT);
+      const kept = entry.exists ? { a: 1 } : { error: 'no such object' };
+      if (entry.status >= 300) assert.deepEqual(after.body, kept);
+      else assert.equal(after.status, entry.status === 204 ? 404 : 200);
+    }));
+}
+
+// Guards against a watch that loses a change, ends early or continues from an unknown version.
+test('platform watch: known changes, waiting, end of the wait, unknown versions', () =>
+  withPlatform(async (platform) => {
+    platform.store.write('config', 'head', 1, { kind: 'absent' });
+    platform.store.write('config', 'other', 1, { kind: 'absent' });
+    const known = await sendCall(platform, 'GET', `${WATCH}?from=0&waitMs=60000`);
+    const first = { name: 'head', version: 1, value: 1, deleted: false };
+    assert.deepEqual(known.body, { version: 2, changes: [first] });
+
+    const empty = await sendCall(platform, 'GET', `${WATCH}?from=2&waitMs=1`);
+    assert.deepEqual(empty.body, { version: 2, changes: [] });
+
+    const waiting = sendCall(platform, 'GET', `${WATCH}?from=2&waitMs=60000`);
+    await waitUntil(() => platform.getStats().waitingWatches === 1);
+    platform.store.write('config', 'other', 2, { kind: 'version', version: 2 });
+    assert.equal(platform.getStats().waitingWatches, 1);
+    platform.store.remove('config', 'head', 1);
+    const removed = { name: 'head', version: 4, value: null, deleted: true };
+    assert.deepEqual((await waiting).body, { version: 4, changes: [removed] });
+
+    platform.store.write('config', 'head', 2, { kind: 'absent' });
+    assert.equal((await sendCall(platform, 'GET', `${WATCH}?from=0&waitMs=1`)).status, 410);
+    assert.equal((await sendCall(platform, 'GET', `${WATCH}?from=99&waitMs=1`)).status, 410);
+    assert.equal((await sendCall(platform, 'GET', WATCH)).status, 400);
+    const { byKind } = platform.getStats();
+    assert.equal(byKind.watch, 6);
+  }));
+
+// Guards against faults that have another effect than their name says.
+test('platform faults: a lost answer has taken effect, once for a count of one', () =>
+  withPlatform(async (platform) => {
+    platform.setFaults({ loseWriteAnswers: 1 });
+    await assert.rejects(sendCall(platform, 'PUT', OBJECT, { 'if-none-match': '*' }, '1'));
+    assert.equal((await sendCall(platform, 'GET', OBJECT)).etag, '"1"');
+    const second = await sendCall(platform, 'PUT', OBJECT, { 'if-match': '"1"' }, '2');
+    assert.equal(second.status, 200);
+    assert.equal(platform.getStats().lostAnswers, 1);
+  }));
+
+test('platform faults: down refuses calls without effect and cuts waiting watches', () =>
+  withPlatform(async (platform) => {
+    const waiting = sendCall(platform, 'GET', `${WATCH}?from=0&waitMs=60000`);
+    await waitUntil(() => platform.getStats().waitingWatches === 1);
+    platform.setFaults({ down: true });
+    await assert.rejects(waiting);
+    await assert.rejects(sendCall(platform, 'PUT', OBJECT, { 'if-none-match': '*' }, '1'));
+    platform.setFaults({ down: false });
+    assert.equal((await sendCall(platform, 'GET', OBJECT)).status, 404);
+    assert.equal(platform.getStats().refused, 1);
+  }));
+
+test('platform faults: cut watches, stale watches, failures, delay, control port', (t) =>
+  withPlatform(async (platform) => {
+    platform.store.write('config', 'head', 1, { kind: 'absent' });
+    platform.store.write('config', 'head', 2, { kind: 'version', version: 1 });
+    platform.setFaults({ cutWatches: true });
+    await assert.rejects(sendCall(platform, 'GET', `${WATCH}?from=2&waitMs=60000`));
+
+    platform.setFaults({ cutWatches: false, staleWatch: true });
+    const stale = await sendCall(platform, 'GET', `${WATCH}?from=2&waitMs=60000`);
+    const old = { name: 'head', version: 1, value: 1, deleted: false };
+    assert.deepEqual(stale.body, { version: 2, changes: [old] });
+
+    platform.setFaults({ staleWatch: false, failPercent: 100 });
+    const failed = await sendCall(platform, 'PUT', OBJECT, { 'if-match': '"2"' }, '3');
+    assert.equal(failed.status, 503);
+    assert.equal(platform.store.getObject('config', 'head')?.version, 2);
+
+    platform.setFaults({ failPercent: 0, delayMs: 1000 });
+    t.mock.timers.enable({ apis: ['setTimeout'] });
+    const delayed = sendCall(platform, 'PUT', OBJECT, { 'if-match': '"2"' }, '3');
+    await waitUntil(() => platform.getStats().byKind.update === 2);
+    assert.equal(platform.store.version, 2);
+    t.mock.timers.tick(1000);
+    assert.equal((await delayed).etag, '"3"');
+    t.mock.timers.reset();
+
+    const control = await sendCall(platform, 'PUT', '/control/faults', {}, '{"delayMs":0}');
+    assert.equal(control.status, 200);
+    assert.equal(platform.getFaults().delayMs, 0);
+    for (const wrong of ['{"delay":1}', '{"down":1}', '{"failPercent":101}', '[]', '{']) {
+      const refused = await sendCall(platform, 'PUT', '/control/faults', {}, wrong);
+      assert.equal(refused.status, 400, wrong);
+    }
+    const stats = await sendCall(platform, 'GET', '/control/stats');
+    assert.deepEqual(stats.body, platform.getStats());
+  }));
