--- a/test/standins/platform.test.ts
+++ b/test/standins/platform.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import { request } from 'undici';
 import { startPlatform, type Platform } from '../../standins/platform/server.js';
+import { waitUntil } from './wait.js';
 
 interface Answer {
   readonly status: number;
@@ -31,15 +32,6 @@
   }
 }
 
-/** Waits for a state of the stand-in that its own counters show. */
-async function waitUntil(isTrue: () => boolean): Promise<void> {
-  while (!isTrue()) {
-    await new Promise((resolve) => {
-      setImmediate(resolve);
-    });
-  }
-}
-
 const OBJECT = '/v1/objects/config/head';
 const WATCH = '/v1/watch/config/head';
 const LARGEST = JSON.stringify('x'.repeat(1_048_574));
