Connect nodes and spread configuration versions between them

Cause: nodes had no way to talk to each other or to obtain a version. Change: JSON-RPC connections with schema checks, limits and one backoff per target; membership with merge rules, failure detection, gossip, anti-entropy and relays; distribution with watch, notify, fetch, difference and floor. Ruled out: tombstones in the table hash (they expire at different times and would be exchanged for ever); a summary exchange at each differing hash (a change that is still being gossiped differs everywhere).

--- /dev/null
+++ b/src/core/distribution/store.ts
@@ -0,0 +1,124 @@
+import { err, ok, type Result } from 'neverthrow';
+import { buildError, type StepError } from '../../errors.js';
+import type { Bundle } from '../../generated/types.js';
+import { NO_VERSION, type DataCentre } from '../../types/ids.js';
+import type { ConfigStore, VersionTag } from '../../types/interfaces.js';
+import type { RoutingState } from '../../types/routing.js';
+import type { Logger } from '../../utils/logger.js';
+import { createHeldBundles, type HeldBundles } from './held.js';
+import { toTag, verifyBundle } from './verify.js';
+
+/** Compiles a bundle for a site; written in `core/config`. */
+export type Compile = (bundle: Bundle, site: DataCentre) => Result<RoutingState, StepError>;
+
+/** Parts that a configuration store uses. */
+export interface ConfigStoreOptions {
+  readonly site: DataCentre;
+  readonly compile: Compile;
+  readonly logger: Logger;
+}
+
+/** Sources of a floor that speak for the whole mesh; any other source only raises the floor. */
+export type FloorSource = 'platform' | 'peers';
+
+/** The store with what only the distribution needs. */
+export interface DistributionStore extends ConfigStore {
+  readonly held: HeldBundles;
+  /** True once the platform or a majority of peers has told the floor. */
+  isFloorKnown(): boolean;
+  /** Raises the floor and notes that it is known; version 0 means that nothing was accepted. */
+  confirmFloor(tag: VersionTag, source: FloorSource): void;
+  /** True when this very version was refused, so that fetching it again is pointless. */
+  isRefused(tag: VersionTag): boolean;
+  /** Calls the listener when the floor rises. */
+  onFloor(listener: (tag: VersionTag) => void): void;
+}
+
+/** Refused versions remembered, so that they are not fetched again. */
+const MAX_REFUSED = 16;
+
+const NO_TAG: VersionTag = { version: NO_VERSION, digest: '' };
+
+/** Creates a store that holds nothing. */
+export function createConfigStore(options: ConfigStoreOptions): DistributionStore {
+  const { site, compile, logger } = options;
+  const held = createHeldBundles();
+  const listeners: ((tag: VersionTag) => void)[] = [];
+  const floorListeners: ((tag: VersionTag) => void)[] = [];
+  let routing: RoutingState | undefined;
+  let bundle: Bundle | undefined;
+  let tag = NO_TAG;
+  let floor = NO_TAG;
+  let isFloorKnown = false;
+  let refusal: { version: number; reason: string } | undefined;
+  let refusedDigests: string[] = [];
+
+  const raiseFloor = (raised: VersionTag, source: string) => {
+    if (raised.version === floor.version && raised.version > 0 && raised.digest !== floor.digest) {
+      logger.error('floor-digest-differs', { version: raised.version, source });
+    }
+    if (raised.version <= floor.version) return;
+    floor = raised;
+    logger.info('floor-raised', { version: raised.version, source });
+    for (const listener of floorListeners) listener(raised);
+  };
+
+  const refuse = (refused: Bundle, error: StepError) => {
+    const { version, digest } = refused;
+    refusal = { version, reason: error.message };
+    refusedDigests = [...refusedDigests, `${version} ${digest}`].slice(-MAX_REFUSED);
+    logger.error('config-refused', { version, peer: error.peer, reason: error.message });
+    return err(error);
+  };
+
+  /** The digest already known for a version, if any. */
+  const findDigest = (version: number): string | undefined => {
+    if (floor.version === version && floor.digest !== '') return floor.digest;
+    return held.findVersion(version)?.digest;
+  };
+
+  const install = (candidate: Bundle, source: string): Result<VersionTag, StepError> => {
+    const step = 'config.install';
+    const known = findDigest(candidate.version);
+    if (known !== undefined && known !== candidate.digest) {
+      const reason = `version ${candidate.version} is known with digest ${known}`;
+      logger.error('config-digest-differs', { version: candidate.version, source });
+      return err(buildError('mismatch', step, source, reason));
+    }
+    if (candidate.version <= tag.version) {
+      const reason = `version ${candidate.version} is not above ${tag.version}`;
+      return err(buildError('stale', step, source, reason));
+    }
+    const verified = verifyBundle(candidate, source);
+    if (verified.isErr()) return err(verified.error);
+    const compiled = compile(candidate, site);
+    if (compiled.isErr()) return refuse(candidate, compiled.error);
+    routing = compiled.value;
+    bundle = candidate;
+    tag = toTag(candidate);
+    held.add(candidate);
+    logger.info('config-installed', { version: tag.version, source });
+    for (const listener of listeners) listener(tag);
+    return ok(tag);
+  };
+
+  return {
+    held,
+    install,
+    raiseFloor,
+    getRouting: () => routing,
+    getTag: () => tag,
+    getBundle: () => bundle,
+    getFloor: () => floor,
+    isFloorKnown: () => isFloorKnown,
+    confirmFloor: (confirmed, source) => {
+      isFloorKnown = true;
+      raiseFloor(confirmed, source);
+    },
+    isReady: () => isFloorKnown && tag.version > 0 && tag.version >= floor.version,
+    isRefused: ({ version, digest }) => refusedDigests.includes(`${version} ${digest}`),
+    onFloor: (listener) => floorListeners.push(listener),
+    onInstall: (listener) => listeners.push(listener),
+    getLastRefusal: () => refusal,
+  };
+}
--- /dev/null
+++ b/src/core/distribution/verify.ts
@@ -0,0 +1,30 @@
+import { err, ok, type Result } from 'neverthrow';
+import { buildError, type StepError } from '../../errors.js';
+import type { Bundle } from '../../generated/types.js';
+import { validateBundle } from '../../generated/validators.js';
+import { brandVersion, type Digest } from '../../types/ids.js';
+import type { VersionTag } from '../../types/interfaces.js';
+import { computeDigest } from '../../utils/digest.js';
+
+/** Returns the version and digest that a bundle or head names. */
+export function toTag(named: { readonly version: number; readonly digest: string }): VersionTag {
+  return { version: brandVersion(named.version), digest: named.digest as Digest | '' };
+}
+
+/**
+ * Checks that a value is a bundle whose content hashes to its digest.
+ * Errors: kind `invalid` for the schema, `mismatch` for the digest.
+ */
+export function verifyBundle(value: unknown, source: string): Result<Bundle, StepError> {
+  const step = 'config.verify';
+  if (!validateBundle(value)) {
+    const fault = validateBundle.errors?.[0];
+    const reason = `${fault?.instancePath ?? ''} ${fault?.message ?? 'is invalid'}`;
+    return err(buildError('invalid', step, source, `not a bundle: ${reason}`));
+  }
+  const bundle = value as Bundle;
+  const digest = computeDigest({ base: bundle.base, overlays: bundle.overlays });
+  if (digest === bundle.digest) return ok(bundle);
+  const reason = `version ${bundle.version} hashes to ${digest}, not ${bundle.digest}`;
+  return err(buildError('mismatch', step, source, reason));
+}
--- /dev/null
+++ b/src/core/membership/join.ts
@@ -0,0 +1,102 @@
+import type { PeerAddress } from '../../types/interfaces.js';
+import { computeDelayMs, waitMs } from '../../utils/backoff.js';
+import { toShuffled } from '../../utils/random.js';
+import type { MembershipContext } from './context.js';
+import type { PingExchange } from './exchange.js';
+import type { RelayRanking } from './relays.js';
+import { readAllSeeds, readSeeds } from './seeds.js';
+import type { AntiEntropy } from './antiEntropy.js';
+
+/** Delays between attempts to find another member. */
+const JOIN_BOUNDS = { baseMs: 200, maxMs: 10_000 } as const;
+/** Time between checks that some other member is known. */
+const CHECK_MS = 5000;
+/** Time between a relay's looks for data centres that it does not know or reach. */
+const DISCOVERY_MS = 60_000;
+/** A joining node allows a busy seed more time than a ping of the failure detector. */
+const JOIN_TIMEOUT_MS = 1000;
+
+/** Finds other members through seeds. */
+export interface Joiner {
+  /** Tries the seeds of the settings, then those of the platform; true when one answered. */
+  runOnce(): Promise<boolean>;
+  run(): Promise<void>;
+}
+
+/** Creates the joining task; `onJoined` is called after the first full table arrived. */
+export function createJoiner(
+  context: MembershipContext,
+  exchange: PingExchange,
+  antiEntropy: AntiEntropy,
+  ranking: RelayRanking,
+  onJoined: () => void,
+): Joiner {
+  const { settings, table, logger, random, signal } = context;
+
+  const isSelf = ({ host, port }: PeerAddress) =>
+    host === context.getSelf().host && port === context.getSelf().peerPort;
+
+  const isAlone = () => table.listPresent(settings.dataCentre).length < 2;
+
+  const contact = async (address: PeerAddress): Promise<boolean> => {
+    const first = [{ record: context.getSelf(), verdict: 'alive' as const }];
+    const answer = await exchange.ping(address, { first, timeoutMs: JOIN_TIMEOUT_MS });
+    if (answer.isErr()) return false;
+    // The seeds have these records already, so they are not gossiped again.
+    const result = await antiEntropy.runSummary(address, false);
+    return result.isOk();
+  };
+
+  const contactAny = async (addresses: readonly PeerAddress[]): Promise<boolean> => {
+    for (const address of toShuffled(addresses, random)) {
+      if (signal.aborted) return false;
+      if (!isSelf(address) && (await contact(address))) return true;
+    }
+    return false;
+  };
+
+  const runOnce = async () => {
+    const isJoined =
+      (await contactAny(settings.seeds)) || (await contactAny(await readSeeds(context)));
+    if (isJoined) onJoined();
+    return isJoined;
+  };
+
+  const runJoin = async () => {
+    let attempt = 0;
+    while (!signal.aborted) {
+      if (isAlone()) {
+        await runOnce();
+        await waitMs(computeDelayMs(JOIN_BOUNDS, attempt, random), signal);
+        attempt += 1;
+      } else {
+        attempt = 0;
+        await waitMs(CHECK_MS, signal);
+      }
+    }
+  };
+
+  /** Relays look for other data centres: their own may have started without any seed elsewhere. */
+  const runDiscovery = async () => {
+    while (!signal.aborted) {
+      await waitMs(random() * DISCOVERY_MS, signal);
+      if (signal.aborted || !context.isRelay()) continue;
+      const known = new Set(
+        table.listPresent().map(({ record }) => `${record.host}:${record.peerPort}`),
+      );
+      const unknown = (await readAllSeeds(context)).filter(
+        ({ host, port }) => !known.has(`${host}:${port}`),
+      );
+      if (unknown.length > 0 && (await contactAny(unknown.slice(0, 32)))) {
+        logger.info('members-discovered', { dataCentres: ranking.listDataCentres().length });
+      }
+    }
+  };
+
+  return {
+    runOnce,
+    run: async () => {
+      await Promise.all([runJoin(), runDiscovery()]);
+    },
+  };
+}
--- /dev/null
+++ b/src/core/membership/relayExchange.ts
@@ -0,0 +1,142 @@
+import { waitMs } from '../../utils/backoff.js';
+import { toAddress, type MembershipContext } from './context.js';
+import type { Heard, PingExchange } from './exchange.js';
+import type { RelayRanking } from './relays.js';
+import { limitChanges, type AntiEntropy } from './antiEntropy.js';
+
+/** Bytes of own records sent to another data centre in one message. */
+const SYNC_BYTES = 64 * 1024;
+/** Members of a data centre that are tried in turn while none answers. */
+const TRIED_MEMBERS = 6;
+/** Failures in a row after which a data centre counts as unreachable. */
+const UNREACHABLE_FAILURES = 3;
+
+/** Reachability of a data centre as seen by this relay. */
+export interface DataCentreView {
+  readonly dataCentre: string;
+  readonly isReachable: boolean;
+  /** Time (`Date.now`) since which this holds. */
+  readonly sinceMs: number;
+}
+
+interface Link {
+  isReachable: boolean;
+  sinceMs: number;
+  contactMs: number;
+  failures: number;
+  sentRevision: number;
+}
+
+/** Exchanges records with the relays of other data centres. */
+export interface RelayExchange {
+  runOnce(): Promise<void>;
+  run(): Promise<void>;
+  noteHeard(heard: Heard): void;
+  listDataCentres(): readonly DataCentreView[];
+}
+
+/** Creates the relay task; it does nothing while this node is no relay. */
+export function createRelayExchange(
+  context: MembershipContext,
+  exchange: PingExchange,
+  ranking: RelayRanking,
+  antiEntropy: AntiEntropy,
+): RelayExchange {
+  const { settings, table, logger, signal, random } = context;
+  const { relaySyncMs, pingTimeoutMs } = settings.membership;
+  const links = new Map<string, Link>();
+
+  const getLink = (dataCentre: string): Link => {
+    const known = links.get(dataCentre);
+    if (known) return known;
+    const nowMs = Date.now();
+    const created = {
+      isReachable: true,
+      sinceMs: nowMs,
+      contactMs: 0,
+      failures: 0,
+      sentRevision: 0,
+    };
+    links.set(dataCentre, created);
+    return created;
+  };
+
+  const setReachable = (dataCentre: string, link: Link, isReachable: boolean) => {
+    if (link.isReachable === isReachable) return;
+    const forMs = Date.now() - link.sinceMs;
+    Object.assign(link, { isReachable, sinceMs: Date.now() });
+    const event = isReachable ? 'data-centre-reachable' : 'data-centre-unreachable';
+    logger.warn(event, { dataCentre, afterMs: forMs });
+  };
+
+  const recordContact = (dataCentre: string) => {
+    const link = getLink(dataCentre);
+    link.failures = 0;
+    link.contactMs = Date.now();
+    setReachable(dataCentre, link, true);
+  };
+
+  const syncDataCentre = async (dataCentre: string) => {
+    const link = getLink(dataCentre);
+    const revision = table.getRevision();
+    const news = table
+      .list()
+      .filter(
+        (entry) =>
+          entry.record.dataCentre === settings.dataCentre && entry.revision > link.sentRevision,
+      )
+      .sort((a, b) => a.revision - b.revision);
+    // The other side's exchange of this second serves both, unless there is something to send.
+    const isFresh = Date.now() - link.contactMs < relaySyncMs * 0.9;
+    if (isFresh && news.length === 0) return;
+    const candidates = ranking.listRanked(dataCentre).slice(0, TRIED_MEMBERS);
+    const isFailing = link.failures > 0;
+    const index = isFailing ? link.failures : Math.floor(random() * Math.min(2, candidates.length));
+    const target = candidates[index % Math.max(1, candidates.length)];
+    if (!target) return;
+    const first = limitChanges(news, SYNC_BYTES);
+    const address = toAddress(target.record);
+    const targetId = target.record.nodeId;
+    const answer = await exchange.ping(address, { targetId, first, timeoutMs: pingTimeoutMs });
+    if (answer.isErr()) {
+      link.failures += 1;
+      if (link.failures >= UNREACHABLE_FAILURES) setReachable(dataCentre, link, false);
+      return;
+    }
+    const isComplete = first.length === news.length;
+    link.sentRevision = isComplete ? revision : (news[first.length - 1]?.revision ?? revision);
+    antiEntropy.noteHash(address, answer.value.tableHash);
+  };
+
+  const runOnce = async () => {
+    if (!context.isRelay()) {
+      links.clear();
+      return;
+    }
+    const others = ranking.listDataCentres().filter((name) => name !== settings.dataCentre);
+    await Promise.all(others.map(syncDataCentre));
+  };
+
+  return {
+    runOnce,
+    run: async () => {
+      await waitMs(random() * relaySyncMs, signal);
+      while (!signal.aborted) {
+        const startedMs = Date.now();
+        await runOnce();
+        await waitMs(Math.max(0, relaySyncMs - (Date.now() - startedMs)), signal);
+      }
+    },
+    noteHeard: ({ from }) => {
+      if (from.dataCentre !== settings.dataCentre && context.isRelay()) {
+        recordContact(from.dataCentre);
+      }
+    },
+    listDataCentres: () =>
+      [...links].map(([dataCentre, { isReachable, sinceMs }]) => ({
+        dataCentre,
+        isReachable,
+        sinceMs,
+      })),
+  };
+}
--- /dev/null
+++ b/src/core/peer/server.ts
@@ -0,0 +1,73 @@
+import { createServer, type AddressInfo, type Socket } from 'node:net';
+import { err, ok, type Result } from 'neverthrow';
+import { buildError, toStepError, type StepError } from '../../errors.js';
+import type { ControlCounters } from '../../types/interfaces.js';
+import type { Logger } from '../../utils/logger.js';
+import { createDispatcher, type PeerMethods, type SenderCheck } from './dispatcher.js';
+import { runServerConnection } from './serverConnection.js';
+import { SERVER_IDLE_MS, MAX_CONNECTIONS } from './limits.js';
+
+/** Options of a peer server. */
+export interface PeerServerOptions {
+  readonly host: string;
+  /** 0 picks a free port. */
+  readonly port: number;
+  readonly methods?: PeerMethods;
+  readonly logger: Logger;
+  readonly counters: ControlCounters;
+  /** Time without traffic after which a connection is closed; default 120 s. */
+  readonly idleMs?: number;
+}
+
+/** A listening peer port. */
+export interface PeerServer {
+  readonly port: number;
+  addMethods(methods: PeerMethods): void;
+  setSenderCheck(check: SenderCheck): void;
+  close(): Promise<void>;
+}
+
+/** Listens on the peer port. Errors: kind `unavailable` when the address cannot be bound. */
+export async function startPeerServer(
+  options: PeerServerOptions,
+): Promise<Result<PeerServer, StepError>> {
+  const { host, logger, counters } = options;
+  const dispatcher = createDispatcher(options.methods);
+  const sockets = new Set<Socket>();
+  const server = createServer({ noDelay: true, keepAlive: true }, (socket) => {
+    const peer = `${socket.remoteAddress ?? 'unknown'}:${socket.remotePort ?? 0}`;
+    sockets.add(socket);
+    socket.setTimeout(options.idleMs ?? SERVER_IDLE_MS, () => socket.destroy());
+    const run = runServerConnection({ socket, peer, dispatcher, counters, logger });
+    void run
+      .catch((thrown: unknown) => {
+        const error = toStepError(thrown, 'peer.read', peer);
+        logger.warn('peer-connection-closed', { peer, kind: error.kind, reason: error.message });
+      })
+      .finally(() => {
+        sockets.delete(socket);
+        socket.destroy();
+      });
+  });
+  server.maxConnections = MAX_CONNECTIONS;
+  const failure = await new Promise<Error | undefined>((resolve) => {
+    server.once('error', resolve);
+    server.listen(options.port, host, () => resolve(undefined));
+  });
+  if (failure) {
+    return err(
+      buildError('unavailable', 'peer.listen', `${host}:${options.port}`, failure.message),
+    );
+  }
+  server.on('error', (error) => logger.warn('peer-server-error', { reason: error.message }));
+  return ok({
+    port: (server.address() as AddressInfo).port,
+    addMethods: dispatcher.addMethods,
+    setSenderCheck: dispatcher.setSenderCheck,
+    close: () =>
+      new Promise<void>((resolve) => {
+        server.close(() => resolve());
+        for (const socket of sockets) socket.destroy();
+      }),
+  });
+}
--- /dev/null
+++ b/src/core/peer/validation.ts
@@ -0,0 +1,62 @@
+import { err, ok, type Result } from 'neverthrow';
+import { buildError, type StepError } from '../../errors.js';
+import {
+  validateConfigFetch,
+  validateConfigFetchAnswer,
+  validateConfigFloor,
+  validateConfigFloorAnswer,
+  validateConfigNotify,
+  validateMembersPush,
+  validateMembersSummary,
+  validateMembersSummaryAnswer,
+  validatePing,
+  validatePingIndirect,
+  validatePingIndirectAnswer,
+  validateStatusCollect,
+  type Validator,
+} from '../../generated/validators.js';
+
+/** Validators of one method. Notifications have no answer; status answers belong to operators. */
+interface MethodSchema {
+  readonly params: Validator;
+  readonly answer?: Validator;
+}
+
+const METHODS: Readonly<Record<string, MethodSchema>> = {
+  ping: { params: validatePing, answer: validatePing },
+  pingIndirect: { params: validatePingIndirect, answer: validatePingIndirectAnswer },
+  'members.summary': { params: validateMembersSummary, answer: validateMembersSummaryAnswer },
+  'members.push': { params: validateMembersPush },
+  'config.notify': { params: validateConfigNotify },
+  'config.fetch': { params: validateConfigFetch, answer: validateConfigFetchAnswer },
+  'config.floor': { params: validateConfigFloor, answer: validateConfigFloorAnswer },
+  'status.get': { params: validateStatusCollect },
+  'status.collect': { params: validateStatusCollect },
+};
+
+function check(
+  validator: Validator | undefined,
+  value: unknown,
+  step: string,
+  peer: string,
+): Result<object, StepError> {
+  if (typeof value !== 'object' || value === null) {
+    return err(buildError('invalid', step, peer, 'not an object'));
+  }
+  if (!validator || validator(value)) return ok(value);
+  const fault = validator.errors?.[0];
+  const where = fault?.instancePath || '/';
+  return err(buildError('invalid', step, peer, `${where} ${fault?.message ?? 'is invalid'}`));
+}
+
+/** Checks the parameters of a method; unknown methods are refused. */
+export function checkParams(method: string, params: unknown, peer: string) {
+  const schema = Object.hasOwn(METHODS, method) ? METHODS[method] : undefined;
+  if (!schema) return err(buildError('not-found', method, peer, 'unknown method'));
+  return check(schema.params, params, method, peer);
+}
+
+/** Checks the answer of a method. */
+export function checkAnswer(method: string, answer: unknown, peer: string) {
+  return check(METHODS[method]?.answer, answer, method, peer);
+}
--- /dev/null
+++ b/test/fakes/clock.ts
@@ -0,0 +1,30 @@
+/* eslint n/no-unsupported-features/node-builtins: ["error", { "allowExperimental": true }] --
+   The design page asks for the mock timers of `node:test`, which Node.js 20 calls experimental. */
+import { mock } from 'node:test';
+
+/** Replaces the clock and the timers by mocked ones that stand still. */
+export function startClock(): void {
+  mock.timers.enable({ apis: ['setTimeout', 'Date'], now: 1_000_000 });
+}
+
+/** Restores the real clock and timers. */
+export function stopClock(): void {
+  mock.timers.reset();
+}
+
+/** Lets everything run that waits for no timer. */
+export async function settle(): Promise<void> {
+  for (let turn = 0; turn < 6; turn += 1) {
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+}
+
+/** Advances the mocked clock in small steps and lets all promises settle after each. */
+export async function advance(totalMs: number, stepMs = 50): Promise<void> {
+  for (let passedMs = 0; passedMs < totalMs; passedMs += stepMs) {
+    mock.timers.tick(stepMs);
+    await settle();
+  }
+}
--- /dev/null
+++ b/test/fakes/nodes.ts
@@ -0,0 +1,129 @@
+import { err, ok } from 'neverthrow';
+import { buildError } from '../../src/errors.js';
+import { createConfigStore, type Compile } from '../../src/core/distribution/store.js';
+import { startDistribution } from '../../src/core/distribution/start.js';
+import { startMembership } from '../../src/core/membership/start.js';
+import type { Bundle, Head, MemberRecord, Settings } from '../../src/generated/types.js';
+import { validateSettings } from '../../src/generated/validators.js';
+import type { DataCentre, Digest } from '../../src/types/ids.js';
+import { brandVersion } from '../../src/types/ids.js';
+import { computeDigest } from '../../src/utils/digest.js';
+import { SILENT_LOGGER } from '../../src/utils/logger.js';
+import type { MemoryNetwork } from './memoryNetwork.js';
+import type { MemoryPlatform } from './memoryPlatform.js';
+
+/** Returns a generator of evenly spread numbers with a fixed seed (Park-Miller). */
+export function createRandom(seed: number): () => number {
+  let state = seed;
+  return () => {
+    state = (state * 48271) % 2147483647;
+    return state / 2147483647;
+  };
+}
+
+export function buildSettings(port: number, dataCentre: string, seeds: number[] = []): Settings {
+  const settings: unknown = {
+    nodeId: `node-${port}`,
+    dataCentre,
+    region: 'region',
+    host: '127.0.0.1',
+    callPort: port + 10_000,
+    peerPort: port,
+    announcePort: 0,
+    operatorPort: 0,
+    platformUrl: 'http://127.0.0.1:1',
+    seeds: seeds.map((seed) => ({ host: '127.0.0.1', port: seed })),
+  };
+  if (!validateSettings(settings)) throw new Error(JSON.stringify(validateSettings.errors));
+  return settings as Settings;
+}
+
+export function buildRecord(port: number, dataCentre: string, startMs = 1000): MemberRecord {
+  return {
+    nodeId: `node-${port}`,
+    dataCentre,
+    region: 'region',
+    incarnation: `${startMs}-a`,
+    sequence: 0,
+    host: '127.0.0.1',
+    callPort: port + 10_000,
+    peerPort: port,
+    state: 'joining',
+    instances: [],
+  };
+}
+
+/** A bundle whose content depends on its version and on `variant`. */
+export function buildBundle(version: number, variant = 'x'): Bundle {
+  const routes = Object.fromEntries(
+    Array.from({ length: 20 }, (_, index) => [`route-${index}`, { service: `pad-${index}` }]),
+  );
+  const base = { services: { catalogue: { slots: version, variant } }, routes };
+  const operationId = `op-${version}-${variant}`;
+  const parent = { version: version - 1, digest: '', operationId: '' };
+  const digest = computeDigest({ base, overlays: {} });
+  return { version, operationId, parent, base, overlays: {}, digest };
+}
+
+export function toHead({ version, digest, operationId }: Bundle): Head {
+  return { version, digest, operationId, recent: [] };
+}
+
+/** Accepts a bundle in the platform, as the command line does. */
+export function acceptBundle(platform: MemoryPlatform, bundle: Bundle): void {
+  platform.put(`bundles/${bundle.operationId}`, bundle);
+  platform.put('config/head', toHead(bundle));
+}
+
+/** A compiler that accepts everything but the variant `bad`. */
+export const compileAny: Compile = (bundle, site) => {
+  const { catalogue } = bundle.base.services as { catalogue: { variant: string } };
+  if (catalogue.variant === 'bad') {
+    return err(buildError('invalid', 'compile', site, 'route names an undefined service'));
+  }
+  const version = brandVersion(bundle.version);
+  const digest = bundle.digest as Digest;
+  const empty = { routes: new Map(), services: new Map(), matchRoute: () => undefined };
+  return ok({ version, digest, site, ...empty });
+};
+
+/** Parts that the nodes of a test share. */
+export interface TestMesh {
+  readonly network: MemoryNetwork;
+  readonly platform: MemoryPlatform;
+}
+
+/** Starts membership and distribution of one node on the memory network. */
+export function startTestNode(
+  { network, platform }: TestMesh,
+  port: number,
+  dataCentre: string,
+  seeds: number[],
+  startMs = 1000,
+  change: (settings: Settings) => void = () => {},
+) {
+  const settings = buildSettings(port, dataCentre, seeds);
+  change(settings);
+  const { peers, dispatcher } = network.addNode(port);
+  const random = createRandom(port);
+  const logger = SILENT_LOGGER;
+  const store = createConfigStore({ site: dataCentre as DataCentre, compile: compileAny, logger });
+  const self = { ...buildRecord(port, dataCentre, startMs), state: 'serving' as const };
+  const common = { settings, logger, peers, platform, random };
+  const members = startMembership({ ...common, self, getTag: store.getTag });
+  dispatcher.setSenderCheck(members.checkSender);
+  dispatcher.addMethods(members.methods);
+  const distribution = startDistribution({ ...common, members, store });
+  dispatcher.addMethods(distribution.methods);
+  return {
+    port,
+    store,
+    members,
+    peers,
+    dispatcher,
+    stop: async () => {
+      network.removeNode(port);
+      await Promise.all([members.stop(), distribution.stop()]);
+    },
+  };
+}
