Add the call port and the entry side of a call

Cause: the call path needs its HTTP side: reading calls within limits, choosing a node, forwarding, and stating a truthful outcome (design section 10).

Change: `startCallPort` reads and checks a request, hands it to the LocalDispatcher when it names this process, and otherwise chooses a node and forwards over one undici pool for each peer.

Ruled out: judging by error codes (ECONNREFUSED and the like). The same code can arise before and after bytes were sent; the start of the request cannot.

Checked by two tests through one and two nodes.

--- /dev/null
+++ b/src/core/calls/answer.ts
@@ -0,0 +1,138 @@
+/** Writes outcomes on the wire and reads them from the answers of other nodes. */
+import type { IncomingHttpHeaders, OutgoingHttpHeaders, ServerResponse } from 'node:http';
+import { pipeline } from 'node:stream';
+import type { LoadReport } from '../../types/calls.js';
+import { brandText, type NodeId } from '../../types/ids.js';
+import { CALL_HEADERS, type Outcome } from '../../types/outcome.js';
+import {
+  NOT_RUN_STATUS,
+  UNKNOWN_STATUS,
+  buildUnknown,
+  getFailureStatus,
+  type AnsweredResult,
+  type FailedResult,
+} from './refusal.js';
+import { listEndToEndHeaders } from './requestHead.js';
+
+/** Names the node that should get the call instead, on an answer `wrong-node`. */
+export const HINT_HEADER = 'lycheelane-hint';
+const EXHAUSTED = 'exhausted';
+
+const LOAD = /^(\d{1,9})\/(\d{1,9})\/(\d{1,9})$/;
+
+/** Formats a load report for its header. */
+export function formatLoad(load: LoadReport): string {
+  return `${load.busy}/${load.slots}/${load.queued}`;
+}
+
+/** Parses a load header; undefined when it is absent or malformed. */
+export function parseLoad(text: string | string[] | undefined): LoadReport | undefined {
+  const parts = typeof text === 'string' ? LOAD.exec(text) : null;
+  if (!parts) return undefined;
+  return { busy: Number(parts[1]), slots: Number(parts[2]), queued: Number(parts[3]) };
+}
+
+function isReason<Reason extends string>(
+  reasons: Readonly<Record<Reason, number>>,
+  text: unknown,
+): text is Reason {
+  return typeof text === 'string' && Object.hasOwn(reasons, text);
+}
+
+/**
+ * Returns what the head of a node's answer states, or undefined for an ordinary response.
+ * An answer with another request id says nothing about this request, whatever its outcome.
+ */
+export function parseFailure(
+  headers: IncomingHttpHeaders,
+  requestId: string,
+  peer: string,
+): FailedResult | undefined {
+  if (headers[CALL_HEADERS.request] !== requestId) {
+    return buildUnknown('mismatched-answer', `${peer} answered another request`);
+  }
+  const outcome = headers[CALL_HEADERS.outcome];
+  if (outcome === undefined) return undefined;
+  const reason = headers[CALL_HEADERS.reason];
+  const retriesExhausted = headers[CALL_HEADERS.retry] === EXHAUSTED;
+  const detail = `${peer} answered ${String(outcome)}`;
+  if (outcome !== 'not-run') {
+    const known = isReason(UNKNOWN_STATUS, reason) ? reason : 'connection-lost';
+    return { kind: 'unknown', reason: known, detail, retriesExhausted };
+  }
+  const hint = headers[HINT_HEADER];
+  return {
+    kind: 'notRun',
+    reason: isReason(NOT_RUN_STATUS, reason) ? reason : 'not-ready',
+    detail,
+    load: parseLoad(headers[CALL_HEADERS.load]),
+    hint: typeof hint === 'string' ? brandText<NodeId>(hint) : undefined,
+    retriesExhausted,
+  };
+}
+
+/** Writes a result without a response; `status` replaces the one of its reason. */
+export function writeFailure(
+  response: ServerResponse,
+  result: FailedResult,
+  requestId: string | undefined,
+  status = getFailureStatus(result),
+): void {
+  if (response.headersSent || response.destroyed) return;
+  const text = `${result.kind === 'notRun' ? 'not run' : 'unknown'}: ${result.detail}\n`;
+  const headers: OutgoingHttpHeaders = {
+    'content-type': 'text/plain; charset=utf-8',
+    'content-length': Buffer.byteLength(text),
+    [CALL_HEADERS.outcome]: result.kind === 'notRun' ? 'not-run' : 'unknown',
+    [CALL_HEADERS.reason]: result.reason,
+  };
+  if (requestId !== undefined) headers[CALL_HEADERS.request] = requestId;
+  if (result.retriesExhausted) headers[CALL_HEADERS.retry] = EXHAUSTED;
+  if (result.kind === 'notRun' && result.load) headers[CALL_HEADERS.load] = formatLoad(result.load);
+  if (result.kind === 'notRun' && result.hint) headers[HINT_HEADER] = result.hint;
+  // A caller that sends its body too slowly would hold the connection.
+  if (!response.req.complete && result.reason === 'deadline') headers.connection = 'close';
+  response.writeHead(status, headers);
+  response.end(text);
+}
+
+/** Converts a failed attempt into the outcome stated to the caller. */
+export function toOutcome(result: FailedResult): Outcome {
+  return result.kind === 'notRun'
+    ? { kind: 'notRun', reason: result.reason, detail: result.detail }
+    : { kind: 'unknown', reason: result.reason, detail: result.detail };
+}
+
+/**
+ * Streams a response to the caller and resolves with the outcome once the body has ended. A body
+ * that breaks off destroys the caller's connection, so it cannot pass for a complete one.
+ */
+export function relayAnswer(
+  response: ServerResponse,
+  result: AnsweredResult,
+  added: OutgoingHttpHeaders,
+): Promise<Outcome> {
+  return new Promise((resolve) => {
+    if (response.destroyed) {
+      result.body.destroy();
+      resolve({ kind: 'unknown', reason: 'cancelled', detail: 'the caller went away' });
+      return;
+    }
+    // `lycheelane-*` headers of the upstream are dropped: only a node states an outcome.
+    const headers: OutgoingHttpHeaders = Object.assign(listEndToEndHeaders(result.headers), added);
+    response.writeHead(result.status, headers);
+    pipeline(result.body, response, (error) => {
+      if (!error) {
+        resolve({ kind: 'answered', status: result.status });
+        return;
+      }
+      response.destroy();
+      const isCancelled = error.code === 'ERR_STREAM_PREMATURE_CLOSE' && !result.body.errored;
+      resolve({
+        kind: 'unknown',
+        reason: isCancelled ? 'cancelled' : 'truncated',
+        detail: error.message,
+      });
+    });
+  });
+}
--- /dev/null
+++ b/src/core/calls/attempt.ts
@@ -0,0 +1,66 @@
+/** Makes one attempt of a call on one node and records what it shows about that node. */
+import type { MemberRecord } from '../../generated/types.js';
+import type { AttemptResult, Call, LocalDispatcher } from '../../types/calls.js';
+import type { MemberTable } from '../../types/interfaces.js';
+import type { CompiledService } from '../../types/routing.js';
+import { forwardCall } from './forward.js';
+import type { NodeStats, NodeStatsTable } from './nodeStats.js';
+import type { PeerPools } from './peerPools.js';
+
+/** Parts that an attempt needs. */
+export interface AttemptParts {
+  readonly members: MemberTable;
+  readonly dispatcher: LocalDispatcher;
+  readonly pools: PeerPools;
+  readonly stats: NodeStatsTable;
+}
+
+function recordResult(
+  stats: NodeStats,
+  result: AttemptResult,
+  service: CompiledService,
+  nowMs: number,
+): void {
+  const { outlier } = service.config;
+  switch (result.kind) {
+    case 'answered':
+      if (result.load) stats.recordLoad(result.load, nowMs);
+      if (result.status >= 500) stats.outlier.recordFailure(outlier, nowMs);
+      else stats.outlier.recordSuccess(nowMs);
+      break;
+    case 'unknown':
+      if (result.reason !== 'cancelled' && result.reason !== 'already-handed-over') {
+        stats.outlier.recordFailure(outlier, nowMs);
+      }
+      break;
+    case 'notRun':
+      if (result.load) stats.recordLoad(result.load, nowMs);
+      // Overload spreads over the other nodes by load; it says nothing about a node's health.
+      if (result.reason === 'overloaded') stats.recordFull(nowMs);
+      if (result.reason === 'connect-failed') stats.outlier.recordFailure(outlier, nowMs);
+      break;
+    // no default
+  }
+}
+
+/** Runs a call on a node: through the local dispatcher if it is this one, forwarded otherwise. */
+export async function runAttempt(
+  call: Call,
+  record: MemberRecord,
+  parts: AttemptParts,
+): Promise<AttemptResult> {
+  const { service } = call.route;
+  const stats = parts.stats.get(service.name, record.nodeId, record.incarnation);
+  stats.outstanding += 1;
+  const result =
+    record.nodeId === parts.members.getSelf().nodeId
+      ? await parts.dispatcher.dispatch(call)
+      : await forwardCall(parts.pools.getPool(record), call, record);
+  const release = () => {
+    stats.outstanding -= 1;
+  };
+  if (result.kind === 'answered') result.body.once('close', release);
+  else release();
+  recordResult(stats, result, service, performance.now());
+  return result;
+}
--- /dev/null
+++ b/src/core/calls/callKey.ts
@@ -0,0 +1,62 @@
+/** Keys that make a call run at most once: tokens and caller-supplied UUIDv7 keys. */
+import { randomBytes } from 'node:crypto';
+import { ok, type Result } from 'neverthrow';
+import type { CallKey } from '../../types/calls.js';
+import { brandText, type NodeId, type ServiceName } from '../../types/ids.js';
+import { computeScore } from '../../utils/rendezvous.js';
+import { refuse, type Refusal } from './refusal.js';
+
+const NO_KEY: CallKey = { kind: 'none' };
+const TOKEN_PREFIX = 'lt1.';
+const TOKEN = /^lt1\.([\w-]{1,200})\.([\w-]{1,200})\.([\w-]{8,64})$/;
+const UUID_V7 = /^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$/i;
+const KEY_PARTITIONS = 8;
+const NONCE_BYTES = 16;
+
+/** Creates a token that only the named process may dispatch. */
+export function createToken(nodeId: string, incarnation: string): string {
+  const encode = (text: string) => Buffer.from(text).toString('base64url');
+  const nonce = randomBytes(NONCE_BYTES).toString('base64url');
+  return `${TOKEN_PREFIX}${encode(nodeId)}.${encode(incarnation)}.${nonce}`;
+}
+
+function parseToken(text: string): Result<CallKey, Refusal> {
+  const parts = TOKEN.exec(text);
+  if (!parts) return refuse('bad-request', 'idempotency-key is a malformed token');
+  const [, nodeId = '', incarnation = '', nonce = ''] = parts;
+  return ok({
+    kind: 'token',
+    nodeId: brandText<NodeId>(Buffer.from(nodeId, 'base64url').toString()),
+    incarnation: Buffer.from(incarnation, 'base64url').toString(),
+    nonce,
+  });
+}
+
+/**
+ * Parses the `idempotency-key` header. A token is honoured on every route. A UUIDv7 key is
+ * honoured on `once` routes; elsewhere the header is an ordinary one and passes through.
+ */
+export function parseCallKey(
+  header: string | string[] | undefined,
+  isOnce: boolean,
+): Result<CallKey, Refusal> {
+  if (header === undefined) return ok(NO_KEY);
+  const text = typeof header === 'string' ? header : header.join(',');
+  if (text.startsWith(TOKEN_PREFIX)) return parseToken(text);
+  if (!isOnce) return ok(NO_KEY);
+  if (!UUID_V7.test(text)) {
+    return refuse('bad-request', 'idempotency-key is neither a token nor a UUIDv7');
+  }
+  const issuedAtMs = Number.parseInt(text.slice(0, 8) + text.slice(9, 13), 16);
+  return ok({ kind: 'uuid', text: text.toLowerCase(), issuedAtMs });
+}
+
+/** Returns the index of the key partition of a caller-supplied key. */
+export function computeKeyPartition(key: string): number {
+  return computeScore('partition', key) % KEY_PARTITIONS;
+}
+
+/** Returns the rendezvous key by which the members of a service rank for a partition. */
+export function getPartitionRankKey(service: ServiceName, partition: number): string {
+  return `${service}.${partition}`;
+}
--- /dev/null
+++ b/src/core/calls/callPort.ts
@@ -0,0 +1,162 @@
+/** The call port of a node: an HTTP/1.1 server for callers and for other nodes. */
+import { createServer, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import type { Result } from 'neverthrow';
+import { buildError, type StepError } from '../../errors.js';
+import type { Settings } from '../../generated/types.js';
+import type { LocalDispatcher } from '../../types/calls.js';
+import type { ConfigStore, MemberTable } from '../../types/interfaces.js';
+import { brandText, type NodeId } from '../../types/ids.js';
+import { waitMs } from '../../utils/backoff.js';
+import type { Logger } from '../../utils/logger.js';
+import { explainRoute, type RouteExplanation } from './explain.js';
+import { createActiveExchanges } from './malformed.js';
+import { createNodeStatsTable } from './nodeStats.js';
+import type { CallObserver } from './observer.js';
+import { createPeerPools, POOL_LIMITS, type PoolLimits } from './peerPools.js';
+import { RESERVED_PREFIX, serveReserved } from './reserved.js';
+import { createRetryBudget } from './retryBudget.js';
+import { serveCall, type ServeParts } from './serveCall.js';
+
+/** Longest time for a whole request; a shorter deadline of its route applies as well. */
+const REQUEST_TIMEOUT_MS = 60_000;
+/** Longer than the idle timeout of the pools, so that a node never closes under a new request. */
+const KEEP_ALIVE_MS = 75_000;
+const TIMEOUT_CHECK_MS = 1000;
+const MAX_HEADER_COUNT = 200;
+/** Time for which a stopping node still refuses calls of nodes that have not heard of its stop. */
+const LINGER_MS = 250;
+
+/** What a call port needs. */
+export interface CallPortOptions {
+  readonly host: string;
+  /** 0 picks a free port. */
+  readonly port: number;
+  readonly settings: Pick<
+    Settings['calls'],
+    'maxHeaderBytes' | 'maxBodyBytes' | 'maxBufferedBytes' | 'headersTimeoutMs' | 'maxInFlight'
+  >;
+  readonly config: ConfigStore;
+  readonly members: MemberTable;
+  readonly dispatcher: LocalDispatcher;
+  readonly observer: CallObserver;
+  readonly logger: Logger;
+  readonly pools?: PoolLimits;
+  readonly random?: () => number;
+  readonly lingerMs?: number;
+}
+
+/** A running call port. */
+export interface CallPort {
+  readonly port: number;
+  /** Explains which node would get a call of the route; error kinds `not-found`, `unavailable`. */
+  explainRoute(name: string): Result<RouteExplanation, StepError>;
+  /**
+   * Refuses new work, lets calls in flight finish, and closes. After `limitMs` the remaining calls
+   * are cut; their number is the result.
+   */
+  stop(limitMs: number): Promise<{ readonly cut: number }>;
+}
+
+function listen(server: Server, host: string, port: number): Promise<void> {
+  return new Promise((resolve, reject) => {
+    const fail = (error: Error) =>
+      reject(buildError('unavailable', 'calls.listen', `${host}:${port}`, error.message, error));
+    server.once('error', fail);
+    server.listen(port, host, () => {
+      server.off('error', fail);
+      resolve();
+    });
+  });
+}
+
+/** Starts a call port; rejects with a StepError if the address cannot be bound. */
+export async function startCallPort(options: CallPortOptions): Promise<CallPort> {
+  const { settings, members, dispatcher, logger } = options;
+  const pools = createPeerPools(options.pools ?? POOL_LIMITS);
+  const stats = createNodeStatsTable();
+  let isLeaving = false;
+  let inFlight = 0;
+  let onIdle = () => {};
+  const parts: ServeParts = {
+    config: options.config,
+    members,
+    dispatcher,
+    pools,
+    stats,
+    budget: createRetryBudget(),
+    observer: options.observer,
+    random: options.random ?? Math.random,
+    bodies: {
+      maxBodyBytes: settings.maxBodyBytes,
+      maxBufferedBytes: settings.maxBufferedBytes,
+      bufferedBytes: 0,
+    },
+    getLocalLoad: (service) => dispatcher.getLoad(service),
+    isLeaving: () => isLeaving,
+  };
+  members.onChange(({ record, verdict }) => {
+    if (verdict !== 'dead' && record.state !== 'left') return;
+    pools.remove(brandText<NodeId>(record.nodeId));
+    stats.remove(record.nodeId);
+  });
+  const server = createServer({
+    maxHeaderSize: settings.maxHeaderBytes,
+    headersTimeout: settings.headersTimeoutMs,
+    requestTimeout: Math.max(REQUEST_TIMEOUT_MS, settings.headersTimeoutMs),
+    connectionsCheckingInterval: TIMEOUT_CHECK_MS,
+    keepAliveTimeout: KEEP_ALIVE_MS,
+  });
+  server.maxHeadersCount = MAX_HEADER_COUNT;
+  const exchanges = createActiveExchanges();
+  server.on('clientError', exchanges.refuseMalformed);
+  server.on('request', (request, response) => {
+    const { socket } = request;
+    inFlight += 1;
+    exchanges.add(socket);
+    const release = () => {
+      inFlight -= 1;
+      exchanges.remove(socket);
+      if (inFlight === 0) onIdle();
+    };
+    if (isLeaving) response.setHeader('connection', 'close');
+    if (request.url?.startsWith(RESERVED_PREFIX)) {
+      response.once('close', release);
+      serveReserved(request, response, parts);
+      return;
+    }
+    serveCall(request, response, parts, inFlight > settings.maxInFlight)
+      .catch((thrown: unknown) => {
+        logger.error('call-failed', { step: 'calls.serve', reason: String(thrown) });
+        response.destroy();
+      })
+      .finally(() => {
+        if (response.closed) release();
+        else response.once('close', release);
+      });
+  });
+  await listen(server, options.host, options.port);
+  const waitForIdle = async (limitMs: number) => {
+    if (inFlight === 0) return;
+    const limit = new AbortController();
+    onIdle = () => limit.abort();
+    await waitMs(limitMs, limit.signal);
+  };
+  return {
+    port: (server.address() as AddressInfo).port,
+    explainRoute: (name) => explainRoute(name, options.config, parts),
+    async stop(limitMs) {
+      isLeaving = true;
+      const endMs = performance.now() + limitMs;
+      await waitMs(Math.min(options.lingerMs ?? LINGER_MS, limitMs));
+      await waitForIdle(endMs - performance.now());
+      const cut = inFlight;
+      const closed = new Promise((resolve) => {
+        server.close(resolve);
+      });
+      server.closeAllConnections();
+      await Promise.all([closed, pools.close()]);
+      return { cut };
+    },
+  };
+}
--- /dev/null
+++ b/src/core/calls/peerPools.ts
@@ -0,0 +1,73 @@
+/** One bounded HTTP connection pool for each node that calls are forwarded to. */
+import { Pool } from 'undici';
+import type { MemberRecord } from '../../generated/types.js';
+import type { NodeId } from '../../types/ids.js';
+
+/** Limits of the pools; times in milliseconds. */
+export interface PoolLimits {
+  /** Connections to one node; further calls wait for a free one, up to their deadline. */
+  readonly connections: number;
+  /** Time after which a connection attempt counts as failed. */
+  readonly connectTimeoutMs: number;
+  /** Must be shorter than the server's keep-alive timeout, so that the client closes first. */
+  readonly idleTimeoutMs: number;
+}
+
+/** Limits used unless others are given. */
+export const POOL_LIMITS: PoolLimits = {
+  connections: 64,
+  connectTimeoutMs: 1000,
+  idleTimeoutMs: 30_000,
+};
+
+/** The pools of this node. */
+export interface PeerPools {
+  /** Returns the pool to the call port of a member, for the address in its current record. */
+  getPool(member: MemberRecord): Pool;
+  /** Closes the pool of a member that left, after its calls in flight. */
+  remove(nodeId: NodeId): void;
+  /** Destroys all pools; calls in flight fail. */
+  close(): Promise<void>;
+}
+
+/** Creates a pool whose options keep undici from sending a request twice (design section 10). */
+export function createPeerPool(host: string, port: number, limits: PoolLimits): Pool {
+  const authority = host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`;
+  return new Pool(`http://${authority}`, {
+    connections: limits.connections,
+    pipelining: 1,
+    keepAliveTimeout: limits.idleTimeoutMs,
+    keepAliveMaxTimeout: limits.idleTimeoutMs,
+    // The deadline of each call bounds its headers and its body.
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    connect: { timeout: limits.connectTimeoutMs, keepAlive: true },
+  });
+}
+
+/** Creates an empty set of pools. */
+export function createPeerPools(limits: PoolLimits = POOL_LIMITS): PeerPools {
+  const pools = new Map<string, { host: string; port: number; pool: Pool }>();
+  const closePool = (nodeId: string) => {
+    const entry = pools.get(nodeId);
+    if (!entry) return;
+    pools.delete(nodeId);
+    entry.pool.close().catch(() => {});
+  };
+  return {
+    getPool({ nodeId, host, callPort }) {
+      const known = pools.get(nodeId);
+      if (known?.host === host && known.port === callPort) return known.pool;
+      closePool(nodeId);
+      const pool = createPeerPool(host, callPort, limits);
+      pools.set(nodeId, { host, port: callPort, pool });
+      return pool;
+    },
+    remove: closePool,
+    async close() {
+      const entries = [...pools.values()];
+      pools.clear();
+      await Promise.all(entries.map((entry) => entry.pool.destroy()));
+    },
+  };
+}
--- /dev/null
+++ b/src/core/calls/refusal.ts
@@ -0,0 +1,75 @@
+/** Refusals: answers of kind `notRun` that this node gives before any instance sees the call. */
+import { err, type Result } from 'neverthrow';
+import type { AttemptResult } from '../../types/calls.js';
+import type { NotRunReason, UnknownReason } from '../../types/outcome.js';
+
+/** An attempt that certainly did not run. */
+export type NotRunResult = Extract<AttemptResult, { kind: 'notRun' }>;
+/** An attempt of which it is not known whether it ran. */
+export type UnknownResult = Extract<AttemptResult, { kind: 'unknown' }>;
+/** An attempt that got its response. */
+export type AnsweredResult = Extract<AttemptResult, { kind: 'answered' }>;
+/** An attempt without a response. */
+export type FailedResult = NotRunResult | UnknownResult;
+
+/** A refusal with the HTTP status that states it. */
+export interface Refusal {
+  readonly status: number;
+  readonly result: NotRunResult;
+}
+
+/** Builds a `notRun` result that leaves retries to the caller. */
+export function buildNotRun(reason: NotRunReason, detail: string): NotRunResult {
+  return { kind: 'notRun', reason, detail, load: undefined, retriesExhausted: false };
+}
+
+/** Builds an `unknown` result that leaves retries to the caller. */
+export function buildUnknown(reason: UnknownReason, detail: string): UnknownResult {
+  return { kind: 'unknown', reason, detail, retriesExhausted: false };
+}
+
+/** HTTP statuses of the `notRun` reasons (design section 10). */
+export const NOT_RUN_STATUS: Readonly<Record<NotRunReason, number>> = {
+  'no-route': 404,
+  'no-instance': 503,
+  'bad-request': 400,
+  'not-ready': 503,
+  overloaded: 429,
+  deadline: 504,
+  leaving: 503,
+  'connect-failed': 503,
+  'wrong-node': 503,
+  'key-unowned': 503,
+  cancelled: 503,
+};
+
+/** HTTP statuses of the `unknown` reasons (design section 10). */
+export const UNKNOWN_STATUS: Readonly<Record<UnknownReason, number>> = {
+  'connection-lost': 502,
+  timeout: 504,
+  truncated: 502,
+  'mismatched-answer': 502,
+  'process-replaced': 502,
+  'already-handed-over': 502,
+  cancelled: 502,
+};
+
+/** Returns the HTTP status of a result without a response. */
+export function getFailureStatus(result: FailedResult): number {
+  if (result.kind === 'notRun') return NOT_RUN_STATUS[result.reason];
+  return UNKNOWN_STATUS[result.reason];
+}
+
+/** Builds a refusal; `status` replaces the one that belongs to the reason (413, 431). */
+export function buildRefusal(reason: NotRunReason, detail: string, status?: number): Refusal {
+  return { status: status ?? NOT_RUN_STATUS[reason], result: buildNotRun(reason, detail) };
+}
+
+/** Returns a refusal as the error side of a Result. */
+export function refuse<Value = never>(
+  reason: NotRunReason,
+  detail: string,
+  status?: number,
+): Result<Value, Refusal> {
+  return err(buildRefusal(reason, detail, status));
+}
--- /dev/null
+++ b/src/core/calls/serveCall.ts
@@ -0,0 +1,174 @@
+/** Serves one HTTP request on the call port, from its head to the end of the response. */
+import { randomUUID } from 'node:crypto';
+import type { IncomingMessage, OutgoingHttpHeaders, ServerResponse } from 'node:http';
+import { ok, type Result } from 'neverthrow';
+import type { AttemptResult, Call } from '../../types/calls.js';
+import { brandText, type RequestId } from '../../types/ids.js';
+import type { ConfigStore } from '../../types/interfaces.js';
+import { CALL_HEADERS, type Outcome } from '../../types/outcome.js';
+import type { CompiledRoute, RoutingState } from '../../types/routing.js';
+import { formatLoad, relayAnswer, toOutcome, writeFailure } from './answer.js';
+import { parseCallKey } from './callKey.js';
+import { runCall, type EntryParts } from './entry.js';
+import { refuse, type Refusal } from './refusal.js';
+import { readBody, type BodyBudget } from './requestBody.js';
+import {
+  findRoute,
+  getRequestId,
+  listEndToEndHeaders,
+  parseBudgetMs,
+  parseDepth,
+  parsePath,
+  parseTarget,
+  type CallTarget,
+} from './requestHead.js';
+
+/** Parts that serve a call. */
+export interface ServeParts extends EntryParts {
+  readonly config: ConfigStore;
+  readonly bodies: BodyBudget;
+}
+
+/** What the head of a request says. */
+interface CallHead {
+  readonly routing: RoutingState;
+  readonly route: CompiledRoute;
+  readonly isForwarded: boolean;
+  readonly key: Call['key'];
+  readonly depth: number;
+  readonly deadlineMs: number;
+}
+
+function isProcess(target: CallTarget, self: { nodeId: string; incarnation: string }): boolean {
+  return target.nodeId === self.nodeId && target.incarnation === self.incarnation;
+}
+
+/**
+ * While the node stops it still serves calls that upstreams make for requests in flight, and lets
+ * the dispatcher answer for keys, since it alone knows which of them it has run.
+ */
+function canServeWhileLeaving(isForwarded: boolean, key: Call['key'], depth: number): boolean {
+  return isForwarded ? key.kind !== 'none' : depth > 0;
+}
+
+function parseHead(
+  request: IncomingMessage,
+  parts: ServeParts,
+  requestId: string | undefined,
+  startMs: number,
+): Result<CallHead, Refusal> {
+  const { headers } = request;
+  const target = parseTarget(headers);
+  if (target.isErr()) return refuse('bad-request', target.error.result.detail);
+  if (requestId === undefined) return refuse('bad-request', `${CALL_HEADERS.request} is missing`);
+  const isForwarded = target.value !== undefined;
+  const self = parts.members.getSelf();
+  if (target.value && !isProcess(target.value, self)) {
+    return refuse('wrong-node', `this is ${self.nodeId}/${self.incarnation}`);
+  }
+  const routing = parts.config.isReady() ? parts.config.getRouting() : undefined;
+  if (!routing) return refuse('not-ready', 'no accepted configuration is installed');
+  return parsePath(request.url ?? '').andThen((path) =>
+    parseDepth(headers).andThen((depth) =>
+      findRoute(request, path, routing, isForwarded).andThen((route) =>
+        parseCallKey(headers[CALL_HEADERS.key], route.config.repeatability === 'once').andThen(
+          (key) =>
+            parseBudgetMs(headers, route.config.timeoutMs).andThen((budgetMs) => {
+              if (parts.isLeaving() && !canServeWhileLeaving(isForwarded, key, depth)) {
+                return refuse<CallHead>('leaving', `${self.nodeId} is stopping`);
+              }
+              if (budgetMs === 0) return refuse<CallHead>('deadline', 'no time left');
+              const deadlineMs = startMs + budgetMs;
+              return ok({ routing, route, isForwarded, key, depth, deadlineMs });
+            }),
+        ),
+      ),
+    ),
+  );
+}
+
+function buildCall(
+  request: IncomingMessage,
+  response: ServerResponse,
+  head: CallHead,
+  requestId: RequestId,
+  body: Buffer,
+): Call {
+  const abort = new AbortController();
+  response.once('close', () => {
+    if (!response.writableFinished) abort.abort();
+  });
+  return {
+    requestId,
+    route: head.route,
+    method: request.method ?? 'GET',
+    path: request.url ?? '/',
+    headers: listEndToEndHeaders(request.headers),
+    body,
+    key: head.key,
+    deadlineMs: head.deadlineMs,
+    depth: head.depth,
+    signal: abort.signal,
+  };
+}
+
+async function writeResult(
+  response: ServerResponse,
+  result: AttemptResult,
+  call: Call,
+  head: CallHead,
+  parts: ServeParts,
+): Promise<Outcome> {
+  if (result.kind !== 'answered') {
+    const load = head.isForwarded ? parts.dispatcher.getLoad(call.route.service.name) : undefined;
+    const stated = result.kind === 'notRun' && load ? { ...result, load } : result;
+    writeFailure(response, stated, call.requestId);
+    return toOutcome(result);
+  }
+  const added: OutgoingHttpHeaders = { [CALL_HEADERS.request]: call.requestId };
+  if (head.isForwarded) {
+    const load = result.load ?? parts.dispatcher.getLoad(call.route.service.name);
+    if (load) added[CALL_HEADERS.load] = formatLoad(load);
+  } else {
+    added[CALL_HEADERS.version] = String(head.routing.version);
+  }
+  return relayAnswer(response, result, added);
+}
+
+/** Serves a request; `isOverLimit` refuses it because too many are in flight. */
+export async function serveCall(
+  request: IncomingMessage,
+  response: ServerResponse,
+  parts: ServeParts,
+  isOverLimit: boolean,
+): Promise<void> {
+  const startMs = performance.now();
+  const isForwarded = request.headers[CALL_HEADERS.target] !== undefined;
+  const requestId = isForwarded ? getRequestId(request.headers) : randomUUID();
+  const head = isOverLimit
+    ? refuse<CallHead>('overloaded', 'too many calls are in flight')
+    : parseHead(request, parts, requestId, startMs);
+  if (head.isErr()) {
+    writeFailure(response, head.error.result, requestId, head.error.status);
+    return;
+  }
+  const { route, deadlineMs } = head.value;
+  const held = await readBody(request, parts.bodies, deadlineMs);
+  let outcome: Outcome;
+  if (held.isErr()) {
+    writeFailure(response, held.error.result, requestId, held.error.status);
+    outcome = toOutcome(held.error.result);
+  } else {
+    try {
+      const id = brandText<RequestId>(requestId ?? '');
+      const call = buildCall(request, response, head.value, id, held.value.body);
+      const result = isForwarded
+        ? await parts.dispatcher.dispatch(call)
+        : await runCall(call, parts);
+      outcome = await writeResult(response, result, call, head.value, parts);
+    } finally {
+      held.value.release();
+    }
+  }
+  if (!isForwarded) parts.observer.record(route.name, outcome, performance.now() - startMs);
+}
--- /dev/null
+++ b/test/calls/callPath.test.ts
@@ -0,0 +1,36 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { describe, FakeDispatcher, send, startEntry, startInstanceNode } from './fakes.js';
+
+// Guards against a path that loses the body, the headers or the identity of a call on its way.
+test('a call passes through two nodes and its complete response comes back', async () => {
+  const dispatcher = new FakeDispatcher();
+  const node = await startInstanceNode('n1', dispatcher);
+  const entry = await startEntry([node.view]);
+  const answer = await send(
+    entry.port,
+    { path: '/x?y=1', headers: { 'x-own': 'kept', 'lycheelane-depth': '2' } },
+    'pad 4',
+  );
+  await Promise.all([entry.stop(0), node.port.stop(0)]);
+  assert.equal(describe(answer), '200');
+  assert.equal(answer.text, 'done');
+  assert.equal(answer.headers['lycheelane-version'], '7');
+  assert.equal(answer.headers['lycheelane-load'], undefined);
+  const [call] = dispatcher.calls;
+  assert.equal(call?.body.toString(), 'pad 4');
+  assert.equal(call?.path, '/x?y=1');
+  assert.equal(call?.headers['x-own'], 'kept');
+  assert.equal(call?.depth, 2);
+  assert.equal(call?.requestId, answer.headers['lycheelane-request']);
+});
+
+// Guards against a hop to another node when the only instance is on this host.
+test('a call for an instance on this host goes to the local dispatcher', async () => {
+  const dispatcher = new FakeDispatcher();
+  const { port } = await startInstanceNode('n1', dispatcher);
+  const answer = await send(port.port);
+  await port.stop(0);
+  assert.equal(answer.text, 'done');
+  assert.equal(dispatcher.calls.length, 1);
+});
