Add the instance side of a call: announcements, slots, queue and dispatch

Cause: the node beside an upstream is the only way in, so it must know which slots are busy and what has been handed to the upstream.

Ruled out: an estimate of the run time for calls that find a free slot. One slow spell would then refuse every call, and no new sample would correct it.

Conclusion: announce and dispatch tests pass on loopback. Request memory and key partitions have no tests of their own yet; they follow.

--- /dev/null
+++ b/src/core/upstream/callRun.ts
@@ -0,0 +1,169 @@
+/** One dispatched call: its exchange with the upstream, its deadline and its cancellation. */
+import type { Dispatcher } from 'undici';
+import type { AttemptResult, Call, LoadReport } from '../../types/calls.js';
+import { CALL_HEADERS } from '../../types/outcome.js';
+import { buildNotRun, buildUnknown, onCallerLimit } from './callResults.js';
+import { startExchange, type BodyEnd, type Exchange, type ExchangeHead } from './exchange.js';
+import { MAX_STORED_ANSWER_BYTES, type Reservation, type StoredOutcome } from './requestMemory.js';
+import {
+  buildRequestHeaders,
+  filterResponseHeaders,
+  isNotRunProof,
+  isRetryExhausted,
+  isShed,
+} from './upstreamHeaders.js';
+
+/** What a run needs. */
+export interface CallRunOptions {
+  readonly call: Call;
+  readonly dispatcher: Dispatcher;
+  /** Present for calls that run at most once. */
+  readonly reservation: Reservation | undefined;
+  readonly getLoad: () => LoadReport | undefined;
+  /** Sends the cancellation to the upstream. */
+  readonly cancel: () => void;
+}
+
+/** How the exchange of a run ended. */
+export interface RunEnd {
+  readonly end: BodyEnd;
+  /** True when the upstream shed the call. */
+  readonly wasShed: boolean;
+  /** True when the upstream answered, other than by shedding. */
+  readonly hasAnswered: boolean;
+}
+
+/** A dispatched call. */
+export interface CallRun {
+  readonly result: Promise<AttemptResult>;
+  /** Resolves when the slot may be freed. */
+  readonly ended: Promise<RunEnd>;
+  /** True while a caller still waits for the answer or reads it. */
+  isAwaited(): boolean;
+  /** Ends the run for its callers: the upstream is asked to stop and, if `hard`, cut off. */
+  cut(detail: string, hard: boolean): void;
+}
+
+function convertHead(
+  head: ExchangeHead,
+  call: Call,
+  getLoad: () => LoadReport | undefined,
+): AttemptResult {
+  if (head.kind === 'failed') {
+    const detail = head.error.message;
+    if (head.wasSent) return buildUnknown('connection-lost', detail);
+    return buildNotRun('connect-failed', detail, getLoad());
+  }
+  const { status, headers, body } = head;
+  if (isNotRunProof(status, headers)) {
+    body.resume();
+    const refusal = buildNotRun('overloaded', 'the upstream shed the call', getLoad());
+    return { ...refusal, retriesExhausted: isRetryExhausted(headers) };
+  }
+  const answeredId = headers[CALL_HEADERS.request];
+  if (answeredId !== undefined && answeredId !== call.requestId) {
+    body.resume();
+    return buildUnknown('mismatched-answer', 'the upstream answered another request');
+  }
+  return {
+    kind: 'answered',
+    status,
+    headers: filterResponseHeaders(headers),
+    body,
+    load: getLoad(),
+  };
+}
+
+function convertStored(head: ExchangeHead, end: BodyEnd, call: Call): StoredOutcome {
+  if (head.kind === 'failed') {
+    return head.wasSent ? { kind: 'handedOver', detail: head.error.message } : { kind: 'notRun' };
+  }
+  const { status, headers } = head;
+  if (isNotRunProof(status, headers)) return { kind: 'notRun' };
+  const answeredId = headers[CALL_HEADERS.request];
+  if (answeredId !== undefined && answeredId !== call.requestId) {
+    return { kind: 'handedOver', detail: 'the upstream answered another request' };
+  }
+  if (end.kind !== 'complete') {
+    return { kind: 'handedOver', detail: `the answer was not kept: ${end.kind}` };
+  }
+  return { kind: 'answer', status, headers: filterResponseHeaders(headers), body: end.body };
+}
+
+/** Hands a call to its upstream. */
+export function startCallRun(options: CallRunOptions): CallRun {
+  const { call, reservation, getLoad, cancel } = options;
+  let isCallerThere = true;
+  let hasEnded = false;
+  let head: ExchangeHead | undefined;
+  let exchange: Exchange;
+  let resolveResult: (result: AttemptResult) => void;
+  const result = new Promise<AttemptResult>((resolve) => {
+    resolveResult = resolve;
+  });
+
+  const isAwaited = () => !hasEnded && (isCallerThere || (reservation?.waiters ?? 0) > 0);
+  const cancelIfAbandoned = () => {
+    if (!hasEnded && !isAwaited()) cancel();
+  };
+  const removeCaller = () => {
+    if (!isCallerThere) return;
+    isCallerThere = false;
+    cancelIfAbandoned();
+  };
+  const leave = (reason: 'timeout' | 'cancelled', detail: string) => {
+    if (head?.kind === 'response') {
+      // Destroying an unread body counts as the caller's departure (onBodyLeft).
+      if (isCallerThere) head.body.destroy(new Error(detail));
+      return;
+    }
+    if (exchange.abortUnsent(new Error(detail))) {
+      const notRun = reason === 'timeout' ? 'deadline' : 'cancelled';
+      resolveResult(buildNotRun(notRun, `${detail}; no connection was made`, getLoad()));
+      isCallerThere = false;
+      return;
+    }
+    resolveResult(buildUnknown(reason, detail));
+    removeCaller();
+  };
+
+  exchange = startExchange({
+    dispatcher: options.dispatcher,
+    request: {
+      method: call.method,
+      path: call.path,
+      headers: buildRequestHeaders(call, performance.now()),
+      body: call.body.length > 0 ? call.body : null,
+    },
+    keepBytes: reservation ? MAX_STORED_ANSWER_BYTES : 0,
+    onBodyLeft: removeCaller,
+  });
+  const stopWaiting = onCallerLimit(call, (reason) => {
+    leave(reason, reason === 'timeout' ? 'the deadline passed' : 'the caller has gone');
+  });
+  if (reservation) reservation.onWaiterLeft = cancelIfAbandoned;
+
+  const follow = async (): Promise<RunEnd> => {
+    head = await exchange.head;
+    resolveResult(convertHead(head, call, getLoad));
+    // The result was given before the head came: nobody reads this body.
+    if (!isCallerThere && head.kind === 'response') head.body.resume();
+    const end = await exchange.ended;
+    hasEnded = true;
+    stopWaiting();
+    reservation?.settle(convertStored(head, end, call));
+    const wasShed = head.kind === 'response' && isShed(head.status);
+    return { end, wasShed, hasAnswered: head.kind === 'response' && !wasShed };
+  };
+
+  return {
+    result,
+    ended: follow(),
+    isAwaited,
+    cut(detail, hard) {
+      if (hasEnded) return;
+      leave('cancelled', detail);
+      if (hard) exchange.abort(new Error(detail));
+    },
+  };
+}
--- /dev/null
+++ b/src/core/upstream/instanceTable.ts
@@ -0,0 +1,182 @@
+/** The upstream instances of this host, as announced by themselves. */
+import { isIP } from 'node:net';
+import { err, ok, type Result } from 'neverthrow';
+import { buildError, type StepError } from '../../errors.js';
+import type { Announcement, InstanceRecord } from '../../generated/types.js';
+import { brandText, type InstanceId, type ServiceName } from '../../types/ids.js';
+import type { MemberTable } from '../../types/interfaces.js';
+import type { Logger } from '../../utils/logger.js';
+import { createConcurrencyLimit, type ConcurrencyLimit } from './concurrencyLimit.js';
+import { createSlotUsage, type SlotUsage } from './slotUsage.js';
+
+/** Bound of the member record's schema. */
+const MAX_INSTANCES = 64;
+const STEP = 'announce';
+
+/** An instance with its slots. `gone` instances have expired but still hold exchanges. */
+export interface InstanceEntry {
+  readonly instanceId: InstanceId;
+  readonly service: ServiceName;
+  readonly host: string;
+  readonly port: number;
+  readonly announcedSlots: number;
+  readonly state: InstanceRecord['state'] | 'gone';
+  /** Wall-clock time at which the instance became ready; 0 while it is cold. */
+  readonly readySinceMs: number;
+  readonly usage: SlotUsage;
+  readonly limit: ConcurrencyLimit;
+}
+
+/** What changed about an instance. */
+export type InstanceChange = 'updated' | 'draining' | 'gone' | 'removed';
+
+/** Table of the announced instances. */
+export interface InstanceTable {
+  /** Applies one announcement. */
+  record(announcement: Announcement): Result<void, StepError>;
+  /** Lists the instances of a service, or all; without those that are gone. */
+  list(service?: ServiceName): readonly InstanceEntry[];
+  /** Frees the slot of an ended exchange; forgets an idle instance that is gone. */
+  finishExchange(entry: InstanceEntry, requestId: string): void;
+  /** Called after each announcement and each expiry. */
+  onChange(listener: (entry: InstanceEntry, change: InstanceChange) => void): void;
+  /** Stops the expiry timers. */
+  close(): void;
+}
+
+/** What an instance table needs. */
+export interface InstanceTableOptions {
+  readonly members: Pick<MemberTable, 'updateSelf'>;
+  /** Age at which an announcement expires, in milliseconds. */
+  readonly ttlMs: number;
+  /** The host's own address; upstreams announce this or a loopback address. */
+  readonly ownHost: string;
+  readonly logger: Logger;
+}
+
+type MutableEntry = { -readonly [Key in keyof InstanceEntry]: InstanceEntry[Key] } & {
+  timer: NodeJS.Timeout | undefined;
+};
+
+const STATES = { starting: 'cold', ready: 'ready', leaving: 'draining' } as const;
+
+/** True for `localhost` and loopback addresses. */
+export function isLoopback(host: string): boolean {
+  const plain = host.startsWith('::ffff:') ? host.slice(7) : host;
+  return plain === 'localhost' || plain === '::1' || (isIP(plain) === 4 && /^127\./.test(plain));
+}
+
+function toRecord(entry: InstanceEntry, state: InstanceRecord['state']): InstanceRecord {
+  const { instanceId, service, announcedSlots, readySinceMs } = entry;
+  return { instanceId, service, slots: announcedSlots, state, readySinceMs };
+}
+
+/** Creates an empty table. */
+export function createInstanceTable(options: InstanceTableOptions): InstanceTable {
+  const { members, ttlMs, ownHost, logger } = options;
+  const entries = new Map<string, MutableEntry>();
+  const listeners: ((entry: InstanceEntry, change: InstanceChange) => void)[] = [];
+  let published = '[]';
+
+  const list = (service?: ServiceName) =>
+    [...entries.values()].filter(
+      (entry) => entry.state !== 'gone' && (service === undefined || entry.service === service),
+    );
+
+  const publish = () => {
+    const records: InstanceRecord[] = [];
+    for (const entry of entries.values()) {
+      if (entry.state !== 'gone') records.push(toRecord(entry, entry.state));
+    }
+    records.sort((a, b) => (a.instanceId < b.instanceId ? -1 : 1));
+    const text = JSON.stringify(records);
+    if (text === published) return;
+    published = text;
+    members.updateSelf({ instances: records });
+  };
+
+  const notify = (entry: InstanceEntry, change: InstanceChange) => {
+    publish();
+    for (const listener of listeners) listener(entry, change);
+  };
+
+  const removeIfIdle = (entry: MutableEntry) => {
+    if (entry.state !== 'gone' || entry.usage.countInFlight() > 0) return;
+    entries.delete(entry.instanceId);
+    notify(entry, 'removed');
+  };
+
+  const expire = (expired: MutableEntry) => {
+    const entry = expired;
+    logger.warn('instance-expired', { instance: entry.instanceId, service: entry.service, ttlMs });
+    entry.state = 'gone';
+    notify(entry, 'gone');
+    removeIfIdle(entry);
+  };
+
+  const checkAcceptable = (announcement: Announcement): StepError | undefined => {
+    const known = entries.get(announcement.instanceId);
+    if (known && known.service !== announcement.service) {
+      return buildError('conflict', STEP, announcement.instanceId, `belongs to ${known.service}`);
+    }
+    if (!known && entries.size >= MAX_INSTANCES) {
+      return buildError('busy', STEP, announcement.instanceId, `over ${MAX_INSTANCES} instances`);
+    }
+    if (!isLoopback(announcement.host) && announcement.host !== ownHost) {
+      const text = `host ${announcement.host} is not on this host`;
+      return buildError('invalid', STEP, announcement.instanceId, text);
+    }
+    return undefined;
+  };
+
+  const findOrAdd = (announcement: Announcement): MutableEntry => {
+    const known = entries.get(announcement.instanceId);
+    if (known) return known;
+    const entry: MutableEntry = {
+      instanceId: brandText<InstanceId>(announcement.instanceId),
+      service: brandText<ServiceName>(announcement.service),
+      host: announcement.host,
+      port: announcement.port,
+      announcedSlots: announcement.slots,
+      state: 'cold',
+      readySinceMs: 0,
+      usage: createSlotUsage(),
+      limit: createConcurrencyLimit(),
+      timer: undefined,
+    };
+    entries.set(entry.instanceId, entry);
+    return entry;
+  };
+
+  return {
+    list,
+    record(announcement) {
+      const fault = checkAcceptable(announcement);
+      if (fault) return err(fault);
+      const entry = findOrAdd(announcement);
+      const wasDraining = entry.state === 'draining';
+      entry.host = announcement.host;
+      entry.port = announcement.port;
+      entry.announcedSlots = announcement.slots;
+      entry.state = STATES[announcement.state];
+      if (entry.state === 'cold') entry.readySinceMs = 0;
+      else if (entry.readySinceMs === 0) entry.readySinceMs = Date.now();
+      entry.usage.recordReport(announcement.busy, announcement.running);
+      clearTimeout(entry.timer);
+      entry.timer = setTimeout(expire, ttlMs, entry);
+      notify(entry, entry.state === 'draining' && !wasDraining ? 'draining' : 'updated');
+      return ok(undefined);
+    },
+    finishExchange(entry, requestId) {
+      entry.usage.removeExchange(requestId);
+      const current = entries.get(entry.instanceId);
+      if (current === entry) removeIfIdle(current);
+    },
+    onChange(listener) {
+      listeners.push(listener);
+    },
+    close() {
+      for (const entry of entries.values()) clearTimeout(entry.timer);
+    },
+  };
+}
--- /dev/null
+++ b/src/core/upstream/upstreamHeaders.ts
@@ -0,0 +1,66 @@
+/** Headers between this node and an upstream. */
+import type { IncomingHttpHeaders } from 'node:http';
+import type { Call } from '../../types/calls.js';
+import { CALL_HEADERS } from '../../types/outcome.js';
+
+/** RFC 9110, section 7.6.1, and what the client sets itself. */
+const HOP_BY_HOP = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+const OWN_PREFIX = 'lycheelane-';
+
+function isEndToEnd(name: string, connection: string | undefined): boolean {
+  if (HOP_BY_HOP.has(name)) return false;
+  if (connection === undefined) return true;
+  return !connection.split(',').some((option) => option.trim().toLowerCase() === name);
+}
+
+/** Builds the request headers for the upstream: the caller's own, and the state of the call. */
+export function buildRequestHeaders(call: Call, nowMs: number): IncomingHttpHeaders {
+  const headers: IncomingHttpHeaders = {};
+  for (const [name, value] of Object.entries(call.headers)) {
+    const isOwn = name.startsWith(OWN_PREFIX);
+    // Node answers `expect` itself, and the client computes the length of the body.
+    if (isOwn || name === 'expect' || name === 'content-length') continue;
+    if (isEndToEnd(name, call.headers.connection)) headers[name] = value;
+  }
+  headers[CALL_HEADERS.request] = call.requestId;
+  headers[CALL_HEADERS.deadlineMs] = String(Math.max(1, Math.floor(call.deadlineMs - nowMs)));
+  // The upstream passes this on with its own calls, which have one more call above them.
+  headers[CALL_HEADERS.depth] = String(call.depth + 1);
+  return headers;
+}
+
+/**
+ * Filters the response headers of an upstream. Statements about the outcome are the node's to
+ * make; only the mark that stops outer retries is passed on.
+ */
+export function filterResponseHeaders(headers: IncomingHttpHeaders): IncomingHttpHeaders {
+  const filtered: IncomingHttpHeaders = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (name.startsWith(OWN_PREFIX) && name !== CALL_HEADERS.retry) continue;
+    if (isEndToEnd(name, headers.connection)) filtered[name] = value;
+  }
+  return filtered;
+}
+
+/** True when an upstream sheds load, with or without proof that the request did not run. */
+export function isShed(status: number): boolean {
+  return status === 503 || status === 429;
+}
+
+/** True when an upstream proves that it did not run the request. */
+export function isNotRunProof(status: number, headers: IncomingHttpHeaders): boolean {
+  return isShed(status) && headers[CALL_HEADERS.outcome] === 'not-run';
+}
+
+/** True when an inner level already spent its retries. */
+export function isRetryExhausted(headers: IncomingHttpHeaders): boolean {
+  return headers[CALL_HEADERS.retry] === 'exhausted';
+}
--- /dev/null
+++ b/test/upstream/dispatcher.test.ts
@@ -0,0 +1,277 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { createServer, type AddressInfo } from 'node:net';
+import { test } from 'node:test';
+import {
+  buildAnnouncement,
+  buildCall,
+  buildRoute,
+  createInstanceSide,
+  readText,
+  SERVICE,
+  startUpstream,
+  type UpstreamHandler,
+} from './support.js';
+
+async function startPair(handler: UpstreamHandler, slots = 4) {
+  const upstream = await startUpstream(handler);
+  const side = createInstanceSide();
+  assert.ok(side.table.record(buildAnnouncement({ port: upstream.port, slots })).isOk());
+  const close = async () => {
+    await upstream.stop();
+    await side.close();
+  };
+  return { ...side, upstream, close };
+}
+
+/** Starts a TCP server that runs a script for each connection. */
+async function startRawUpstream(answer: string | 'reset') {
+  const server = createServer((socket) => {
+    socket.on('error', () => {});
+    socket.once('data', () => {
+      if (answer === 'reset') socket.resetAndDestroy();
+      else socket.end(answer);
+    });
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  return { port: (server.address() as AddressInfo).port, server };
+}
+
+// Guards against lost or altered requests and responses on the way to the upstream.
+test('a call reaches the upstream whole and its answer comes back whole', async () => {
+  const { dispatcher, close } = await startPair((request, response) => {
+    void readText(request).then((body) => {
+      const { 'lycheelane-depth': depth, host } = request.headers;
+      response.writeHead(201, { 'x-own': 'yes', 'lycheelane-outcome': 'not-run' });
+      response.end(`${request.method} ${request.url} ${body} ${host} ${depth}`);
+    });
+  });
+  const result = await dispatcher.dispatch(buildCall());
+  assert.ok(result.kind === 'answered');
+  assert.equal(result.status, 201);
+  assert.equal(result.headers['x-own'], 'yes');
+  assert.equal(result.headers['lycheelane-outcome'], undefined);
+  assert.equal(await readText(result.body), 'POST /book?pad=7 pad 7 mesh.example 1');
+  await close();
+});
+
+// Guards against a wrong statement to the caller after each fault of an upstream.
+const FAULTS: readonly [string, string | 'reset', string][] = [
+  ['a reset after the request was sent', 'reset', 'unknown connection-lost'],
+  ['a close without an answer', '', 'unknown connection-lost'],
+  ['a bare 503', 'HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n', 'answered 503'],
+  [
+    'a shed with proof',
+    'HTTP/1.1 503 Busy\r\nlycheelane-outcome: not-run\r\ncontent-length: 0\r\n\r\n',
+    'notRun overloaded',
+  ],
+  [
+    'an answer to another request',
+    'HTTP/1.1 200 OK\r\nlycheelane-request: other\r\ncontent-length: 0\r\n\r\n',
+    'unknown mismatched-answer',
+  ],
+  ['a malformed answer', 'nonsense\r\n\r\n', 'unknown connection-lost'],
+];
+for (const [name, answer, expected] of FAULTS) {
+  test(`${name} gives ${expected}`, async () => {
+    const { port, server } = await startRawUpstream(answer);
+    const { table, dispatcher, close } = createInstanceSide();
+    assert.ok(table.record(buildAnnouncement({ port })).isOk());
+    const result = await dispatcher.dispatch(buildCall());
+    const detail = result.kind === 'answered' ? result.status : result.reason;
+    assert.equal(`${result.kind} ${detail}`, expected);
+    if (result.kind === 'answered') result.body.destroy();
+    await close();
+    server.close();
+  });
+}
+
+// Guards against "unknown" for calls that provably never left this node.
+test('a refused connection is notRun', async () => {
+  const { port, server } = await startRawUpstream('');
+  server.close();
+  await once(server, 'close');
+  const { table, dispatcher, close } = createInstanceSide();
+  assert.ok(table.record(buildAnnouncement({ port })).isOk());
+  const result = await dispatcher.dispatch(buildCall());
+  assert.ok(result.kind === 'notRun');
+  assert.equal(result.reason, 'connect-failed');
+  assert.equal(dispatcher.getLoad(SERVICE)?.busy, 0);
+  await close();
+});
+
+// Guards against a truncated answer that looks complete.
+test('a truncated answer ends its body with an error', async () => {
+  const { port, server } = await startRawUpstream(
+    'HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\npart',
+  );
+  const { table, dispatcher, close } = createInstanceSide();
+  assert.ok(table.record(buildAnnouncement({ port })).isOk());
+  const result = await dispatcher.dispatch(buildCall());
+  assert.ok(result.kind === 'answered');
+  await assert.rejects(readText(result.body));
+  await close();
+  server.close();
+});
+
+// Guards against a slot that is given away while the upstream still works on a request.
+test('a timed-out call is answered at once, cancelled, and keeps its slot', async () => {
+  const open: (() => void)[] = [];
+  const { dispatcher, upstream, close } = await startPair((request, response) => {
+    open.push(() => response.writeHead(499).end());
+  }, 1);
+  const result = await dispatcher.dispatch(buildCall({}, 100));
+  assert.ok(result.kind === 'unknown');
+  assert.equal(result.reason, 'timeout');
+  await upstream.waitFor(() => upstream.cancelled.length === 1);
+  assert.deepEqual(upstream.cancelled, upstream.seen);
+  // The upstream ignored the cancellation: the slot is still taken.
+  assert.equal(dispatcher.getLoad(SERVICE)?.busy, 1);
+  assert.equal(dispatcher.getCounts().abandoned, 1);
+  const next = dispatcher.dispatch(buildCall());
+  assert.equal(dispatcher.getLoad(SERVICE)?.queued, 1);
+  open.shift()?.();
+  await upstream.waitFor(() => open.length === 1);
+  open.shift()?.();
+  const answered = await next;
+  assert.ok(answered.kind === 'answered');
+  assert.equal(answered.status, 499);
+  assert.equal(await readText(answered.body), '');
+  await close();
+});
+
+// Guards against work that goes on for a caller that has gone.
+test('a caller that leaves cancels the upstream, also while it reads the answer', async () => {
+  const { dispatcher, upstream, close } = await startPair((request, response) => {
+    if (request.url === '/stream') response.writeHead(200).write('first');
+  });
+  const leaving = new AbortController();
+  const pending = dispatcher.dispatch(buildCall({ signal: leaving.signal }));
+  await upstream.waitFor(() => upstream.seen.length === 1);
+  leaving.abort();
+  const result = await pending;
+  assert.ok(result.kind === 'unknown');
+  assert.equal(result.reason, 'cancelled');
+  const streamed = await dispatcher.dispatch(buildCall({ path: '/stream' }));
+  assert.ok(streamed.kind === 'answered');
+  streamed.body.destroy();
+  await upstream.waitFor(() => upstream.cancelled.length === 2);
+  assert.equal(dispatcher.getCounts().abandoned, 2);
+  await close();
+});
+
+// Guards against overload that hits important calls first, and against waits without a chance.
+test('under overload sheddable calls go first and hopeless ones are refused at once', async () => {
+  const open: (() => void)[] = [];
+  const { dispatcher, upstream, close } = await startPair((request, response) => {
+    open.push(() => response.end('done'));
+  }, 1);
+  const send = (priority: 'critical' | 'normal' | 'sheddable', timeoutMs = 10_000) =>
+    dispatcher.dispatch(
+      buildCall(
+        { route: buildRoute({ priority }, { queueLimit: 2 }), path: `/${priority}` },
+        timeoutMs,
+      ),
+    );
+  const running = send('normal');
+  const sheddable = send('sheddable');
+  const normal = send('normal');
+  const critical = send('critical');
+  const evicted = await sheddable;
+  assert.equal(evicted.kind === 'notRun' && evicted.reason, 'overloaded');
+  const refused = await send('sheddable');
+  assert.equal(refused.kind === 'notRun' && refused.reason, 'overloaded');
+  const order: string[] = [];
+  void critical.then(() => order.push('critical'));
+  void normal.then(() => order.push('normal'));
+  for (const expected of [running, critical, normal]) {
+    await upstream.waitFor(() => open.length === 1);
+    open.shift()?.();
+    const result = await expected;
+    assert.ok(result.kind === 'answered');
+    assert.equal(await readText(result.body), 'done');
+  }
+  assert.deepEqual(order, ['critical', 'normal']);
+  assert.equal(dispatcher.getCounts().refused.overloaded, 2);
+  await close();
+});
+
+// Guards against requests to an upstream that is leaving, and against cut requests at a stop.
+test('a drain refuses new and queued work, waits for the rest, reports what it cut', async () => {
+  const open: (() => void)[] = [];
+  const { dispatcher, upstream, table, close } = await startPair((request, response) => {
+    open.push(() => response.end('done'));
+  }, 1);
+  const running = dispatcher.dispatch(buildCall());
+  const queued = dispatcher.dispatch(buildCall());
+  await upstream.waitFor(() => open.length === 1);
+  table.record(buildAnnouncement({ port: upstream.port, slots: 1, state: 'leaving', busy: 1 }));
+  const refused = await queued;
+  assert.equal(refused.kind === 'notRun' && refused.reason, 'leaving');
+  const drained = dispatcher.drain(10_000);
+  const late = await dispatcher.dispatch(buildCall());
+  assert.equal(late.kind === 'notRun' && late.reason, 'leaving');
+  open.shift()?.();
+  const result = await running;
+  assert.ok(result.kind === 'answered');
+  assert.equal(await readText(result.body), 'done');
+  assert.deepEqual(await drained, { cut: 0 });
+  await close();
+});
+
+test('a drain cuts what has not ended at its limit', async () => {
+  const { dispatcher, upstream, close } = await startPair(() => {});
+  const running = dispatcher.dispatch(buildCall());
+  await upstream.waitFor(() => upstream.seen.length === 1);
+  assert.deepEqual(await dispatcher.drain(20), { cut: 1 });
+  assert.equal((await running).kind, 'unknown');
+  await close();
+});
+
+// Guards against load that is kept up while the upstream sheds.
+test('shedding lowers the number of calls at a time, answers raise it again', async () => {
+  let status = 503;
+  const { dispatcher, close } = await startPair((request, response) => {
+    response.writeHead(status).end();
+  }, 10);
+  const sendMany = (count: number) =>
+    Promise.all(
+      Array.from({ length: count }, async () => {
+        const result = await dispatcher.dispatch(buildCall());
+        if (result.kind === 'answered') await readText(result.body);
+      }),
+    );
+  await sendMany(4);
+  const lowered = dispatcher.getLoad(SERVICE)?.slots ?? 0;
+  assert.ok(lowered < 4, `${lowered}`);
+  status = 200;
+  await sendMany(5);
+  await sendMany(5);
+  assert.ok((dispatcher.getLoad(SERVICE)?.slots ?? 0) > lowered);
+  await close();
+});
+
+// Guards against double load after a daemon restart with requests still at the upstream.
+test('slots busy from before a restart stay occupied until a later announcement', async () => {
+  const { dispatcher, upstream, table, close } = await startPair((request, response) => {
+    response.end('done');
+  }, 2);
+  const announce = (busy: number, running?: string[]) =>
+    table.record(buildAnnouncement({ port: upstream.port, slots: 2, busy, running }));
+  announce(2, ['old-1', 'old-2']);
+  assert.deepEqual(dispatcher.getLoad(SERVICE), { busy: 2, slots: 2, queued: 0 });
+  const waiting = dispatcher.dispatch(buildCall());
+  assert.equal(dispatcher.getLoad(SERVICE)?.queued, 1);
+  announce(1, ['old-2']);
+  const result = await waiting;
+  assert.ok(result.kind === 'answered');
+  await readText(result.body);
+  announce(1);
+  assert.equal(dispatcher.getLoad(SERVICE)?.busy, 0, 'its own call may have ended since');
+  announce(1);
+  assert.equal(dispatcher.getLoad(SERVICE)?.busy, 1);
+  announce(0);
+  assert.equal(dispatcher.getLoad(SERVICE)?.busy, 0);
+  await close();
+});
