--- a/eslint.config.js
+++ b/eslint.config.js
@@ -53,4 +53,9 @@
     // `node:test` registers a test at the call; its promise needs no waiting.
     rules: { '@typescript-eslint/no-floating-promises': 'off' },
   },
+  {
+    files: ['src/daemon.ts', 'src/cli/main.ts'],
+    // Executables: their exit codes are documented and a signal must end them at once.
+    rules: { 'n/no-process-exit': 'off', 'n/hashbang': 'off' },
+  },
 ];
--- a/src/cli/commands/config/apply.ts
+++ b/src/cli/commands/config/apply.ts
@@ -76,7 +76,8 @@
       case 'unknown':
         this.logToStderr(
           `unknown whether operation ${outcome.operationId} was accepted: ` +
-            `${outcome.cause.message}\nask later with: lycheelane config status ${outcome.operationId}`,
+            `${outcome.cause.message}\nask later with: ` +
+            `lycheelane config status ${outcome.operationId}`,
         );
         return EXIT_CODES.unknown;
       default:
--- a/src/core/distribution/store.ts
+++ b/src/core/distribution/store.ts
@@ -32,6 +32,8 @@
   isRefused(tag: VersionTag): boolean;
   /** Calls the listener when the floor rises. */
   onFloor(listener: (tag: VersionTag) => void): void;
+  /** Calls the listener once, when the node becomes ready, or at once if it is. */
+  onReady(listener: () => void): void;
 }
 
 /** Refused versions remembered, so that they are not fetched again. */
@@ -50,9 +52,22 @@
   let tag = NO_TAG;
   let floor = NO_TAG;
   let isFloorKnown = false;
+  let isReady = false;
+  const readyListeners: (() => void)[] = [];
   let refusal: { version: number; reason: string } | undefined;
   let refusedDigests: string[] = [];
 
+  /**
+   * The floor gates only the start: a ready node stays ready while a newer version is on its way,
+   * or when it refuses one.
+   */
+  const updateReady = () => {
+    if (isReady || !isFloorKnown || tag.version === 0 || tag.version < floor.version) return;
+    isReady = true;
+    logger.info('node-ready', { version: tag.version });
+    for (const listener of readyListeners.splice(0)) listener();
+  };
+
   const raiseFloor = (raised: VersionTag, source: string) => {
     if (raised.version === floor.version && raised.version > 0 && raised.digest !== floor.digest) {
       logger.error('floor-digest-differs', { version: raised.version, source });
@@ -99,6 +114,7 @@
     held.add(candidate);
     logger.info('config-installed', { version: tag.version, source });
     for (const listener of listeners) listener(tag);
+    updateReady();
     return ok(tag);
   };
 
@@ -114,8 +130,13 @@
     confirmFloor: (confirmed, source) => {
       isFloorKnown = true;
       raiseFloor(confirmed, source);
+      updateReady();
+    },
+    isReady: () => isReady,
+    onReady: (listener) => {
+      if (isReady) listener();
+      else readyListeners.push(listener);
     },
-    isReady: () => isFloorKnown && tag.version > 0 && tag.version >= floor.version,
     isRefused: ({ version, digest }) => refusedDigests.includes(`${version} ${digest}`),
     onFloor: (listener) => floorListeners.push(listener),
     onInstall: (listener) => listeners.push(listener),
--- a/src/plugins/callStats.ts
+++ b/src/plugins/callStats.ts
@@ -54,10 +54,13 @@
 export class CallStats {
   private readonly entries = new Map<RouteName, RouteEntry>();
 
+  /** `findBound` returns the latency objective of a route in milliseconds, if it has one. */
+  constructor(private readonly findBound: (route: RouteName) => number | undefined) {}
+
   /** Records one finished call with its latency in milliseconds. */
-  record(route: CompiledRoute, outcome: Outcome, latencyMs: number): void {
-    const entry = this.requireEntry(route.name);
-    const bound = route.config.objective?.latencyMs;
+  record(route: RouteName, outcome: Outcome, latencyMs: number): void {
+    const entry = this.requireEntry(route);
+    const bound = this.findBound(route);
     const isSlow = bound !== undefined && latencyMs > bound;
     entry.ring.record(Date.now(), isFailure(outcome), isSlow);
     const micros = Math.max(0, Math.round(latencyMs * MICROSECONDS_PER_MS));
--- a/src/plugins/metrics.ts
+++ b/src/plugins/metrics.ts
@@ -2,7 +2,7 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import type { ControlCounters, ConfigStore, MemberTable } from '../types/interfaces.js';
 import type { Outcome } from '../types/outcome.js';
-import type { CompiledRoute } from '../types/routing.js';
+import type { RouteName } from '../types/ids.js';
 import type { UsageSampler } from './processUsage.js';
 
 const LATENCY_BUCKETS_S = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
@@ -18,7 +18,9 @@
 /** Metrics of one node. */
 export interface Metrics {
   /** Records one finished call. */
-  record(route: CompiledRoute, outcome: Outcome, latencyMs: number): void;
+  record(route: RouteName, outcome: Outcome, latencyMs: number): void;
+  recordSpillOver(route: RouteName, reason: string): void;
+  recordRetry(route: RouteName): void;
   /** Renders all metrics as text. */
   render(): Promise<string>;
   readonly contentType: string;
@@ -83,14 +85,28 @@
     buckets: LATENCY_BUCKETS_S,
     registers: [registry],
   });
+  const spillOvers = new Counter({
+    name: 'lycheelane_spill_overs_total',
+    help: 'Calls sent to another data centre, by reason.',
+    labelNames: ['route', 'reason'],
+    registers: [registry],
+  });
+  const retries = new Counter({
+    name: 'lycheelane_retries_total',
+    help: 'Attempts after the first one.',
+    labelNames: ['route'],
+    registers: [registry],
+  });
   registerGauges(registry, sources);
   return {
     contentType: registry.contentType,
     render: () => registry.metrics(),
     record(route, outcome, latencyMs) {
       const reason = outcome.kind === 'answered' ? '' : outcome.reason;
-      calls.inc({ route: route.name, outcome: outcome.kind, reason });
-      latency.observe({ route: route.name }, latencyMs / 1000);
+      calls.inc({ route, outcome: outcome.kind, reason });
+      latency.observe({ route }, latencyMs / 1000);
     },
+    recordSpillOver: (route, reason) => spillOvers.inc({ route, reason }),
+    recordRetry: (route) => retries.inc({ route }),
   };
 }
