Test peer messages, membership and distribution with fault tables

Change: contract tables for peer, membership and fetch messages, failure tests on a memory network with mocked timers, and properties of merging and of installed versions with fixed seeds.

--- /dev/null
+++ b/test/distribution/floor.test.ts
@@ -0,0 +1,142 @@
+import assert from 'node:assert/strict';
+import { afterEach, beforeEach, test } from 'node:test';
+import { computeMajorityFloor, type FloorAnswer } from '../../src/core/distribution/floor.js';
+import { toTag } from '../../src/core/distribution/verify.js';
+import type { MemberChange } from '../../src/generated/types.js';
+import { advance, startClock, stopClock } from '../fakes/clock.js';
+import {
+  acceptBundle,
+  buildBundle,
+  buildRecord,
+  createTestMesh,
+  startTestNode,
+  startTestNodes,
+  type TestNode,
+} from '../fakes/nodes.js';
+
+const alive = (port: number, dataCentre = 'dc-a'): MemberChange => ({
+  record: buildRecord(port, dataCentre),
+  verdict: 'alive',
+});
+const dead = (port: number): MemberChange => ({ ...alive(port), verdict: 'dead' });
+
+/** An answer of the node on a port that calls itself and `others` alive. */
+function answer(port: number, version: number, others: MemberChange[], ready = true): FloorAnswer {
+  const digest = version === 0 ? '' : buildBundle(version).digest;
+  return {
+    nodeId: `node-${port}`,
+    answer: { version, digest, ready, members: [alive(port), ...others] },
+  };
+}
+
+const cases: { name: string; answers: FloorAnswer[]; floor: number | undefined }[] = [
+  { name: 'no answer', answers: [], floor: undefined },
+  {
+    name: 'two of three members',
+    answers: [answer(1, 4, [alive(2), alive(3)]), answer(2, 5, [])],
+    floor: 5,
+  },
+  { name: 'one of three members', answers: [answer(1, 4, [alive(2), alive(3)])], floor: undefined },
+  {
+    name: 'exactly half of the members',
+    answers: [answer(1, 4, [alive(2), alive(3), alive(4)]), answer(2, 4, [])],
+    floor: undefined,
+  },
+  {
+    name: 'members that only another answer names',
+    answers: [answer(1, 4, []), answer(2, 4, [alive(3), alive(4), alive(5)])],
+    floor: undefined,
+  },
+  {
+    name: 'a dead member, which does not count',
+    answers: [answer(1, 4, [dead(2), dead(3)])],
+    floor: 4,
+  },
+  { name: 'this node itself, which does not count', answers: [answer(1, 4, [alive(9)])], floor: 4 },
+  {
+    name: 'members of another data centre, which do not count',
+    answers: [answer(1, 4, [alive(2, 'dc-b')])],
+    floor: 4,
+  },
+  {
+    name: 'a starting member without a version',
+    answers: [answer(1, 4, [alive(2)]), answer(2, 0, [], false)],
+    floor: undefined,
+  },
+  {
+    name: 'a starting member with a version',
+    answers: [answer(1, 4, []), answer(2, 6, [], false)],
+    floor: 6,
+  },
+  {
+    name: 'the same member twice',
+    answers: [answer(1, 4, [alive(2), alive(3)]), answer(1, 4, [])],
+    floor: undefined,
+  },
+];
+
+for (const { name, answers, floor } of cases) {
+  // Guards against a restarted node that takes a floor from a minority that is behind (G1).
+  test(`the floor from peers with ${name} is ${floor ?? 'unknown'}`, () => {
+    assert.equal(computeMajorityFloor(answers, 'dc-a', 'node-9')?.version, floor);
+  });
+}
+
+let mesh = createTestMesh();
+let nodes: TestNode[] = [];
+
+beforeEach(() => {
+  startClock();
+  mesh = createTestMesh();
+  acceptBundle(mesh.platform, buildBundle(1));
+});
+
+afterEach(async () => {
+  await Promise.all(nodes.map((node) => node.stop()));
+  nodes = [];
+  stopClock();
+});
+
+// Guards against a data centre that cannot replace nodes while the platform is down.
+test('a node restarted while the platform is down becomes ready through its peers', async () => {
+  nodes = startTestNodes(mesh, 'dc-a', 100, 4);
+  await advance(8000);
+  mesh.platform.setDown(true);
+  const old = nodes.pop() as TestNode;
+  await old.stop();
+  const restarted = startTestNode(mesh, old.port, 'dc-a', [100], 500_000);
+  nodes.push(restarted);
+  await advance(5000);
+  assert.equal(restarted.store.isReady(), true);
+  assert.equal(restarted.store.getTag().version, 1);
+});
+
+// Guards against a node that serves an old version because its host was newer before the restart.
+test('a node below the floor of its cookie is not ready until it has that version', async () => {
+  nodes = startTestNodes(mesh, 'dc-a', 100, 3);
+  await advance(8000);
+  mesh.platform.setDown(true);
+  const [node] = nodes as [TestNode];
+  node.store.raiseFloor(toTag(buildBundle(2)), 'cookie');
+  await advance(5000);
+  assert.equal(node.store.isReady(), false);
+  acceptBundle(mesh.platform, buildBundle(2));
+  mesh.platform.setDown(false);
+  await advance(35_000);
+  assert.equal(node.store.isReady(), true);
+  assert.deepEqual(
+    nodes.map(({ store }) => Number(store.getTag().version)),
+    [2, 2, 2],
+  );
+});
+
+// Guards against a node without peers that serves what it cannot know to be current.
+test('a lone node is not ready until the platform answers', async () => {
+  mesh.platform.setDown(true);
+  nodes = [startTestNode(mesh, 100, 'dc-a', [101])];
+  await advance(20_000);
+  assert.equal(nodes[0]?.store.isReady(), false);
+  mesh.platform.setDown(false);
+  await advance(25_000);
+  assert.equal(nodes[0]?.store.isReady(), true);
+});
--- /dev/null
+++ b/test/distribution/store.test.ts
@@ -0,0 +1,76 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { createConfigStore } from '../../src/core/distribution/store.js';
+import { toTag } from '../../src/core/distribution/verify.js';
+import type { Bundle } from '../../src/generated/types.js';
+import type { DataCentre } from '../../src/types/ids.js';
+import { SILENT_LOGGER } from '../../src/utils/logger.js';
+import { buildBundle, compileAny } from '../fakes/nodes.js';
+
+function createStore() {
+  const site = 'dc-a' as DataCentre;
+  return createConfigStore({ site, compile: compileAny, logger: SILENT_LOGGER });
+}
+
+const forged: Bundle = { ...buildBundle(9), base: { services: {}, routes: {} } };
+const refusals: { name: string; bundle: Bundle; kind: string }[] = [
+  { name: 'an older version', bundle: buildBundle(4), kind: 'stale' },
+  { name: 'the installed version again', bundle: buildBundle(5), kind: 'stale' },
+  {
+    name: 'another digest for the installed version',
+    bundle: buildBundle(5, 'y'),
+    kind: 'mismatch',
+  },
+  { name: 'another digest for the floor', bundle: buildBundle(7, 'y'), kind: 'mismatch' },
+  { name: 'content that does not hash to its digest', bundle: forged, kind: 'mismatch' },
+  { name: 'a version that does not compile', bundle: buildBundle(9, 'bad'), kind: 'invalid' },
+  {
+    name: 'a bundle without overlays',
+    bundle: { ...buildBundle(9), overlays: undefined as never },
+    kind: 'invalid',
+  },
+];
+
+for (const { name, bundle, kind } of refusals) {
+  // Guards against a proxy that moves back, or applies a bad version in part (G1, G3).
+  test(`the store refuses ${name} and keeps its state`, () => {
+    const store = createStore();
+    assert.ok(store.install(buildBundle(5), 'test').isOk());
+    store.raiseFloor(toTag(buildBundle(7)), 'cookie');
+    const routing = store.getRouting();
+    const result = store.install(bundle, 'test');
+    assert.equal(result.isErr() && result.error.kind, kind);
+    assert.equal(store.getRouting(), routing);
+    assert.equal(store.getTag().version, 5);
+  });
+}
+
+// Guards against a node that serves before it knows the floor, or below it.
+test('the store is ready once a floor is known and a version at or above it is installed', () => {
+  const store = createStore();
+  store.install(buildBundle(5), 'test');
+  store.raiseFloor(toTag(buildBundle(5)), 'cookie');
+  assert.equal(store.isReady(), false, 'a cookie alone tells no floor of the mesh');
+  store.confirmFloor(toTag(buildBundle(4)), 'peers');
+  assert.equal(store.isReady(), true);
+  store.raiseFloor(toTag(buildBundle(6)), 'cookie');
+  assert.equal(store.isReady(), false);
+  store.install(buildBundle(6), 'test');
+  assert.equal(store.isReady(), true);
+});
+
+// Guards against a node that is ready although nothing was ever accepted.
+test('the store is not ready without a version', () => {
+  const store = createStore();
+  store.confirmFloor(toTag({ version: 0, digest: '' }), 'platform');
+  assert.equal(store.isReady(), false);
+});
+
+// Guards against old bundles that fill the memory, and differences from bundles given up.
+test('the store holds the sixteen bundles installed last', () => {
+  const store = createStore();
+  for (let version = 1; version <= 20; version += 1) store.install(buildBundle(version), 'test');
+  assert.equal(store.held.findVersion(4), undefined);
+  assert.equal(store.held.findVersion(5)?.version, 5);
+  assert.equal(store.held.findDigest(buildBundle(20).digest)?.version, 20);
+});
--- /dev/null
+++ b/test/distribution/versions.test.ts
@@ -0,0 +1,137 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { ok } from 'neverthrow';
+import type { ConfigFetchAnswer } from '../../src/generated/types.js';
+import { diffBundles } from '../../src/core/distribution/delta.js';
+import { advance, startClock, stopClock } from '../fakes/clock.js';
+import {
+  acceptBundle,
+  buildBundle,
+  buildRecord,
+  createTestMesh,
+  startTestNode,
+} from '../fakes/nodes.js';
+
+const SENDER = { ...buildRecord(101, 'dc-a', 2000), state: 'serving' as const };
+const FROM = { nodeId: SENDER.nodeId, incarnation: SENDER.incarnation, dataCentre: 'dc-a' };
+const ADDRESS = { host: '127.0.0.1', port: 100 };
+
+type Step =
+  | { kind: 'notify'; version: number; variant: string }
+  | { kind: 'accept' }
+  | { kind: 'platform'; isDown: boolean }
+  | { kind: 'wait'; ms: number }
+  | { kind: 'restart' };
+
+const anyVersion = fc.integer({ min: 1, max: 6 });
+const anyVariant = fc.constantFrom('x', 'x', 'y', 'bad');
+const anyWait = fc.constantFrom(100, 700, 3000);
+const anyStep: fc.Arbitrary<Step> = fc.oneof(
+  {
+    weight: 3,
+    arbitrary: fc.record({
+      kind: fc.constant('notify' as const),
+      version: anyVersion,
+      variant: anyVariant,
+    }),
+  },
+  { weight: 3, arbitrary: fc.record({ kind: fc.constant('wait' as const), ms: anyWait }) },
+  { weight: 2, arbitrary: fc.constant({ kind: 'accept' as const }) },
+  fc.record({ kind: fc.constant('platform' as const), isDown: fc.boolean() }),
+  fc.constant({ kind: 'restart' as const }),
+);
+/** What the sender answers to fetches, in turn; it may be old, forged or a difference. */
+const anyAnswer: fc.Arbitrary<ConfigFetchAnswer> = fc
+  .tuple(anyVersion, anyVariant, anyVersion, fc.constantFrom('whole', 'patch', 'forged', 'same'))
+  .map(([version, variant, held, kind]) => {
+    const bundle = buildBundle(version, variant);
+    if (kind === 'same') return { kind: 'same' };
+    if (kind === 'patch') return diffBundles(buildBundle(held), bundle);
+    return {
+      kind: 'whole',
+      bundle: kind === 'forged' ? { ...bundle, version: 9 - version } : { ...bundle },
+    };
+  });
+
+/** Runs the steps on one node and returns the versions of each process, in order of install. */
+async function runSteps(steps: readonly Step[], answers: readonly ConfigFetchAnswer[]) {
+  const mesh = createTestMesh();
+  const { peers, dispatcher } = mesh.network.addNode(SENDER.peerPort);
+  let asked = 0;
+  const ack = { from: FROM, version: 0, digest: '', tableHash: '', changes: [] };
+  dispatcher.addMethods({
+    ping: () => ok(ack),
+    'config.fetch': () => {
+      asked += 1;
+      return ok(answers[asked % answers.length] ?? { kind: 'same' });
+    },
+  });
+  const processes: number[][] = [];
+  let startMs = 1000;
+  const start = () => {
+    const versions: number[] = [];
+    processes.push(versions);
+    startMs += 1000;
+    const node = startTestNode(mesh, ADDRESS.port, 'dc-a', [], startMs);
+    node.store.onInstall((tag) => versions.push(tag.version));
+    return node;
+  };
+  let node = start();
+  let accepted = 0;
+  for (const step of steps) {
+    switch (step.kind) {
+      case 'notify': {
+        const { version, digest } = buildBundle(step.version, step.variant);
+        const changes = [{ record: SENDER, verdict: 'alive' as const }];
+        peers.notify(ADDRESS, 'members.push', { from: FROM, changes });
+        peers.notify(ADDRESS, 'config.notify', { from: FROM, version, digest });
+        break;
+      }
+      case 'accept':
+        accepted += 1;
+        acceptBundle(mesh.platform, buildBundle(accepted));
+        break;
+      case 'platform':
+        mesh.platform.setDown(step.isDown);
+        break;
+      case 'wait':
+        await advance(step.ms);
+        break;
+      case 'restart':
+        await node.stop();
+        node = start();
+        break;
+      default:
+        step satisfies never;
+    }
+    const { store } = node;
+    assert.ok(!store.isReady() || store.getTag().version >= store.getFloor().version);
+  }
+  await advance(500);
+  await node.stop();
+  return processes;
+}
+
+// Guards against any order of messages, answers and restarts that moves a process back (G1).
+test('an installed version never goes down', async () => {
+  startClock();
+  try {
+    let installs = 0;
+    const check = async (steps: Step[], answers: ConfigFetchAnswer[]) => {
+      for (const versions of await runSteps(steps, answers)) {
+        installs += versions.length;
+        assert.deepEqual(
+          versions,
+          [...new Set(versions)].sort((a, b) => a - b),
+        );
+      }
+    };
+    const steps = fc.array(anyStep, { minLength: 8, maxLength: 20 });
+    const answers = fc.array(anyAnswer, { minLength: 1, maxLength: 6 });
+    await fc.assert(fc.asyncProperty(steps, answers, check), { seed: 20_240_612, numRuns: 60 });
+    assert.ok(installs > 60, `only ${installs} installs in all runs`);
+  } finally {
+    stopClock();
+  }
+});
--- a/test/fakes/nodes.ts
+++ b/test/fakes/nodes.ts
@@ -9,8 +9,8 @@
 import { brandVersion } from '../../src/types/ids.js';
 import { computeDigest } from '../../src/utils/digest.js';
 import { SILENT_LOGGER } from '../../src/utils/logger.js';
-import type { MemoryNetwork } from './memoryNetwork.js';
-import type { MemoryPlatform } from './memoryPlatform.js';
+import { createMemoryNetwork, type MemoryNetwork } from './memoryNetwork.js';
+import { createMemoryPlatform, type MemoryPlatform } from './memoryPlatform.js';
 
 /** Returns a generator of evenly spread numbers with a fixed seed (Park-Miller). */
 export function createRandom(seed: number): () => number {
@@ -93,6 +93,13 @@
   readonly platform: MemoryPlatform;
 }
 
+/** A running test node. */
+export type TestNode = ReturnType<typeof startTestNode>;
+
+export function createTestMesh(): TestMesh {
+  return { network: createMemoryNetwork(), platform: createMemoryPlatform() };
+}
+
 /** Starts membership and distribution of one node on the memory network. */
 export function startTestNode(
   { network, platform }: TestMesh,
@@ -127,3 +134,15 @@
     },
   };
 }
+
+/** Starts `count` nodes of a data centre on the ports from `first`; `first` is their seed. */
+export function startTestNodes(
+  mesh: TestMesh,
+  dataCentre: string,
+  first: number,
+  count: number,
+  moreSeeds: number[] = [],
+): TestNode[] {
+  const ports = Array.from({ length: count }, (_, index) => first + index);
+  return ports.map((port) => startTestNode(mesh, port, dataCentre, [first, ...moreSeeds]));
+}
--- /dev/null
+++ b/test/membership/merge.test.ts
@@ -0,0 +1,59 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { compareIncarnations } from '../../src/core/membership/incarnation.js';
+import { mergeChanges } from '../../src/core/membership/merge.js';
+import { createTable, toChange } from '../../src/core/membership/table.js';
+import type { MemberChange } from '../../src/generated/types.js';
+import { buildRecord } from '../fakes/nodes.js';
+
+const RUNS = { seed: 20_240_611, numRuns: 500 };
+
+/** Changes of one member; small ranges make equal parts likely. */
+const anyChange: fc.Arbitrary<MemberChange> = fc
+  .record({
+    startMs: fc.integer({ min: 8, max: 11 }),
+    text: fc.constantFrom('a', 'b'),
+    sequence: fc.integer({ min: 0, max: 2 }),
+    state: fc.constantFrom('joining' as const, 'serving' as const, 'left' as const),
+    verdict: fc.constantFrom('alive' as const, 'suspect' as const, 'dead' as const),
+  })
+  .map(({ startMs, text, sequence, state, verdict }) => ({
+    record: { ...buildRecord(1, 'dc-a'), incarnation: `${startMs}-${text}`, sequence, state },
+    verdict,
+  }));
+
+// Guards against tables that differ for ever because changes arrived in another order.
+test('merging is commutative, associative and idempotent', () => {
+  const check = (a: MemberChange, b: MemberChange, c: MemberChange) => {
+    assert.deepEqual(mergeChanges(a, a), a);
+    assert.deepEqual(mergeChanges(a, b), mergeChanges(b, a));
+    assert.deepEqual(mergeChanges(mergeChanges(a, b), c), mergeChanges(a, mergeChanges(b, c)));
+  };
+  fc.assert(fc.property(anyChange, anyChange, anyChange, check), RUNS);
+});
+
+// Guards against a table that takes an older record over a newer one, in any order of arrival.
+test('a table that knows a member ends with the greatest change, whatever the order', () => {
+  const first: MemberChange = {
+    record: { ...buildRecord(1, 'dc-a'), incarnation: '1-a' },
+    verdict: 'alive',
+  };
+  fc.assert(
+    fc.property(fc.array(anyChange, { maxLength: 6 }), (changes) => {
+      const table = createTable(buildRecord(2, 'dc-a'));
+      for (const change of [first, ...changes]) table.apply(change);
+      const entry = table.get('node-1');
+      assert.ok(entry);
+      assert.deepEqual(toChange(entry), changes.reduce(mergeChanges, first));
+    }),
+    RUNS,
+  );
+});
+
+// Guards against start times compared as text, where 9 would come after 10.
+test('incarnations are ordered by the number of their start time', () => {
+  assert.ok(compareIncarnations('9-z', '10-a') < 0);
+  assert.ok(compareIncarnations('10-b', '10-a') > 0);
+  assert.equal(compareIncarnations('10-a', '10-a'), 0);
+});
