Add operator commands and gate a node by its host's own history

Cause: operators had no view of the fleet; the readiness latch let a node serve below a version that its host had enforced before the restart (two tests of the distribution caught it). Ruled out: gating on every heard version, which refuses calls during each change. Conclusion: both readiness rules are now tested.

--- /dev/null
+++ b/src/cli/commands/explain.ts
@@ -0,0 +1,37 @@
+import { Args } from '@oclif/core';
+import type { RouteExplanation } from '../../core/calls/explain.js';
+import { BaseCommand, NODE_FLAGS } from '../baseCommand.js';
+import { formatTable } from '../formatTable.js';
+import { requestNode } from '../requestNode.js';
+
+/** `lycheelane explain ROUTE` */
+export default class Explain extends BaseCommand {
+  static override summary = 'Show which node would get a call of a route, and why not the others.';
+
+  static override args = {
+    route: Args.string({ description: 'name of the route', required: true }),
+  };
+
+  static override flags = { ...NODE_FLAGS };
+
+  /** Runs the command. */
+  async run() {
+    const { args, flags } = await this.parse(Explain);
+    const path = `/v1/explain?route=${encodeURIComponent(args.route)}`;
+    const explained = this.unwrap(await requestNode<RouteExplanation>(flags, path));
+    this.log(
+      `route ${explained.route} of version ${explained.version}, service ${explained.service}`,
+    );
+    if (explained.chosen === undefined) this.log('no node can take the call: it would be not run');
+    if (explained.spillOver) this.log(`other data centres are used: ${explained.spillOver}`);
+    const rows = explained.nodes.map((node) => [
+      node.nodeId,
+      node.dataCentre,
+      node.instances.join(','),
+      node.reason,
+      node.score?.toFixed(3) ?? '-',
+    ]);
+    this.log(formatTable(['NODE', 'DATA CENTRE', 'INSTANCES', 'REASON', 'LOAD'], rows));
+    return explained;
+  }
+}
--- /dev/null
+++ b/src/cli/commands/nodes.ts
@@ -0,0 +1,36 @@
+import { BaseCommand, NODE_FLAGS } from '../baseCommand.js';
+import { fetchNodes } from '../fetchNodes.js';
+import { formatTable } from '../formatTable.js';
+
+const HEADER = ['NODE', 'DATA CENTRE', 'STATE', 'VERDICT', 'READY', 'VERSION', 'REFUSED'];
+
+/** `lycheelane nodes` */
+export default class Nodes extends BaseCommand {
+  static override summary = 'List all nodes with the version that each enforces.';
+
+  static override flags = { ...NODE_FLAGS };
+
+  /** Runs the command. */
+  async run() {
+    const { flags } = await this.parse(Nodes);
+    if (flags.node === undefined) this.error('--node is missing', { exit: 2 });
+    const answer = this.unwrap(await fetchNodes(flags.node, flags['node-token']));
+    const rows = answer.nodes.map((node) => [
+      node.nodeId,
+      node.dataCentre,
+      node.state,
+      node.verdict,
+      node.ready ? 'yes' : 'no',
+      String(node.version),
+      node.refusal ? `${node.refusal.version}: ${node.refusal.reason}` : '-',
+    ]);
+    this.log(formatTable(HEADER, rows));
+    for (const { name, reachable, sinceMs } of answer.dataCentres) {
+      if (!reachable) {
+        const since = sinceMs === null ? '' : ` since ${new Date(sinceMs).toISOString()}`;
+        this.log(`data centre ${name} cannot be reached${since}`);
+      }
+    }
+    return answer;
+  }
+}
--- /dev/null
+++ b/src/cli/requestNode.ts
@@ -0,0 +1,54 @@
+/** Client of a node's operator port. */
+import { err, ok, type Result } from 'neverthrow';
+import { request } from 'undici';
+import { readLimitedText } from '../core/platform/readLimitedText.js';
+import { buildError, toStepError, type StepError } from '../errors.js';
+
+const REQUEST_TIMEOUT_MS = 5000;
+/** About 400 bytes for each of 540 nodes, with room for growth and for long refusals. */
+const MAX_ANSWER_BYTES = 4_194_304;
+
+/** Where and how a command reaches a node. */
+export interface NodeTarget {
+  readonly node: string | undefined;
+  /** Needed when the operator port is not on a loopback address. */
+  readonly 'node-token'?: string | undefined;
+}
+
+/**
+ * Reads a path of a node's operator port. Errors: `unavailable` when the node does not answer,
+ * `not-found` for an unknown name, `refused` for any other status, `invalid` for a body that is
+ * not JSON.
+ */
+export async function requestNode<Answer>(
+  target: NodeTarget,
+  path: string,
+): Promise<Result<Answer, StepError>> {
+  const { node, 'node-token': token } = target;
+  const step = `operator${path.split('?')[0]!.replaceAll('/', '.')}`;
+  if (node === undefined || !URL.canParse(node)) {
+    const message = node === undefined ? '--node is missing' : `--node is not a URL: ${node}`;
+    return err(buildError('refused', 'config.node', 'self', message));
+  }
+  let text: string;
+  try {
+    const response = await request(new URL(path, node), {
+      headers: token ? { authorization: `Bearer ${token}` } : {},
+      signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS),
+    });
+    text = await readLimitedText(response.body, MAX_ANSWER_BYTES);
+    if (response.statusCode !== 200) {
+      const kind = response.statusCode === 404 ? 'not-found' : 'refused';
+      const message = `status ${response.statusCode}: ${text.trim().slice(0, 200)}`;
+      return err(buildError(kind, step, node, message));
+    }
+  } catch (thrown) {
+    const { message } = toStepError(thrown, step, node);
+    return err(buildError('unavailable', step, node, message, thrown));
+  }
+  try {
+    return ok(JSON.parse(text) as Answer);
+  } catch (thrown) {
+    return err(buildError('invalid', step, node, 'the answer is not JSON', thrown));
+  }
+}
--- a/src/core/distribution/store.ts
+++ b/src/core/distribution/store.ts
@@ -52,18 +52,19 @@
   let tag = NO_TAG;
   let floor = NO_TAG;
   let isFloorKnown = false;
-  let isReady = false;
+  let hasStarted = false;
+  let hostFloor = NO_TAG;
   const readyListeners: (() => void)[] = [];
   let refusal: { version: number; reason: string } | undefined;
   let refusedDigests: string[] = [];
 
   /**
-   * The floor gates only the start: a ready node stays ready while a newer version is on its way,
-   * or when it refuses one.
+   * The floor of the mesh gates only the start: a ready node stays ready while a newer version is
+   * on its way, or when it refuses one. What its own host enforced before gates it at any time.
    */
   const updateReady = () => {
-    if (isReady || !isFloorKnown || tag.version === 0 || tag.version < floor.version) return;
-    isReady = true;
+    if (hasStarted || !isFloorKnown || tag.version === 0 || tag.version < floor.version) return;
+    hasStarted = true;
     logger.info('node-ready', { version: tag.version });
     for (const listener of readyListeners.splice(0)) listener();
   };
@@ -121,7 +122,10 @@
   return {
     held,
     install,
-    raiseFloor,
+    raiseFloor: (raised, source) => {
+      if (raised.version > hostFloor.version) hostFloor = raised;
+      raiseFloor(raised, source);
+    },
     getRouting: () => routing,
     getTag: () => tag,
     getBundle: () => bundle,
@@ -132,9 +136,9 @@
       raiseFloor(confirmed, source);
       updateReady();
     },
-    isReady: () => isReady,
+    isReady: () => hasStarted && tag.version >= hostFloor.version,
     onReady: (listener) => {
-      if (isReady) listener();
+      if (hasStarted) listener();
       else readyListeners.push(listener);
     },
     isRefused: ({ version, digest }) => refusedDigests.includes(`${version} ${digest}`),
--- a/src/plugins/metrics.ts
+++ b/src/plugins/metrics.ts
@@ -56,14 +56,15 @@
     () => usage.get().cpuPercent,
   );
   gauge('lycheelane_process_resident_bytes', 'Resident memory.', () => usage.get().residentBytes);
-  const control = new Gauge({
+  const control = new Counter({
     name: 'lycheelane_control_bytes_total',
     help: 'Control traffic by direction and message type.',
     labelNames: ['type'],
     registers,
     collect() {
+      control.reset();
       for (const [type, sum] of Object.entries(counters.snapshot())) {
-        control.set({ type }, sum.bytes);
+        control.inc({ type }, sum.bytes);
       }
     },
   });
--- a/src/types/interfaces.ts
+++ b/src/types/interfaces.ts
@@ -53,8 +53,9 @@
   getRouting(): RoutingState | undefined;
   getTag(): VersionTag;
   getBundle(): Bundle | undefined;
-  /** Highest version this process has heard of; it is not ready below this floor. */
+  /** Highest version known to be accepted; a starting node is not ready below it. */
   getFloor(): VersionTag;
+  /** Raises the floor to a version that this host enforced before; gates the node at any time. */
   raiseFloor(tag: VersionTag, source: string): void;
   /** Verifies, compiles and swaps. Refuses versions at or below the installed one. */
   install(bundle: Bundle, source: string): Result<VersionTag, StepError>;
--- /dev/null
+++ b/test/distribution/readiness.test.ts
@@ -0,0 +1,46 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ok } from 'neverthrow';
+import { createConfigStore } from '../../src/core/distribution/store.js';
+import { brandText, type DataCentre, type Digest } from '../../src/types/ids.js';
+import type { RoutingState } from '../../src/types/routing.js';
+import { brandVersion } from '../../src/types/ids.js';
+import { SILENT_LOGGER } from '../../src/utils/logger.js';
+import { buildBundle } from '../fakes/nodes.js';
+
+function createStore() {
+  return createConfigStore({
+    site: brandText<DataCentre>('a'),
+    compile: () => ok({} as RoutingState),
+    logger: SILENT_LOGGER,
+  });
+}
+
+function tagOf(version: number) {
+  return { version: brandVersion(version), digest: buildBundle(version).digest as Digest };
+}
+
+// Guards against a restarted node that serves an older version than its host enforced before.
+test('a starting node is not ready below its floor', () => {
+  const store = createStore();
+  store.confirmFloor(tagOf(3), 'platform');
+  store.install(buildBundle(2), 'peer');
+  assert.equal(store.isReady(), false);
+  store.install(buildBundle(3), 'peer');
+  assert.equal(store.isReady(), true);
+});
+
+// Guards against calls refused in the moment between hearing of a version and installing it.
+test('a ready node stays ready while a newer version is on its way', () => {
+  const store = createStore();
+  let readyCount = 0;
+  store.onReady(() => {
+    readyCount += 1;
+  });
+  store.confirmFloor(tagOf(1), 'platform');
+  store.install(buildBundle(1), 'platform');
+  store.confirmFloor(tagOf(2), 'platform');
+  assert.equal(store.isReady(), true);
+  store.install(buildBundle(2), 'platform');
+  assert.equal(readyCount, 1);
+});
