--- a/src/cli/commands/config/apply.ts
+++ b/src/cli/commands/config/apply.ts
@@ -75,9 +75,9 @@
         return EXIT_CODES.conflict;
       case 'unknown':
         this.logToStderr(
-          `unknown whether operation ${outcome.operationId} was accepted: ` +
-            `${outcome.cause.message}\nask later with: lycheelane config status ${outcome.operationId}`,
+          `unknown whether operation ${outcome.operationId} was accepted: ${outcome.cause.message}`,
         );
+        this.logToStderr(`ask later with: lycheelane config status ${outcome.operationId}`);
         return EXIT_CODES.unknown;
       default:
         return outcome satisfies never;
--- a/src/core/config/checkConfig.ts
+++ b/src/core/config/checkConfig.ts
@@ -3,6 +3,7 @@
 import { validateConfig, validateOverlay } from '../../generated/validators.js';
 import { checkSchema, type SchemaFault } from './checkSchema.js';
 import { getAtPath, type ConfigFault, type JsonPath } from './configFault.js';
+import { isJsonObject } from './diffContent.js';
 import { findAmbiguousRoutes } from './matchRoutes.js';
 import { renderSite, RESERVED_KEYS, type ConfigContent, type JsonObject } from './renderSite.js';
 import { suggestName } from './suggestName.js';
@@ -34,6 +35,19 @@
   );
 }
 
+/** Returns the routes and services that can be compared, also when others have faults. */
+function getSoundPart({ services, routes }: JsonObject): MeshConfig {
+  const sound = Object.entries(isJsonObject(routes) ? routes : {}).filter(([, route]) => {
+    const prefix = getAtPath(route, ['match', 'pathPrefix']);
+    const authority = getAtPath(route, ['match', 'authority']) ?? '';
+    const methods = getAtPath(route, ['match', 'methods']) ?? [];
+    const texts = [prefix, authority, getAtPath(route, ['service'])];
+    return texts.every((text) => typeof text === 'string') && Array.isArray(methods);
+  });
+  const named = isJsonObject(services) ? services : {};
+  return { services: named, routes: Object.fromEntries(sound) } as MeshConfig;
+}
+
 function checkReferences(config: MeshConfig, overlay: JsonObject | undefined): SchemaFault[] {
   const services = Object.keys(config.services);
   const faults: SchemaFault[] = [];
@@ -114,11 +128,9 @@
     const overlay = content.overlays[site];
     const rendered = renderSite(content, site);
     const found = checkSchema(validateConfig, rendered);
-    if (found.length === 0) {
-      const config = rendered as unknown as MeshConfig;
-      found.push(...checkReferences(config, overlay), ...checkMatches(config));
-      sites.set(site, config);
-    }
+    if (found.length === 0) sites.set(site, rendered as unknown as MeshConfig);
+    const config = getSoundPart(rendered);
+    found.push(...checkReferences(config, overlay), ...checkMatches(config));
     for (const fault of found) addFault(faults, locateFault(fault, overlay, site));
   }
   return { faults, sites };
--- /dev/null
+++ b/test/config/waitInForce.test.ts
@@ -0,0 +1,122 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { setImmediate as yieldLoop } from 'node:timers/promises';
+import { err, ok } from 'neverthrow';
+import { assessNodes } from '../../src/cli/config/assessNodes.js';
+import { waitInForce } from '../../src/cli/config/waitInForce.js';
+import { buildError } from '../../src/errors.js';
+import type { NodesAnswer, NodeStatus } from '../../src/generated/types.js';
+
+function buildNode(nodeId: string, version: number, more: Partial<NodeStatus> = {}): NodeStatus {
+  const dataCentre = nodeId.slice(0, 1);
+  const state = { verdict: 'alive', state: 'serving', ready: true } as const;
+  return { nodeId, dataCentre, region: 'r', digest: '', version, refusal: null, ...state, ...more };
+}
+
+function buildAnswer(nodes: NodeStatus[], unreachable: readonly string[] = []): NodesAnswer {
+  const dataCentres = ['a', 'b'].map((name) => ({
+    name,
+    reachable: !unreachable.includes(name),
+    sinceMs: 1000,
+  }));
+  return { nodes, dataCentres };
+}
+
+const REFUSAL = { refusal: { version: 5, reason: 'bad digest' } };
+const CASES: readonly [string, NodesAnswer, boolean, boolean, readonly string[]][] = [
+  ['all nodes', buildAnswer([buildNode('a1', 5), buildNode('b1', 6)]), true, true, []],
+  [
+    'a node behind',
+    buildAnswer([buildNode('a1', 5), buildNode('b1', 4)]),
+    false,
+    false,
+    ['still at version 4'],
+  ],
+  [
+    'a refusal',
+    buildAnswer([buildNode('a1', 4, REFUSAL)]),
+    false,
+    false,
+    ['refused version 5: bad digest'],
+  ],
+  [
+    'a suspect and a new node',
+    buildAnswer([buildNode('a1', 4, { verdict: 'suspect' }), buildNode('a2', 0)]),
+    false,
+    false,
+    ['does not answer pings', 'has no configuration yet'],
+  ],
+  [
+    'dead nodes and nodes that left',
+    buildAnswer([
+      buildNode('a1', 5),
+      buildNode('a2', 1, { verdict: 'dead' }),
+      buildNode('a3', 1, { state: 'left' }),
+    ]),
+    true,
+    true,
+    [],
+  ],
+  [
+    'an unreachable data centre',
+    buildAnswer([buildNode('a1', 5), buildNode('b1', 4)], ['b']),
+    true,
+    false,
+    ['its data centre cannot be reached'],
+  ],
+  ['no node at all', buildAnswer([]), false, false, []],
+];
+
+// Guards against a version that is reported in force where it is not.
+for (const [name, answer, isReachedInForce, isEverywhere, reasons] of CASES) {
+  test(`in force: ${name}`, () => {
+    const report = assessNodes(answer, 5);
+    assert.equal(report.isReachedInForce, isReachedInForce);
+    assert.equal(report.isEverywhere, isEverywhere);
+    assert.deepEqual(
+      report.pending.map(({ reason }) => reason),
+      reasons,
+    );
+  });
+}
+
+const OPTIONS = { timeoutMs: 1000, intervalMs: 100, onReport: () => {} };
+
+// Guards against a wait that ends at the first failed poll, or never.
+test('the wait polls past errors until the version is in force', async (context) => {
+  context.mock.timers.enable({ apis: ['setTimeout'] });
+  const answers = [
+    err(buildError('unavailable', 'test', 'node', 'down')),
+    ok(buildAnswer([buildNode('a1', 4)])),
+    ok(buildAnswer([buildNode('a1', 5)])),
+  ];
+  let polls = 0;
+  const fetch = async () => {
+    polls += 1;
+    return answers[polls - 1] ?? err(buildError('internal', 'test', 'node', 'too many polls'));
+  };
+  const waiting = waitInForce(fetch, 5, OPTIONS);
+  for (let step = 0; step < 2; step += 1) {
+    await yieldLoop();
+    context.mock.timers.tick(100);
+  }
+  const { report, lastError } = await waiting;
+  assert.deepEqual([polls, report?.isEverywhere, lastError], [3, true, undefined]);
+});
+
+// Guards against a wait without end, and against an end without the last state.
+test('the wait ends at its time limit with the last report', async (context) => {
+  context.mock.timers.enable({ apis: ['setTimeout'] });
+  let polls = 0;
+  const fetch = async () => {
+    polls += 1;
+    return ok(buildAnswer([buildNode('a1', 4)]));
+  };
+  const waiting = waitInForce(fetch, 5, { ...OPTIONS, intervalMs: 700 });
+  for (const stepMs of [700, 300]) {
+    await yieldLoop();
+    context.mock.timers.tick(stepMs);
+  }
+  const { report } = await waiting;
+  assert.deepEqual([polls, report?.pending.length], [3, 1]);
+});
