--- a/src/cli/exitCodes.ts
+++ b/src/cli/exitCodes.ts
@@ -19,6 +19,7 @@
 
 /** Returns the exit code of an error: usage and file faults are told from failures. */
 export function getExitCode({ step, kind }: StepError): number {
+  if (kind === 'conflict') return EXIT_CODES.conflict;
   const isUsage = step.startsWith('config.') && (kind === 'refused' || kind === 'stale');
   return isUsage || FILE_STEPS.includes(step) ? EXIT_CODES.faulty : EXIT_CODES.failed;
 }
--- /dev/null
+++ b/test/config/commands.test.ts
@@ -0,0 +1,163 @@
+import assert from 'node:assert/strict';
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { join } from 'node:path';
+import { test, type TestContext } from 'node:test';
+import { Config } from '@oclif/core';
+import { HEAD_NAME } from '../../src/core/config/readHead.js';
+import { createMemoryPlatform, type MemoryPlatform } from '../fakes/memoryPlatform.js';
+import { BASE_TEXT, createDir, writeFiles } from './samples.js';
+
+const STATUS: Readonly<Record<string, number>> = { conflict: 412, refused: 403 };
+const NAME = /^\/v1\/objects\/(.*)$/;
+
+async function readBody(request: IncomingMessage): Promise<unknown> {
+  const text = (await request.toArray()).join('');
+  return text === '' ? undefined : JSON.parse(text);
+}
+
+/** Answers as a platform, and as the operator port of a node whose version lags by `lag`. */
+async function answer(platform: MemoryPlatform, lag: number, request: IncomingMessage) {
+  const [, name = ''] = NAME.exec(request.url ?? '') ?? [];
+  const body = await readBody(request);
+  if (name === '') {
+    const head = (await platform.read<{ version: number }>(HEAD_NAME))._unsafeUnwrap();
+    const version = (head?.value.version ?? 0) - lag;
+    const node = { nodeId: 'n1', dataCentre: 'a', region: 'r', digest: '', ready: true, version };
+    const state = { verdict: 'alive', state: 'serving', refusal: null };
+    const dataCentres = [{ name: 'a', reachable: true, sinceMs: 0 }];
+    return { status: 200, text: JSON.stringify({ nodes: [{ ...node, ...state }], dataCentres }) };
+  }
+  if (request.method === 'GET') {
+    const found = (await platform.read(name))._unsafeUnwrap();
+    if (!found) return { status: 404, text: '' };
+    return { status: 200, text: JSON.stringify(found.value), etag: `"${found.version}"` };
+  }
+  const expected = Number(request.headers['if-match']?.replaceAll('"', ''));
+  const result = request.headers['if-none-match']
+    ? await platform.create(name, body)
+    : await platform.update(name, body, expected);
+  if (result.isErr()) return { status: STATUS[result.error.kind] ?? 500, text: '' };
+  return { status: 200, text: '', etag: `"${result.value}"` };
+}
+
+async function createWorld(context: TestContext, lag = 0) {
+  const platform = createMemoryPlatform();
+  const handle = async (request: IncomingMessage, response: ServerResponse) => {
+    const { status, text, etag } = { etag: '', ...(await answer(platform, lag, request)) };
+    response.writeHead(status, etag ? { etag } : {}).end(text);
+  };
+  const server = createServer((request, response) => {
+    handle(request, response).catch(() => response.destroy());
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  context.after(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const dir = await createDir(context, { 'base.jsonc': BASE_TEXT, 'overlays/a.jsonc': '{}' });
+  const config = await Config.load(process.cwd());
+  /** Runs a command and returns its exit code and its output. */
+  const run = async (id: string, ...args: string[]) => {
+    const lines: string[] = [];
+    const print = (line: unknown) => {
+      lines.push(String(line));
+    };
+    const prints = [
+      context.mock.method(console, 'log', print),
+      context.mock.method(console, 'error', print),
+    ];
+    const before = process.exitCode;
+    process.exitCode = undefined;
+    let code = 0;
+    try {
+      await config.runCommand(`config:${id}`, args);
+      code = Number(process.exitCode ?? 0);
+    } catch (thrown) {
+      lines.push((thrown as Error).message);
+      code = (thrown as { oclif?: { exit?: number } }).oclif?.exit ?? 1;
+    } finally {
+      prints.forEach((mocked) => mocked.mock.restore());
+      process.exitCode = before;
+    }
+    return { code, text: lines.join('\n') };
+  };
+  return { platform, dir, run, url, where: ['--dir', dir, '--platform', url] };
+}
+
+// Guards against exit codes that scripts cannot rely on.
+test('exit codes: done, failed, faulty files and wrong usage', async (context) => {
+  const { dir, run, where } = await createWorld(context);
+  assert.equal((await run('check', '--dir', dir)).code, 0);
+  assert.match((await run('render', '--dir', dir, '--site', 'a', '--defaults')).text, /drainMs/);
+  assert.equal((await run('history', '--platform', 'http://127.0.0.1:9')).code, 1);
+  assert.equal((await run('pull', ...where)).code, 1);
+  assert.equal((await run('check', '--dir', join(dir, 'none'))).code, 2);
+  assert.equal((await run('check', '--nonsense')).code, 2);
+  assert.equal((await run('diff', '--dir', dir, '--platform', 'nowhere')).code, 2);
+  await writeFiles(dir, { 'overlays/a.jsonc': '{ "service": {} }' });
+  for (const [id, ...args] of [
+    ['check', '--dir', dir],
+    ['apply', ...where],
+    ['diff', ...where],
+  ]) {
+    assert.equal((await run(id ?? '', ...args)).code, 2, id);
+  }
+});
+
+// Guards against commands that disagree about what was accepted.
+test('apply, diff, history, status and pull tell the same story', async (context) => {
+  const { dir, run, where, url } = await createWorld(context);
+  assert.match((await run('apply', ...where)).text, /accepted as version 1, operation/);
+  await writeFiles(dir, { 'overlays/a.jsonc': '{ "services": { "padbook": { "slots": 3 } } }' });
+  const changed = '~ services.padbook.slots: 10 -> 3';
+  assert.equal((await run('diff', ...where, '--site', 'a')).text, changed);
+  assert.match((await run('diff', ...where)).text, /^\+ overlays\.a\.services: /);
+  const applied = JSON.parse((await run('apply', ...where, '--json')).text);
+  assert.deepEqual([applied.kind, applied.version], ['accepted', 2]);
+  assert.match((await run('history', '--platform', url)).text, /^2 .*\n1 /);
+  const status = await run('status', applied.operationId, '--platform', url);
+  assert.match(status.text, /accepted as version 2/);
+  assert.equal((await run('status', 'nothing', '--platform', url)).code, 4);
+  assert.match((await run('pull', ...where)).text, /come from version 2/);
+});
+
+// Guards against conflicts and open results that scripts take for success.
+test('exit codes: conflict and unknown result', async (context) => {
+  const { dir, run, where, platform, url } = await createWorld(context);
+  await run('apply', ...where);
+  const other = await createDir(context);
+  await run('pull', '--dir', other, ...where.slice(2));
+  await writeFiles(dir, { 'base.jsonc': BASE_TEXT.replace('"slots": 6', '"slots": 7') });
+  await writeFiles(other, { 'base.jsonc': BASE_TEXT.replace('"slots": 6', '"slots": 8') });
+  platform.planFault('write', HEAD_NAME, 'held');
+  platform.planFault('write', HEAD_NAME, 'refused');
+  const unknown = await run('apply', ...where);
+  assert.equal(unknown.code, 4);
+  const [, operation = ''] = /lycheelane config status (\S+)/.exec(unknown.text) ?? [];
+  assert.equal((await run('status', operation, '--platform', url)).code, 4);
+  platform.deliver();
+  assert.equal((await run('status', operation, '--platform', url)).code, 0);
+  const conflict = await run('apply', '--dir', other, ...where.slice(2));
+  assert.equal(conflict.code, 3);
+  assert.match(
+    conflict.text,
+    /base\.services\.skyguide\.slots[^]*before: 6[^]*here: +8[^]*theirs: 7/,
+  );
+});
+
+// Guards against a wait that reports success while nodes lag.
+for (const [lag, code, pattern] of [
+  [0, 0, /a: 1 of 1 nodes at version 1[^]*in force everywhere/],
+  [1, 5, /n1 \(a\): has no configuration yet/],
+] as const) {
+  test(`apply --wait with a node that lags by ${lag} ends with ${code}`, async (context) => {
+    const { run, where, url } = await createWorld(context, lag);
+    const result = await run('apply', ...where, '--wait', '--node', url, '--timeout', '1');
+    assert.equal(result.code, code, result.text);
+    assert.match(result.text, pattern);
+  });
+}
