--- a/test/distribution/spread.test.ts
+++ b/test/distribution/spread.test.ts
@@ -2,7 +2,7 @@
 import { afterEach, beforeEach, test } from 'node:test';
 import { advance, startClock, stopClock } from '../fakes/clock.js';
 import { createMemoryNetwork } from '../fakes/memoryNetwork.js';
-import { createMemoryPlatform } from '../fakes/memoryPlatform.js';
+import { createWatchedPlatform } from '../fakes/watchedPlatform.js';
 import { acceptBundle, buildBundle, startTestNode, type TestMesh } from '../fakes/nodes.js';
 
 type Node = ReturnType<typeof startTestNode>;
@@ -11,7 +11,7 @@
 
 beforeEach(() => {
   startClock();
-  mesh = { network: createMemoryNetwork(), platform: createMemoryPlatform() };
+  mesh = { network: createMemoryNetwork(), platform: createWatchedPlatform() };
 });
 
 afterEach(async () => {
--- a/test/fakes/nodes.ts
+++ b/test/fakes/nodes.ts
@@ -10,7 +10,7 @@
 import { computeDigest } from '../../src/utils/digest.js';
 import { SILENT_LOGGER } from '../../src/utils/logger.js';
 import { createMemoryNetwork, type MemoryNetwork } from './memoryNetwork.js';
-import { createMemoryPlatform, type MemoryPlatform } from './memoryPlatform.js';
+import { createWatchedPlatform, type WatchedPlatform } from './watchedPlatform.js';
 
 /** Returns a generator of evenly spread numbers with a fixed seed (Park-Miller). */
 export function createRandom(seed: number): () => number {
@@ -70,7 +70,7 @@
 }
 
 /** Accepts a bundle in the platform, as the command line does. */
-export function acceptBundle(platform: MemoryPlatform, bundle: Bundle): void {
+export function acceptBundle(platform: WatchedPlatform, bundle: Bundle): void {
   platform.put(`bundles/${bundle.operationId}`, bundle);
   platform.put('config/head', toHead(bundle));
 }
@@ -90,14 +90,14 @@
 /** Parts that the nodes of a test share. */
 export interface TestMesh {
   readonly network: MemoryNetwork;
-  readonly platform: MemoryPlatform;
+  readonly platform: WatchedPlatform;
 }
 
 /** A running test node. */
 export type TestNode = ReturnType<typeof startTestNode>;
 
 export function createTestMesh(): TestMesh {
-  return { network: createMemoryNetwork(), platform: createMemoryPlatform() };
+  return { network: createMemoryNetwork(), platform: createWatchedPlatform() };
 }
 
 /** Starts membership and distribution of one node on the memory network. */
