--- a/test/standins/platform.test.ts
+++ b/test/standins/platform.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { request } from 'undici';
 import { startPlatform, type Platform } from '../../standins/platform/server.js';
-import { waitUntil } from './wait.js';
+import { waitUntil } from '../../standins/wait.js';
 
 interface Answer {
   readonly status: number;
--- a/test/standins/upstream.test.ts
+++ b/test/standins/upstream.test.ts
@@ -10,7 +10,7 @@
 import { loadRuns } from '../../standins/upstream/ledger.js';
 import { startUpstream, type Upstream } from '../../standins/upstream/server.js';
 import type { UpstreamOptions } from '../../standins/upstream/upstreamOptions.js';
-import { waitUntil } from './wait.js';
+import { waitUntil } from '../../standins/wait.js';
 
 async function withUpstream(
   change: Partial<UpstreamOptions>,
