--- a/test/calls/callPath.test.ts
+++ b/test/calls/callPath.test.ts
@@ -12,7 +12,6 @@
     { path: '/x?y=1', headers: { 'x-own': 'kept', 'lycheelane-depth': '2' } },
     'pad 4',
   );
-  await Promise.all([entry.stop(0), node.port.stop(0)]);
   assert.equal(describe(answer), '200');
   assert.equal(answer.text, 'done');
   assert.equal(answer.headers['lycheelane-version'], '7');
@@ -30,7 +29,6 @@
   const dispatcher = new FakeDispatcher();
   const { port } = await startInstanceNode('n1', dispatcher);
   const answer = await send(port.port);
-  await port.stop(0);
   assert.equal(answer.text, 'done');
   assert.equal(dispatcher.calls.length, 1);
 });
--- a/test/calls/fakes.ts
+++ b/test/calls/fakes.ts
@@ -1,6 +1,7 @@
 /** Fakes of the parts around the call port, and a client that shows the whole answer. */
 import { request as httpRequest, type IncomingHttpHeaders, type RequestOptions } from 'node:http';
 import { Readable } from 'node:stream';
+import { after } from 'node:test';
 import {
   startCallPort,
   type CallPort,
@@ -13,6 +14,15 @@
 import type { CompiledRoute, RoutingState } from '../../src/types/routing.js';
 import { SILENT_LOGGER } from '../../src/utils/logger.js';
 
+const closers: (() => unknown)[] = [];
+// Servers stay open until the tests of a file are over, also when one fails.
+after(() => Promise.all(closers.map((close) => close())));
+
+/** Registers what must be closed after the tests of a file. */
+export function onEnd(close: () => unknown): void {
+  closers.push(close);
+}
+
 type RouteChange = Partial<Omit<RouteConfig, 'match'>>;
 
 export const LOAD: LoadReport = { busy: 1, slots: 10, queued: 0 };
@@ -122,13 +132,15 @@
   }
 }
 
+export type EntryChange = Partial<CallPortOptions> & { route?: RouteChange; limits?: object };
+
 /** A node without instances of its own in front of the given members. */
-export function startEntry(
+export async function startEntry(
   members: readonly MemberView[],
-  change: Partial<CallPortOptions> & { route?: RouteChange; limits?: object } = {},
+  change: EntryChange = {},
 ): Promise<CallPort> {
   const { route, limits, ...options } = change;
-  return startCallPort({
+  const port = await startCallPort({
     host: '127.0.0.1',
     port: 0,
     settings: {
@@ -148,18 +160,29 @@
     lingerMs: 0,
     ...options,
   });
+  onEnd(() => port.stop(0));
+  return port;
 }
 
-/** A node with an instance, behind a real call port. */
+/** A node with an instance, behind a real call port; `view` is its member record. */
 export async function startInstanceNode(
   nodeId: string,
   dispatcher: LocalDispatcher,
-  change: Partial<MemberRecord> & { route?: RouteChange } = {},
+  change: EntryChange & { dataCentre?: string } = {},
 ): Promise<{ port: CallPort; view: MemberView }> {
-  const { route, ...record } = change;
-  const view = buildView({ nodeId, ...record });
-  const port = await startEntry([], { dispatcher, members: createMembers(view, []), route });
-  return { port, view: buildView({ nodeId, ...record, callPort: port.port }) };
+  const { dataCentre = 'a', ...options } = change;
+  const members = createMembers(buildView({ nodeId, dataCentre }), []);
+  const port = await startEntry([], { dispatcher, members, ...options });
+  return { port, view: buildView({ nodeId, dataCentre, callPort: port.port }) };
+}
+
+/** A promise that the test resolves. */
+export function createGate(): { open: () => void; opened: Promise<void> } {
+  let open: () => void = () => {};
+  const opened = new Promise<void>((resolve) => {
+    open = resolve;
+  });
+  return { open, opened };
 }
 
 export interface Answer {
--- /dev/null
+++ b/test/calls/lifecycle.test.ts
@@ -0,0 +1,164 @@
+import assert from 'node:assert/strict';
+import { connect } from 'node:net';
+import { Readable } from 'node:stream';
+import { test } from 'node:test';
+import { createToken } from '../../src/core/calls/callKey.js';
+import { SILENT_OBSERVER } from '../../src/core/calls/observer.js';
+import type { Call } from '../../src/types/calls.js';
+import {
+  answer,
+  createGate,
+  describe,
+  FakeDispatcher,
+  send,
+  startEntry,
+  startInstanceNode,
+} from './fakes.js';
+import { formatResponse, startRawPeer } from './rawPeer.js';
+
+/** A dispatcher whose calls end together; `first` and `second` resolve as calls arrive. */
+function createWaiting() {
+  const gates = [createGate(), createGate()] as const;
+  const ended = createGate();
+  const dispatcher: FakeDispatcher = new FakeDispatcher(async () => {
+    gates[dispatcher.calls.length - 1]?.open();
+    await ended.opened;
+    return answer('done');
+  });
+  return { dispatcher, first: gates[0].opened, second: gates[1].opened, end: ended.open };
+}
+
+// Guards against work that goes on for a caller that has gone away, through two nodes.
+test('a caller that goes away cancels the call on the instance node', async () => {
+  const received = createGate();
+  const cancelled = createGate();
+  const dispatcher = new FakeDispatcher((call: Call) => {
+    received.open();
+    return new Promise((resolve) => {
+      call.signal.addEventListener('abort', () => {
+        cancelled.open();
+        resolve({ kind: 'unknown', reason: 'cancelled', detail: 'x', retriesExhausted: false });
+      });
+    });
+  });
+  const node = await startInstanceNode('n1', dispatcher);
+  const recorded: string[] = [];
+  const done = createGate();
+  const observer = {
+    ...SILENT_OBSERVER,
+    record: (_route: string, outcome: object) => {
+      recorded.push(JSON.stringify({ ...outcome, detail: '' }));
+      done.open();
+    },
+  };
+  const entry = await startEntry([node.view], { observer });
+  const socket = connect(entry.port, '127.0.0.1');
+  socket.write('POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n');
+  await received.opened;
+  socket.destroy();
+  await cancelled.opened;
+  await done.opened;
+  assert.deepEqual(recorded, ['{"kind":"unknown","reason":"cancelled","detail":""}']);
+});
+
+// Guards against a response body that is read to its end for a caller that has gone away.
+test('a caller that goes away during the response closes the upstream body', async () => {
+  const closed = createGate();
+  const body = new Readable({
+    read() {},
+    destroy: (_error, done) => {
+      closed.open();
+      done(null);
+    },
+  });
+  body.push('part');
+  const dispatcher = new FakeDispatcher(() => ({
+    kind: 'answered',
+    status: 200,
+    headers: {},
+    body,
+    load: undefined,
+  }));
+  const { port } = await startInstanceNode('n1', dispatcher);
+  const socket = connect(port.port, '127.0.0.1');
+  socket.write('GET /x HTTP/1.1\r\nhost: a\r\n\r\n');
+  await new Promise((resolve) => {
+    socket.once('data', resolve);
+  });
+  socket.destroy();
+  await closed.opened;
+  assert.ok(body.destroyed);
+});
+
+// Guards against a planned stop that cuts calls in flight or the calls nested in them (G8).
+test('a stopping node refuses new work but serves keys and calls in flight', async () => {
+  const { dispatcher, first, second, end } = createWaiting();
+  const { port } = await startInstanceNode('n1', dispatcher);
+  const running = send(port.port, { path: '/first' });
+  const target = { 'lycheelane-target': 'n1/1-n1', 'lycheelane-request': 'request-1' };
+  const key = createToken('n1', '1-n1');
+  await first;
+  const stopped = port.stop(60_000);
+  const [plain, forwarded, nested] = await Promise.all([
+    send(port.port),
+    send(port.port, { headers: target }),
+    send(port.port, { headers: { 'lycheelane-depth': '1' } }),
+  ]);
+  const keyed = send(port.port, { headers: { ...target, 'idempotency-key': key } });
+  await second;
+  end();
+  const answers = [await running, plain, forwarded, nested, await keyed];
+  assert.deepEqual(await stopped, { cut: 0 });
+  assert.deepEqual(answers.map(describe), [
+    '200',
+    '503 not-run leaving',
+    '503 not-run leaving',
+    // The only instance is on the stopping node, which takes no part in the choice any more.
+    '503 not-run no-instance',
+    '200',
+  ]);
+  await assert.rejects(send(port.port), /ECONNREFUSED/);
+});
+
+// Guards against a stop that hangs on a call that does not end.
+test('a stop cuts the calls that remain at its limit and counts them', async () => {
+  const { dispatcher, first, end } = createWaiting();
+  const { port } = await startInstanceNode('n1', dispatcher);
+  const running = send(port.port).catch((error: NodeJS.ErrnoException) => error.code);
+  await first;
+  const { cut } = await port.stop(20);
+  end();
+  assert.equal(cut, 1);
+  assert.equal(await running, 'ECONNRESET');
+});
+
+// Guards against inner deadlines that end after the outer ones.
+test('the time budget shrinks at each hop', async () => {
+  const heads: number[] = [];
+  const dispatcher = new FakeDispatcher((call) => {
+    heads.push(call.deadlineMs - performance.now());
+    return answer('ok');
+  });
+  const node = await startInstanceNode('n1', dispatcher);
+  const entry = await startEntry([node.view]);
+  await send(entry.port, { headers: { 'lycheelane-deadline-ms': '1000' } });
+  assert.ok(heads[0] !== undefined && heads[0] <= 996);
+});
+
+// Guards against a response that reaches the caller after its deadline.
+test('a response after the deadline is dropped and its connection is not used again', async () => {
+  const late: (() => void)[] = [];
+  const peer = await startRawPeer('n1', (socket, { requestId, index }) => {
+    const text = formatResponse(requestId, String(index));
+    if (index === 0) late.push(() => socket.write(text));
+    else socket.write(text);
+  });
+  const entry = await startEntry([peer.view], {
+    route: { retry: { maxAttempts: 1, budgetPercent: 0 } },
+  });
+  const first = await send(entry.port, { headers: { 'lycheelane-deadline-ms': '30' } });
+  late[0]?.();
+  const second = await send(entry.port);
+  assert.equal(describe(first), '504 unknown timeout');
+  assert.equal(second.text, '1');
+});
