--- a/src/core/distribution/store.ts
+++ b/src/core/distribution/store.ts
@@ -56,6 +56,8 @@
   const raiseFloor = (raised: VersionTag, source: string) => {
     if (raised.version === floor.version && raised.version > 0 && raised.digest !== floor.digest) {
       logger.error('floor-digest-differs', { version: raised.version, source });
+      // The platform decides; a faulty cookie must not keep the accepted bundle out.
+      if (source === 'platform') floor = raised;
     }
     if (raised.version <= floor.version) return;
     floor = raised;
--- a/src/core/membership/antiEntropy.ts
+++ b/src/core/membership/antiEntropy.ts
@@ -20,7 +20,7 @@
 /** Time allowed to a summary exchange. */
 const SUMMARY_TIMEOUT_MS = 2000;
 /** A table that changed this recently is still being gossiped: a differing hash is expected. */
-const QUIET_INTERVALS = 3;
+const QUIET_INTERVALS = 5;
 /** Shortest and longest time between two summary exchanges that this node starts. */
 const MIN_GAP_MS = 5000;
 const MAX_GAP_MS = 60_000;
--- a/src/core/membership/exchange.ts
+++ b/src/core/membership/exchange.ts
@@ -66,8 +66,12 @@
 
   const ping = async (address: PeerAddress, options: PingOptions = {}) => {
     const { targetId, timeoutMs = settings.membership.pingTimeoutMs, first = [] } = options;
-    const answer = await peers.request<Ping>(address, 'ping', build(first), timeoutMs);
-    if (answer.isErr()) return err(answer.error);
+    const message = build(first);
+    const answer = await peers.request<Ping>(address, 'ping', message, timeoutMs);
+    if (answer.isErr()) {
+      gossip.restore(message.changes.slice(first.length));
+      return err(answer.error);
+    }
     const { from } = answer.value;
     const peer = `${address.host}:${address.port}`;
     if (targetId !== undefined && from.nodeId !== targetId) {
--- a/src/core/membership/gossip.ts
+++ b/src/core/membership/gossip.ts
@@ -1,8 +1,8 @@
 import type { MemberChange } from '../../generated/types.js';
 import { toChange, type Table } from './table.js';
 
-/** Largest piggybacked part of one ping or ack: about ten records. */
-export const PIGGYBACK_BYTES = 4096;
+/** Largest piggybacked part of one ping or ack: about forty records, for mass restarts. */
+export const PIGGYBACK_BYTES = 16 * 1024;
 /** Repetitions per change as a multiple of the logarithm of the group size (SWIM's lambda). */
 const REPEAT_FACTOR = 3;
 
@@ -11,6 +11,8 @@
   add(nodeId: string): void;
   /** Returns the changes sent least often so far, up to a size, and counts them as sent. */
   take(maxBytes?: number): MemberChange[];
+  /** Takes back the count of changes whose message got no answer. */
+  restore(changes: readonly MemberChange[]): void;
   count(): number;
 }
 
@@ -50,6 +52,14 @@
       }
       return changes;
     },
+    restore: (changes) => {
+      const limit = computeRepeats(table.listPresent(dataCentre).length);
+      for (const { record } of changes) {
+        // A change that was dropped after its last repetition gets that repetition again.
+        const times = sent.get(record.nodeId) ?? limit;
+        sent.set(record.nodeId, Math.max(0, times - 1));
+      }
+    },
     count: () => sent.size,
   };
 }
--- a/src/core/membership/join.ts
+++ b/src/core/membership/join.ts
@@ -18,12 +18,12 @@
 
 /** Finds other members through seeds. */
 export interface Joiner {
-  /** Tries the seeds of the settings, then those of the platform; true when one answered. */
+  /** Tries seeds until one of the own data centre answers, those of the settings first. */
   runOnce(): Promise<boolean>;
   run(): Promise<void>;
 }
 
-/** Creates the joining task; `onJoined` is called after the first full table arrived. */
+/** Creates the joining task; `onJoined` is called when a full table has arrived. */
 export function createJoiner(
   context: MembershipContext,
   exchange: PingExchange,
@@ -38,28 +38,35 @@
 
   const isAlone = () => table.listPresent(settings.dataCentre).length < 2;
 
-  const contact = async (address: PeerAddress): Promise<boolean> => {
+  /** Exchanges tables with a seed; returns its data centre, or undefined without an answer. */
+  const contact = async (address: PeerAddress): Promise<string | undefined> => {
     const first = [{ record: context.getSelf(), verdict: 'alive' as const }];
     const answer = await exchange.ping(address, { first, timeoutMs: JOIN_TIMEOUT_MS });
-    if (answer.isErr()) return false;
+    if (answer.isErr()) return undefined;
     // The seeds have these records already, so they are not gossiped again.
     const result = await antiEntropy.runSummary(address, false);
-    return result.isOk();
+    if (result.isErr()) return undefined;
+    onJoined();
+    return answer.value.from.dataCentre;
   };
 
-  const contactAny = async (addresses: readonly PeerAddress[]): Promise<boolean> => {
+  /** Contacts addresses in random order until the data centre of one that answers is enough. */
+  const contactAny = async (
+    addresses: readonly PeerAddress[],
+    isEnough: (dataCentre: string) => boolean,
+  ): Promise<boolean> => {
     for (const address of toShuffled(addresses, random)) {
       if (signal.aborted) return false;
-      if (!isSelf(address) && (await contact(address))) return true;
+      const dataCentre = isSelf(address) ? undefined : await contact(address);
+      if (dataCentre !== undefined && isEnough(dataCentre)) return true;
     }
     return false;
   };
 
   const runOnce = async () => {
-    const isJoined =
-      (await contactAny(settings.seeds)) || (await contactAny(await readSeeds(context)));
-    if (isJoined) onJoined();
-    return isJoined;
+    // A seed elsewhere gives the table, but the own data centre has to hear of this node too.
+    const isOwn = (dataCentre: string) => dataCentre === settings.dataCentre;
+    return (await contactAny(settings.seeds, isOwn)) || contactAny(await readSeeds(context), isOwn);
   };
 
   const runJoin = async () => {
@@ -87,7 +94,7 @@
       const unknown = (await readAllSeeds(context)).filter(
         ({ host, port }) => !known.has(`${host}:${port}`),
       );
-      if (unknown.length > 0 && (await contactAny(unknown.slice(0, 32)))) {
+      if (unknown.length > 0 && (await contactAny(unknown, () => true))) {
         logger.info('members-discovered', { dataCentres: ranking.listDataCentres().length });
       }
     }
--- a/src/core/membership/relayExchange.ts
+++ b/src/core/membership/relayExchange.ts
@@ -8,6 +8,11 @@
 const SYNC_BYTES = 64 * 1024;
 /** Members of a data centre that are tried in turn while none answers. */
 const TRIED_MEMBERS = 6;
+/**
+ * Intervals between two exchanges with a reachable data centre while there is nothing new. With
+ * ten data centres an exchange with each of them every second would cost a relay 5 KB/s.
+ */
+const IDLE_INTERVALS = 4;
 /** Failures in a row after which a data centre counts as unreachable. */
 const UNREACHABLE_FAILURES = 3;
 
@@ -25,6 +30,7 @@
   contactMs: number;
   failures: number;
   sentRevision: number;
+  sentVersion: number;
 }
 
 /** Exchanges records with the relays of other data centres. */
@@ -56,6 +62,7 @@
       contactMs: 0,
       failures: 0,
       sentRevision: 0,
+      sentVersion: 0,
     };
     links.set(dataCentre, created);
     return created;
@@ -86,9 +93,10 @@
           entry.record.dataCentre === settings.dataCentre && entry.revision > link.sentRevision,
       )
       .sort((a, b) => a.revision - b.revision);
-    // The other side's exchange of this second serves both, unless there is something to send.
-    const isFresh = Date.now() - link.contactMs < relaySyncMs * 0.9;
-    if (isFresh && news.length === 0) return;
+    const { version } = context.getTag();
+    const isIdle = news.length === 0 && version === link.sentVersion && link.failures === 0;
+    // An exchange that the other side started serves both.
+    if (isIdle && Date.now() - link.contactMs < relaySyncMs * (IDLE_INTERVALS - 0.1)) return;
     const candidates = ranking.listRanked(dataCentre).slice(0, TRIED_MEMBERS);
     const isFailing = link.failures > 0;
     const index = isFailing ? link.failures : Math.floor(random() * Math.min(2, candidates.length));
@@ -103,6 +111,7 @@
       if (link.failures >= UNREACHABLE_FAILURES) setReachable(dataCentre, link, false);
       return;
     }
+    link.sentVersion = version;
     const isComplete = first.length === news.length;
     link.sentRevision = isComplete ? revision : (news[first.length - 1]?.revision ?? revision);
     antiEntropy.noteHash(address, answer.value.tableHash);
--- a/src/core/peer/connect.ts
+++ b/src/core/peer/connect.ts
@@ -17,9 +17,11 @@
   const peer = formatAddress(address);
   return new Promise((resolve) => {
     const socket = connect({ ...address, noDelay: true, keepAlive: true });
+    const onAbort = () => socket.destroy();
     const finish = (result: Result<Socket, StepError>) => {
       socket.removeAllListeners();
       socket.setTimeout(0);
+      signal.removeEventListener('abort', onAbort);
       if (result.isErr()) {
         socket.on('error', () => {});
         socket.destroy();
@@ -32,6 +34,6 @@
     socket.once('error', (error) => fail('unavailable', error.message));
     socket.once('close', () => fail('unavailable', 'closed while connecting'));
     socket.once('connect', () => finish(ok(socket)));
-    signal.addEventListener('abort', () => socket.destroy(), { once: true });
+    signal.addEventListener('abort', onAbort, { once: true });
   });
 }
--- a/src/core/peer/link.ts
+++ b/src/core/peer/link.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events';
 import type { Socket } from 'node:net';
 import { JSONRPCClient, createJSONRPCErrorResponse, isJSONRPCResponse } from 'json-rpc-2.0';
 import { err, ok, type Result } from 'neverthrow';
@@ -75,10 +76,8 @@
       if (!item) continue;
       counters.count('sent', item.type, item.bytes);
       if (!socket.write(item.line)) {
-        await new Promise<void>((resolve) => {
-          socket.once('drain', resolve);
-          signal.addEventListener('abort', () => resolve(), { once: true });
-        });
+        // Rejects when the session ends; the loop then ends as well.
+        await once(socket, 'drain', { signal }).catch(() => {});
       }
     }
   };
--- a/src/core/peer/serverConnection.ts
+++ b/src/core/peer/serverConnection.ts
@@ -12,7 +12,13 @@
 import type { Logger } from '../../utils/logger.js';
 import type { Dispatcher, PeerContext } from './dispatcher.js';
 import { createLineStream } from './lines.js';
-import { MAX_BAD_MESSAGES, MAX_LINE_BYTES, MAX_RUNNING_REQUESTS } from './limits.js';
+import {
+  MAX_BAD_MESSAGES,
+  MAX_LINE_BYTES,
+  MAX_QUEUED_BYTES,
+  MAX_RUNNING_REQUESTS,
+} from './limits.js';
+import { isKnownMethod } from './validation.js';
 import { toWireError } from './wireErrors.js';
 
 /** Parts that one accepted connection uses. */
@@ -33,6 +39,11 @@
   }
 }
 
+/** Returns the name under which a message is counted; unknown names share one counter. */
+function getType(method: string): string {
+  return isKnownMethod(method) ? method : 'unknown';
+}
+
 /** Creates the JSON-RPC side: every method goes through the dispatcher. */
 function createRpcServer({ dispatcher, logger }: ServerConnectionOptions, onBad: () => void) {
   const rpc = new JSONRPCServer<PeerContext>({ errorListener: () => {} });
@@ -83,6 +94,9 @@
     const line = formatAnswer(answer);
     counters.count('sent', `${type}.answer`, Buffer.byteLength(line));
     socket.write(line, onSent);
+    if (socket.writableLength <= MAX_QUEUED_BYTES) return;
+    logger.warn('peer-connection-closed', { peer, reason: 'answers are not read' });
+    socket.destroy();
   };
 
   const serve = async (request: JSONRPCRequest) => {
@@ -100,7 +114,7 @@
     running -= 1;
     socket.resume();
     if (bad === badBefore) bad = 0;
-    if (answer) send(request.method, answer, onSent);
+    if (answer) send(getType(request.method), answer, onSent);
     else onSent();
   };
 
@@ -108,7 +122,7 @@
     const message = parseLine(line);
     const isRequest = isJSONRPCRequest(message) && typeof message.method === 'string';
     const bytes = Buffer.byteLength(line) + 1;
-    counters.count('received', isRequest ? message.method.slice(0, 32) : 'bad', bytes);
+    counters.count('received', isRequest ? getType(message.method) : 'bad', bytes);
     if (isRequest) {
       void serve(message);
       return;
--- a/src/core/peer/validation.ts
+++ b/src/core/peer/validation.ts
@@ -49,9 +49,14 @@
   return err(buildError('invalid', step, peer, `${where} ${fault?.message ?? 'is invalid'}`));
 }
 
+/** Tells whether a method exists in the protocol. */
+export function isKnownMethod(method: string): boolean {
+  return Object.hasOwn(METHODS, method);
+}
+
 /** Checks the parameters of a method; unknown methods are refused. */
 export function checkParams(method: string, params: unknown, peer: string) {
-  const schema = Object.hasOwn(METHODS, method) ? METHODS[method] : undefined;
+  const schema = isKnownMethod(method) ? METHODS[method] : undefined;
   if (!schema) return err(buildError('not-found', method, peer, 'unknown method'));
   return check(schema.params, params, method, peer);
 }
--- a/test/distribution/fetch.test.ts
+++ b/test/distribution/fetch.test.ts
@@ -1,46 +1,37 @@
 import assert from 'node:assert/strict';
-import { afterEach, beforeEach, test } from 'node:test';
+import { beforeEach, test } from 'node:test';
 import { diffBundles } from '../../src/core/distribution/delta.js';
 import type { Bundle, ConfigFetchAnswer } from '../../src/generated/types.js';
-import { advance, startClock, stopClock } from '../fakes/clock.js';
+import { advance } from '../fakes/clock.js';
 import type { Fate, Passage } from '../fakes/memoryNetwork.js';
 import {
   acceptBundle,
   buildBundle,
-  createTestMesh,
-  startTestNodes,
+  getVersion,
+  useTestMesh,
   type TestNode,
 } from '../fakes/nodes.js';
+import { assertAll } from '../fakes/results.js';
 
-let mesh = createTestMesh();
-let nodes: TestNode[] = [];
+const mesh = useTestMesh();
 let first: TestNode;
 let second: TestNode;
 
-const listVersions = () => nodes.map(({ store }) => Number(store.getTag().version));
-const listDigests = () => nodes.map(({ store }) => String(store.getTag().digest));
-
 /** Three nodes with version 1 and a platform that is down from then on. */
 beforeEach(async () => {
-  startClock();
-  mesh = createTestMesh();
   acceptBundle(mesh.platform, buildBundle(1));
-  nodes = startTestNodes(mesh, 'dc-a', 100, 3);
-  [first, second] = nodes as [TestNode, TestNode];
+  mesh.startNodes('dc-a', 100, 3);
+  [first, second] = mesh.nodes as [TestNode, TestNode];
   await advance(8000);
-  assert.deepEqual(listVersions(), [1, 1, 1]);
+  assertAll(mesh.nodes, getVersion, 1);
   mesh.platform.setDown(true);
   await advance(1000);
   mesh.network.sent.length = 0;
 });
 
-afterEach(async () => {
-  await Promise.all(nodes.map((node) => node.stop()));
-  stopClock();
-});
-
 const isFetch = ({ method }: Passage) => method === 'config.fetch';
 
+const getDigest = ({ store }: TestNode): string => store.getTag().digest;
 const installFirst = (bundle: Bundle) => first.store.install(bundle, 'test');
 
 /** Answers the first `times` fetches with `fate`. */
@@ -93,8 +84,8 @@
     failFetches(fate);
     installFirst(buildBundle(2));
     await advance(3000);
-    assert.deepEqual(listVersions(), [2, 2, 2]);
-    assert.deepEqual(listDigests(), Array(3).fill(buildBundle(2).digest));
+    assertAll(mesh.nodes, getVersion, 2);
+    assertAll(mesh.nodes, getDigest, buildBundle(2).digest);
   });
 }
 
@@ -140,7 +131,7 @@
   mesh.network.decide = ({ method }) => (method === 'config.notify' ? 'lose' : 'deliver');
   installFirst(buildBundle(2));
   await advance(4000);
-  assert.deepEqual(listVersions(), [2, 2, 2]);
+  assertAll(mesh.nodes, getVersion, 2);
 });
 
 // Guards against duplicated or crossed notifications that cause further fetches or a step back.
@@ -154,7 +145,7 @@
   installFirst(buildBundle(2));
   installFirst(buildBundle(3));
   await advance(3000);
-  assert.deepEqual(listVersions(), [3, 3, 3]);
+  assertAll(mesh.nodes, getVersion, 3);
   assert.deepEqual(seen, [3]);
 });
 
@@ -179,14 +170,14 @@
   acceptBundle(mesh.platform, bad);
   mesh.platform.setDown(false);
   await advance(40_000);
-  assert.deepEqual(listVersions(), [2, 2, 2]);
+  assertAll(mesh.nodes, getVersion, 2);
   assert.equal(
-    nodes.some(({ store }) => store.getLastRefusal()?.version === 3),
+    mesh.nodes.some(({ store }) => store.getLastRefusal()?.version === 3),
     true,
   );
   acceptBundle(mesh.platform, buildBundle(4));
   await advance(3000);
-  assert.deepEqual(listVersions(), [4, 4, 4]);
+  assertAll(mesh.nodes, getVersion, 4);
 });
 
 // Guards against a version that is held back when no peer hands it out.
@@ -196,5 +187,5 @@
   mesh.platform.setDown(false);
   installFirst(buildBundle(2));
   await advance(5000);
-  assert.deepEqual(listVersions(), [2, 2, 2]);
+  assertAll(mesh.nodes, getVersion, 2);
 });
--- a/test/distribution/floor.test.ts
+++ b/test/distribution/floor.test.ts
@@ -1,18 +1,18 @@
 import assert from 'node:assert/strict';
-import { afterEach, beforeEach, test } from 'node:test';
+import { beforeEach, test } from 'node:test';
 import { computeMajorityFloor, type FloorAnswer } from '../../src/core/distribution/floor.js';
 import { toTag } from '../../src/core/distribution/verify.js';
 import type { MemberChange } from '../../src/generated/types.js';
-import { advance, startClock, stopClock } from '../fakes/clock.js';
+import { advance } from '../fakes/clock.js';
 import {
   acceptBundle,
   buildBundle,
   buildRecord,
-  createTestMesh,
   startTestNode,
-  startTestNodes,
+  useTestMesh,
   type TestNode,
 } from '../fakes/nodes.js';
+import { assertAll } from '../fakes/results.js';
 
 const alive = (port: number, dataCentre = 'dc-a'): MemberChange => ({
   record: buildRecord(port, dataCentre),
@@ -82,30 +82,18 @@
   });
 }
 
-let mesh = createTestMesh();
-let nodes: TestNode[] = [];
-
-beforeEach(() => {
-  startClock();
-  mesh = createTestMesh();
-  acceptBundle(mesh.platform, buildBundle(1));
-});
-
-afterEach(async () => {
-  await Promise.all(nodes.map((node) => node.stop()));
-  nodes = [];
-  stopClock();
-});
+const mesh = useTestMesh();
+beforeEach(() => acceptBundle(mesh.platform, buildBundle(1)));
 
 // Guards against a data centre that cannot replace nodes while the platform is down.
 test('a node restarted while the platform is down becomes ready through its peers', async () => {
-  nodes = startTestNodes(mesh, 'dc-a', 100, 4);
+  mesh.startNodes('dc-a', 100, 4);
   await advance(8000);
   mesh.platform.setDown(true);
-  const old = nodes.pop() as TestNode;
+  const old = mesh.nodes.pop() as TestNode;
   await old.stop();
   const restarted = startTestNode(mesh, old.port, 'dc-a', [100], 500_000);
-  nodes.push(restarted);
+  mesh.nodes.push(restarted);
   await advance(5000);
   assert.equal(restarted.store.isReady(), true);
   assert.equal(restarted.store.getTag().version, 1);
@@ -113,10 +101,10 @@
 
 // Guards against a node that serves an old version because its host was newer before the restart.
 test('a node below the floor of its cookie is not ready until it has that version', async () => {
-  nodes = startTestNodes(mesh, 'dc-a', 100, 3);
+  mesh.startNodes('dc-a', 100, 3);
   await advance(8000);
   mesh.platform.setDown(true);
-  const [node] = nodes as [TestNode];
+  const [node] = mesh.nodes as [TestNode];
   node.store.raiseFloor(toTag(buildBundle(2)), 'cookie');
   await advance(5000);
   assert.equal(node.store.isReady(), false);
@@ -124,19 +112,16 @@
   mesh.platform.setDown(false);
   await advance(35_000);
   assert.equal(node.store.isReady(), true);
-  assert.deepEqual(
-    nodes.map(({ store }) => Number(store.getTag().version)),
-    [2, 2, 2],
-  );
+  assertAll(mesh.nodes, ({ store }) => Number(store.getTag().version), 2);
 });
 
 // Guards against a node without peers that serves what it cannot know to be current.
 test('a lone node is not ready until the platform answers', async () => {
   mesh.platform.setDown(true);
-  nodes = [startTestNode(mesh, 100, 'dc-a', [101])];
+  mesh.startNodes('dc-a', 100, 1, [101]);
   await advance(20_000);
-  assert.equal(nodes[0]?.store.isReady(), false);
+  assert.equal(mesh.nodes[0]?.store.isReady(), false);
   mesh.platform.setDown(false);
   await advance(25_000);
-  assert.equal(nodes[0]?.store.isReady(), true);
+  assert.equal(mesh.nodes[0]?.store.isReady(), true);
 });
--- a/test/distribution/watch.test.ts
+++ b/test/distribution/watch.test.ts
@@ -1,35 +1,21 @@
 import assert from 'node:assert/strict';
-import { afterEach, beforeEach, test } from 'node:test';
-import { advance, startClock, stopClock } from '../fakes/clock.js';
+import { beforeEach, test } from 'node:test';
+import { advance } from '../fakes/clock.js';
 import {
   acceptBundle,
   buildBundle,
-  createTestMesh,
+  getVersion,
   startTestNode,
-  startTestNodes,
-  type TestNode,
+  useTestMesh,
 } from '../fakes/nodes.js';
+import { assertAll } from '../fakes/results.js';
 
-let mesh = createTestMesh();
-let nodes: TestNode[] = [];
-
-beforeEach(() => {
-  startClock();
-  mesh = createTestMesh();
-  acceptBundle(mesh.platform, buildBundle(1));
-});
-
-afterEach(async () => {
-  await Promise.all(nodes.map((node) => node.stop()));
-  nodes = [];
-  stopClock();
-});
-
-const listVersions = () => nodes.map(({ store }) => Number(store.getTag().version));
+const mesh = useTestMesh();
+beforeEach(() => acceptBundle(mesh.platform, buildBundle(1)));
 
 // Guards against calls to the platform that grow with the number of nodes.
 test('in steady state only the two relays call the platform, twice a minute each', async () => {
-  nodes = startTestNodes(mesh, 'dc-a', 100, 8);
+  mesh.startNodes('dc-a', 100, 8);
   await advance(40_000);
   const before = { ...mesh.platform.calls };
   await advance(60_000);
@@ -40,39 +26,33 @@
 
 // Guards against a relay that misses versions after the platform has forgotten its place.
 test('a relay reads the head again when its watch is answered with 410', async () => {
-  nodes = startTestNodes(mesh, 'dc-a', 100, 3);
+  mesh.startNodes('dc-a', 100, 3);
   await advance(8000);
   mesh.platform.forgetVersions();
   acceptBundle(mesh.platform, buildBundle(2));
   await advance(3000);
-  assert.deepEqual(listVersions(), [2, 2, 2]);
+  assertAll(mesh.nodes, getVersion, 2);
 });
 
 // Guards against relays that hammer a platform that is down, or never come back to it.
 test('relays back off while the platform is down and catch up afterwards', async () => {
-  nodes = startTestNodes(mesh, 'dc-a', 100, 6);
+  mesh.startNodes('dc-a', 100, 6);
   await advance(8000);
   mesh.platform.setDown(true);
   await advance(60_000);
   const before = mesh.platform.calls.read ?? 0;
   await advance(60_000);
   assert.ok((mesh.platform.calls.read ?? 0) - before < 40);
-  assert.deepEqual(
-    nodes.map(({ store }) => store.isReady()),
-    nodes.map(() => true),
-  );
+  assertAll(mesh.nodes, ({ store }) => store.isReady(), true);
   mesh.platform.setDown(false);
   acceptBundle(mesh.platform, buildBundle(2));
   await advance(18_000);
-  assert.deepEqual(
-    listVersions(),
-    nodes.map(() => 2),
-  );
+  assertAll(mesh.nodes, getVersion, 2);
 });
 
 // Guards against a baseline that uses peers, which would make the comparison worthless.
 test('in mode direct every node watches the platform and asks no peer', async () => {
-  nodes = [100, 101, 102].map((port) =>
+  mesh.nodes = [100, 101, 102].map((port) =>
     startTestNode(mesh, port, 'dc-a', [100], 1000, (settings) => {
       Object.assign(settings.distribution, { mode: 'direct' });
     }),
@@ -80,11 +60,8 @@
   await advance(5000);
   acceptBundle(mesh.platform, buildBundle(2));
   await advance(1000);
-  assert.deepEqual(listVersions(), [2, 2, 2]);
-  assert.deepEqual(
-    nodes.map(({ store }) => store.isReady()),
-    [true, true, true],
-  );
+  assertAll(mesh.nodes, getVersion, 2);
+  assertAll(mesh.nodes, ({ store }) => store.isReady(), true);
   const methods = new Set(mesh.network.sent.map(({ method }) => method));
   assert.equal(
     [...methods].some((method) => method.startsWith('config.')),
--- a/test/fakes/results.ts
+++ b/test/fakes/results.ts
@@ -1,3 +1,4 @@
+import assert from 'node:assert/strict';
 import type { Result } from 'neverthrow';
 
 /** Returns the value of a result; throws its error, which fails the test. */
@@ -11,3 +12,13 @@
   if (result.isOk()) throw new Error('the result is not an error');
   return result.error;
 }
+
+/** Asserts that there are items and that the value of each equals `expected`. */
+export function assertAll<Item, Value>(
+  items: readonly Item[],
+  getValue: (item: Item) => Value,
+  expected: Value,
+): void {
+  assert.ok(items.length > 0);
+  assert.deepEqual(items.map(getValue), Array<Value>(items.length).fill(expected));
+}
--- a/test/membership/failures.test.ts
+++ b/test/membership/failures.test.ts
@@ -1,38 +1,22 @@
 import assert from 'node:assert/strict';
-import { afterEach, beforeEach, test } from 'node:test';
-import type { DataCentre, NodeId } from '../../src/types/ids.js';
-import { advance, settle, startClock, stopClock } from '../fakes/clock.js';
-import { createTestMesh, startTestNode, startTestNodes, type TestNode } from '../fakes/nodes.js';
+import { test } from 'node:test';
+import type { DataCentre, NodeId, ServiceName } from '../../src/types/ids.js';
+import { advance, settle } from '../fakes/clock.js';
+import { startTestNode, useTestMesh, type TestNode } from '../fakes/nodes.js';
+import { assertAll } from '../fakes/results.js';
 
-let mesh = createTestMesh();
-let nodes: TestNode[] = [];
+const mesh = useTestMesh();
 
-beforeEach(() => {
-  startClock();
-  mesh = createTestMesh();
-});
-
-afterEach(async () => {
-  await Promise.all(nodes.map((node) => node.stop()));
-  nodes = [];
-  stopClock();
-});
-
-function listAlive(some: readonly TestNode[]): number[] {
-  return some.map(
-    ({ members }) => members.listMembers().filter(({ verdict }) => verdict === 'alive').length,
-  );
+function countAlive({ members }: TestNode): number {
+  return members.listMembers().filter(({ verdict }) => verdict === 'alive').length;
 }
 
 /** Starts five nodes and waits until they know each other. */
 async function startFive(): Promise<[TestNode, ...TestNode[]]> {
-  nodes = startTestNodes(mesh, 'dc-a', 100, 5);
+  mesh.startNodes('dc-a', 100, 5);
   await advance(6000);
-  assert.deepEqual(
-    listAlive(nodes),
-    nodes.map(() => 5),
-  );
-  return nodes as [TestNode, ...TestNode[]];
+  assertAll(mesh.nodes, countAlive, 5);
+  return mesh.nodes as [TestNode, ...TestNode[]];
 }
 
 function getView(node: TestNode, about: TestNode) {
@@ -48,19 +32,13 @@
 test('a crashed member is dead everywhere within 8 s and a tombstone for two hours', async () => {
   const [, ...rest] = await startFive();
   const crashed = rest.pop() as TestNode;
-  const others = nodes.filter((node) => node !== crashed);
+  const others = mesh.nodes.filter((node) => node !== crashed);
   await crashed.stop();
   await advance(8000);
-  assert.deepEqual(
-    others.map((node) => getView(node, crashed)?.verdict),
-    others.map(() => 'dead'),
-  );
+  assertAll(others, (node) => getView(node, crashed)?.verdict, 'dead');
   await advance(7_200_000, 60_000);
   await advance(2000);
-  assert.deepEqual(
-    others.map((node) => getView(node, crashed)),
-    others.map(() => undefined),
-  );
+  assertAll(others, (node) => getView(node, crashed), undefined);
 });
 
 // Guards against a member that is declared dead although others reach it.
@@ -70,10 +48,7 @@
     [from, to].sort().join() === '100,101' ? 'lose' : 'deliver';
   await advance(15_000);
   assert.equal(getView(first, second as TestNode)?.verdict, 'alive');
-  assert.deepEqual(
-    listAlive(nodes),
-    nodes.map(() => 5),
-  );
+  assertAll(mesh.nodes, countAlive, 5);
 });
 
 // Guards against a node that was cut off and, once back, removes the members it lost sight of.
@@ -82,36 +57,26 @@
   cut((port) => port === '100');
   await advance(25_000);
   assert.equal(getView(second as TestNode, first)?.verdict, 'dead');
-  assert.equal(listAlive([first])[0], 1);
+  assert.equal(countAlive(first), 1);
   const deaths: string[] = [];
   second?.members.onChange(({ record, verdict }) => {
     if (verdict === 'dead') deaths.push(record.nodeId);
   });
   mesh.network.decide = () => 'deliver';
   await advance(25_000);
-  assert.deepEqual(
-    listAlive(nodes),
-    nodes.map(() => 5),
-  );
+  assertAll(mesh.nodes, countAlive, 5);
   assert.deepEqual(deaths, []);
 });
 
 // Guards against a restarted process that is taken for the one that died.
 test('a restarted member replaces its earlier incarnation everywhere', async () => {
   await startFive();
-  const old = nodes.pop() as TestNode;
+  const old = mesh.nodes.pop() as TestNode;
   await old.stop();
-  nodes.push(startTestNode(mesh, old.port, 'dc-a', [100], 500_000));
+  mesh.nodes.push(startTestNode(mesh, old.port, 'dc-a', [100], 500_000));
   await advance(8000);
-  const incarnations = nodes.map((node) => getView(node, old)?.record.incarnation);
-  assert.deepEqual(
-    incarnations,
-    nodes.map(() => '500000-a'),
-  );
-  assert.deepEqual(
-    listAlive(nodes),
-    nodes.map(() => 5),
-  );
+  assertAll(mesh.nodes, (node) => getView(node, old)?.record.incarnation, '500000-a');
+  assertAll(mesh.nodes, countAlive, 5);
 });
 
 // Guards against new work that goes to a leaving node until gossip has reached everyone.
@@ -119,11 +84,7 @@
   const [first, ...rest] = await startFive();
   first.members.updateSelf({ state: 'leaving' });
   await settle();
-  const states = rest.map((node) => getView(node, first)?.record.state);
-  assert.deepEqual(
-    states,
-    rest.map(() => 'leaving'),
-  );
+  assertAll(rest, (node) => getView(node, first)?.record.state, 'leaving');
 });
 
 // Guards against unchanged state that is sent again and again.
@@ -137,60 +98,50 @@
 // Guards against a data centre without relays after its relays died.
 test('ranks move to live members within 5 s when both relays crash', async () => {
   await startFive();
-  const isRelay = nodes.map((node) => node.members.isRelay());
+  const isRelay = mesh.nodes.map((node) => node.members.isRelay());
   assert.equal(isRelay.filter(Boolean).length, 2);
-  const rest = nodes.filter((_, index) => !isRelay[index]);
-  await Promise.all(nodes.filter((_, index) => isRelay[index]).map((node) => node.stop()));
-  nodes = rest;
+  const rest = mesh.nodes.filter((_, index) => !isRelay[index]);
+  await Promise.all(mesh.nodes.filter((_, index) => isRelay[index]).map((node) => node.stop()));
+  mesh.nodes = rest;
   await advance(5000);
   assert.equal(rest.filter((node) => node.members.isRelay()).length, 2);
 });
 
 // Guards against records of a cut-off data centre that are lost, and a cut that nobody sees.
 test('a cut-off data centre is reported with its time, and catches up afterwards', async () => {
-  nodes = [
-    ...startTestNodes(mesh, 'dc-a', 100, 3, [200]),
-    ...startTestNodes(mesh, 'dc-b', 200, 3, [100]),
-  ];
+  mesh.startNodes('dc-a', 100, 3, [200]);
+  mesh.startNodes('dc-b', 200, 3, [100]);
   await advance(8000);
-  assert.deepEqual(
-    listAlive(nodes),
-    nodes.map(() => 6),
-  );
+  assertAll(mesh.nodes, countAlive, 6);
   const cutAtMs = Date.now();
   cut((port) => port.startsWith('2'));
   await advance(30_000);
-  const [relay] = nodes.filter(({ port, members }) => port < 200 && members.isRelay());
+  const [relay] = mesh.nodes.filter(({ port, members }) => port < 200 && members.isRelay());
   const [view] = relay?.members.listDataCentres() ?? [];
   assert.equal(view?.isReachable, false);
   assert.ok(view.sinceMs > cutAtMs && view.sinceMs < cutAtMs + 10_000);
-  assert.deepEqual(
-    listAlive(nodes),
-    nodes.map(() => 6),
-  );
-  const changed = nodes.at(-1) as TestNode;
+  assertAll(mesh.nodes, countAlive, 6);
+  const changed = mesh.nodes.at(-1) as TestNode;
   const instances = [
     { instanceId: 'i', service: 'padbook', slots: 4, state: 'ready' as const, readySinceMs: 0 },
   ];
   changed.members.updateSelf({ instances });
   mesh.network.decide = () => 'deliver';
   await advance(10_000);
-  const found = nodes.map(({ members }) => members.listByService('padbook' as never).length);
-  assert.deepEqual(
-    found,
-    nodes.map(() => 1),
-  );
+  const countInstances = ({ members }: TestNode) =>
+    members.listByService('padbook' as ServiceName).length;
+  assertAll(mesh.nodes, countInstances, 1);
   assert.equal(relay?.members.listDataCentres()[0]?.isReachable, true);
 });
 
 // Guards against nodes that find each other only through the seeds of their settings.
 test('nodes without working seeds find each other through the platform object', async () => {
-  nodes = startTestNodes(mesh, 'dc-a', 100, 2);
+  mesh.startNodes('dc-a', 100, 2);
   await advance(25_000);
-  nodes.push(startTestNode(mesh, 150, 'dc-a', [999]));
+  mesh.nodes.push(startTestNode(mesh, 150, 'dc-a', [999]));
   await advance(10_000);
-  assert.deepEqual(listAlive(nodes), [3, 3, 3]);
-  const relays = nodes[0]?.members.listRelays('dc-a' as DataCentre);
+  assertAll(mesh.nodes, countAlive, 3);
+  const relays = mesh.nodes[0]?.members.listRelays('dc-a' as DataCentre);
   assert.equal(relays?.length, 2);
   assert.ok((mesh.platform.calls.create ?? 0) + (mesh.platform.calls.update ?? 0) <= 4);
 });
