Keep serving nodes ready when the head rises, and compare tables twice at joining

Cause: each head that a relay saw raised its floor, so a relay was not ready until the bundle was installed, and never again when it did not compile. Nodes started at the same time took 11 s to know all members, because their seeds knew nobody yet. Change: the floor is confirmed at start-up only; a joined node compares tables with one member again after 1.5 to 3 s; a node id used twice is logged once per incarnation. Test tables are shorter, and the property of installed versions also covers restarts with a cookie. Ruled out: more repetitions of gossip, which cost bytes in steady state. Conclusion: a serving node stops serving only for a cookie above its version.

--- a/src/core/distribution/store.ts
+++ b/src/core/distribution/store.ts
@@ -26,7 +26,10 @@
   readonly held: HeldBundles;
   /** True once the platform or a majority of peers has told the floor. */
   isFloorKnown(): boolean;
-  /** Raises the floor and notes that it is known; version 0 means that nothing was accepted. */
+  /**
+   * Notes that the floor is known and raises it, at start-up only. Version 0 means that nothing
+   * was accepted. Later calls have no effect but for the platform's digest of the floor.
+   */
   confirmFloor(tag: VersionTag, source: FloorSource): void;
   /** True when this very version was refused, so that fetching it again is pointless. */
   isRefused(tag: VersionTag): boolean;
@@ -114,6 +117,9 @@
     getFloor: () => floor,
     isFloorKnown: () => isFloorKnown,
     confirmFloor: (confirmed, source) => {
+      // Later heads are announcements: a serving node fetches them and does not stop serving.
+      const isCorrection = source === 'platform' && confirmed.version === floor.version;
+      if (isFloorKnown && !isCorrection) return;
       isFloorKnown = true;
       raiseFloor(confirmed, source);
     },
--- a/src/core/membership/join.ts
+++ b/src/core/membership/join.ts
@@ -1,7 +1,7 @@
 import type { PeerAddress } from '../../types/interfaces.js';
 import { computeDelayMs, waitMs } from '../../utils/backoff.js';
-import { toShuffled } from '../../utils/random.js';
-import type { MembershipContext } from './context.js';
+import { chooseRandom, toShuffled } from '../../utils/random.js';
+import { toAddress, type MembershipContext } from './context.js';
 import type { PingExchange } from './exchange.js';
 import type { RelayRanking } from './relays.js';
 import { readAllSeeds, readSeeds } from './seeds.js';
@@ -13,6 +13,8 @@
 const CHECK_MS = 5000;
 /** Time between a relay's looks for data centres that it does not know or reach. */
 const DISCOVERY_MS = 60_000;
+/** A node that has joined compares tables again after one to two times this long. */
+const SECOND_LOOK_MS = 1500;
 /** A joining node allows a busy seed more time than a ping of the failure detector. */
 const JOIN_TIMEOUT_MS = 1000;
 
@@ -69,11 +71,23 @@
     return (await contactAny(settings.seeds, isOwn)) || contactAny(await readSeeds(context), isOwn);
   };
 
+  /** Compares tables once more: a seed that started at the same time knew nobody at first. */
+  const runSecondLook = async () => {
+    await waitMs(SECOND_LOOK_MS * (1 + random()), signal);
+    const others = table
+      .listPresent(settings.dataCentre)
+      .filter(({ record }) => record.nodeId !== settings.nodeId);
+    const [member] = chooseRandom(others, 1, random);
+    if (member && !signal.aborted) {
+      await antiEntropy.runSummary(toAddress(member.record), false);
+    }
+  };
+
   const runJoin = async () => {
     let attempt = 0;
     while (!signal.aborted) {
       if (isAlone()) {
-        await runOnce();
+        if (await runOnce()) await runSecondLook();
         await waitMs(computeDelayMs(JOIN_BOUNDS, attempt, random), signal);
         attempt += 1;
       } else {
--- a/src/core/membership/start.ts
+++ b/src/core/membership/start.ts
@@ -61,6 +61,7 @@
   const gossip = createGossipQueue(table, settings.dataCentre);
   const ranking = createRelayRanking(table);
   let { self } = options;
+  let duplicate = '';
   let receiver: ChangeReceiver;
 
   const isRelay = () =>
@@ -88,6 +89,8 @@
   const refute = ({ record, verdict }: MemberChange) => {
     const order = compareIncarnations(record.incarnation, self.incarnation);
     if (order > 0) {
+      if (record.incarnation === duplicate) return;
+      duplicate = record.incarnation;
       logger.error('node-id-used-twice', { other: record.incarnation, host: record.host });
       return;
     }
--- a/test/distribution/fetch.test.ts
+++ b/test/distribution/fetch.test.ts
@@ -49,23 +49,23 @@
   return { answer };
 };
 const forged = { ...buildBundle(2), base: { services: {}, routes: {} } };
-const fates: { name: string; fate: Fate }[] = [
-  { name: 'lost', fate: 'lose' },
-  { name: 'lost on the way back', fate: 'lose-answer' },
-  { name: 'late beyond the time-out', fate: { delayMs: 900 } },
-  { name: 'duplicated', fate: 'duplicate' },
-  { name: 'busy', fate: { answer: { kind: 'busy', retryAfterMs: 100 } } },
-  { name: 'without a newer version', fate: { answer: { kind: 'same' } } },
-  { name: 'with an older version', fate: whole(buildBundle(1)) },
-  { name: 'with content of another digest', fate: whole(forged) },
-  { name: 'with another digest for the version', fate: whole(buildBundle(2, 'y')) },
-  {
-    name: 'with a difference from an unknown base',
-    fate: { answer: diffBundles(buildBundle(1, 'z'), buildBundle(2)) },
-  },
-  {
-    name: 'with a difference that cannot be applied',
-    fate: {
+const fates: [string, Fate][] = [
+  ['lost', 'lose'],
+  ['lost on the way back', 'lose-answer'],
+  ['late beyond the time-out', { delayMs: 900 }],
+  ['duplicated', 'duplicate'],
+  ['busy', { answer: { kind: 'busy', retryAfterMs: 100 } }],
+  ['without a newer version', { answer: { kind: 'same' } }],
+  ['with an older version', whole(buildBundle(1))],
+  ['with content of another digest', whole(forged)],
+  ['with another digest for the version', whole(buildBundle(2, 'y'))],
+  [
+    'with a difference from an unknown base',
+    { answer: diffBundles(buildBundle(1, 'z'), buildBundle(2)) },
+  ],
+  [
+    'with a difference that cannot be applied',
+    {
       answer: {
         kind: 'patch',
         fromDigest: buildBundle(1).digest,
@@ -73,12 +73,12 @@
         patch: [{ op: 'remove', path: '/base/none' }],
       },
     },
-  },
-  { name: 'malformed', fate: { answer: { kind: 'whole' } } },
-  { name: 'an error', fate: { answer: null } },
+  ],
+  ['malformed', { answer: { kind: 'whole' } }],
+  ['an error', { answer: null }],
 ];
 
-for (const { name, fate } of fates) {
+for (const [name, fate] of fates) {
   // Guards against one faulty answer that holds a version back or gets installed.
   test(`a version arrives within 3 s when the first fetch answer is ${name}`, async () => {
     failFetches(fate);
@@ -175,6 +175,7 @@
     mesh.nodes.some(({ store }) => store.getLastRefusal()?.version === 3),
     true,
   );
+  assertAll(mesh.nodes, ({ store }) => store.isReady(), true);
   acceptBundle(mesh.platform, buildBundle(4));
   await advance(3000);
   assertAll(mesh.nodes, getVersion, 4);
--- a/test/distribution/floor.test.ts
+++ b/test/distribution/floor.test.ts
@@ -29,53 +29,33 @@
   };
 }
 
-const cases: { name: string; answers: FloorAnswer[]; floor: number | undefined }[] = [
-  { name: 'no answer', answers: [], floor: undefined },
-  {
-    name: 'two of three members',
-    answers: [answer(1, 4, [alive(2), alive(3)]), answer(2, 5, [])],
-    floor: 5,
-  },
-  { name: 'one of three members', answers: [answer(1, 4, [alive(2), alive(3)])], floor: undefined },
-  {
-    name: 'exactly half of the members',
-    answers: [answer(1, 4, [alive(2), alive(3), alive(4)]), answer(2, 4, [])],
-    floor: undefined,
-  },
-  {
-    name: 'members that only another answer names',
-    answers: [answer(1, 4, []), answer(2, 4, [alive(3), alive(4), alive(5)])],
-    floor: undefined,
-  },
-  {
-    name: 'a dead member, which does not count',
-    answers: [answer(1, 4, [dead(2), dead(3)])],
-    floor: 4,
-  },
-  { name: 'this node itself, which does not count', answers: [answer(1, 4, [alive(9)])], floor: 4 },
-  {
-    name: 'members of another data centre, which do not count',
-    answers: [answer(1, 4, [alive(2, 'dc-b')])],
-    floor: 4,
-  },
-  {
-    name: 'a starting member without a version',
-    answers: [answer(1, 4, [alive(2)]), answer(2, 0, [], false)],
-    floor: undefined,
-  },
-  {
-    name: 'a starting member with a version',
-    answers: [answer(1, 4, []), answer(2, 6, [], false)],
-    floor: 6,
-  },
-  {
-    name: 'the same member twice',
-    answers: [answer(1, 4, [alive(2), alive(3)]), answer(1, 4, [])],
-    floor: undefined,
-  },
+const cases: [string, number | undefined, FloorAnswer[]][] = [
+  ['no answer', undefined, []],
+  ['two of three members', 5, [answer(1, 4, [alive(2), alive(3)]), answer(2, 5, [])]],
+  ['one of three members', undefined, [answer(1, 4, [alive(2), alive(3)])]],
+  [
+    'exactly half of the members',
+    undefined,
+    [answer(1, 4, [alive(2), alive(3), alive(4)]), answer(2, 4, [])],
+  ],
+  [
+    'members that only another answer names',
+    undefined,
+    [answer(1, 4, []), answer(2, 4, [alive(3), alive(4), alive(5)])],
+  ],
+  ['a dead member, which does not count', 4, [answer(1, 4, [dead(2), dead(3)])]],
+  ['this node itself, which does not count', 4, [answer(1, 4, [alive(9)])]],
+  ['members of another data centre, which do not count', 4, [answer(1, 4, [alive(2, 'dc-b')])]],
+  [
+    'a starting member without a version',
+    undefined,
+    [answer(1, 4, [alive(2)]), answer(2, 0, [], false)],
+  ],
+  ['a starting member with a version', 6, [answer(1, 4, []), answer(2, 6, [], false)]],
+  ['the same member twice', undefined, [answer(1, 4, [alive(2), alive(3)]), answer(1, 4, [])]],
 ];
 
-for (const { name, answers, floor } of cases) {
+for (const [name, floor, answers] of cases) {
   // Guards against a restarted node that takes a floor from a minority that is behind (G1).
   test(`the floor from peers with ${name} is ${floor ?? 'unknown'}`, () => {
     assert.equal(computeMajorityFloor(answers, 'dc-a', 'node-9')?.version, floor);
--- a/test/distribution/store.test.ts
+++ b/test/distribution/store.test.ts
@@ -13,25 +13,17 @@
 }
 
 const forged: Bundle = { ...buildBundle(9), base: { services: {}, routes: {} } };
-const refusals: { name: string; bundle: Bundle; kind: string }[] = [
-  { name: 'an older version', bundle: buildBundle(4), kind: 'stale' },
-  { name: 'the installed version again', bundle: buildBundle(5), kind: 'stale' },
-  {
-    name: 'another digest for the installed version',
-    bundle: buildBundle(5, 'y'),
-    kind: 'mismatch',
-  },
-  { name: 'another digest for the floor', bundle: buildBundle(7, 'y'), kind: 'mismatch' },
-  { name: 'content that does not hash to its digest', bundle: forged, kind: 'mismatch' },
-  { name: 'a version that does not compile', bundle: buildBundle(9, 'bad'), kind: 'invalid' },
-  {
-    name: 'a bundle without overlays',
-    bundle: { ...buildBundle(9), overlays: undefined as never },
-    kind: 'invalid',
-  },
+const refusals: [string, string, Bundle][] = [
+  ['an older version', 'stale', buildBundle(4)],
+  ['the installed version again', 'stale', buildBundle(5)],
+  ['another digest for the installed version', 'mismatch', buildBundle(5, 'y')],
+  ['another digest for the floor', 'mismatch', buildBundle(7, 'y')],
+  ['content that does not hash to its digest', 'mismatch', forged],
+  ['a version that does not compile', 'invalid', buildBundle(9, 'bad')],
+  ['a bundle without overlays', 'invalid', { ...buildBundle(9), overlays: undefined as never }],
 ];
 
-for (const { name, bundle, kind } of refusals) {
+for (const [name, kind, bundle] of refusals) {
   // Guards against a proxy that moves back, or applies a bad version in part (G1, G3).
   test(`the store refuses ${name} and keeps its state`, () => {
     const store = createStore();
@@ -57,6 +49,8 @@
   assert.equal(store.isReady(), false);
   store.install(buildBundle(6), 'test');
   assert.equal(store.isReady(), true);
+  store.confirmFloor(toTag(buildBundle(7)), 'platform');
+  assert.equal(store.isReady(), true, 'a later head does not stop a serving node');
 });
 
 // Guards against a node that is ready although nothing was ever accepted.
--- a/test/distribution/versions.test.ts
+++ b/test/distribution/versions.test.ts
@@ -68,45 +68,43 @@
     },
   });
   const processes: number[][] = [];
-  let startMs = 1000;
+  let served = 0;
   const start = () => {
     const versions: number[] = [];
     processes.push(versions);
-    startMs += 1000;
-    const node = startTestNode(mesh, ADDRESS.port, 'dc-a', [], startMs);
+    const node = startTestNode(mesh, ADDRESS.port, 'dc-a', [], 1000 * processes.length);
     node.store.onInstall((tag) => versions.push(tag.version));
     return node;
   };
   let node = start();
   let accepted = 0;
+  const run: { [Kind in Step['kind']]: (step: Step & { kind: Kind }) => unknown } = {
+    notify: ({ version, variant }) => {
+      const { digest } = buildBundle(version, variant);
+      const changes = [{ record: SENDER, verdict: 'alive' as const }];
+      peers.notify(ADDRESS, 'members.push', { from: FROM, changes });
+      peers.notify(ADDRESS, 'config.notify', { from: FROM, version, digest });
+    },
+    accept: () => {
+      accepted += 1;
+      acceptBundle(mesh.platform, buildBundle(accepted));
+    },
+    platform: ({ isDown }) => mesh.platform.setDown(isDown),
+    wait: ({ ms }) => advance(ms),
+    restart: async () => {
+      const [tag, floor] = [node.store.getTag(), node.store.getFloor()];
+      await node.stop();
+      node = start();
+      // The upstream of the host echoes the cookie: the higher of installed version and floor.
+      node.store.raiseFloor(tag.version > floor.version ? tag : floor, 'cookie');
+    },
+  };
   for (const step of steps) {
-    switch (step.kind) {
-      case 'notify': {
-        const { version, digest } = buildBundle(step.version, step.variant);
-        const changes = [{ record: SENDER, verdict: 'alive' as const }];
-        peers.notify(ADDRESS, 'members.push', { from: FROM, changes });
-        peers.notify(ADDRESS, 'config.notify', { from: FROM, version, digest });
-        break;
-      }
-      case 'accept':
-        accepted += 1;
-        acceptBundle(mesh.platform, buildBundle(accepted));
-        break;
-      case 'platform':
-        mesh.platform.setDown(step.isDown);
-        break;
-      case 'wait':
-        await advance(step.ms);
-        break;
-      case 'restart':
-        await node.stop();
-        node = start();
-        break;
-      default:
-        step satisfies never;
-    }
-    const { store } = node;
-    assert.ok(!store.isReady() || store.getTag().version >= store.getFloor().version);
+    await run[step.kind](step as never);
+    const version = Number(node.store.getTag().version);
+    if (!node.store.isReady()) continue;
+    assert.ok(version >= served, `serves ${version} after ${served}`);
+    served = version;
   }
   await advance(500);
   await node.stop();
--- a/test/membership/messages.test.ts
+++ b/test/membership/messages.test.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict';
-import { afterEach, beforeEach, test } from 'node:test';
+import { beforeEach, test } from 'node:test';
 import { ok } from 'neverthrow';
 import type { MemberChange, MemberRecord, Ping } from '../../src/generated/types.js';
 import type { NodeId } from '../../src/types/ids.js';
-import { advance, startClock, stopClock } from '../fakes/clock.js';
-import { buildRecord, createTestMesh, startTestNode, type TestNode } from '../fakes/nodes.js';
+import { advance } from '../fakes/clock.js';
+import { buildRecord, startTestNode, useTestMesh, type TestNode } from '../fakes/nodes.js';
 import { unwrap, unwrapError } from '../fakes/results.js';
 
 const ADDRESS = { host: '127.0.0.1', port: 100 };
@@ -19,7 +19,7 @@
 const SILENT = build(103, 'dc-a');
 const FAR = build(300, 'dc-b');
 
-let mesh = createTestMesh();
+const mesh = useTestMesh();
 let node: TestNode;
 let send: (method: string, params: object) => ReturnType<TestNode['peers']['request']>;
 
@@ -51,91 +51,41 @@
 const getMember = ({ nodeId }: MemberRecord) => node.members.getMember(nodeId as NodeId);
 
 beforeEach(async () => {
-  startClock();
-  mesh = createTestMesh();
   // Own pings are hours apart: only what a test sends has an effect.
   node = startTestNode(mesh, ADDRESS.port, 'dc-a', [], 1000, (settings) => {
     Object.assign(settings.membership, { pingIntervalMs: 60_000_000, relaySyncMs: 60_000_000 });
   });
+  mesh.nodes.push(node);
   const peers = addMember(SENDER);
   addMember(REACHED);
   send = (method, params) => peers.request(ADDRESS, method, params, 500);
   unwrap(await push([change(SENDER), change(FAR)]));
 });
 
-afterEach(async () => {
-  await node.stop();
-  stopClock();
-});
-
-const cases: {
-  name: string;
-  changes: MemberChange[];
-  about: MemberRecord;
-  verdict: string | undefined;
-  sequence?: number;
-}[] = [
-  {
-    name: 'an unknown member of the own data centre is admitted when it answers',
-    changes: [change(REACHED)],
-    about: REACHED,
-    verdict: 'alive',
-  },
-  {
-    name: 'an unknown member of the own data centre that does not answer is not admitted',
-    changes: [change(SILENT)],
-    about: SILENT,
-    verdict: undefined,
-  },
-  {
-    name: 'a record of another process than the one that answers is not admitted',
-    changes: [change(REACHED, 'alive', { incarnation: '1999-a' })],
-    about: REACHED,
-    verdict: undefined,
-  },
-  {
-    name: 'a tombstone of an unknown member is not taken',
-    changes: [change(SILENT, 'dead')],
-    about: SILENT,
-    verdict: undefined,
-  },
-  {
-    name: 'a member that answers is not declared dead by another',
-    changes: [change(REACHED), change(SENDER), change(REACHED, 'dead')],
-    about: REACHED,
-    verdict: 'alive',
-  },
-  {
-    name: 'an older record does not replace a newer one',
-    changes: [change(FAR, 'alive', { sequence: 4 })],
-    about: FAR,
-    verdict: 'alive',
-    sequence: 5,
-  },
-  {
-    name: 'a verdict about an older sequence does not touch a newer record',
-    changes: [change(FAR, 'dead', { sequence: 4 })],
-    about: FAR,
-    verdict: 'alive',
-    sequence: 5,
-  },
-  {
-    name: 'records that crossed in flight end with the newer one',
-    changes: [change(FAR, 'alive', { sequence: 7 }), change(FAR, 'alive', { sequence: 6 })],
-    about: FAR,
-    verdict: 'alive',
-    sequence: 7,
-  },
-  {
-    name: 'a duplicated record changes nothing',
-    changes: [change(FAR), change(FAR)],
-    about: FAR,
-    verdict: 'alive',
-    sequence: 5,
-  },
+const far = (sequence: number, verdict: MemberChange['verdict'] = 'alive') =>
+  change(FAR, verdict, { sequence });
+const replaced = change(REACHED, 'alive', { incarnation: '1999-a' });
+
+/** Name, member asked for, its verdict and sequence, changes pushed one after the other. */
+const cases: [string, MemberRecord, string | undefined, number, MemberChange[]][] = [
+  ['a member that answers is admitted', REACHED, 'alive', 5, [change(REACHED)]],
+  ['a member that does not answer is not admitted', SILENT, undefined, 0, [change(SILENT)]],
+  ['a record of a replaced process is not admitted', REACHED, undefined, 0, [replaced]],
+  ['an unknown tombstone is not taken', SILENT, undefined, 0, [change(SILENT, 'dead')]],
+  [
+    'a member that answers is not declared dead by another',
+    REACHED,
+    'alive',
+    5,
+    [change(REACHED), change(REACHED, 'dead')],
+  ],
+  ['an older record does not replace a newer one', FAR, 'alive', 5, [far(4)]],
+  ['a verdict about an older sequence changes nothing', FAR, 'alive', 5, [far(4, 'dead')]],
+  ['records that crossed in flight end with the newer one', FAR, 'alive', 7, [far(7), far(6)]],
+  ['a duplicated record changes nothing', FAR, 'alive', 5, [far(5), far(5)]],
 ];
 
-for (const { name, changes, about, verdict, sequence } of cases) {
+for (const [name, about, verdict, sequence, changes] of cases) {
   // Guards against records that are believed without proof or out of order.
   test(name, async () => {
     for (const one of changes) {
@@ -143,7 +93,7 @@
       await advance(600);
     }
     assert.equal(getMember(about)?.verdict, verdict);
-    if (sequence !== undefined) assert.equal(getMember(about)?.record.sequence, sequence);
+    assert.equal(getMember(about)?.record.sequence ?? 0, sequence);
   });
 }
 
@@ -173,15 +123,15 @@
   assert.equal(getMember(FAR)?.record.sequence, 5);
 });
 
-const malformed: { name: string; changes: unknown[] }[] = [
-  { name: 'an unknown verdict', changes: [{ record: SENDER, verdict: 'gone' }] },
-  { name: 'a negative sequence', changes: [change(SENDER, 'alive', { sequence: -1 })] },
-  { name: 'a faulty incarnation', changes: [change(SENDER, 'alive', { incarnation: 'now' })] },
-  { name: 'an unknown field', changes: [{ ...change(SENDER), note: 'x' }] },
-  { name: 'too many changes', changes: Array.from({ length: 1001 }, () => change(SENDER)) },
+const malformed: [string, unknown[]][] = [
+  ['an unknown verdict', [{ record: SENDER, verdict: 'gone' }]],
+  ['a negative sequence', [change(SENDER, 'alive', { sequence: -1 })]],
+  ['a faulty incarnation', [change(SENDER, 'alive', { incarnation: 'now' })]],
+  ['an unknown field', [{ ...change(SENDER), note: 'x' }]],
+  ['too many changes', Array.from({ length: 1001 }, () => change(SENDER))],
 ];
 
-for (const { name, changes } of malformed) {
+for (const [name, changes] of malformed) {
   // Guards against malformed records that reach the table.
   test(`a push with ${name} is refused as a whole`, async () => {
     const news = change(FAR, 'alive', { sequence: 9 });
--- a/test/peer/tcp.test.ts
+++ b/test/peer/tcp.test.ts
@@ -8,6 +8,7 @@
 import { createControlCounters } from '../../src/core/peer/counters.js';
 import type { PeerMethods } from '../../src/core/peer/dispatcher.js';
 import { MAX_BAD_MESSAGES, MAX_LINE_BYTES } from '../../src/core/peer/limits.js';
+import { createSendQueue } from '../../src/core/peer/sendQueue.js';
 import { startPeerServer, type PeerServer } from '../../src/core/peer/server.js';
 import type { PeerClient } from '../../src/types/interfaces.js';
 import { unwrap, unwrapError } from '../fakes/results.js';
@@ -15,6 +16,7 @@
 
 const HOST = '127.0.0.1';
 const FROM = { nodeId: 'node-1', incarnation: '1-a', dataCentre: 'dc-a' };
+const STATUS = { from: FROM, what: 'nodes' };
 const FLOOR = { version: 3, digest: '', ready: true, members: [] };
 const logger = SILENT_LOGGER;
 
@@ -61,7 +63,7 @@
 
 // Guards against answers given to the wrong request when many share one connection.
 test('requests share one connection and each gets its own answer', async () => {
-  const slow = request('status.get', { from: FROM, what: 'nodes' });
+  const slow = request('status.get', STATUS);
   const answers = await Promise.all([1, 2, 3].map(() => request('config.floor', { from: FROM })));
   for (const answer of answers) assert.deepEqual(unwrap(answer), FLOOR);
   release();
@@ -71,52 +73,32 @@
   assert.ok(bytes > 300);
 });
 
-const faults = [
-  {
-    name: 'a refusal keeps its kind',
-    method: 'config.fetch',
-    params: { from: FROM, haveVersion: 0, haveDigest: '' },
-    kind: 'not-found',
-  },
-  {
-    name: 'a malformed request is refused',
-    method: 'config.floor',
-    params: { from: { nodeId: 7 } },
-    kind: 'invalid',
-  },
-  {
-    name: 'an unknown method is refused',
-    method: 'config.erase',
-    params: { from: FROM },
-    kind: 'not-found',
-  },
-  {
-    name: 'a method that throws is an internal error',
-    method: 'status.collect',
-    params: { from: FROM, what: 'nodes' },
-    kind: 'internal',
-  },
-  {
-    name: 'a malformed answer is refused',
-    method: 'members.summary',
-    params: { from: FROM, summary: [] },
-    kind: 'invalid',
-  },
-  {
-    name: 'an oversized answer is refused',
-    method: 'pingIndirect',
-    params: { from: FROM, target: { host: HOST, port: 1 }, targetId: 'n' },
-    kind: 'too-large',
-  },
-  {
-    name: 'an oversized request is refused',
-    method: 'config.floor',
-    params: { from: FROM, text: 'x'.repeat(MAX_LINE_BYTES) },
-    kind: 'too-large',
-  },
-] as const;
-
-for (const { name, method, params, kind } of faults) {
+const faults: [string, string, string, object][] = [
+  [
+    'a refusal keeps its kind',
+    'not-found',
+    'config.fetch',
+    { from: FROM, haveVersion: 0, haveDigest: '' },
+  ],
+  ['a malformed request is refused', 'invalid', 'config.floor', { from: { nodeId: 7 } }],
+  ['an unknown method is refused', 'not-found', 'config.erase', { from: FROM }],
+  ['a method that throws is an internal error', 'internal', 'status.collect', STATUS],
+  ['a malformed answer is refused', 'invalid', 'members.summary', { from: FROM, summary: [] }],
+  [
+    'an oversized answer is refused',
+    'too-large',
+    'pingIndirect',
+    { from: FROM, target: { host: HOST, port: 1 }, targetId: 'n' },
+  ],
+  [
+    'an oversized request is refused',
+    'too-large',
+    'config.floor',
+    { from: FROM, text: 'x'.repeat(MAX_LINE_BYTES) },
+  ],
+];
+
+for (const [name, kind, method, params] of faults) {
   // Guards against faults of one message that break the connection or lose their kind.
   test(`${name}, and the connection survives`, async () => {
     const error = unwrapError(await request(method, params));
@@ -129,7 +111,7 @@
 
 // Guards against callers that wait for a frozen peer beyond their time-out.
 test('a request to a silent peer times out and a refused connection fails', async () => {
-  const late = await request('status.get', { from: FROM, what: 'nodes' }, 20);
+  const late = await request('status.get', STATUS, 20);
   assert.equal(unwrapError(late).kind, 'timeout');
   const { port } = server;
   await server.close();
@@ -192,3 +174,22 @@
   const answer = await client.request(address, 'config.floor', { from: FROM }, 5000);
   assert.equal(unwrapError(answer).kind, 'unavailable');
 });
+
+// Guards against connections to members that are long gone.
+test('a connection without traffic is closed', async () => {
+  const options = { host: HOST, port: 0, logger, counters, idleMs: 10 };
+  const idle = unwrap(await startPeerServer(options));
+  const socket = connect(idle.port, HOST).resume();
+  await once(socket, 'close');
+  await idle.close();
+});
+
+// Guards against memory for a slow peer without a bound, and requests dropped for gossip.
+test('a full queue drops the oldest notification and refuses when only requests wait', () => {
+  const queue = createSendQueue(2, 1000);
+  const add = (line: string, id?: number) =>
+    queue.add({ type: 't', line, bytes: 10, id, expiresAtMs: Infinity });
+  assert.deepEqual([add('n1'), add('r1', 1), add('n2'), add('r2', 2)], [true, true, true, true]);
+  assert.deepEqual([add('n3'), add('r3', 3), queue.count()], [false, false, 2]);
+  assert.deepEqual([queue.take()?.line, queue.take()?.line], ['r1', 'r2']);
+});
