Add the launcher for meshes of separate processes

Demo, tests, soak and bench need the same start, kill, freeze, restart and stop of a platform, nodes and upstreams.

--- /dev/null
+++ b/standins/launcher/managedProcess.ts
@@ -0,0 +1,142 @@
+/** One process of a mesh: start, signals, exit, log lines. */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { createInterface } from 'node:readline';
+import { buildError } from '../../src/errors.js';
+import { NETWORK_VARIABLE, type CutsMessage, type NetworkSettings } from '../network/links.js';
+import { addChild } from './children.js';
+
+/** How a process is started. */
+export interface ProcessPlan {
+  readonly id: string;
+  /** Path of the program. */
+  readonly script: string;
+  readonly args: readonly string[];
+  readonly network: Omit<NetworkSettings, 'cuts'>;
+}
+
+/** How a process ended. */
+export interface ProcessExit {
+  readonly code: number | null;
+  readonly signal: NodeJS.Signals | null;
+}
+
+const PRELOAD = new URL('../network/preload.js', import.meta.url).href;
+const KEPT_LINES = 2_000;
+const START_LIMIT_MS = 20_000;
+const CUTS_LIMIT_MS = 2_000;
+
+/** A process that can be started again after it has ended. */
+export class ManagedProcess {
+  #child: ChildProcess | undefined;
+
+  #exit: Promise<ProcessExit> = Promise.resolve({ code: 0, signal: null });
+
+  #isFrozen = false;
+
+  #sequence = 0;
+
+  readonly #lines: string[] = [];
+
+  constructor(readonly plan: ProcessPlan) {}
+
+  get pid(): number | undefined {
+    return this.isRunning() ? this.#child?.pid : undefined;
+  }
+
+  isRunning(): boolean {
+    return this.#child?.exitCode === null && this.#child.signalCode === null;
+  }
+
+  isFrozen(): boolean {
+    return this.#isFrozen;
+  }
+
+  /** Last lines of both output streams, oldest first. */
+  getLog(): readonly string[] {
+    return this.#lines;
+  }
+
+  /** Starts and waits for the first JSON line, which the program prints when it listens. */
+  start(cuts: readonly string[]): Promise<Record<string, unknown>> {
+    if (this.isRunning()) throw new Error(`${this.plan.id} is running`);
+    const { script, args, network } = this.plan;
+    const settings: NetworkSettings = { ...network, cuts };
+    const child = spawn(process.execPath, ['--import', PRELOAD, script, ...args], {
+      stdio: ['ignore', 'pipe', 'pipe', 'ipc'],
+      env: { ...process.env, [NETWORK_VARIABLE]: JSON.stringify(settings) },
+    });
+    addChild(child);
+    this.#child = child;
+    this.#isFrozen = false;
+    this.#exit = new Promise((resolve) => {
+      child.once('close', (code, signal) => resolve({ code, signal }));
+      child.once('error', () => resolve({ code: 1, signal: null }));
+    });
+    return this.#waitForStart(child);
+  }
+
+  /** Sends a signal; false when the process has ended. */
+  sendSignal(signal: NodeJS.Signals): boolean {
+    if (!this.isRunning()) return false;
+    if (signal === 'SIGSTOP') this.#isFrozen = true;
+    if (signal === 'SIGCONT') this.#isFrozen = false;
+    return this.#child?.kill(signal) ?? false;
+  }
+
+  /** Resolves when the process has ended and its output has been read. */
+  waitForExit(): Promise<ProcessExit> {
+    return this.#exit;
+  }
+
+  /** Has the preload apply cuts; a frozen process applies them when it goes on. */
+  async setCuts(cuts: readonly string[]): Promise<void> {
+    const child = this.#child;
+    if (child === undefined || !child.connected || !this.isRunning()) return;
+    this.#sequence += 1;
+    const message: CutsMessage = { kind: 'network-cuts', sequence: this.#sequence, cuts };
+    child.send(message, () => {});
+    if (this.#isFrozen) return;
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, CUTS_LIMIT_MS);
+      const finish = (answer?: { sequence?: number }) => {
+        if (answer?.sequence !== undefined && answer.sequence < message.sequence) return;
+        clearTimeout(timer);
+        child.removeListener('message', finish);
+        child.removeListener('exit', resolve);
+        resolve();
+      };
+      child.on('message', finish);
+      child.once('exit', resolve);
+    });
+  }
+
+  #waitForStart(child: ChildProcess): Promise<Record<string, unknown>> {
+    const { id } = this.plan;
+    return new Promise((resolve, reject) => {
+      const fail = (reason: string) => {
+        child.kill('SIGKILL');
+        const log = this.#lines.slice(-10).join('\n');
+        reject(buildError('unavailable', 'launcher.start', id, `${reason}\n${log}`));
+      };
+      const timer = setTimeout(() => fail(`not started in ${START_LIMIT_MS} ms`), START_LIMIT_MS);
+      const record = (line: string) => {
+        this.#lines.push(line);
+        if (this.#lines.length > KEPT_LINES) this.#lines.shift();
+      };
+      for (const stream of [child.stdout, child.stderr]) {
+        if (stream === null) continue;
+        createInterface({ input: stream }).on('line', (line) => {
+          record(line);
+          if (stream !== child.stdout || !line.startsWith('{')) return;
+          clearTimeout(timer);
+          resolve(JSON.parse(line) as Record<string, unknown>);
+        });
+      }
+      child.once('close', () => {
+        clearTimeout(timer);
+        fail('ended before it was ready');
+      });
+      child.once('error', (error) => fail(error.message));
+    });
+  }
+}
