Test repeated gossip and the request for a whole bundle

Change: one test for each; sender fields and fault tables are shared. Ruled out: timing tests on sockets.

--- a/test/distribution/fetch.test.ts
+++ b/test/distribution/fetch.test.ts
@@ -8,6 +8,7 @@
   acceptBundle,
   buildBundle,
   getVersion,
+  toSender,
   useTestMesh,
   type TestNode,
 } from '../fakes/nodes.js';
@@ -49,6 +50,13 @@
   return { answer };
 };
 const forged = { ...buildBundle(2), base: { services: {}, routes: {} } };
+const unknownBase = diffBundles(buildBundle(1, 'z'), buildBundle(2));
+const faultyPatch: ConfigFetchAnswer = {
+  kind: 'patch',
+  fromDigest: buildBundle(1).digest,
+  envelope: {},
+  patch: [{ op: 'remove', path: '/base/none' }],
+};
 const fates: [string, Fate][] = [
   ['lost', 'lose'],
   ['lost on the way back', 'lose-answer'],
@@ -59,23 +67,10 @@
   ['with an older version', whole(buildBundle(1))],
   ['with content of another digest', whole(forged)],
   ['with another digest for the version', whole(buildBundle(2, 'y'))],
-  [
-    'with a difference from an unknown base',
-    { answer: diffBundles(buildBundle(1, 'z'), buildBundle(2)) },
-  ],
-  [
-    'with a difference that cannot be applied',
-    {
-      answer: {
-        kind: 'patch',
-        fromDigest: buildBundle(1).digest,
-        envelope: {},
-        patch: [{ op: 'remove', path: '/base/none' }],
-      },
-    },
-  ],
+  ['with a difference from an unknown base', { answer: unknownBase }],
+  ['with a difference that cannot be applied', { answer: faultyPatch }],
   ['malformed', { answer: { kind: 'whole' } }],
-  ['an error', { answer: null }],
+  ['no object', { answer: null }],
 ];
 
 for (const [name, fate] of fates) {
@@ -95,8 +90,8 @@
   haveDigest: string,
   onAnswered: (done: () => void) => void,
 ) {
-  const { nodeId, incarnation, dataCentre } = second.members.getSelf();
-  const params = { from: { nodeId, incarnation, dataCentre }, haveVersion, haveDigest };
+  const from = toSender(second.members.getSelf());
+  const params = { from, haveVersion, haveDigest };
   const result = await first.dispatcher.dispatch('config.fetch', params, {
     peer: 'test',
     onAnswered,
@@ -104,6 +99,15 @@
   return result.isOk() && (result.value as ConfigFetchAnswer).kind;
 }
 
+// Guards against a node that asks for the same faulty difference for ever.
+test('a node asks for the whole bundle after a difference that cannot be applied', async () => {
+  mesh.network.decide = (passage) =>
+    isFetch(passage) && passage.params.haveDigest !== '' ? { answer: faultyPatch } : 'deliver';
+  installFirst(buildBundle(2));
+  await advance(3000);
+  assertAll(mesh.nodes, getVersion, 2);
+});
+
 // Guards against whole bundles sent where a difference, or nothing, is enough.
 test('the answer to a fetch depends on what the asker holds', async () => {
   installFirst(buildBundle(2));
@@ -152,8 +156,8 @@
 // Guards against a serving node that stops because a version is only announced.
 test('an announced version that nobody has keeps nodes serving and is dropped', async () => {
   mesh.platform.setDown(false);
-  const { nodeId, incarnation, dataCentre } = first.members.getSelf();
-  const params = { from: { nodeId, incarnation, dataCentre }, version: 99, digest: 'a'.repeat(64) };
+  const from = toSender(first.members.getSelf());
+  const params = { from, version: 99, digest: 'a'.repeat(64) };
   first.peers.notify({ host: '127.0.0.1', port: second.port }, 'config.notify', params);
   await advance(5000);
   assert.equal(second.store.isReady(), true);
--- a/test/distribution/versions.test.ts
+++ b/test/distribution/versions.test.ts
@@ -11,10 +11,11 @@
   buildRecord,
   createTestMesh,
   startTestNode,
+  toSender,
 } from '../fakes/nodes.js';
 
 const SENDER = { ...buildRecord(101, 'dc-a', 2000), state: 'serving' as const };
-const FROM = { nodeId: SENDER.nodeId, incarnation: SENDER.incarnation, dataCentre: 'dc-a' };
+const FROM = toSender(SENDER);
 const ADDRESS = { host: '127.0.0.1', port: 100 };
 
 type Step =
@@ -26,20 +27,16 @@
 
 const anyVersion = fc.integer({ min: 1, max: 6 });
 const anyVariant = fc.constantFrom('x', 'x', 'y', 'bad');
-const anyWait = fc.constantFrom(100, 700, 3000);
+const of = <Kind extends string>(kind: Kind) => fc.constant(kind);
+const anyNotify = fc.record({ kind: of('notify'), version: anyVersion, variant: anyVariant });
+const anyWait = fc.record({ kind: of('wait'), ms: fc.constantFrom(100, 700, 3000) });
+const anyOutage = fc.record({ kind: of('platform'), isDown: fc.boolean() });
 const anyStep: fc.Arbitrary<Step> = fc.oneof(
-  {
-    weight: 3,
-    arbitrary: fc.record({
-      kind: fc.constant('notify' as const),
-      version: anyVersion,
-      variant: anyVariant,
-    }),
-  },
-  { weight: 3, arbitrary: fc.record({ kind: fc.constant('wait' as const), ms: anyWait }) },
-  { weight: 2, arbitrary: fc.constant({ kind: 'accept' as const }) },
-  fc.record({ kind: fc.constant('platform' as const), isDown: fc.boolean() }),
-  fc.constant({ kind: 'restart' as const }),
+  { weight: 3, arbitrary: anyNotify },
+  { weight: 3, arbitrary: anyWait },
+  { weight: 2, arbitrary: fc.record({ kind: of('accept') }) },
+  anyOutage,
+  fc.record({ kind: of('restart') }),
 );
 /** What the sender answers to fetches, in turn; it may be old, forged or a difference. */
 const anyAnswer: fc.Arbitrary<ConfigFetchAnswer> = fc
@@ -48,10 +45,8 @@
     const bundle = buildBundle(version, variant);
     if (kind === 'same') return { kind: 'same' };
     if (kind === 'patch') return diffBundles(buildBundle(held), bundle);
-    return {
-      kind: 'whole',
-      bundle: kind === 'forged' ? { ...bundle, version: 9 - version } : { ...bundle },
-    };
+    const named = kind === 'forged' ? 9 - version : version;
+    return { kind: 'whole', bundle: { ...bundle, version: named } };
   });
 
 /** Runs the steps on one node and returns the versions of each process, in order of install. */
@@ -119,10 +114,8 @@
     const check = async (steps: Step[], answers: ConfigFetchAnswer[]) => {
       for (const versions of await runSteps(steps, answers)) {
         installs += versions.length;
-        assert.deepEqual(
-          versions,
-          [...new Set(versions)].sort((a, b) => a - b),
-        );
+        const rising = [...new Set(versions)].sort((a, b) => a - b);
+        assert.deepEqual(versions, rising);
       }
     };
     const steps = fc.array(anyStep, { minLength: 8, maxLength: 20 });
--- a/test/fakes/nodes.ts
+++ b/test/fakes/nodes.ts
@@ -4,7 +4,7 @@
 import { createConfigStore, type Compile } from '../../src/core/distribution/store.js';
 import { startDistribution } from '../../src/core/distribution/start.js';
 import { startMembership } from '../../src/core/membership/start.js';
-import type { Bundle, Head, MemberRecord, Settings } from '../../src/generated/types.js';
+import type { Bundle, Head, MemberRecord, Sender, Settings } from '../../src/generated/types.js';
 import { validateSettings } from '../../src/generated/validators.js';
 import type { DataCentre, Digest } from '../../src/types/ids.js';
 import { brandVersion } from '../../src/types/ids.js';
@@ -55,6 +55,11 @@
   };
 }
 
+/** The sender fields of messages from a member. */
+export function toSender({ nodeId, incarnation, dataCentre }: MemberRecord): Sender {
+  return { nodeId, incarnation, dataCentre };
+}
+
 /** A bundle whose content depends on its version and on `variant`. */
 export function buildBundle(version: number, variant = 'x'): Bundle {
   const routes = Object.fromEntries(
--- a/test/membership/merge.test.ts
+++ b/test/membership/merge.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
+import { computeRepeats, createGossipQueue } from '../../src/core/membership/gossip.js';
 import { compareIncarnations } from '../../src/core/membership/incarnation.js';
 import { mergeChanges } from '../../src/core/membership/merge.js';
 import { createTable, toChange } from '../../src/core/membership/table.js';
@@ -57,3 +58,13 @@
   assert.ok(compareIncarnations('10-b', '10-a') > 0);
   assert.equal(compareIncarnations('10-a', '10-a'), 0);
 });
+
+// Guards against a change that counts as repeated although its messages were lost.
+test('changes on an unanswered message are repeated again', () => {
+  const table = createTable(buildRecord(1, 'dc-a'));
+  const gossip = createGossipQueue(table, 'dc-a');
+  gossip.add('node-1');
+  for (let lost = 0; lost < 20; lost += 1) gossip.restore(gossip.take());
+  for (let sent = 0; sent < computeRepeats(1); sent += 1) assert.equal(gossip.take().length, 1);
+  assert.equal(gossip.take().length, 0);
+});
--- a/test/membership/messages.test.ts
+++ b/test/membership/messages.test.ts
@@ -4,7 +4,13 @@
 import type { MemberChange, MemberRecord, Ping } from '../../src/generated/types.js';
 import type { NodeId } from '../../src/types/ids.js';
 import { advance } from '../fakes/clock.js';
-import { buildRecord, startTestNode, useTestMesh, type TestNode } from '../fakes/nodes.js';
+import {
+  buildRecord,
+  startTestNode,
+  toSender,
+  useTestMesh,
+  type TestNode,
+} from '../fakes/nodes.js';
 import { unwrap, unwrapError } from '../fakes/results.js';
 
 const ADDRESS = { host: '127.0.0.1', port: 100 };
@@ -23,10 +29,6 @@
 let node: TestNode;
 let send: (method: string, params: object) => ReturnType<TestNode['peers']['request']>;
 
-function toSender({ nodeId, incarnation, dataCentre }: MemberRecord) {
-  return { nodeId, incarnation, dataCentre };
-}
-
 function change(
   record: MemberRecord,
   verdict: MemberChange['verdict'] = 'alive',
