Relay response bodies without stream.pipeline

Cause: a CPU profile of calls through two nodes (trial, one process) showed 7% in creating DOMExceptions and 4% in abort signals: `stream.pipeline` aborts a signal at each end. A body that failed before its reader listened could also raise an unhandled `error` event.

Change: `relayAnswer` pipes the body and listens for its end, its break-off and the caller's departure itself; a forwarded body has an error listener from the start, and a body found destroyed counts as truncated.

Ruled out: reading bodies whole before answering; it would delay the first byte and hold memory.

--- a/src/core/calls/answer.ts
+++ b/src/core/calls/answer.ts
@@ -1,9 +1,9 @@
 /** Writes outcomes on the wire and reads them from the answers of other nodes. */
 import type { IncomingHttpHeaders, OutgoingHttpHeaders, ServerResponse } from 'node:http';
-import { pipeline } from 'node:stream';
+import type { Readable } from 'node:stream';
 import type { LoadReport } from '../../types/calls.js';
 import { brandText, type NodeId } from '../../types/ids.js';
-import { CALL_HEADERS, type Outcome } from '../../types/outcome.js';
+import { CALL_HEADERS, type Outcome, type UnknownReason } from '../../types/outcome.js';
 import {
   NOT_RUN_STATUS,
   UNKNOWN_STATUS,
@@ -18,6 +18,9 @@
 export const HINT_HEADER = 'lycheelane-hint';
 const EXHAUSTED = 'exhausted';
 
+/** Why a response body did not reach the caller; undefined if it did. */
+type BodyEnd = { reason: UnknownReason; detail: string } | undefined;
+
 const LOAD = /^(\d{1,9})\/(\d{1,9})\/(\d{1,9})$/;
 
 /** Formats a load report for its header. */
@@ -103,6 +106,23 @@
     : { kind: 'unknown', reason: result.reason, detail: result.detail };
 }
 
+function connectBody(body: Readable, response: ServerResponse, finish: (end: BodyEnd) => void) {
+  const breakOff = (error?: Error) => {
+    if (body.readableEnded) return;
+    finish({ reason: 'truncated', detail: error?.message ?? 'the response body broke off' });
+    response.destroy();
+  };
+  body.once('error', breakOff);
+  body.once('close', breakOff);
+  response.once('finish', () => finish(undefined));
+  response.once('close', () => {
+    if (response.writableFinished) return;
+    finish({ reason: 'cancelled', detail: 'the caller went away' });
+    body.destroy();
+  });
+  body.pipe(response);
+}
+
 /**
  * Streams a response to the caller and resolves with the outcome once the body has ended. A body
  * that breaks off destroys the caller's connection, so it cannot pass for a complete one.
@@ -112,27 +132,20 @@
   result: AnsweredResult,
   added: OutgoingHttpHeaders,
 ): Promise<Outcome> {
+  const { status, body } = result;
   return new Promise((resolve) => {
-    if (response.destroyed) {
-      result.body.destroy();
-      resolve({ kind: 'unknown', reason: 'cancelled', detail: 'the caller went away' });
+    const finish = (end: BodyEnd) =>
+      resolve(end ? { kind: 'unknown', ...end } : { kind: 'answered', status });
+    if (response.destroyed || body.destroyed) {
+      const reason = response.destroyed ? 'cancelled' : 'truncated';
+      body.destroy();
+      response.destroy();
+      finish({ reason, detail: 'the connection closed before the response was sent' });
       return;
     }
     // `lycheelane-*` headers of the upstream are dropped: only a node states an outcome.
-    const headers: OutgoingHttpHeaders = Object.assign(listEndToEndHeaders(result.headers), added);
-    response.writeHead(result.status, headers);
-    pipeline(result.body, response, (error) => {
-      if (!error) {
-        resolve({ kind: 'answered', status: result.status });
-        return;
-      }
-      response.destroy();
-      const isCancelled = error.code === 'ERR_STREAM_PREMATURE_CLOSE' && !result.body.errored;
-      resolve({
-        kind: 'unknown',
-        reason: isCancelled ? 'cancelled' : 'truncated',
-        detail: error.message,
-      });
-    });
+    response.writeHead(status, Object.assign(listEndToEndHeaders(result.headers), added));
+    // `stream.pipeline` aborts a signal at each end, which took 7% of the CPU time of a call.
+    connectBody(body, response, finish);
   });
 }
--- a/src/core/calls/forwardHandler.ts
+++ b/src/core/calls/forwardHandler.ts
@@ -74,6 +74,8 @@
         done(error);
       },
     });
+    // The body may fail before its reader listens; the reader then finds it destroyed.
+    body.on('error', () => {});
     this.body = body;
     const load = parseLoad(headers[CALL_HEADERS.load]);
     this.settle({ kind: 'answered', status, headers, body, load });
