--- a/test/upstream/announce.test.ts
+++ b/test/upstream/announce.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { connect } from 'node:net';
 import { once } from 'node:events';
-import { test } from 'node:test';
+import { test, type TestContext } from 'node:test';
 import { request } from 'undici';
 import { startAnnouncePort } from '../../src/core/upstream/announcePort.js';
 import { decodeFloorCookie, encodeFloorCookie } from '../../src/core/upstream/floorCookie.js';
@@ -15,7 +15,7 @@
 
 const TAG: VersionTag = { version: brandVersion(7), digest: brandText<Digest>('a'.repeat(64)) };
 
-async function startPort() {
+async function startPort(t: TestContext) {
   const published: InstanceRecord[][] = [];
   const raised: VersionTag[] = [];
   const table = createInstanceTable({
@@ -45,6 +45,7 @@
   });
   assert.ok(started.isOk());
   const port = started.value;
+  t.after(() => port.close());
   const post = async (body: string, path = '/v1/announce') => {
     const url = `http://127.0.0.1:${port.port}${path}`;
     const answer = await request(url, { method: 'POST', body });
@@ -54,8 +55,8 @@
 }
 
 // Guards against a floor that is lost with the daemon's process, and needless record changes.
-test('an announcement is published once and carries the floor both ways', async () => {
-  const { port, post, published, raised } = await startPort();
+test('an announcement is published once and carries the floor both ways', async (t) => {
+  const { post, published, raised } = await startPort(t);
   const first = await post(JSON.stringify(buildAnnouncement({ state: 'starting' })));
   assert.equal(first.status, 200);
   assert.deepEqual(decodeFloorCookie(first.value.cookie), TAG);
@@ -68,7 +69,6 @@
     published.map((records) => records.map(({ state }) => state)),
     [['cold'], ['ready'], ['draining']],
   );
-  await port.close();
 });
 
 // Guards against announcements that bring the node down or point it at another host.
@@ -81,23 +81,21 @@
   ['oversized', ' '.repeat(600 * 1024), 413],
 ];
 for (const [name, body, status] of MALFORMED) {
-  test(`an announcement is refused: ${name}`, async () => {
-    const { port, post, published } = await startPort();
+  test(`an announcement is refused: ${name}`, async (t) => {
+    const { post, published } = await startPort(t);
     assert.equal((await post(body)).status, status);
     assert.equal((await post(JSON.stringify(buildAnnouncement()))).status, 200);
     assert.equal(published.length, 1);
-    await port.close();
   });
 }
 
 // Guards against slow senders that hold connections.
-test('an announcement that does not arrive in time is cut', async () => {
-  const { port } = await startPort();
+test('an announcement that does not arrive in time is cut', async (t) => {
+  const { port } = await startPort(t);
   const socket = connect(port.port, '127.0.0.1');
   socket.write('POST /v1/announce HTTP/1.1\r\nhost: x\r\ncontent-length: 10\r\n\r\n{');
   socket.resume();
   await once(socket, 'close');
-  await port.close();
 });
 
 // Guards against a malformed cookie that raises the floor.
@@ -109,10 +107,10 @@
 });
 
 // Guards against work for an upstream that has vanished without a word.
-test('an instance expires when its announcements stop, and returns with the next', () => {
+test('an instance expires when its announcements stop, and returns with the next', (t) => {
   const clock = startMockClock(1000);
   try {
-    const { table, published } = createInstanceSide({ ttlMs: 3000 });
+    const { table, published } = createInstanceSide(t, { ttlMs: 3000 });
     table.record(buildAnnouncement());
     clock.tick(2999);
     table.record(buildAnnouncement());
@@ -123,7 +121,6 @@
     assert.deepEqual(published.at(-1), []);
     table.record(buildAnnouncement());
     assert.equal(published.at(-1)?.[0]?.state, 'ready');
-    table.close();
   } finally {
     clock.stop();
   }
--- a/test/upstream/dispatcher.test.ts
+++ b/test/upstream/dispatcher.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
 import { createServer, type AddressInfo } from 'node:net';
-import { test } from 'node:test';
+import { test, type TestContext } from 'node:test';
 import {
   buildAnnouncement,
   buildCall,
@@ -13,19 +13,15 @@
   type UpstreamHandler,
 } from './support.js';
 
-async function startPair(handler: UpstreamHandler, slots = 4) {
-  const upstream = await startUpstream(handler);
-  const side = createInstanceSide();
+async function startPair(t: TestContext, handler: UpstreamHandler, slots = 4) {
+  const upstream = await startUpstream(t, handler);
+  const side = createInstanceSide(t);
   assert.ok(side.table.record(buildAnnouncement({ port: upstream.port, slots })).isOk());
-  const close = async () => {
-    await upstream.stop();
-    await side.close();
-  };
-  return { ...side, upstream, close };
+  return { ...side, upstream };
 }
 
 /** Starts a TCP server that runs a script for each connection. */
-async function startRawUpstream(answer: string | 'reset') {
+async function startRawUpstream(t: TestContext, answer: string | 'reset') {
   const server = createServer((socket) => {
     socket.on('error', () => {});
     socket.once('data', () => {
@@ -35,12 +31,15 @@
   });
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
+  t.after(() => {
+    server.close();
+  });
   return { port: (server.address() as AddressInfo).port, server };
 }
 
 // Guards against lost or altered requests and responses on the way to the upstream.
-test('a call reaches the upstream whole and its answer comes back whole', async () => {
-  const { dispatcher, close } = await startPair((request, response) => {
+test('a call reaches the upstream whole and its answer comes back whole', async (t) => {
+  const { dispatcher } = await startPair(t, (request, response) => {
     void readText(request).then((body) => {
       const { 'lycheelane-depth': depth, host } = request.headers;
       response.writeHead(201, { 'x-own': 'yes', 'lycheelane-outcome': 'not-run' });
@@ -53,7 +52,6 @@
   assert.equal(result.headers['x-own'], 'yes');
   assert.equal(result.headers['lycheelane-outcome'], undefined);
   assert.equal(await readText(result.body), 'POST /book?pad=7 pad 7 mesh.example 1');
-  await close();
 });
 
 // Guards against a wrong statement to the caller after each fault of an upstream.
@@ -74,53 +72,51 @@
   ['a malformed answer', 'nonsense\r\n\r\n', 'unknown connection-lost'],
 ];
 for (const [name, answer, expected] of FAULTS) {
-  test(`${name} gives ${expected}`, async () => {
-    const { port, server } = await startRawUpstream(answer);
-    const { table, dispatcher, close } = createInstanceSide();
+  test(`${name} gives ${expected}`, async (t) => {
+    const { port, server } = await startRawUpstream(t, answer);
+    const { table, dispatcher } = createInstanceSide(t);
     assert.ok(table.record(buildAnnouncement({ port })).isOk());
     const result = await dispatcher.dispatch(buildCall());
     const detail = result.kind === 'answered' ? result.status : result.reason;
     assert.equal(`${result.kind} ${detail}`, expected);
     if (result.kind === 'answered') result.body.destroy();
-    await close();
     server.close();
   });
 }
 
 // Guards against "unknown" for calls that provably never left this node.
-test('a refused connection is notRun', async () => {
-  const { port, server } = await startRawUpstream('');
+test('a refused connection is notRun', async (t) => {
+  const { port, server } = await startRawUpstream(t, '');
   server.close();
   await once(server, 'close');
-  const { table, dispatcher, close } = createInstanceSide();
+  const { table, dispatcher } = createInstanceSide(t);
   assert.ok(table.record(buildAnnouncement({ port })).isOk());
   const result = await dispatcher.dispatch(buildCall());
   assert.ok(result.kind === 'notRun');
   assert.equal(result.reason, 'connect-failed');
   assert.equal(dispatcher.getLoad(SERVICE)?.busy, 0);
-  await close();
 });
 
 // Guards against a truncated answer that looks complete.
-test('a truncated answer ends its body with an error', async () => {
-  const { port, server } = await startRawUpstream(
-    'HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\npart',
-  );
-  const { table, dispatcher, close } = createInstanceSide();
+test('a truncated answer ends its body with an error', async (t) => {
+  const { port } = await startRawUpstream(t, 'HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\npart');
+  const { table, dispatcher } = createInstanceSide(t);
   assert.ok(table.record(buildAnnouncement({ port })).isOk());
   const result = await dispatcher.dispatch(buildCall());
   assert.ok(result.kind === 'answered');
   await assert.rejects(readText(result.body));
-  await close();
-  server.close();
 });
 
 // Guards against a slot that is given away while the upstream still works on a request.
-test('a timed-out call is answered at once, cancelled, and keeps its slot', async () => {
+test('a timed-out call is answered at once, cancelled, and keeps its slot', async (t) => {
   const open: (() => void)[] = [];
-  const { dispatcher, upstream, close } = await startPair((request, response) => {
-    open.push(() => response.writeHead(499).end());
-  }, 1);
+  const { dispatcher, upstream } = await startPair(
+    t,
+    (request, response) => {
+      open.push(() => response.writeHead(499).end());
+    },
+    1,
+  );
   const result = await dispatcher.dispatch(buildCall({}, 100));
   assert.ok(result.kind === 'unknown');
   assert.equal(result.reason, 'timeout');
@@ -138,12 +134,11 @@
   assert.ok(answered.kind === 'answered');
   assert.equal(answered.status, 499);
   assert.equal(await readText(answered.body), '');
-  await close();
 });
 
 // Guards against work that goes on for a caller that has gone.
-test('a caller that leaves cancels the upstream, also while it reads the answer', async () => {
-  const { dispatcher, upstream, close } = await startPair((request, response) => {
+test('a caller that leaves cancels the upstream, also while it reads the answer', async (t) => {
+  const { dispatcher, upstream } = await startPair(t, (request, response) => {
     if (request.url === '/stream') response.writeHead(200).write('first');
   });
   const leaving = new AbortController();
@@ -158,15 +153,18 @@
   streamed.body.destroy();
   await upstream.waitFor(() => upstream.cancelled.length === 2);
   assert.equal(dispatcher.getCounts().abandoned, 2);
-  await close();
 });
 
 // Guards against overload that hits important calls first, and against waits without a chance.
-test('under overload sheddable calls go first and hopeless ones are refused at once', async () => {
+test('under overload sheddable calls go first and hopeless ones are refused at once', async (t) => {
   const open: (() => void)[] = [];
-  const { dispatcher, upstream, close } = await startPair((request, response) => {
-    open.push(() => response.end('done'));
-  }, 1);
+  const { dispatcher, upstream } = await startPair(
+    t,
+    (request, response) => {
+      open.push(() => response.end('done'));
+    },
+    1,
+  );
   const send = (priority: 'critical' | 'normal' | 'sheddable', timeoutMs = 10_000) =>
     dispatcher.dispatch(
       buildCall(
@@ -194,15 +192,18 @@
   }
   assert.deepEqual(order, ['critical', 'normal']);
   assert.equal(dispatcher.getCounts().refused.overloaded, 2);
-  await close();
 });
 
 // Guards against requests to an upstream that is leaving, and against cut requests at a stop.
-test('a drain refuses new and queued work, waits for the rest, reports what it cut', async () => {
+test('a drain refuses new and queued work, waits for the rest, reports what it cut', async (t) => {
   const open: (() => void)[] = [];
-  const { dispatcher, upstream, table, close } = await startPair((request, response) => {
-    open.push(() => response.end('done'));
-  }, 1);
+  const { dispatcher, upstream, table } = await startPair(
+    t,
+    (request, response) => {
+      open.push(() => response.end('done'));
+    },
+    1,
+  );
   const running = dispatcher.dispatch(buildCall());
   const queued = dispatcher.dispatch(buildCall());
   await upstream.waitFor(() => open.length === 1);
@@ -217,24 +218,26 @@
   assert.ok(result.kind === 'answered');
   assert.equal(await readText(result.body), 'done');
   assert.deepEqual(await drained, { cut: 0 });
-  await close();
 });
 
-test('a drain cuts what has not ended at its limit', async () => {
-  const { dispatcher, upstream, close } = await startPair(() => {});
+test('a drain cuts what has not ended at its limit', async (t) => {
+  const { dispatcher, upstream } = await startPair(t, () => {});
   const running = dispatcher.dispatch(buildCall());
   await upstream.waitFor(() => upstream.seen.length === 1);
   assert.deepEqual(await dispatcher.drain(20), { cut: 1 });
   assert.equal((await running).kind, 'unknown');
-  await close();
 });
 
 // Guards against load that is kept up while the upstream sheds.
-test('shedding lowers the number of calls at a time, answers raise it again', async () => {
+test('shedding lowers the number of calls at a time, answers raise it again', async (t) => {
   let status = 503;
-  const { dispatcher, close } = await startPair((request, response) => {
-    response.writeHead(status).end();
-  }, 10);
+  const { dispatcher } = await startPair(
+    t,
+    (request, response) => {
+      response.writeHead(status).end();
+    },
+    10,
+  );
   const sendMany = (count: number) =>
     Promise.all(
       Array.from({ length: count }, async () => {
@@ -249,14 +252,17 @@
   await sendMany(5);
   await sendMany(5);
   assert.ok((dispatcher.getLoad(SERVICE)?.slots ?? 0) > lowered);
-  await close();
 });
 
 // Guards against double load after a daemon restart with requests still at the upstream.
-test('slots busy from before a restart stay occupied until a later announcement', async () => {
-  const { dispatcher, upstream, table, close } = await startPair((request, response) => {
-    response.end('done');
-  }, 2);
+test('slots busy from before a restart stay occupied until a later announcement', async (t) => {
+  const { dispatcher, upstream, table } = await startPair(
+    t,
+    (request, response) => {
+      response.end('done');
+    },
+    2,
+  );
   const announce = (busy: number, running?: string[]) =>
     table.record(buildAnnouncement({ port: upstream.port, slots: 2, busy, running }));
   announce(2, ['old-1', 'old-2']);
@@ -273,5 +279,4 @@
   assert.equal(dispatcher.getLoad(SERVICE)?.busy, 1);
   announce(0);
   assert.equal(dispatcher.getLoad(SERVICE)?.busy, 0);
-  await close();
 });
--- a/test/upstream/support.ts
+++ b/test/upstream/support.ts
@@ -2,6 +2,7 @@
 import { once } from 'node:events';
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import type { TestContext } from 'node:test';
 import { err, ok } from 'neverthrow';
 import { v4, v7 } from 'uuid';
 import { createLocalDispatcher } from '../../src/core/upstream/dispatcher.js';
@@ -77,7 +78,7 @@
 export type UpstreamHandler = (request: IncomingMessage, response: ServerResponse) => void;
 
 /** An upstream on loopback that counts its requests and reports each as it arrives. */
-export async function startUpstream(handler: UpstreamHandler) {
+export async function startUpstream(t: TestContext, handler: UpstreamHandler) {
   const seen: string[] = [];
   const cancelled: string[] = [];
   const waiting: (() => void)[] = [];
@@ -94,6 +95,10 @@
   });
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
+  t.after(() => {
+    server.close();
+    server.closeAllConnections();
+  });
   return {
     port: (server.address() as AddressInfo).port,
     seen,
@@ -106,11 +111,6 @@
         });
       }
     },
-    stop: () =>
-      new Promise<void>((resolve) => {
-        server.close(() => resolve());
-        server.closeAllConnections();
-      }),
   };
 }
 
@@ -134,14 +134,15 @@
   stop: async () => {},
 };
 
+/** What a test may set of an instance side. */
+export interface InstanceSideOptions {
+  readonly partitions?: typeof OPEN_PARTITIONS;
+  readonly memory?: Partial<RequestMemoryOptions>;
+  readonly ttlMs?: number;
+}
+
 /** One instance side with a table that is fed directly. */
-export function createInstanceSide(
-  options: {
-    partitions?: typeof OPEN_PARTITIONS;
-    memory?: Partial<RequestMemoryOptions>;
-    ttlMs?: number;
-  } = {},
-) {
+export function createInstanceSide(t: TestContext, options: InstanceSideOptions = {}) {
   const published: MemberRecord['instances'][] = [];
   const table = createInstanceTable({
     members: {
@@ -163,11 +164,11 @@
     partitions: options.partitions ?? OPEN_PARTITIONS,
     logger: SILENT_LOGGER,
   });
-  const close = async () => {
+  t.after(async () => {
     table.close();
     await dispatcher.close();
-  };
-  return { table, memory, dispatcher, published, close };
+  });
+  return { table, memory, dispatcher, published };
 }
 
 export async function readText(body: AsyncIterable<Buffer>): Promise<string> {
