--- a/test/upstream/dispatcher.test.ts
+++ b/test/upstream/dispatcher.test.ts
@@ -231,27 +231,33 @@
 // Guards against load that is kept up while the upstream sheds.
 test('shedding lowers the number of calls at a time, answers raise it again', async (t) => {
   let status = 503;
-  const { dispatcher } = await startPair(
+  const open: (() => void)[] = [];
+  const { dispatcher, upstream } = await startPair(
     t,
     (request, response) => {
-      response.writeHead(status).end();
+      open.push(() => response.writeHead(status).end());
     },
-    10,
+    4,
   );
-  const sendMany = (count: number) =>
-    Promise.all(
-      Array.from({ length: count }, async () => {
-        const result = await dispatcher.dispatch(buildCall());
-        if (result.kind === 'answered') await readText(result.body);
-      }),
-    );
-  await sendMany(4);
-  const lowered = dispatcher.getLoad(SERVICE)?.slots ?? 0;
-  assert.ok(lowered < 4, `${lowered}`);
+  const sendFour = async () => {
+    const results = Array.from({ length: 4 }, () => dispatcher.dispatch(buildCall()));
+    const { busy = 0 } = dispatcher.getLoad(SERVICE) ?? {};
+    for (let left = 4; left > 0;) {
+      await upstream.waitFor(() => open.length > 0);
+      left -= open.length;
+      for (const finish of open.splice(0)) finish();
+    }
+    for (const result of await Promise.all(results)) {
+      if (result.kind === 'answered') await readText(result.body);
+    }
+    return busy;
+  };
+  assert.equal(await sendFour(), 4);
   status = 200;
-  await sendMany(5);
-  await sendMany(5);
-  assert.ok((dispatcher.getLoad(SERVICE)?.slots ?? 0) > lowered);
+  const lowered = await sendFour();
+  assert.ok(lowered < 4, `${lowered} at a time`);
+  for (let round = 0; round < 3; round += 1) await sendFour();
+  assert.equal(await sendFour(), 4);
 });
 
 // Guards against double load after a daemon restart with requests still at the upstream.
--- a/test/upstream/keyPartitions.test.ts
+++ b/test/upstream/keyPartitions.test.ts
@@ -152,8 +152,9 @@
   await lease.claim();
   const until = lease.getHeld()?.until ?? 0;
   fault = 'delayWrite';
-  await lease.release();
-  assert.equal(lease.getHeld(), undefined);
+  const released = lease.release();
+  assert.equal(lease.getHeld(), undefined, 'a release has effect at once');
+  await released;
   fault = 'none';
   await lease.read();
   assert.equal(lease.getHeld(), undefined, 'reading alone gives no right');
