--- /dev/null
+++ b/demo/load.ts
@@ -0,0 +1,78 @@
+/** Calls of the demo. */
+import { randomUUID } from 'node:crypto';
+import type { Caller, CallResult } from '../standins/caller.js';
+import type { Mesh, MeshHost } from '../standins/launcher.js';
+import { STERNWACHT_CALLS } from '../standins/sternwacht.js';
+import { loadRuns } from '../standins/upstream/ledger.js';
+
+/** Counts of calls by what became of them. */
+export interface LoadCounts {
+  readonly sent: number;
+  /** Whole answers with status 200. */
+  readonly whole: number;
+  /** Everything else, by kind and reason. */
+  readonly other: Readonly<Record<string, number>>;
+}
+
+const PARALLEL = 16;
+
+function isWhole(result: CallResult): boolean {
+  return result.kind === 'answered' && result.status === 200 && result.check === 'whole';
+}
+
+function countResults(results: readonly CallResult[]): LoadCounts {
+  const other: Record<string, number> = {};
+  const failed = results.filter((result) => !isWhole(result));
+  for (const result of failed) {
+    const detail = result.kind === 'answered' ? `${result.status} ${result.check}` : result.reason;
+    const name = `${result.kind} ${detail}`;
+    other[name] = (other[name] ?? 0) + 1;
+  }
+  return { sent: results.length, whole: results.length - failed.length, other };
+}
+
+/** Sends browsing calls through all entry hosts in turn until `isDone`. */
+export async function runBrowsing(
+  caller: Caller,
+  entries: readonly MeshHost[],
+  isDone: (sent: number) => boolean,
+): Promise<LoadCounts> {
+  const results: CallResult[] = [];
+  let started = 0;
+  const work = async () => {
+    while (!isDone(started)) {
+      const entry = entries[started % entries.length];
+      if (entry === undefined) return;
+      started += 1;
+      const call = started % 2 === 0 ? STERNWACHT_CALLS.calendar : STERNWACHT_CALLS.pads;
+      const callId = randomUUID();
+      results.push(await caller.send({ ...call, callId, entryUrl: entry.callUrl, length: 2000 }));
+    }
+  };
+  await Promise.all(Array.from({ length: PARALLEL }, work));
+  return countResults(results);
+}
+
+/** Books with a token, sending each booking twice; returns the runs of each booking. */
+export async function runBookings(mesh: Mesh, caller: Caller, count: number): Promise<number[]> {
+  const call = STERNWACHT_CALLS.booking;
+  const bookings: string[][] = [];
+  for (let booking = 0; booking < count; booking += 1) {
+    const entries = [0, 1].map((step) => mesh.hosts[(booking + step * 5) % mesh.hosts.length]);
+    const [first, second] = entries as [MeshHost, MeshHost];
+    const key = await caller.requestToken({ ...call, entryUrl: first.callUrl });
+    if (key === undefined) throw new Error(`${first.nodeId} gives no token`);
+    const sameKeyIds = [randomUUID(), randomUUID()];
+    const results = await Promise.all(
+      [first, second].map((entry, index) => {
+        const callId = sameKeyIds[index] ?? '';
+        return caller.send({ ...call, callId, key, sameKeyIds, entryUrl: entry.callUrl });
+      }),
+    );
+    const failed = results.find((result) => !isWhole(result));
+    if (failed !== undefined) throw new Error(`booking: ${JSON.stringify(failed)}`);
+    bookings.push(sameKeyIds);
+  }
+  const runs = mesh.hosts.flatMap((host) => loadRuns(host.runLog));
+  return bookings.map((ids) => runs.filter((run) => ids.includes(run.callId)).length);
+}
--- /dev/null
+++ b/standins/caller.ts
@@ -0,0 +1,125 @@
+/** A caller of the mesh that judges each response: outcome, wholeness and identity. */
+import { Agent, request } from 'undici';
+import { CALL_HEADERS } from '../src/types/outcome.js';
+import { checkAnswer, type AnswerCheck } from './upstream/answer.js';
+
+/** One request to the call port of a node. */
+export interface CallPlan {
+  /** Address of the entry node's call port. */
+  readonly entryUrl: string;
+  readonly authority: string;
+  readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
+  readonly path: string;
+  /** Identifies this request; the upstream counts runs by it. */
+  readonly callId: string;
+  /** Token or UUIDv7 key. */
+  readonly key?: string;
+  /** Ids of all requests with this key, whose answer is right for this one too. */
+  readonly sameKeyIds?: readonly string[];
+  /** Length of the answer's filling. */
+  readonly length?: number;
+  /** Levels of nested calls. */
+  readonly depth?: number;
+}
+
+/** What the caller got. */
+export type CallResult =
+  | {
+      readonly kind: 'answered';
+      readonly status: number;
+      readonly check: AnswerCheck;
+      /** Configuration version of the entry node for this call; 0 when not stated. */
+      readonly version: number;
+    }
+  | { readonly kind: 'notRun' | 'unknown'; readonly status: number; readonly reason: string }
+  /** The connection could not be made, so nothing was sent. */
+  | { readonly kind: 'unsent'; readonly reason: string }
+  /** The connection ended before the response did. */
+  | { readonly kind: 'broken'; readonly reason: string };
+
+/** A caller with its own connections. */
+export interface Caller {
+  send(plan: CallPlan): Promise<CallResult>;
+  /** Requests a token for a `once` call; undefined when the node gives none. */
+  requestToken(
+    plan: Pick<CallPlan, 'entryUrl' | 'authority' | 'method' | 'path'>,
+  ): Promise<string | undefined>;
+  close(): Promise<void>;
+}
+
+const CONNECT_TIMEOUT_MS = 2_000;
+const ANSWER_TIMEOUT_MS = 30_000;
+
+function describeError(thrown: unknown): string {
+  const { code, message } = thrown as { code?: string; message?: string };
+  return code ?? message ?? String(thrown);
+}
+
+function checkBody(body: string, plan: CallPlan): AnswerCheck {
+  const ids = [plan.callId, ...(plan.sameKeyIds ?? [])];
+  const checks = ids.map((callId) => checkAnswer(body, callId));
+  if (checks.includes('whole')) return 'whole';
+  return checks.includes('truncated') ? 'truncated' : 'crossed';
+}
+
+/** Creates a caller. Each call has a connection of its own, so a closed one is never a race. */
+export function createCaller(): Caller {
+  const agent = new Agent({
+    pipelining: 0,
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    headersTimeout: ANSWER_TIMEOUT_MS,
+    bodyTimeout: ANSWER_TIMEOUT_MS,
+  });
+
+  const buildHeaders = (plan: CallPlan): Record<string, string> => {
+    const headers: Record<string, string> = { host: plan.authority, 'x-call-id': plan.callId };
+    if (plan.key !== undefined) headers[CALL_HEADERS.key] = plan.key;
+    if (plan.length !== undefined) headers['x-answer-length'] = String(plan.length);
+    if (plan.depth !== undefined) headers['x-call-depth'] = String(plan.depth);
+    return headers;
+  };
+
+  const send = async (plan: CallPlan): Promise<CallResult> => {
+    try {
+      const answer = await request(plan.entryUrl + plan.path, {
+        dispatcher: agent,
+        method: plan.method,
+        headers: buildHeaders(plan),
+        body: plan.method === 'POST' || plan.method === 'PUT' ? '{"pads":1}' : undefined,
+      });
+      const text = await answer.body.text();
+      const outcome = answer.headers[CALL_HEADERS.outcome]?.toString();
+      const reason = answer.headers[CALL_HEADERS.reason]?.toString() ?? '';
+      const status = answer.statusCode;
+      if (outcome === 'not-run') return { kind: 'notRun', status, reason };
+      if (outcome !== undefined) return { kind: 'unknown', status, reason };
+      const version = Number(answer.headers[CALL_HEADERS.version] ?? 0);
+      const isBodyOfAnswer = status === 200 || status === 502;
+      const check = isBodyOfAnswer ? checkBody(text, plan) : 'whole';
+      return { kind: 'answered', status, check, version };
+    } catch (thrown) {
+      const reason = describeError(thrown);
+      const isUnsent = reason === 'ECONNREFUSED' || reason === 'UND_ERR_CONNECT_TIMEOUT';
+      return { kind: isUnsent ? 'unsent' : 'broken', reason };
+    }
+  };
+
+  return {
+    send,
+    requestToken: async ({ entryUrl, authority, method, path }) => {
+      const query = new URLSearchParams({ path, method });
+      try {
+        const answer = await request(`${entryUrl}/.lycheelane/token?${query}`, {
+          dispatcher: agent,
+          method: 'POST',
+          headers: { host: authority },
+        });
+        const text = await answer.body.text();
+        return answer.statusCode === 200 ? text.trim() : undefined;
+      } catch {
+        return undefined;
+      }
+    },
+    close: () => agent.destroy(),
+  };
+}
