Test the refusal of calls that cannot finish before their deadline

Cause: a test title claimed this refusal, but its assertions only reached the full queue.

Change: the title names what it checks, and a test of its own covers the estimate.

--- a/test/upstream/dispatcher.test.ts
+++ b/test/upstream/dispatcher.test.ts
@@ -155,8 +155,8 @@
   assert.equal(dispatcher.getCounts().abandoned, 2);
 });
 
-// Guards against overload that hits important calls first, and against waits without a chance.
-test('under overload sheddable calls go first and hopeless ones are refused at once', async (t) => {
+// Guards against overload that hits important calls first.
+test('under overload sheddable calls go first', async (t) => {
   const open: (() => void)[] = [];
   const { dispatcher, upstream } = await startPair(
     t,
@@ -194,6 +194,27 @@
   assert.equal(dispatcher.getCounts().refused.overloaded, 2);
 });
 
+// Guards against calls that wait in the queue without a chance to finish in time.
+test('a call that cannot finish before its deadline is refused before it waits', async (t) => {
+  const { dispatcher, upstream } = await startPair(
+    t,
+    (request, response) => {
+      if (upstream.seen.length === 1) setTimeout(() => response.end(), 100);
+    },
+    1,
+  );
+  const first = await dispatcher.dispatch(buildCall());
+  if (first.kind === 'answered') await readText(first.body);
+  void dispatcher.dispatch(buildCall());
+  // The mean run time is about 100 ms, so a wait and a run take about 200 ms.
+  const refused = dispatcher.dispatch(buildCall({}, 150));
+  assert.equal(dispatcher.getCounts().queued, 0);
+  const result = await refused;
+  assert.equal(result.kind === 'notRun' && result.reason, 'overloaded');
+  void dispatcher.dispatch(buildCall({}, 5000));
+  assert.equal(dispatcher.getCounts().queued, 1);
+});
+
 // Guards against requests to an upstream that is leaving, and against cut requests at a stop.
 test('a drain refuses new and queued work, waits for the rest, reports what it cut', async (t) => {
   const open: (() => void)[] = [];
