--- /dev/null
+++ b/soak/callers.ts
@@ -0,0 +1,122 @@
+/** Calls of the soak run: browsing, and `once` calls without key, with token or UUIDv7 key. */
+import { randomUUID } from 'node:crypto';
+import { setMaxListeners } from 'node:events';
+import { v7 } from 'uuid';
+import { waitMs } from '../src/utils/backoff.js';
+import { createCaller, type CallPlan, type CallResult } from '../standins/caller.js';
+import type { Mesh, MeshHost } from '../standins/launcher.js';
+import { chooseOne } from '../standins/random.js';
+import { STERNWACHT_CALLS } from '../standins/sternwacht.js';
+import type { SentCall, SoakChecker } from './checker.js';
+
+/** Tells whether planned stops are the only faults now. */
+export interface CalmState {
+  /** Number of the calm round; 0 outside of one. */
+  round: number;
+}
+
+/** Running callers. */
+export interface SoakCallers {
+  /** Results by kind and reason. */
+  readonly results: ReadonlyMap<string, number>;
+  /** Stops new calls and waits for those in flight. */
+  stop(): Promise<void>;
+}
+
+const WORKERS = 12;
+const THINK_MS = 30;
+const MAX_SENDS = 3;
+const ONCE_CALLS = [
+  STERNWACHT_CALLS.booking,
+  STERNWACHT_CALLS.deposit,
+  STERNWACHT_CALLS.cancellation,
+] as const;
+const BROWSING_CALLS = [STERNWACHT_CALLS.calendar, STERNWACHT_CALLS.pads] as const;
+
+type Template = (typeof ONCE_CALLS)[number] | (typeof BROWSING_CALLS)[number];
+
+/** Starts the workers. */
+export function startCallers(
+  mesh: Mesh,
+  checker: SoakChecker,
+  calm: Readonly<CalmState>,
+  random: () => number,
+): SoakCallers {
+  const caller = createCaller();
+  const stopping = new AbortController();
+  setMaxListeners(WORKERS, stopping.signal);
+  const results = new Map<string, number>();
+  const chooseHost = () => chooseOne(mesh.hosts, random) as MeshHost;
+
+  const sendOne = async (
+    template: Template,
+    call: Omit<SentCall, 'entryId' | 'isCalm'>,
+    extra: Pick<CallPlan, 'key' | 'sameKeyIds'>,
+  ): Promise<CallResult> => {
+    const entry = chooseHost();
+    const { round } = calm;
+    const sent = { ...call, entryId: entry.nodeId, isCalm: false };
+    const servedBefore = checker.getHostVersion(entry.nodeId);
+    checker.recordCall(sent);
+    const length = Math.floor(random() * 20_000);
+    const { callId } = call;
+    const plan = { ...template, ...extra, callId, length, entryUrl: entry.callUrl };
+    const result = await caller.send(plan);
+    const isCalm = round !== 0 && round === calm.round;
+    checker.recordResult({ ...sent, isCalm }, result);
+    if (result.kind === 'answered' && result.version > 0) {
+      checker.recordServedVersion(entry.nodeId, servedBefore, result.version);
+    }
+    const detail = result.kind === 'answered' ? String(result.status) : result.reason;
+    const name = `${result.kind} ${detail}`;
+    results.set(name, (results.get(name) ?? 0) + 1);
+    return result;
+  };
+
+  /** Sends an operation again after a failure, and now and then twice at the same time. */
+  const runOnce = async (template: Template): Promise<void> => {
+    const kind = chooseOne(['none', 'token', 'uuid'] as const, random);
+    const operationId = randomUUID();
+    let key: string | undefined;
+    if (kind === 'uuid') key = v7();
+    if (kind === 'token') {
+      key = await caller.requestToken({ ...template, entryUrl: chooseHost().callUrl });
+    }
+    const sameKeyIds: string[] = [];
+    const send = () => {
+      const callId = randomUUID();
+      sameKeyIds.push(callId);
+      const extra = key === undefined ? {} : { key, sameKeyIds };
+      return sendOne(template, { callId, operationId, isOnce: true }, extra);
+    };
+    for (let sends = 0; sends < MAX_SENDS; sends += 1) {
+      const isDoubled = key !== undefined && random() < 0.3;
+      const [first] = await Promise.all(isDoubled ? [send(), send()] : [send()]);
+      const mayRepeat = first?.kind === 'notRun' || first?.kind === 'unsent' || key !== undefined;
+      if (first?.kind === 'answered' || !mayRepeat) return;
+      await waitMs(THINK_MS);
+    }
+  };
+
+  const runBrowsing = async (template: Template): Promise<void> => {
+    const callId = randomUUID();
+    await sendOne(template, { callId, operationId: callId, isOnce: false }, {});
+  };
+
+  const work = async () => {
+    while (!stopping.signal.aborted) {
+      if (random() < 0.5) await runOnce(chooseOne(ONCE_CALLS, random) as Template);
+      else await runBrowsing(chooseOne(BROWSING_CALLS, random) as Template);
+      await waitMs(THINK_MS * random(), stopping.signal);
+    }
+  };
+  const running = Promise.all(Array.from({ length: WORKERS }, work));
+  return {
+    results,
+    stop: async () => {
+      stopping.abort();
+      await running;
+      await caller.close();
+    },
+  };
+}
--- /dev/null
+++ b/soak/main.ts
@@ -0,0 +1,99 @@
+/** Program: runs calls under random faults and checks the guarantees (`npm run soak`). */
+import { waitMs } from '../src/utils/backoff.js';
+import { applyFolder, copyExample } from '../standins/configFolder.js';
+import { startMesh, type Mesh } from '../standins/launcher.js';
+import { readNode } from '../standins/observe.js';
+import { parseOptions } from '../standins/options.js';
+import { createRandom } from '../standins/random.js';
+import { STERNWACHT } from '../standins/sternwacht.js';
+import { loadRuns } from '../standins/upstream/ledger.js';
+import { startCallers, type CalmState } from './callers.js';
+import { SoakChecker, VIOLATIONS } from './checker.js';
+import { createConfigChanger } from './configChanges.js';
+import { createRounds } from './rounds.js';
+import { createVersionReader, startNodeWatch } from './watchNodes.js';
+
+const CATCH_UP_MS = 15_000;
+
+function formatCounts(counts: ReadonlyMap<string | number, number>): string {
+  return [...counts]
+    .sort(([, one], [, other]) => other - one)
+    .map(([name, count]) => `${name}=${count}`)
+    .join(', ');
+}
+
+async function checkFinalVersions(mesh: Mesh, checker: SoakChecker): Promise<void> {
+  const accepted = await createVersionReader(mesh).readHeadVersion();
+  const endMs = performance.now() + CATCH_UP_MS;
+  for (const host of mesh.hosts) {
+    let version = (await readNode(host))?.version ?? 0;
+    while (version < accepted && performance.now() < endMs) {
+      await waitMs(100);
+      version = (await readNode(host))?.version ?? 0;
+    }
+    checker.recordFinalVersion(host.nodeId, version, accepted);
+  }
+}
+
+function printTable(checker: SoakChecker): void {
+  console.log('violation                             count');
+  for (const name of VIOLATIONS) {
+    console.log(`${name.padEnd(36)}${String(checker.getCount(name)).padStart(7)}`);
+    for (const example of checker.getExamples(name)) console.log(`    ${example}`);
+  }
+}
+
+async function runSoak(mesh: Mesh, minutes: number, seed: number): Promise<boolean> {
+  const endMs = performance.now() + minutes * 60_000;
+  const checker = new SoakChecker();
+  const calm: CalmState = { round: 0 };
+  const folder = await copyExample(mesh, 'sternwacht');
+  await applyFolder(mesh, folder);
+  await mesh.waitReady();
+  const changer = createConfigChanger(mesh, folder, createRandom(seed + 1));
+  const rounds = createRounds({ mesh, checker, calm, changer, random: createRandom(seed + 2) });
+  const watch = startNodeWatch(mesh, checker);
+  const callers = startCallers(mesh, checker, calm, createRandom(seed + 3));
+  let done = 0;
+  let failure: unknown;
+  try {
+    while (performance.now() < endMs) {
+      await rounds.runRound();
+      done += 1;
+      console.log(`round ${done}: ${formatCounts(rounds.counts)}`);
+    }
+    await rounds.finish();
+  } catch (thrown) {
+    failure = thrown;
+  }
+  await callers.stop();
+  if (failure === undefined) await checkFinalVersions(mesh, checker);
+  await watch.stop();
+  await Promise.all(mesh.hosts.map((host) => mesh.kill(host.instanceId)));
+  const runs = mesh.hosts.flatMap((host) => loadRuns(host.runLog));
+  for (const run of runs) checker.recordRun(run.callId);
+
+  const calls = [...callers.results.values()].reduce((sum, count) => sum + count, 0);
+  console.log(`seed ${seed}, ${done} rounds, ${calls} calls, ${runs.length} runs`);
+  console.log(`calls: ${formatCounts(callers.results)}`);
+  console.log(`faults: ${formatCounts(rounds.counts)}`);
+  console.log(`config changes by exit code: ${formatCounts(changer.counts)}`);
+  console.log(`samples: ${watch.counts.versions} versions, ${watch.counts.routes} routes`);
+  printTable(checker);
+  if (failure !== undefined) console.log(`the run ended early: ${String(failure)}`);
+  return failure === undefined && !checker.hasViolations();
+}
+
+const options = parseOptions({ minutes: '5', seed: '1' });
+const seed = Number(options.seed);
+const mesh = await startMesh({
+  ...STERNWACHT,
+  seed,
+  nodeSettings: { logLevel: 'warn', calls: { stopLimitMs: 20_000 } },
+});
+try {
+  process.exitCode = (await runSoak(mesh, Number(options.minutes), seed)) ? 0 : 1;
+  console.log(process.exitCode === 0 ? 'PASS' : 'FAIL');
+} finally {
+  await mesh.stop();
+}
