--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -13,6 +13,8 @@
 export interface CalmState {
   /** Number of the calm round; 0 outside of one. */
   round: number;
+  /** Process that was stopped last. */
+  stopped: string;
 }
 
 /** Running callers. */
@@ -63,7 +65,7 @@
     const plan = { ...template, ...extra, callId, length, entryUrl: entry.callUrl };
     const result = await caller.send(plan);
     const isCalm = round !== 0 && round === calm.round;
-    checker.recordResult({ ...sent, isCalm }, result);
+    checker.recordResult({ ...sent, isCalm, stopped: calm.stopped }, result);
     if (result.kind === 'answered' && result.version > 0) {
       checker.recordServedVersion(entry.nodeId, servedBefore, result.version);
     }
--- a/soak/checker.ts
+++ b/soak/checker.ts
@@ -26,6 +26,8 @@
   readonly entryId: string;
   /** True when planned stops were the only faults from before the call to after its end. */
   readonly isCalm: boolean;
+  /** Process whose planned stop was the last one. */
+  readonly stopped?: string;
 }
 
 /** Version that a node reported. */
@@ -84,7 +86,7 @@
         // A token of a process that has stopped: this request came after the stop, and the caller
         // is told what section 10 of the design says.
         if (call.isCalm && result.reason !== 'process-replaced') {
-          const what = `${name}: ${result.kind} ${result.reason}`;
+          const what = `${name}: ${result.kind} ${result.reason}, stopped ${call.stopped}`;
           this.#add('requests cut by a planned stop', what);
         }
         return;
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -49,10 +49,14 @@
   const pause = (leastMs: number, mostMs: number) =>
     waitMs(leastMs + random() * (mostMs - leastMs));
 
-  /** Starts a process that another fault may have started already. */
-  const startAgain = async (id: string): Promise<void> => {
+  const startMissing = async (id: string): Promise<void> => {
     if (!mesh.getProcess(id).isRunning()) await mesh.start(id);
   };
+  /** Starts a process that another fault may have started already, or may kill meanwhile. */
+  const startAgain = (id: string): Promise<void> =>
+    startMissing(id).catch(() => {
+      // `heal` starts it, and there a failure counts.
+    });
   const killFor = async (ids: readonly string[], mostMs: number): Promise<void> => {
     await Promise.all(ids.map((id) => mesh.kill(id)));
     await pause(100, mostMs);
@@ -128,7 +132,7 @@
     for (const host of mesh.hosts) {
       for (const id of [host.nodeId, host.instanceId]) {
         if (mesh.getProcess(id).isFrozen()) mesh.thaw(id);
-        await startAgain(id);
+        await startMissing(id);
       }
       await mesh.setBehaviour(host.instanceId, GOOD_BEHAVIOUR);
     }
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -46,7 +46,7 @@
 async function runSoak(mesh: Mesh, minutes: number, seed: number): Promise<boolean> {
   const endMs = performance.now() + minutes * 60_000;
   const checker = new SoakChecker();
-  const calm: CalmState = { round: 0 };
+  const calm: CalmState = { round: 0, stopped: '' };
   const folder = await copyExample(mesh, 'sternwacht');
   await applyFolder(mesh, folder);
   await mesh.waitReady();
--- a/soak/rounds.ts
+++ b/soak/rounds.ts
@@ -42,14 +42,20 @@
   };
 
   const runMixed = async (): Promise<void> => {
-    const running: Promise<void>[] = [changeConfig()];
+    const failures: unknown[] = [];
+    const runAside = (fault: Promise<void>) =>
+      fault.catch((thrown: unknown) => {
+        failures.push(thrown);
+      });
+    const running = [runAside(changeConfig())];
     for (let started = 0; started < FAULTS_PER_ROUND; started += 1) {
       const name = chooseOne(FAULTS, random) as FaultName;
       count(name);
-      running.push(faults.runFault(name));
+      running.push(runAside(faults.runFault(name)));
       await waitMs(random() * 1_500);
     }
     await Promise.all(running);
+    if (failures.length > 0) throw failures[0];
     await faults.heal();
   };
 
@@ -66,6 +72,7 @@
     if (host === undefined) return;
     count('planned-stop');
     const id = random() < 0.7 ? host.nodeId : host.instanceId;
+    calm.stopped = id;
     const { code } = await mesh.terminate(id);
     checker.recordPlannedStop(id, code);
     await waitMs(random() * 500);
