Do not tell a repeated key that it was not run unless its owner says so

Change: only the process that owns the key, or that the token names, vouches for not-run; every other refusal of a keyed call is unknown with key-undecided. Token nonces are UUIDv7, so that the request memory can forget them. Ruled out: not-run for the arrival alone; true, but a caller would give up a booking that it has.

--- a/src/core/calls/answer.ts
+++ b/src/core/calls/answer.ts
@@ -17,6 +17,7 @@
 /** Names the node that should get the call instead, on an answer `wrong-node`. */
 export const HINT_HEADER = 'lycheelane-hint';
 const EXHAUSTED = 'exhausted';
+const KEY_CHECKED = 'checked';
 
 /** Why a response body did not reach the caller; undefined if it did. */
 type BodyEnd = { reason: UnknownReason; detail: string } | undefined;
@@ -71,6 +72,7 @@
     load: parseLoad(headers[CALL_HEADERS.load]),
     hint: typeof hint === 'string' ? brandText<NodeId>(hint) : undefined,
     retriesExhausted,
+    isKeyChecked: headers[CALL_HEADERS.keyState] === KEY_CHECKED,
   };
 }
 
@@ -92,6 +94,7 @@
   if (requestId !== undefined) headers[CALL_HEADERS.request] = requestId;
   if (result.retriesExhausted) headers[CALL_HEADERS.retry] = EXHAUSTED;
   if (result.kind === 'notRun' && result.load) headers[CALL_HEADERS.load] = formatLoad(result.load);
+  if (result.kind === 'notRun' && result.isKeyChecked) headers[CALL_HEADERS.keyState] = KEY_CHECKED;
   if (result.kind === 'notRun' && result.hint) headers[HINT_HEADER] = result.hint;
   // A caller that sends its body too slowly would hold the connection.
   if (!response.req.complete && result.reason === 'deadline') headers.connection = 'close';
--- a/src/core/calls/callKey.ts
+++ b/src/core/calls/callKey.ts
@@ -1,6 +1,6 @@
 /** Keys that make a call run at most once: tokens and caller-supplied UUIDv7 keys. */
-import { randomBytes } from 'node:crypto';
 import { ok, type Result } from 'neverthrow';
+import { v7 as createUuid } from 'uuid';
 import type { CallKey } from '../../types/calls.js';
 import { brandText, type NodeId, type ServiceName } from '../../types/ids.js';
 import { computeScore } from '../../utils/rendezvous.js';
@@ -11,13 +11,12 @@
 const TOKEN = /^lt1\.([\w-]{1,200})\.([\w-]{1,200})\.([\w-]{8,64})$/;
 const UUID_V7 = /^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$/i;
 const KEY_PARTITIONS = 8;
-const NONCE_BYTES = 16;
 
 /** Creates a token that only the named process may dispatch. */
 export function createToken(nodeId: string, incarnation: string): string {
   const encode = (text: string) => Buffer.from(text).toString('base64url');
-  const nonce = randomBytes(NONCE_BYTES).toString('base64url');
-  return `${TOKEN_PREFIX}${encode(nodeId)}.${encode(incarnation)}.${nonce}`;
+  // The time in a UUIDv7 tells the request memory when it may forget the token.
+  return `${TOKEN_PREFIX}${encode(nodeId)}.${encode(incarnation)}.${createUuid()}`;
 }
 
 function parseToken(text: string): Result<CallKey, Refusal> {
--- a/src/core/calls/entry.ts
+++ b/src/core/calls/entry.ts
@@ -33,6 +33,7 @@
   timeout: false,
   'process-replaced': false,
   'already-handed-over': false,
+  'key-undecided': false,
   cancelled: false,
 };
 
--- a/src/core/calls/refusal.ts
+++ b/src/core/calls/refusal.ts
@@ -51,6 +51,7 @@
   'mismatched-answer': 502,
   'process-replaced': 502,
   'already-handed-over': 502,
+  'key-undecided': 502,
   cancelled: 502,
 };
 
--- a/src/core/calls/serveCall.ts
+++ b/src/core/calls/serveCall.ts
@@ -10,7 +10,7 @@
 import { formatLoad, relayAnswer, toOutcome, writeFailure } from './answer.js';
 import { parseCallKey } from './callKey.js';
 import { runCall, type EntryParts } from './entry.js';
-import { refuse, type Refusal } from './refusal.js';
+import { buildUnknown, refuse, type FailedResult, type Refusal } from './refusal.js';
 import { readBody, type BodyBudget } from './requestBody.js';
 import {
   findRoute,
@@ -113,6 +113,30 @@
   };
 }
 
+/**
+ * A caller that repeats a key would take "not run" as a statement about all its arrivals. Only the
+ * process that owns the key can make that statement; any other refusal is `unknown`. Refusals of
+ * the request's form are made before any key could be accepted.
+ */
+function qualifyRefusal(result: FailedResult, hasKey: boolean): FailedResult {
+  if (result.kind !== 'notRun' || !hasKey || result.isKeyChecked) return result;
+  if (result.reason === 'bad-request' || result.reason === 'no-route') return result;
+  const detail = `${result.reason}: ${result.detail}; repeat the request with the same key`;
+  return { ...buildUnknown('key-undecided', detail), retriesExhausted: result.retriesExhausted };
+}
+
+/** Writes a refusal by the entry node itself and returns what it stated. */
+function writeRefusal(
+  response: ServerResponse,
+  { result, status }: Refusal,
+  requestId: string | undefined,
+  hasKey: boolean,
+): Outcome {
+  const qualified = qualifyRefusal(result, hasKey);
+  writeFailure(response, qualified, requestId, qualified === result ? status : undefined);
+  return toOutcome(qualified);
+}
+
 async function writeResult(
   response: ServerResponse,
   result: AttemptResult,
@@ -123,8 +147,9 @@
   if (result.kind !== 'answered') {
     const load = head.isForwarded ? parts.dispatcher.getLoad(call.route.service.name) : undefined;
     const stated = result.kind === 'notRun' && load ? { ...result, load } : result;
-    writeFailure(response, stated, call.requestId);
-    return toOutcome(result);
+    const qualified = qualifyRefusal(stated, !head.isForwarded && head.key.kind !== 'none');
+    writeFailure(response, qualified, call.requestId);
+    return toOutcome(qualified);
   }
   const added: OutgoingHttpHeaders = { [CALL_HEADERS.request]: call.requestId };
   if (head.isForwarded) {
@@ -150,15 +175,16 @@
     ? refuse<CallHead>('overloaded', 'too many calls are in flight')
     : parseHead(request, parts, requestId, startMs);
   if (head.isErr()) {
-    writeFailure(response, head.error.result, requestId, head.error.status);
+    const hasKey = !isForwarded && request.headers[CALL_HEADERS.key] !== undefined;
+    writeRefusal(response, head.error, requestId, hasKey);
     return;
   }
   const { route, deadlineMs } = head.value;
   const held = await readBody(request, parts.bodies, deadlineMs);
   let outcome: Outcome;
   if (held.isErr()) {
-    writeFailure(response, held.error.result, requestId, held.error.status);
-    outcome = toOutcome(held.error.result);
+    const hasKey = !isForwarded && head.value.key.kind !== 'none';
+    outcome = writeRefusal(response, held.error, requestId, hasKey);
   } else {
     try {
       const id = brandText<RequestId>(requestId ?? '');
--- a/src/core/upstream/onceCalls.ts
+++ b/src/core/upstream/onceCalls.ts
@@ -98,15 +98,24 @@
     return result;
   };
 
-  const runFirst = (call: Call, key: MemoryKey): AttemptResult | Promise<AttemptResult> => {
+  const takeKey = (call: Call): AttemptResult | undefined => {
+    if (call.key.kind !== 'uuid') return undefined;
+    return convertVerdict(call, partitions.takeKey(call.route.service.name, call.key));
+  };
+
+  /** Marks a refusal of a key that this process owns and has not run. */
+  const markChecked = (call: Call, result: AttemptResult): AttemptResult => {
+    if (result.kind !== 'notRun' || takeKey(call)) return result;
+    return { ...result, isKeyChecked: true };
+  };
+
+  const runFirst = async (call: Call, key: MemoryKey): Promise<AttemptResult> => {
     const reservation = memory.add(key);
-    if (!reservation) {
-      return buildNotRun('overloaded', 'the memory of dispatched keys is full', getLoad(call));
+    if (reservation) {
+      return markChecked(call, await run(call, reservation, () => takeKey(call)));
     }
-    return run(call, reservation, () => {
-      if (call.key.kind !== 'uuid') return undefined;
-      return convertVerdict(call, partitions.takeKey(call.route.service.name, call.key));
-    });
+    const detail = 'the memory of dispatched keys is full';
+    return markChecked(call, buildNotRun('overloaded', detail, getLoad(call)));
   };
 
   return async (call: Call, key: MemoryKey): Promise<AttemptResult> => {
@@ -129,7 +138,7 @@
         }
         case 'new': {
           const refusal = checkServing(call);
-          if (refusal) return refusal;
+          if (refusal) return isOwnerChecked ? markChecked(call, refusal) : refusal;
           if (isOwnerChecked || call.key.kind !== 'uuid') return runFirst(call, key);
           // The check may read the platform; afterwards the memory is asked again.
           const verdict = await partitions.checkKey(call.route.service.name, call.key);
--- a/src/types/calls.ts
+++ b/src/types/calls.ts
@@ -60,6 +60,11 @@
       readonly hint?: NodeId;
       /** True when an inner level already spent its retries. */
       readonly retriesExhausted: boolean;
+      /**
+       * True when the process that alone may dispatch the call's key vouches that no arrival of the
+       * key was run. Without it a refusal speaks only for this arrival.
+       */
+      readonly isKeyChecked?: boolean;
     }
   | {
       readonly kind: 'unknown';
--- a/src/types/outcome.ts
+++ b/src/types/outcome.ts
@@ -22,6 +22,7 @@
   | 'mismatched-answer'
   | 'process-replaced'
   | 'already-handed-over'
+  | 'key-undecided'
   | 'cancelled';
 
 /** What the system can truthfully say about one request. */
@@ -44,4 +45,5 @@
   depth: 'lycheelane-depth',
   version: 'lycheelane-version',
   key: 'idempotency-key',
+  keyState: 'lycheelane-key',
 } as const;
--- a/test/upstream/once.test.ts
+++ b/test/upstream/once.test.ts
@@ -190,3 +190,19 @@
     clock.stop();
   }
 });
+
+// Guards against a refusal that vouches for a key without knowing whether it ran elsewhere.
+test('only the process that alone may run a key vouches that it was not run', async (t) => {
+  const { dispatcher, send } = await startOnce(t, (request, response) => {
+    response.end('ok');
+  });
+  await dispatcher.drain(0);
+  const key = buildKey(Date.now());
+  const nodeId = brandText<NodeId>('n1');
+  const token: Call['key'] = { kind: 'token', nodeId, incarnation: '1-a', nonce: key.text };
+  const refusals = await Promise.all([send(token), send(key)]);
+  assert.deepEqual(
+    refusals.map((result) => result.kind === 'notRun' && result.isKeyChecked === true),
+    [true, false],
+  );
+});
