Separate the relays' cost in the benchmark and fit it at the design size

Cause: bytes and processor time were means over all nodes, so what a relay costs could not be told; 96 daemons started at once under load passed the launcher's limit of 20 s (seen once, mode direct, load average 70).

Change: bytes and CPU per relay and of the largest node; `bench -- fit` fits the figures of several result files over members per data centre and data centres; nodes start eight at a time.

--- a/bench/convergence.ts
+++ b/bench/convergence.ts
@@ -59,10 +59,10 @@
   const { bytes, messages } = countTotals(diffTotals(before.control, after.control), /config\./);
   const seconds = (after.atMs - before.atMs) / 1000;
   const calls = after.platform.total - before.platform.total;
-  const perChange = options.changes * after.nodes;
+  const perChange = options.changes * after.nodes.length;
   return {
-    nodes: after.nodes,
-    relays: after.relays,
+    nodes: after.nodes.length,
+    relays: after.nodes.filter(({ isRelay }) => isRelay).length,
     quiet,
     enforcedMs: computeSummary(all),
     lastNodeMs: computeSummary(last),
--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -22,6 +22,8 @@
 
 const POLL_MS = 20;
 const START_LIMIT_MS = 90_000;
+/** Nodes started at a time; 96 at once exceeded the launcher's 20 s on a loaded machine. */
+const START_BATCH = 8;
 /** Port announced for upstreams that are never called. */
 const UNUSED_PORT = 9;
 
@@ -41,7 +43,7 @@
 
 /** Starts a fleet and waits until all of it enforces a first version. */
 export async function startFleet(topology: Topology, content: ConfigContent): Promise<Fleet> {
-  const mesh = await startMesh(topology, { upstreams: false });
+  const mesh = await startMesh(topology, { nodes: false, upstreams: false });
   const publisher = createPublisher(mesh.platformUrl, content);
   const announcers = mesh.hosts.map(announceHost);
 
@@ -69,6 +71,10 @@
     await mesh.stop();
   };
   try {
+    for (let first = 0; first < mesh.hosts.length; first += START_BATCH) {
+      const batch = mesh.hosts.slice(first, first + START_BATCH);
+      await Promise.all(batch.map(({ nodeId }) => mesh.start(nodeId)));
+    }
     await publisher.publish();
     await mesh.waitReady(undefined, START_LIMIT_MS);
   } catch (thrown) {
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,6 +5,7 @@
 import { measureConvergence } from './convergence.js';
 import { EXAMPLES, readExample } from './examples.js';
 import { measureCut, measureHerd, measureOutage } from './faults.js';
+import { renderFitTable } from './fit.js';
 import { startFleet, type Fleet } from './fleet.js';
 import { buildContext, renderReport, writeReport, type RunResult } from './report.js';
 import { buildBase, buildTopology, setMode, type Mode } from './topologies.js';
@@ -13,6 +14,7 @@
 type Benchmark = (typeof BENCHMARKS)[number];
 
 const USAGE = `usage: npm run bench -- [${BENCHMARKS.join('|')}|all]... [options]
+       npm run bench -- fit RESULT.json...
   --nodes 6,12,24,48,96   fleet sizes of convergence
   --fault-nodes 24        fleet size of herd, outage and cut
   --data-centres 3        data centres of all but the examples
@@ -118,6 +120,10 @@
 }
 
 async function main(): Promise<void> {
+  if (positionals[0] === 'fit') {
+    console.log(await renderFitTable(positionals.slice(1)));
+    return;
+  }
   const unknown = positionals.filter((name) => ![...BENCHMARKS, 'all'].includes(name));
   const isFaulty = unknown.length > 0 || modes.some((mode) => !['relay', 'direct'].includes(mode));
   if (values.help || positionals.length === 0 || isFaulty) {
--- a/bench/sample.ts
+++ b/bench/sample.ts
@@ -7,13 +7,18 @@
 /** Totals of one message type over all nodes, by `<direction> <type>`. */
 export type ControlTotals = Readonly<Record<string, { messages: number; bytes: number }>>;
 
-/** Counters at one moment, summed over the nodes. */
+/** Counters of one node. */
+export interface NodeSample {
+  readonly isRelay: boolean;
+  readonly bytes: number;
+  readonly cpuMs: number;
+}
+
+/** Counters at one moment; `control` is summed over the nodes. */
 export interface Sample {
   readonly atMs: number;
-  readonly nodes: number;
-  readonly relays: number;
+  readonly nodes: readonly NodeSample[];
   readonly control: ControlTotals;
-  readonly cpuMs: number;
   readonly residentBytes: readonly number[];
   readonly platform: PlatformStats;
 }
@@ -25,6 +30,11 @@
   readonly messagesPerNodeSecond: number;
   readonly byType: ControlTotals;
   readonly cpuPercentPerNode: number;
+  /** Means over the nodes that are relays at the end of the period. */
+  readonly relayBytesPerSecond: number;
+  readonly relayCpuPercent: number;
+  /** Largest value of one node. */
+  readonly maxBytesPerSecond: number;
   readonly platformCallsPerSecond: number;
   readonly platformBytesPerNodeSecond: number;
 }
@@ -58,6 +68,15 @@
   return sums;
 }
 
+/** Sums the bytes and messages of the types that match. */
+export function countTotals(totals: ControlTotals, pattern = /./) {
+  const matching = Object.entries(totals).filter(([type]) => pattern.test(type));
+  return {
+    messages: matching.reduce((sum, [, total]) => sum + total.messages, 0),
+    bytes: matching.reduce((sum, [, total]) => sum + total.bytes, 0),
+  };
+}
+
 /** Reads the counters of all nodes. */
 export async function collectSample({ mesh }: Fleet): Promise<Sample> {
   const atMs = performance.now();
@@ -68,10 +87,12 @@
   );
   return {
     atMs,
-    nodes: mesh.hosts.length,
-    relays: statuses.filter(({ relay }) => relay).length,
+    nodes: statuses.map(({ relay, control }, index) => ({
+      isRelay: relay,
+      bytes: countTotals(control).bytes,
+      cpuMs: cpu[index] as number,
+    })),
     control: mergeTotals(statuses.map(({ control }) => control)),
-    cpuMs: cpu.reduce((sum, value) => sum + value, 0),
     residentBytes: statuses.map((status) => status.process.residentBytes),
     platform: await mesh.readPlatformStats(),
   };
@@ -92,19 +113,18 @@
   );
 }
 
-/** Sums the bytes and messages of the types that match. */
-export function countTotals(totals: ControlTotals, pattern = /./) {
-  const matching = Object.entries(totals).filter(([type]) => pattern.test(type));
-  return {
-    messages: matching.reduce((sum, [, total]) => sum + total.messages, 0),
-    bytes: matching.reduce((sum, [, total]) => sum + total.bytes, 0),
-  };
-}
-
 /** Computes rates per node between two samples of the same processes. */
 export function computeRates(before: Sample, after: Sample): Rates {
   const seconds = (after.atMs - before.atMs) / 1000;
-  const perNodeSecond = seconds * after.nodes;
+  const perNodeSecond = seconds * after.nodes.length;
+  const nodes = after.nodes.map(({ isRelay, bytes: total, cpuMs }, index) => ({
+    isRelay,
+    bytes: (total - (before.nodes[index]?.bytes ?? 0)) / seconds,
+    cpuPercent: ((cpuMs - (before.nodes[index]?.cpuMs ?? 0)) / (seconds * 1000)) * 100,
+  }));
+  const relays = nodes.filter(({ isRelay }) => isRelay);
+  const computeMean = (values: readonly number[]) =>
+    values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
   const difference = diffTotals(before.control, after.control);
   const { messages, bytes } = countTotals(difference);
   const countPlatform = ({ platform }: Sample) => platform.bytesIn + platform.bytesOut;
@@ -118,7 +138,10 @@
         { messages: total.messages / perNodeSecond, bytes: total.bytes / perNodeSecond },
       ]),
     ),
-    cpuPercentPerNode: ((after.cpuMs - before.cpuMs) / 1000 / perNodeSecond) * 100,
+    cpuPercentPerNode: computeMean(nodes.map(({ cpuPercent }) => cpuPercent)),
+    relayBytesPerSecond: computeMean(relays.map((node) => node.bytes)),
+    relayCpuPercent: computeMean(relays.map(({ cpuPercent }) => cpuPercent)),
+    maxBytesPerSecond: Math.max(...nodes.map((node) => node.bytes)),
     platformCallsPerSecond: (after.platform.total - before.platform.total) / seconds,
     platformBytesPerNodeSecond: (countPlatform(after) - countPlatform(before)) / perNodeSecond,
   };
