--- a/src/core/calls/answer.ts
+++ b/src/core/calls/answer.ts
@@ -14,8 +14,6 @@
 } from './refusal.js';
 import { listEndToEndHeaders } from './requestHead.js';
 
-/** Names the node that should get the call instead, on an answer `wrong-node`. */
-export const HINT_HEADER = 'lycheelane-hint';
 const EXHAUSTED = 'exhausted';
 
 /** Why a response body did not reach the caller; undefined if it did. */
@@ -63,7 +61,7 @@
     const known = isReason(UNKNOWN_STATUS, reason) ? reason : 'connection-lost';
     return { kind: 'unknown', reason: known, detail, retriesExhausted };
   }
-  const hint = headers[HINT_HEADER];
+  const hint = headers[CALL_HEADERS.hint];
   return {
     kind: 'notRun',
     reason: isReason(NOT_RUN_STATUS, reason) ? reason : 'not-ready',
@@ -92,7 +90,7 @@
   if (requestId !== undefined) headers[CALL_HEADERS.request] = requestId;
   if (result.retriesExhausted) headers[CALL_HEADERS.retry] = EXHAUSTED;
   if (result.kind === 'notRun' && result.load) headers[CALL_HEADERS.load] = formatLoad(result.load);
-  if (result.kind === 'notRun' && result.hint) headers[HINT_HEADER] = result.hint;
+  if (result.kind === 'notRun' && result.hint) headers[CALL_HEADERS.hint] = result.hint;
   // A caller that sends its body too slowly would hold the connection.
   if (!response.req.complete && result.reason === 'deadline') headers.connection = 'close';
   response.writeHead(status, headers);
--- a/src/core/calls/callKey.ts
+++ b/src/core/calls/callKey.ts
@@ -2,15 +2,13 @@
 import { randomBytes } from 'node:crypto';
 import { ok, type Result } from 'neverthrow';
 import type { CallKey } from '../../types/calls.js';
-import { brandText, type NodeId, type ServiceName } from '../../types/ids.js';
-import { computeScore } from '../../utils/rendezvous.js';
+import { brandText, type NodeId } from '../../types/ids.js';
+import { parseUuidTime } from '../../utils/uuidTime.js';
 import { refuse, type Refusal } from './refusal.js';
 
 const NO_KEY: CallKey = { kind: 'none' };
 const TOKEN_PREFIX = 'lt1.';
 const TOKEN = /^lt1\.([\w-]{1,200})\.([\w-]{1,200})\.([\w-]{8,64})$/;
-const UUID_V7 = /^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$/i;
-const KEY_PARTITIONS = 8;
 const NONCE_BYTES = 16;
 
 /** Creates a token that only the named process may dispatch. */
@@ -44,19 +42,9 @@
   const text = typeof header === 'string' ? header : header.join(',');
   if (text.startsWith(TOKEN_PREFIX)) return parseToken(text);
   if (!isOnce) return ok(NO_KEY);
-  if (!UUID_V7.test(text)) {
+  const issuedAtMs = parseUuidTime(text);
+  if (issuedAtMs === undefined) {
     return refuse('bad-request', 'idempotency-key is neither a token nor a UUIDv7');
   }
-  const issuedAtMs = Number.parseInt(text.slice(0, 8) + text.slice(9, 13), 16);
   return ok({ kind: 'uuid', text: text.toLowerCase(), issuedAtMs });
 }
-
-/** Returns the index of the key partition of a caller-supplied key. */
-export function computeKeyPartition(key: string): number {
-  return computeScore('partition', key) % KEY_PARTITIONS;
-}
-
-/** Returns the rendezvous key by which the members of a service rank for a partition. */
-export function getPartitionRankKey(service: ServiceName, partition: number): string {
-  return `${service}.${partition}`;
-}
--- a/src/core/calls/keyedCall.ts
+++ b/src/core/calls/keyedCall.ts
@@ -3,9 +3,9 @@
 import type { AttemptResult, Call, CallKey } from '../../types/calls.js';
 import type { NodeId } from '../../types/ids.js';
 import type { MemberTable } from '../../types/interfaces.js';
+import { computeKeyPartition, getPartitionRankKey } from '../../utils/keyPartition.js';
 import { rankMembers } from '../../utils/rendezvous.js';
 import { runAttempt, type AttemptParts } from './attempt.js';
-import { computeKeyPartition, getPartitionRankKey } from './callKey.js';
 import { findExclusion } from './candidates.js';
 import { buildNotRun, buildUnknown } from './refusal.js';
 
--- a/src/core/calls/refusal.ts
+++ b/src/core/calls/refusal.ts
@@ -1,6 +1,7 @@
-/** Refusals: answers of kind `notRun` that this node gives before any instance sees the call. */
+/** Results of attempts without a response, and refusals before any instance sees the call. */
 import { err, type Result } from 'neverthrow';
-import type { AttemptResult } from '../../types/calls.js';
+import type { AttemptResult, LoadReport } from '../../types/calls.js';
+import type { NodeId } from '../../types/ids.js';
 import type { NotRunReason, UnknownReason } from '../../types/outcome.js';
 
 /** An attempt that certainly did not run. */
@@ -18,9 +19,14 @@
   readonly result: NotRunResult;
 }
 
-/** Builds a `notRun` result that leaves retries to the caller. */
-export function buildNotRun(reason: NotRunReason, detail: string): NotRunResult {
-  return { kind: 'notRun', reason, detail, load: undefined, retriesExhausted: false };
+/** Builds a `notRun` result that leaves retries to the caller; `hint` names the node to try. */
+export function buildNotRun(
+  reason: NotRunReason,
+  detail: string,
+  load?: LoadReport,
+  hint?: NodeId,
+): NotRunResult {
+  return { kind: 'notRun', reason, detail, load, hint, retriesExhausted: false };
 }
 
 /** Builds an `unknown` result that leaves retries to the caller. */
--- a/src/core/config/readHead.ts
+++ b/src/core/config/readHead.ts
@@ -13,23 +13,31 @@
   return `bundles/${operationId}`;
 }
 
-async function readValid<Value>(
-  platform: PlatformClient,
+function parseValue<Value>(
   name: string,
+  value: unknown,
   validate: Validator,
-): Promise<Result<PlatformObject<Value> | undefined, StepError>> {
-  const found = await platform.read<Value>(name);
-  if (found.isErr() || found.value === undefined || validate(found.value.value)) return found;
+): Result<Value, StepError> {
+  if (validate(value)) return ok(value as Value);
   const [fault] = validate.errors ?? [];
   const message = `${name} is malformed: ${fault?.instancePath ?? ''} ${fault?.message ?? ''}`;
   return err(buildError('invalid', 'config.read', 'platform', message));
 }
 
+/** Checks a value of the head object. */
+export function parseHead(value: unknown): Result<Head, StepError> {
+  return parseValue<Head>(HEAD_NAME, value, validateHead);
+}
+
 /** Reads the head; undefined before the first accepted version. */
-export function readHead(
-  platform: PlatformClient,
+export async function readHead(
+  platform: Pick<PlatformClient, 'read'>,
 ): Promise<Result<PlatformObject<Head> | undefined, StepError>> {
-  return readValid<Head>(platform, HEAD_NAME, validateHead);
+  const found = await platform.read<unknown>(HEAD_NAME);
+  if (found.isErr()) return err(found.error);
+  const object = found.value;
+  if (!object) return ok(undefined);
+  return parseHead(object.value).map((value) => ({ ...object, value }));
 }
 
 /** Reads the bundle of an operation; undefined when there is none (any more). */
@@ -37,7 +45,9 @@
   platform: PlatformClient,
   operationId: string,
 ): Promise<Result<Bundle | undefined, StepError>> {
-  const found = await readValid<Bundle>(platform, formatBundleName(operationId), validateBundle);
+  const name = formatBundleName(operationId);
+  const found = await platform.read<unknown>(name);
   if (found.isErr()) return err(found.error);
-  return ok(found.value?.value);
+  if (!found.value) return ok(undefined);
+  return parseValue<Bundle>(name, found.value.value, validateBundle);
 }
--- a/src/core/distribution/obtain.ts
+++ b/src/core/distribution/obtain.ts
@@ -7,7 +7,8 @@
 import { toAddress } from '../membership/context.js';
 import { getOwnSender, type DistributionContext } from './context.js';
 import { applyDifference } from './delta.js';
-import { readBundle, readHead } from './readPlatform.js';
+import { readHead } from '../config/readHead.js';
+import { readHeadBundle } from './readHeadBundle.js';
 import { toTag, verifyBundle } from './verify.js';
 
 /** Delays between fetches of one version from different members. */
@@ -115,10 +116,10 @@
   const readAccepted = async (): Promise<boolean> => {
     const read = await readHead(platform);
     if (read.isErr()) return false;
-    const { head } = read.value;
+    const head = read.value?.value;
     store.confirmFloor(toTag(head ?? { version: 0, digest: '' }), 'platform');
     if (head && isMissing(toTag(head))) {
-      const bundle = await readBundle(platform, head);
+      const bundle = await readHeadBundle(platform, head);
       if (bundle.isErr()) {
         logger.warn('config-bundle-not-read', {
           version: head.version,
--- /dev/null
+++ b/src/core/distribution/readHeadBundle.ts
@@ -0,0 +1,23 @@
+import { err, ok, type Result } from 'neverthrow';
+import { buildError, type StepError } from '../../errors.js';
+import type { Bundle, Head } from '../../generated/types.js';
+import type { PlatformClient } from '../../types/interfaces.js';
+import { formatBundleName } from '../config/readHead.js';
+import { verifyBundle } from './verify.js';
+
+/** Reads the bundle that a head names. Errors: `mismatch` when it is another one. */
+export async function readHeadBundle(
+  platform: PlatformClient,
+  { version, digest, operationId }: Head,
+): Promise<Result<Bundle, StepError>> {
+  const name = formatBundleName(operationId);
+  const object = await platform.read<unknown>(name);
+  if (object.isErr()) return err(object.error);
+  if (!object.value) return err(buildError('not-found', 'config.read', 'platform', name));
+  const verified = verifyBundle(object.value.value, 'platform');
+  if (verified.isErr()) return verified;
+  const bundle = verified.value;
+  if (bundle.version === version && bundle.digest === digest) return ok(bundle);
+  const reason = `${name} holds version ${bundle.version}, the head names ${version}`;
+  return err(buildError('mismatch', 'config.read', 'platform', reason));
+}
--- a/src/core/distribution/watchHead.ts
+++ b/src/core/distribution/watchHead.ts
@@ -1,7 +1,8 @@
 import { computeDelayMs, waitMs } from '../../utils/backoff.js';
 import type { DistributionContext } from './context.js';
 import type { VersionSeeker } from './obtain.js';
-import { HEAD_NAME, parseHead, readBundle, readHead } from './readPlatform.js';
+import { HEAD_NAME, parseHead, readHead } from '../config/readHead.js';
+import { readHeadBundle } from './readHeadBundle.js';
 import { toTag } from './verify.js';
 import type { Head } from '../../generated/types.js';
 
@@ -35,7 +36,7 @@
       seeker.hear(toTag(head));
       return;
     }
-    const bundle = await readBundle(platform, head);
+    const bundle = await readHeadBundle(platform, head);
     if (bundle.isOk()) {
       store.install(bundle.value, 'platform');
     } else {
@@ -51,9 +52,9 @@
   const followHead = async (): Promise<string | undefined> => {
     const read = await readHead(platform);
     if (read.isErr()) return read.error.message;
-    if (read.value.head) await obtainHead(read.value.head);
+    if (read.value) await obtainHead(read.value.value);
     else store.confirmFloor(toTag({ version: 0, digest: '' }), 'platform');
-    let from = read.value.objectVersion;
+    let from = read.value?.version ?? 0;
     while (shouldWatch() && !signal.aborted) {
       current = new AbortController();
       const answer = await platform.watch(HEAD_NAME, from, watchWaitMs, current.signal);
--- a/src/core/upstream/announcePort.ts
+++ b/src/core/upstream/announcePort.ts
@@ -6,9 +6,10 @@
 import type { Announcement, AnnouncementAnswer } from '../../generated/types.js';
 import { validateAnnouncement } from '../../generated/validators.js';
 import type { ConfigStore } from '../../types/interfaces.js';
+import { isLoopback } from '../../utils/address.js';
 import type { Logger } from '../../utils/logger.js';
 import { decodeFloorCookie, encodeFloorCookie } from './floorCookie.js';
-import { isLoopback, type InstanceTable } from './instanceTable.js';
+import type { InstanceTable } from './instanceTable.js';
 
 const STEP = 'announce';
 /** 10000 running request ids in UUID form take 390 KB. */
--- a/src/core/upstream/callRun.ts
+++ b/src/core/upstream/callRun.ts
@@ -2,7 +2,8 @@
 import type { Dispatcher } from 'undici';
 import type { AttemptResult, Call, LoadReport } from '../../types/calls.js';
 import { CALL_HEADERS } from '../../types/outcome.js';
-import { buildNotRun, buildUnknown, onCallerLimit } from './callResults.js';
+import { buildNotRun, buildUnknown } from '../calls/refusal.js';
+import { onCallerLimit } from './callerLimit.js';
 import { startExchange, type BodyEnd, type Exchange, type ExchangeHead } from './exchange.js';
 import { MAX_STORED_ANSWER_BYTES, type Reservation, type StoredOutcome } from './requestMemory.js';
 import {
--- a/src/core/upstream/dispatcher.ts
+++ b/src/core/upstream/dispatcher.ts
@@ -3,9 +3,9 @@
 import type { NodeId } from '../../types/ids.js';
 import type { ConfigStore } from '../../types/interfaces.js';
 import type { Logger } from '../../utils/logger.js';
+import { buildNotRun, buildUnknown } from '../calls/refusal.js';
 import { createAdmission } from './admission.js';
 import { createCallCounters, type CallCounts } from './callCounters.js';
-import { buildNotRun, buildUnknown } from './callResults.js';
 import { startCallRun, type CallRun } from './callRun.js';
 import type { InstanceEntry, InstanceTable } from './instanceTable.js';
 import type { KeyPartitions } from './keyPartitions.js';
--- a/src/core/upstream/instanceTable.ts
+++ b/src/core/upstream/instanceTable.ts
@@ -1,10 +1,10 @@
 /** The upstream instances of this host, as announced by themselves. */
-import { isIP } from 'node:net';
 import { err, ok, type Result } from 'neverthrow';
 import { buildError, type StepError } from '../../errors.js';
 import type { Announcement, InstanceRecord } from '../../generated/types.js';
 import { brandText, type InstanceId, type ServiceName } from '../../types/ids.js';
 import type { MemberTable } from '../../types/interfaces.js';
+import { isLoopback } from '../../utils/address.js';
 import type { Logger } from '../../utils/logger.js';
 import { createConcurrencyLimit, type ConcurrencyLimit } from './concurrencyLimit.js';
 import { createSlotUsage, type SlotUsage } from './slotUsage.js';
@@ -60,12 +60,6 @@
 
 const STATES = { starting: 'cold', ready: 'ready', leaving: 'draining' } as const;
 
-/** True for `localhost` and loopback addresses. */
-export function isLoopback(host: string): boolean {
-  const plain = host.startsWith('::ffff:') ? host.slice(7) : host;
-  return plain === 'localhost' || plain === '::1' || (isIP(plain) === 4 && /^127\./.test(plain));
-}
-
 function toRecord(entry: InstanceEntry, state: InstanceRecord['state']): InstanceRecord {
   const { instanceId, service, announcedSlots, readySinceMs } = entry;
   return { instanceId, service, slots: announcedSlots, state, readySinceMs };
--- a/src/core/upstream/keyPartitions.ts
+++ b/src/core/upstream/keyPartitions.ts
@@ -5,6 +5,11 @@
 import { brandText, type NodeId, type ServiceName } from '../../types/ids.js';
 import type { PlatformClient } from '../../types/interfaces.js';
 import { computeDelayMs, waitMs } from '../../utils/backoff.js';
+import {
+  computeKeyPartition,
+  getPartitionRankKey,
+  KEY_PARTITION_COUNT,
+} from '../../utils/keyPartition.js';
 import type { Logger } from '../../utils/logger.js';
 import { computeScore } from '../../utils/rendezvous.js';
 import {
@@ -16,8 +21,6 @@
 } from './partitionClaim.js';
 import { createPartitionLease, type PartitionLease } from './partitionLease.js';
 
-/** Number of key partitions of a service. */
-export const PARTITION_COUNT = 8;
 const HORIZON_MS = 120_000;
 const RENEW_MS = 30_000;
 const PASS_MS = 1000;
@@ -83,11 +86,6 @@
   isBusy: boolean;
 }
 
-/** Returns the partition number of a key. The text form of a UUID has no case. */
-export function computePartition(keyText: string): number {
-  return computeScore('partition', keyText.toLowerCase()) % PARTITION_COUNT;
-}
-
 /** Returns the next time at `phaseMs` of the interval that is at least a quarter of it away. */
 export function computeRenewAt(nowMs: number, phaseMs: number): number {
   const earliestMs = nowMs + RENEW_MS / 4;
@@ -104,12 +102,12 @@
   let timer: NodeJS.Timeout | undefined;
 
   const getPartition = (service: ServiceName, index: number): Partition => {
-    const rankKey = `${service}.${index}`;
+    const rankKey = getPartitionRankKey(service, index);
     const known = partitions.get(rankKey);
     if (known) return known;
     const { nodeId } = members.getSelf();
     const name = `keypartitions/${rankKey}`;
-    const step = RENEW_MS / PARTITION_COUNT;
+    const step = RENEW_MS / KEY_PARTITION_COUNT;
     const partition: Partition = {
       service,
       rankKey,
@@ -236,7 +234,7 @@
     for (const { service } of self.instances) {
       const name = brandText<ServiceName>(service);
       if (!isReadyFor(self, name)) continue;
-      for (let index = 0; index < PARTITION_COUNT; index += 1) getPartition(name, index);
+      for (let index = 0; index < KEY_PARTITION_COUNT; index += 1) getPartition(name, index);
     }
     await Promise.all([...partitions.values()].map(runPartition));
   };
@@ -262,7 +260,7 @@
 
   return {
     async checkKey(service, key) {
-      const partition = getPartition(service, computePartition(key.text));
+      const partition = getPartition(service, computeKeyPartition(key.text));
       const verdict = judge(partition, key.issuedAtMs);
       const isFinal = partition.lease.getHeld() !== undefined || verdict.kind === 'allowed';
       const hasHint = verdict.kind === 'notRun' && verdict.reason === 'wrong-node';
@@ -271,7 +269,7 @@
       return judge(partition, key.issuedAtMs);
     },
     takeKey(service, key) {
-      const partition = getPartition(service, computePartition(key.text));
+      const partition = getPartition(service, computeKeyPartition(key.text));
       const verdict = judge(partition, key.issuedAtMs);
       if (verdict.kind === 'allowed') partition.lease.recordTaken(key.issuedAtMs);
       return verdict;
--- a/src/core/upstream/onceCalls.ts
+++ b/src/core/upstream/onceCalls.ts
@@ -3,7 +3,8 @@
 import type { AttemptResult, Call, LoadReport } from '../../types/calls.js';
 import type { NodeId } from '../../types/ids.js';
 import type { CallCounters } from './callCounters.js';
-import { buildNotRun, buildUnknown, onCallerLimit } from './callResults.js';
+import { buildNotRun, buildUnknown } from '../calls/refusal.js';
+import { onCallerLimit } from './callerLimit.js';
 import type { KeyPartitions, KeyVerdict } from './keyPartitions.js';
 import type { MemoryKey, RequestMemory, Reservation, StoredOutcome } from './requestMemory.js';
 
--- a/src/core/upstream/requestMemory.ts
+++ b/src/core/upstream/requestMemory.ts
@@ -3,6 +3,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import { LRUCache } from 'lru-cache';
 import type { Call } from '../../types/calls.js';
+import { parseUuidTime } from '../../utils/uuidTime.js';
 
 /** Expired entries are removed in steps of this size. */
 const BUCKET_MS = 10_000;
@@ -75,14 +76,6 @@
   reservation: Reservation | undefined;
 }
 
-/** Returns the time in a UUIDv7 (RFC 9562) in milliseconds, or undefined for any other text. */
-export function parseUuidTime(text: string): number | undefined {
-  if (!/^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$/i.test(text)) {
-    return undefined;
-  }
-  return parseInt(text.slice(0, 8) + text.slice(9, 13), 16);
-}
-
 /** Derives the identity of a call; undefined for calls that may run any number of times. */
 export function deriveMemoryKey(call: Call): MemoryKey | undefined {
   if (call.route.config.repeatability === 'repeatable') return undefined;
--- a/src/types/outcome.ts
+++ b/src/types/outcome.ts
@@ -42,6 +42,8 @@
   load: 'lycheelane-load',
   retry: 'lycheelane-retry',
   depth: 'lycheelane-depth',
+  /** The node that should get the call instead, on an answer `wrong-node`. */
+  hint: 'lycheelane-hint',
   version: 'lycheelane-version',
   key: 'idempotency-key',
 } as const;
--- a/test/calls/keys.test.ts
+++ b/test/calls/keys.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { computeKeyPartition, getPartitionRankKey } from '../../src/core/calls/callKey.js';
 import { buildNotRun, buildUnknown } from '../../src/core/calls/refusal.js';
 import { brandText, type NodeId, type ServiceName } from '../../src/types/ids.js';
+import { computeKeyPartition, getPartitionRankKey } from '../../src/utils/keyPartition.js';
 import { rankMembers } from '../../src/utils/rendezvous.js';
 import {
   answer,
