--- a/src/core/calls/answer.ts
+++ b/src/core/calls/answer.ts
@@ -15,6 +15,7 @@
 import { listEndToEndHeaders } from './requestHead.js';
 
 const EXHAUSTED = 'exhausted';
+const KEY_CHECKED = 'checked';
 
 /** Why a response body did not reach the caller; undefined if it did. */
 type BodyEnd = { reason: UnknownReason; detail: string } | undefined;
@@ -69,6 +70,7 @@
     load: parseLoad(headers[CALL_HEADERS.load]),
     hint: typeof hint === 'string' ? brandText<NodeId>(hint) : undefined,
     retriesExhausted,
+    isKeyChecked: headers[CALL_HEADERS.keyState] === KEY_CHECKED,
   };
 }
 
@@ -90,6 +92,7 @@
   if (requestId !== undefined) headers[CALL_HEADERS.request] = requestId;
   if (result.retriesExhausted) headers[CALL_HEADERS.retry] = EXHAUSTED;
   if (result.kind === 'notRun' && result.load) headers[CALL_HEADERS.load] = formatLoad(result.load);
+  if (result.kind === 'notRun' && result.isKeyChecked) headers[CALL_HEADERS.keyState] = KEY_CHECKED;
   if (result.kind === 'notRun' && result.hint) headers[CALL_HEADERS.hint] = result.hint;
   // A caller that sends its body too slowly would hold the connection.
   if (!response.req.complete && result.reason === 'deadline') headers.connection = 'close';
