Log every failure with step, peer and reason

Cause: some events gave the error text as `why` or `error`, some named the other party `instance`, `source` or `member`, and several had no step. The field `dataCentre` of `member-changed` and of the reachability events replaced the node's own data centre in the line.

Change: failures carry `step`, `peer` and, where there is an error, `reason`. Another data centre is logged as `peerDataCentre`. Events end in `-failed` where they ended in `-error` (peer-link, peer-connection, peer-server).

Ruled out: renaming `source` in `config-installed` and `floor-raised`; these are no failures and the pages for operators name that field.

Conclusion: a failure can be searched by step and peer whatever part logs it.

--- a/src/core/calls/callPort.ts
+++ b/src/core/calls/callPort.ts
@@ -130,7 +130,8 @@
     }
     serveCall(request, response, parts, inFlight > settings.maxInFlight)
       .catch((thrown: unknown) => {
-        logger.error('call-failed', { step: 'calls.serve', reason: String(thrown) });
+        const peer = request.socket.remoteAddress ?? '';
+        logger.error('call-failed', { step: 'calls.serve', peer, reason: String(thrown) });
         response.destroy();
       })
       .finally(() => {
--- a/src/core/distribution/obtain.ts
+++ b/src/core/distribution/obtain.ts
@@ -93,7 +93,8 @@
       fetchTimeoutMs,
     );
     if (answer.isErr()) {
-      logger.debug('config-fetch-failed', { source: nodeId, reason: answer.error.message });
+      const { step, message } = answer.error;
+      logger.debug('config-fetch-failed', { step, peer: nodeId, reason: message });
       return 'failed';
     }
     if (answer.value.kind === 'busy') return answer.value;
@@ -101,12 +102,13 @@
     if (!bundle) return 'failed';
     wantsWhole = bundle.isErr() && answer.value.kind === 'patch';
     if (bundle.isErr()) {
-      logger.warn('config-answer-refused', { source: nodeId, reason: bundle.error.message });
+      const { step, message } = bundle.error;
+      logger.warn('config-answer-refused', { step, peer: nodeId, reason: message });
       return 'failed';
     }
     const { version, digest } = bundle.value;
     if (version === tag.version && tag.digest !== '' && digest !== tag.digest) {
-      logger.error('config-digest-differs', { version, source: nodeId });
+      logger.error('config-digest-differs', { step: 'config.fetch', peer: nodeId, version });
       return 'failed';
     }
     // A later version than the announced one is the sender's newer announcement.
@@ -121,16 +123,20 @@
     if (head && isMissing(toTag(head))) {
       const bundle = await readHeadBundle(platform, head);
       if (bundle.isErr()) {
-        logger.warn('config-bundle-not-read', {
-          version: head.version,
-          reason: bundle.error.message,
-        });
+        const { step, peer, message } = bundle.error;
+        const { version } = head;
+        logger.warn('config-bundle-not-read', { step, peer, version, reason: message });
         return false;
       }
       store.install(bundle.value, 'platform');
     }
     if (wanted && wanted.version > (head?.version ?? 0)) {
-      logger.error('version-not-accepted', { version: wanted.version, head: head?.version ?? 0 });
+      logger.error('version-not-accepted', {
+        step: 'config.read',
+        peer: 'platform',
+        version: wanted.version,
+        head: head?.version ?? 0,
+      });
       ignored = { tag: wanted, untilMs: Date.now() + IGNORE_MS };
       wanted = undefined;
     }
@@ -166,7 +172,8 @@
   const hear = (tag: VersionTag, nodeId?: string) => {
     const installed = store.getTag();
     if (tag.version === installed.version && tag.version > 0 && tag.digest !== installed.digest) {
-      logger.error('config-digest-differs', { version: tag.version, source: nodeId });
+      const { version } = tag;
+      logger.error('config-digest-differs', { step: 'config.notify', peer: nodeId, version });
       return;
     }
     if (!isMissing(tag)) return;
--- a/src/core/distribution/store.ts
+++ b/src/core/distribution/store.ts
@@ -74,7 +74,8 @@
 
   const raiseFloor = (raised: VersionTag, source: string) => {
     if (raised.version === floor.version && raised.version > 0 && raised.digest !== floor.digest) {
-      logger.error('floor-digest-differs', { version: raised.version, source });
+      const { version } = raised;
+      logger.error('floor-digest-differs', { step: 'config.floor', peer: source, version });
       // The platform decides; a faulty cookie must not keep the accepted bundle out.
       if (source === 'platform') floor = raised;
     }
@@ -88,7 +89,8 @@
     const { version, digest } = refused;
     refusal = { version, reason: error.message };
     refusedDigests = [...refusedDigests, `${version} ${digest}`].slice(-MAX_REFUSED);
-    logger.error('config-refused', { version, peer: error.peer, reason: error.message });
+    const { step, peer, message } = error;
+    logger.error('config-refused', { step, peer, version, reason: message });
     return err(error);
   };
 
@@ -103,7 +105,7 @@
     const known = findDigest(candidate.version);
     if (known !== undefined && known !== candidate.digest) {
       const reason = `version ${candidate.version} is known with digest ${known}`;
-      logger.error('config-digest-differs', { version: candidate.version, source });
+      logger.error('config-digest-differs', { step, peer: source, version: candidate.version });
       return err(buildError('mismatch', step, source, reason));
     }
     if (candidate.version <= tag.version) {
--- a/src/core/distribution/watchHead.ts
+++ b/src/core/distribution/watchHead.ts
@@ -1,3 +1,4 @@
+import type { StepError } from '../../errors.js';
 import { computeDelayMs, waitMs } from '../../utils/backoff.js';
 import type { DistributionContext } from './context.js';
 import type { VersionSeeker } from './obtain.js';
@@ -40,8 +41,8 @@
     if (bundle.isOk()) {
       store.install(bundle.value, 'platform');
     } else {
-      const { message } = bundle.error;
-      logger.warn('config-bundle-not-read', { version: head.version, reason: message });
+      const { step, peer, message } = bundle.error;
+      logger.warn('config-bundle-not-read', { step, peer, version: head.version, reason: message });
     }
     // Still missing after a failed read: peers, then the platform again with a backoff.
     seeker.hear(toTag(head));
@@ -49,21 +50,21 @@
 
   /** Reads the head and follows it until an error or the loss of the role. */
   let failures = 0;
-  const followHead = async (): Promise<string | undefined> => {
+  const followHead = async (): Promise<StepError | undefined> => {
     const read = await readHead(platform);
-    if (read.isErr()) return read.error.message;
+    if (read.isErr()) return read.error;
     if (read.value) await obtainHead(read.value.value);
     else store.confirmFloor(toTag({ version: 0, digest: '' }), 'platform');
     let from = read.value?.version ?? 0;
     while (shouldWatch() && !signal.aborted) {
       current = new AbortController();
       const answer = await platform.watch(HEAD_NAME, from, watchWaitMs, current.signal);
-      if (answer.isErr()) return shouldWatch() ? answer.error.message : undefined;
+      if (answer.isErr()) return shouldWatch() ? answer.error : undefined;
       failures = 0;
       const change = answer.value.changes.at(-1);
       if (change && !change.deleted) {
         const head = parseHead(change.value);
-        if (head.isErr()) return head.error.message;
+        if (head.isErr()) return head.error;
         await obtainHead(head.value);
       }
       from = answer.value.version;
@@ -78,9 +79,10 @@
       await waitMs(ROLE_CHECK_MS, signal);
       continue;
     }
-    const reason = await followHead();
-    if (reason === undefined || signal.aborted) continue;
-    logger.warn('head-watch-failed', { reason, failures });
+    const error = await followHead();
+    if (error === undefined || signal.aborted) continue;
+    const { step, peer, message } = error;
+    logger.warn('head-watch-failed', { step, peer, reason: message, failures });
     await waitMs(computeDelayMs(WATCH_BOUNDS, failures, random), signal);
     failures += 1;
   }
--- a/src/core/membership/detector.ts
+++ b/src/core/membership/detector.ts
@@ -85,7 +85,7 @@
     const current = table.get(record.nodeId);
     // A newer record arrived while the pings ran: the member is alive.
     if (!current || current.record !== record || current.verdict !== 'alive') return;
-    logger.info('member-suspected', { member: record.nodeId, reason });
+    logger.info('member-suspected', { step: 'members.ping', peer: record.nodeId, reason });
     receiver.applyOwn({ record, verdict: 'suspect' });
   };
 
--- a/src/core/membership/receive.ts
+++ b/src/core/membership/receive.ts
@@ -63,7 +63,7 @@
     if (spread) gossip.add(record.nodeId);
     if (before?.verdict !== verdict || before.record.state !== record.state) {
       const { nodeId, state, dataCentre } = record;
-      logger.info('member-changed', { member: nodeId, dataCentre, state, verdict });
+      logger.info('member-changed', { peer: nodeId, peerDataCentre: dataCentre, state, verdict });
     }
     return true;
   };
--- a/src/core/membership/relayExchange.ts
+++ b/src/core/membership/relayExchange.ts
@@ -73,7 +73,7 @@
     const forMs = Date.now() - link.sinceMs;
     Object.assign(link, { isReachable, sinceMs: Date.now() });
     const event = isReachable ? 'data-centre-reachable' : 'data-centre-unreachable';
-    logger.warn(event, { dataCentre, afterMs: forMs });
+    logger.warn(event, { step: 'members.exchange', peerDataCentre: dataCentre, afterMs: forMs });
   };
 
   const recordContact = (dataCentre: string) => {
--- a/src/core/membership/seeds.ts
+++ b/src/core/membership/seeds.ts
@@ -77,7 +77,10 @@
         : await platform.update(name, list, written.version);
     // After a conflict or a lost answer the object is read again before the next write.
     written = result.isOk() ? { text, version: result.value } : undefined;
-    if (result.isErr()) logger.debug('seeds-not-written', { reason: result.error.message });
+    if (result.isErr()) {
+      const { step, peer, message } = result.error;
+      logger.debug('seeds-not-written', { step, peer, reason: message });
+    }
   };
 
   return {
--- a/src/core/membership/start.ts
+++ b/src/core/membership/start.ts
@@ -91,7 +91,8 @@
     if (order > 0) {
       if (record.incarnation === duplicate) return;
       duplicate = record.incarnation;
-      logger.error('node-id-used-twice', { other: record.incarnation, host: record.host });
+      const { nodeId: peer, incarnation, host } = record;
+      logger.error('node-id-used-twice', { step: 'members.refute', peer, incarnation, host });
       return;
     }
     const isBehind = record.sequence > self.sequence;
--- a/src/core/peer/link.ts
+++ b/src/core/peer/link.ts
@@ -107,14 +107,17 @@
       ended.abort();
       socket.destroy();
     };
-    socket.on('error', (error) => logger.debug('peer-link-error', { peer, reason: error.message }));
+    socket.on('error', (error) =>
+      logger.debug('peer-link-failed', { step: 'peer.write', peer, reason: error.message }),
+    );
     socket.once('close', finish);
     socket.setTimeout(idleMs, finish);
     stopping.signal.addEventListener('abort', finish, { once: true });
     const reading = createLineStream(socket, peer).observe((line) => {
       bad = handleLine(line) ? 0 : bad + 1;
       if (bad < MAX_BAD_MESSAGES) return;
-      logger.warn('peer-link-closed', { peer, reason: `${bad} bad messages in a row` });
+      const reason = `${bad} bad messages in a row`;
+      logger.warn('peer-link-closed', { step: 'peer.read', peer, reason });
       finish();
     });
     const [read] = await Promise.allSettled([
@@ -122,7 +125,7 @@
       runWriter(socket, ended.signal),
     ]);
     if (read.status === 'rejected') {
-      logger.warn('peer-link-closed', { peer, reason: String(read.reason) });
+      logger.warn('peer-link-closed', { step: 'peer.read', peer, reason: String(read.reason) });
     }
     stopping.signal.removeEventListener('abort', finish);
   };
--- a/src/core/peer/server.ts
+++ b/src/core/peer/server.ts
@@ -41,8 +41,8 @@
     const run = runServerConnection({ socket, peer, dispatcher, counters, logger });
     void run
       .catch((thrown: unknown) => {
-        const error = toStepError(thrown, 'peer.read', peer);
-        logger.warn('peer-connection-closed', { peer, kind: error.kind, reason: error.message });
+        const { step, kind, message } = toStepError(thrown, 'peer.read', peer);
+        logger.warn('peer-connection-closed', { step, peer, kind, reason: message });
       })
       .finally(() => {
         sockets.delete(socket);
@@ -59,7 +59,9 @@
       buildError('unavailable', 'peer.listen', `${host}:${options.port}`, failure.message),
     );
   }
-  server.on('error', (error) => logger.warn('peer-server-error', { reason: error.message }));
+  server.on('error', (error) => {
+    logger.warn('peer-server-failed', { step: 'peer.listen', peer: 'self', reason: error.message });
+  });
   return ok({
     port: (server.address() as AddressInfo).port,
     addMethods: dispatcher.addMethods,
--- a/src/core/peer/serverConnection.ts
+++ b/src/core/peer/serverConnection.ts
@@ -53,8 +53,9 @@
     if (result.isOk()) return { jsonrpc: '2.0', id, result: result.value };
     const { error } = result;
     if (error.kind === 'invalid' || error.kind === 'not-found') onBad();
-    const fields = { method: request.method, peer: error.peer, kind: error.kind };
-    logger.debug('peer-message-refused', { ...fields, reason: error.message });
+    const { step, peer, kind, message } = error;
+    const { method } = request;
+    logger.debug('peer-message-refused', { step, peer, kind, method, reason: message });
     const wire = toWireError(error);
     return createJSONRPCErrorResponse(id, wire.code, wire.message, wire.data);
   });
@@ -81,7 +82,8 @@
   const onBad = () => {
     bad += 1;
     if (bad < MAX_BAD_MESSAGES) return;
-    logger.warn('peer-connection-closed', { peer, reason: `${bad} bad messages in a row` });
+    const reason = `${bad} bad messages in a row`;
+    logger.warn('peer-connection-closed', { step: 'peer.read', peer, reason });
     socket.destroy();
   };
   const rpc = createRpcServer(options, onBad);
@@ -95,7 +97,8 @@
     counters.count('sent', `${type}.answer`, Buffer.byteLength(line));
     socket.write(line, onSent);
     if (socket.writableLength <= MAX_QUEUED_BYTES) return;
-    logger.warn('peer-connection-closed', { peer, reason: 'answers are not read' });
+    const reason = 'answers are not read';
+    logger.warn('peer-connection-closed', { step: 'peer.answer', peer, reason });
     socket.destroy();
   };
 
@@ -131,6 +134,8 @@
     send('bad', createInvalidRequestResponse(message), () => {});
   };
 
-  socket.on('error', (error) => logger.debug('peer-socket-error', { peer, reason: error.message }));
+  socket.on('error', (error) =>
+    logger.debug('peer-connection-failed', { step: 'peer.read', peer, reason: error.message }),
+  );
   await createLineStream(socket, peer).observe(handleLine);
 }
--- a/src/core/upstream/announcePort.ts
+++ b/src/core/upstream/announcePort.ts
@@ -119,7 +119,8 @@
       return;
     }
     const { error } = answer;
-    logger.warn('announcement-refused', { step: error.step, peer: error.peer, why: error.message });
+    const { step, message: reason } = error;
+    logger.warn('announcement-refused', { step, peer: error.peer, reason });
     answerJson(response, toStatus(error), { error: error.message });
   };
 
@@ -132,7 +133,8 @@
   server.maxConnections = MAX_CONNECTIONS;
   server.on('request', (request, response) => {
     handle(request, response).catch((thrown: unknown) => {
-      logger.error('announcement-failed', { why: String(thrown) });
+      const { step, peer, message } = toStepError(thrown, STEP, request.socket.remoteAddress ?? '');
+      logger.error('announcement-failed', { step, peer, reason: message });
       response.destroy();
     });
   });
--- a/src/core/upstream/dispatcher.ts
+++ b/src/core/upstream/dispatcher.ts
@@ -1,4 +1,5 @@
 /** Runs calls on the upstream instances of this host. */
+import { toStepError } from '../../errors.js';
 import type { AttemptResult, Call, LocalDispatcher } from '../../types/calls.js';
 import type { NodeId } from '../../types/ids.js';
 import type { ConfigStore } from '../../types/interfaces.js';
@@ -68,7 +69,8 @@
     counters.recordCancel();
     const isAccepted = await client.sendCancel(entry, call.requestId);
     if (!isAccepted) {
-      logger.warn('cancel-failed', { instance: entry.instanceId, request: call.requestId });
+      const peer = entry.instanceId;
+      logger.warn('cancel-failed', { step: 'upstream.cancel', peer, request: call.requestId });
     }
     handleRunEnd();
   };
@@ -129,8 +131,15 @@
     try {
       result = await dispatchCall(call);
     } catch (thrown) {
-      logger.error('dispatch-failed', { request: call.requestId, why: String(thrown) });
-      result = buildUnknown('connection-lost', `internal error: ${String(thrown)}`);
+      const reason = String(thrown);
+      const { requestId } = call;
+      logger.error('dispatch-failed', {
+        step: 'upstream.dispatch',
+        peer: 'self',
+        request: requestId,
+        reason,
+      });
+      result = buildUnknown('connection-lost', `internal error: ${reason}`);
     }
     counters.recordResult(result);
     return result;
@@ -140,7 +149,7 @@
     for (const [cut, runEntry] of runs) {
       if (runEntry !== entry) continue;
       if (cut.isAwaited()) {
-        logger.warn('drain-limit-passed', { instance: entry.instanceId });
+        logger.warn('drain-limit-passed', { step: 'upstream.drain', peer: entry.instanceId });
       }
       // An instance that is gone may never end its exchanges; nobody waits for these.
       cut.cut('the instance is leaving', entry.state === 'gone' && !cut.isAwaited());
@@ -181,7 +190,8 @@
     // No key is dispatched from here on, so the partitions can be given away at once. A
     // platform that does not answer must not hold up the stop beyond its limit.
     const released = partitions.stop().catch((thrown: unknown) => {
-      logger.warn('partition-release-failed', { why: String(thrown) });
+      const { step, peer, message } = toStepError(thrown, 'keys.release', 'platform');
+      logger.warn('partition-release-failed', { step, peer, reason: message });
     });
     const startedAtMs = performance.now();
     await waitUntilIdle(limitMs);
--- a/src/core/upstream/instanceTable.ts
+++ b/src/core/upstream/instanceTable.ts
@@ -102,7 +102,8 @@
 
   const expire = (expired: MutableEntry) => {
     const entry = expired;
-    logger.warn('instance-expired', { instance: entry.instanceId, service: entry.service, ttlMs });
+    const { instanceId: peer, service } = entry;
+    logger.warn('instance-expired', { step: STEP, peer, service, ttlMs });
     entry.state = 'gone';
     notify(entry, 'gone');
     removeIfIdle(entry);
--- a/src/core/upstream/keyPartitions.ts
+++ b/src/core/upstream/keyPartitions.ts
@@ -1,5 +1,5 @@
 /** Key partitions of the services on this host: which caller-supplied keys may run here. */
-import type { StepError } from '../../errors.js';
+import { toStepError, type StepError } from '../../errors.js';
 import type { KeyPartition } from '../../generated/types.js';
 import type { CallKey } from '../../types/calls.js';
 import { brandText, type NodeId, type ServiceName } from '../../types/ids.js';
@@ -156,12 +156,14 @@
     return { kind: 'notRun', reason: 'key-unowned', detail: 'no owner is known' };
   };
 
-  const recordFailure = (partition: Partition, step: string, error: StepError) => {
+  const recordFailure = (partition: Partition, operation: string, error: StepError) => {
     const { rankKey } = partition;
     const next = partition;
     next.retryAtMs = now() + 250 + computeDelayMs(RETRY, next.failures, random);
     next.failures += 1;
-    logger.warn('partition-failed', { step, partition: rankKey, why: error.message });
+    const { peer, message } = error;
+    const step = `keys.${operation}`;
+    logger.warn('partition-failed', { step, peer, partition: rankKey, reason: message });
   };
 
   const shouldClaim = (partition: Partition): boolean => {
@@ -252,7 +254,8 @@
     timer = setTimeout(() => {
       // A slow platform holds back the partitions that wait for it, not the next pass.
       runPass().catch((thrown: unknown) => {
-        logger.error('partition-pass-failed', { why: String(thrown) });
+        const { step, peer, message } = toStepError(thrown, 'keys.pass', 'platform');
+        logger.error('partition-pass-failed', { step, peer, reason: message });
       });
       if (!isStopped) schedulePass(PASS_MS);
     }, delayMs);
--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -3,6 +3,7 @@
 import { parseArgs } from 'node:util';
 import { loadSettings } from './core/settings.js';
 import { startNode } from './core/wiring.js';
+import { toStepError } from './errors.js';
 import { createLogger } from './utils/logger.js';
 
 /** Exit codes of the daemon. */
@@ -58,7 +59,8 @@
         process.exit(cut === 0 ? EXIT.stopped : EXIT.callsCut);
       })
       .catch((thrown: unknown) => {
-        logger.error('stop-failed', { reason: String(thrown) });
+        const { step, peer, message } = toStepError(thrown, 'node.stop', 'self');
+        logger.error('stop-failed', { step, peer, reason: message });
         process.exit(EXIT.startFailed);
       });
   };
--- a/src/plugins/operatorPort.ts
+++ b/src/plugins/operatorPort.ts
@@ -80,7 +80,8 @@
       findAnswer(request, options)
         .catch((thrown: unknown) => {
           const error = toStepError(thrown, 'operator.answer', request.socket.remoteAddress ?? '');
-          logger.warn('operator-request-failed', { step: error.step, error: error.message });
+          const { step, peer, message } = error;
+          logger.warn('operator-request-failed', { step, peer, reason: message });
           return buildJsonAnswer({ error: error.message, step: error.step }, 500);
         })
         .then((answer) => sendAnswer(response, answer))
