--- a/src/core/upstream/announcePort.ts
+++ b/src/core/upstream/announcePort.ts
@@ -6,9 +6,10 @@
 import type { Announcement, AnnouncementAnswer } from '../../generated/types.js';
 import { validateAnnouncement } from '../../generated/validators.js';
 import type { ConfigStore } from '../../types/interfaces.js';
+import { isLoopback } from '../../utils/address.js';
 import type { Logger } from '../../utils/logger.js';
 import { decodeFloorCookie, encodeFloorCookie } from './floorCookie.js';
-import { isLoopback, type InstanceTable } from './instanceTable.js';
+import type { InstanceTable } from './instanceTable.js';
 
 const STEP = 'announce';
 /** 10000 running request ids in UUID form take 390 KB. */
@@ -118,7 +119,8 @@
       return;
     }
     const { error } = answer;
-    logger.warn('announcement-refused', { step: error.step, peer: error.peer, why: error.message });
+    const { step, message: reason } = error;
+    logger.warn('announcement-refused', { step, peer: error.peer, reason });
     answerJson(response, toStatus(error), { error: error.message });
   };
 
@@ -131,7 +133,8 @@
   server.maxConnections = MAX_CONNECTIONS;
   server.on('request', (request, response) => {
     handle(request, response).catch((thrown: unknown) => {
-      logger.error('announcement-failed', { why: String(thrown) });
+      const { step, peer, message } = toStepError(thrown, STEP, request.socket.remoteAddress ?? '');
+      logger.error('announcement-failed', { step, peer, reason: message });
       response.destroy();
     });
   });
