--- a/bench/examples.ts
+++ b/bench/examples.ts
@@ -2,7 +2,7 @@
 import { readdir, readFile } from 'node:fs/promises';
 import { parse } from 'jsonc-parser';
 import type { ConfigContent } from '../src/core/config/renderSite.js';
-import { STERNWACHT } from '../standins/launcher/examples.js';
+import { STERNWACHT } from '../standins/sternwacht.js';
 import type { Topology } from '../standins/launcher/topology.js';
 
 /** Three data centres of Kulissi Script Hire: 9 instances of catalogue and 3 of orders. */
