--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -1,8 +1,9 @@
-#!/usr/bin/env node
+#!/usr/bin/env -S node --max-semi-space-size=4
 /** The daemon `lycheelaned`: one node on an upstream host. */
 import { parseArgs } from 'node:util';
 import { loadSettings } from './core/settings.js';
 import { startNode } from './core/wiring.js';
+import { toStepError } from './errors.js';
 import { createLogger } from './utils/logger.js';
 
 /** Exit codes of the daemon. */
@@ -58,7 +59,8 @@
         process.exit(cut === 0 ? EXIT.stopped : EXIT.callsCut);
       })
       .catch((thrown: unknown) => {
-        logger.error('stop-failed', { reason: String(thrown) });
+        const { step, peer, message } = toStepError(thrown, 'node.stop', 'self');
+        logger.error('stop-failed', { step, peer, reason: message });
         process.exit(EXIT.startFailed);
       });
   };
--- a/src/types/outcome.ts
+++ b/src/types/outcome.ts
@@ -22,6 +22,7 @@
   | 'mismatched-answer'
   | 'process-replaced'
   | 'already-handed-over'
+  | 'key-undecided'
   | 'cancelled';
 
 /** What the system can truthfully say about one request. */
@@ -42,6 +43,9 @@
   load: 'lycheelane-load',
   retry: 'lycheelane-retry',
   depth: 'lycheelane-depth',
+  /** The node that should get the call instead, on an answer `wrong-node`. */
+  hint: 'lycheelane-hint',
   version: 'lycheelane-version',
   key: 'idempotency-key',
+  keyState: 'lycheelane-key',
 } as const;
