--- a/test/distribution/spread.test.ts
+++ b/test/distribution/spread.test.ts
@@ -18,3 +18,20 @@
   await advance(3000);
   assertAll(mesh.nodes, getVersion, 2);
 });
+
+// Guards against members that no notification reaches and that learn of a version by a ping only.
+test('notifications alone reach all members of a large data centre within a second', async () => {
+  acceptBundle(mesh.platform, buildBundle(1));
+  mesh.startNodes('dc-a', 100, 40, [100, 101]);
+  await advance(10_000);
+  assertAll(mesh.nodes, getVersion, 1);
+  mesh.network.decide = ({ method }) => (method === 'ping' ? 'lose' : 'deliver');
+  for (const version of [2, 3, 4]) {
+    acceptBundle(mesh.platform, buildBundle(version));
+    await advance(1000);
+    assertAll(mesh.nodes, getVersion, version);
+  }
+  // Pings in flight end by their time-outs before the nodes are stopped.
+  mesh.network.decide = () => 'deliver';
+  await advance(2000);
+});
