Count the processor time of a change in the benchmark

Change: CPU per node and change above the quiet rate; the fit leaves out files that lack a figure; result files have no blanks in their names.

--- a/bench/convergence.ts
+++ b/bench/convergence.ts
@@ -24,6 +24,8 @@
   /** Bytes of `config.*` messages per node and change, both directions. */
   readonly changeBytesPerNode: number;
   readonly changeMessagesPerNode: number;
+  /** Processor time of a node for one change above that of the quiet period, in milliseconds. */
+  readonly changeCpuMsPerNode: number;
   readonly platformCallsPerChange: number;
   readonly residentMb: Summary;
 }
@@ -59,6 +61,7 @@
   const { bytes, messages } = countTotals(diffTotals(before.control, after.control), /config\./);
   const seconds = (after.atMs - before.atMs) / 1000;
   const calls = after.platform.total - before.platform.total;
+  const changing = computeRates(before, after);
   const perChange = options.changes * after.nodes.length;
   return {
     nodes: after.nodes.length,
@@ -68,6 +71,10 @@
     lastNodeMs: computeSummary(last),
     changeBytesPerNode: bytes / perChange,
     changeMessagesPerNode: messages / perChange,
+    changeCpuMsPerNode:
+      ((changing.cpuPercentPerNode - quiet.cpuPercentPerNode) / 100 / options.changes) *
+      changing.seconds *
+      1000,
     platformCallsPerChange:
       (calls - quiet.platformCallsPerSecond * seconds) / options.changes - CALLS_PER_PUBLISH,
     residentMb: computeSummary(after.residentBytes.map((size) => size / MEBIBYTE)),
--- a/bench/fit.ts
+++ b/bench/fit.ts
@@ -27,8 +27,12 @@
     figures: listFigures(run),
   }));
   const [members, dataCentres] = DESIGN_SIZE;
-  const rows = Object.keys(points[0]?.figures ?? {}).map((name) => {
-    const fit = computeFit(points.map(({ inputs, figures }) => [...inputs, figures[name] ?? NaN]));
+  const names = [...new Set(points.flatMap(({ figures }) => Object.keys(figures)))];
+  const rows = names.map((name) => {
+    // Files of earlier commits lack the figures that were added later.
+    const known = points.filter(({ figures }) => Number.isFinite(figures[name]));
+    if (known.length <= DESIGN_SIZE.length) return `| ${name} | too few runs | | | | |`;
+    const fit = computeFit(known.map(({ inputs, figures }) => [...inputs, figures[name] ?? NaN]));
     const values = [fit.intercept, ...fit.slopes, fit.rSquared, computeFitted(fit, DESIGN_SIZE)];
     return `| ${name} | ${values.map((value) => value.toPrecision(4)).join(' | ')} |`;
   });
--- a/bench/report.ts
+++ b/bench/report.ts
@@ -64,6 +64,7 @@
       ...listSummary('in force, ms', convergence.enforcedMs),
       'last node, ms p50': convergence.lastNodeMs.p50,
       'bytes per node and change': convergence.changeBytesPerNode,
+      'CPU ms per node and change': convergence.changeCpuMsPerNode,
       'quiet bytes/s per node': convergence.quiet.bytesPerNodeSecond,
       'quiet messages/s per node': convergence.quiet.messagesPerNodeSecond,
       'quiet CPU % per node': convergence.quiet.cpuPercentPerNode,
@@ -180,7 +181,7 @@
   runs: readonly RunResult[],
 ): Promise<string> {
   await mkdir('bench-results', { recursive: true });
-  const name = `${context.date.replaceAll(/[:.]/g, '-')}-${runs[0]?.benchmark ?? 'empty'}`;
+  const name = `${context.date.replaceAll(/[:.]/g, '-')}-${(runs[0]?.benchmark ?? 'empty').replaceAll(' ', '-')}`;
   const path = `bench-results/${name}`;
   await writeFile(`${path}.json`, JSON.stringify({ context, runs }, undefined, 2));
   await writeFile(`${path}.md`, renderReport(context, runs));
