--- /dev/null
+++ b/bench/calls/memory.ts
@@ -0,0 +1,66 @@
+/** Heap bytes for each remembered request. */
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
+import { createRequestMemory, type StoredOutcome } from '../../src/core/upstream/requestMemory.js';
+import { createRandom } from '../../standins/random.js';
+import { toRounded, type BenchTable } from './report.js';
+
+/** Default of the setting `calls.rememberedRequests`. */
+const MAX_KEYS = 50_000;
+const REMEMBER_MS = 900_000;
+
+function loadCollector(): () => void {
+  setFlagsFromString('--expose-gc');
+  return runInNewContext('gc') as () => void;
+}
+
+/** Returns a text of its own storage, as a parsed header is. */
+function buildText(random: () => number, length: number): string {
+  const bytes = Buffer.alloc(length, 0);
+  for (let index = 0; index < length; index += 1) bytes[index] = 97 + Math.floor(random() * 26);
+  return bytes.toString('latin1');
+}
+
+function buildOutcome(bodyBytes: number): StoredOutcome {
+  if (bodyBytes === 0) return { kind: 'handedOver', detail: 'the answer was not kept' };
+  const headers = { 'content-type': 'application/json', 'content-length': String(bodyBytes) };
+  return { kind: 'answer', status: 200, headers, body: Buffer.alloc(bodyBytes, 1) };
+}
+
+function measureUsed(collect: () => void): number {
+  collect();
+  const { heapUsed, external } = process.memoryUsage();
+  return heapUsed + external;
+}
+
+function measureEntries(collect: () => void, bodyBytes: number, seed: number) {
+  const random = createRandom(seed);
+  const before = measureUsed(collect);
+  const memory = createRequestMemory({ maxKeys: MAX_KEYS, rememberMs: REMEMBER_MS });
+  for (let index = 0; index < MAX_KEYS; index += 1) {
+    const text = `uuid:work:${buildText(random, 36)}`;
+    const fingerprint = buildText(random, 22);
+    const key = { text, timeMs: Date.now(), isRepeatable: true, fingerprint };
+    memory.add(key)?.settle(buildOutcome(bodyBytes));
+  }
+  const used = measureUsed(collect) - before;
+  const key = { text: 'one more', timeMs: Date.now(), isRepeatable: true, fingerprint: '' };
+  const isRefused = memory.add(key) === undefined;
+  return {
+    'answer body bytes': bodyBytes,
+    entries: memory.count(),
+    'bytes per entry': Math.round(used / memory.count()),
+    'MiB in all': toRounded(used / 2 ** 20),
+    'one more is': isRefused ? 'refused' : 'taken',
+  };
+}
+
+/** Fills request memories up to the default bound; the heap is compared after a collection. */
+export function measureMemory(seed: number): Promise<BenchTable> {
+  const collect = loadCollector();
+  const rows = [0, 200, 2000, 32_000].map((bodyBytes) => measureEntries(collect, bodyBytes, seed));
+  const notes = [
+    `Bound: ${MAX_KEYS} entries (\`calls.rememberedRequests\`) and 8 MiB of stored answers.`,
+  ];
+  return Promise.resolve({ title: 'Request memory', rows, notes });
+}
