Read the connection header once for each message to an upstream

Cause: in a CPU profile of the instance's node under 500 calls/s the header filters took 1.3% of the samples as self time. Each header of a message split and lower-cased the connection header again.

Change: the names in the connection header are listed once for each message, and not at all for the usual value keep-alive, which names a hop-by-hop header. The same headers are kept and dropped.

Ruled out: a value of close is not taken as a fast path, because it would let a header of that name pass.

Load average 87 on 10 cores, so the mesh as a whole was not compared.

--- a/src/core/upstream/upstreamHeaders.ts
+++ b/src/core/upstream/upstreamHeaders.ts
@@ -15,20 +15,22 @@
 ]);
 const OWN_PREFIX = 'lycheelane-';
 
-function isEndToEnd(name: string, connection: string | undefined): boolean {
-  if (HOP_BY_HOP.has(name)) return false;
-  if (connection === undefined) return true;
-  return !connection.split(',').some((option) => option.trim().toLowerCase() === name);
+/** Lists the headers that a `connection` header names, read once for all headers of a message. */
+function listNamed(connection: string | undefined): ReadonlySet<string> {
+  // The usual value names a header that is hop-by-hop in any case.
+  if (connection === undefined || connection === 'keep-alive') return HOP_BY_HOP;
+  return new Set(connection.split(',').map((option) => option.trim().toLowerCase()));
 }
 
 /** Builds the request headers for the upstream: the caller's own, and the state of the call. */
 export function buildRequestHeaders(call: Call, nowMs: number): IncomingHttpHeaders {
   const headers: IncomingHttpHeaders = {};
-  for (const [name, value] of Object.entries(call.headers)) {
+  const named = listNamed(call.headers.connection);
+  for (const name of Object.keys(call.headers)) {
     const isOwn = name.startsWith(OWN_PREFIX);
     // Node answers `expect` itself, and the client computes the length of the body.
     if (isOwn || name === 'expect' || name === 'content-length') continue;
-    if (isEndToEnd(name, call.headers.connection)) headers[name] = value;
+    if (!HOP_BY_HOP.has(name) && !named.has(name)) headers[name] = call.headers[name];
   }
   headers[CALL_HEADERS.request] = call.requestId;
   headers[CALL_HEADERS.deadlineMs] = String(Math.max(1, Math.floor(call.deadlineMs - nowMs)));
@@ -43,9 +45,10 @@
  */
 export function filterResponseHeaders(headers: IncomingHttpHeaders): IncomingHttpHeaders {
   const filtered: IncomingHttpHeaders = {};
-  for (const [name, value] of Object.entries(headers)) {
+  const named = listNamed(headers.connection);
+  for (const name of Object.keys(headers)) {
     if (name.startsWith(OWN_PREFIX) && name !== CALL_HEADERS.retry) continue;
-    if (isEndToEnd(name, headers.connection)) filtered[name] = value;
+    if (!HOP_BY_HOP.has(name) && !named.has(name)) filtered[name] = headers[name];
   }
   return filtered;
 }
