Split the construction of a node into named steps

Cause: startParts in wiring.ts built and started all parts in one function of 153 lines.

The operator port names its result type.

Conclusion: the order of construction is unchanged and can be read in one place.

--- a/src/core/wiring.ts
+++ b/src/core/wiring.ts
@@ -4,28 +4,29 @@
 import { toStepError, type StepError } from '../errors.js';
 import { CallStats } from '../plugins/callStats.js';
 import { createFleetStatus } from '../plugins/fleetStatus.js';
-import { createMetrics } from '../plugins/metrics.js';
-import { createOperatorHandlers } from '../plugins/operatorHandlers.js';
-import { startOperatorPort } from '../plugins/operatorPort.js';
+import { createMetrics, type Metrics } from '../plugins/metrics.js';
+import { createOperatorHandlers, type OperatorSources } from '../plugins/operatorHandlers.js';
+import { startOperatorPort, type OperatorPort } from '../plugins/operatorPort.js';
 import { UsageSampler } from '../plugins/processUsage.js';
 import { brandText, type DataCentre, type NodeId } from '../types/ids.js';
+import type { ControlCounters, PeerClient, PlatformClient } from '../types/interfaces.js';
 import type { Logger } from '../utils/logger.js';
-import { startCallPort } from './calls/callPort.js';
+import { startCallPort, type CallPort } from './calls/callPort.js';
 import type { CallObserver } from './calls/observer.js';
 import { compileRouting } from './config/compileRouting.js';
-import { createDeferredMembers } from './deferredMembers.js';
-import { startDistribution } from './distribution/start.js';
-import { createConfigStore } from './distribution/store.js';
+import { createDeferredMembers, type DeferredMembers } from './deferredMembers.js';
+import { startDistribution, type Distribution } from './distribution/start.js';
+import { createConfigStore, type DistributionStore } from './distribution/store.js';
 import { createIncarnation } from './membership/incarnation.js';
-import { startMembership } from './membership/start.js';
+import { startMembership, type Membership } from './membership/start.js';
 import { createPeerClient } from './peer/client.js';
 import { createControlCounters } from './peer/counters.js';
-import { startPeerServer } from './peer/server.js';
+import { startPeerServer, type PeerServer } from './peer/server.js';
 import { createHttpPlatform } from './platform/httpPlatform.js';
-import { startAnnouncePort } from './upstream/announcePort.js';
-import { createLocalDispatcher } from './upstream/dispatcher.js';
-import { createInstanceTable } from './upstream/instanceTable.js';
-import { createKeyPartitions } from './upstream/keyPartitions.js';
+import { startAnnouncePort, type AnnouncePort } from './upstream/announcePort.js';
+import { createLocalDispatcher, type InstanceDispatcher } from './upstream/dispatcher.js';
+import { createInstanceTable, type InstanceTable } from './upstream/instanceTable.js';
+import { createKeyPartitions, type KeyPartitions } from './upstream/keyPartitions.js';
 import { createRequestMemory } from './upstream/requestMemory.js';
 
 /** Ports that a node has opened. */
@@ -46,21 +47,50 @@
   stop(): Promise<{ readonly cut: number }>;
 }
 
-async function startParts(settings: Settings, logger: Logger): Promise<RunningNode> {
-  const { host } = settings;
-  const site = brandText<DataCentre>(settings.dataCentre);
-  const incarnation = createIncarnation();
-  const usage = new UsageSampler();
+/** Parts that only others use; nothing has been bound or started. */
+interface SharedParts {
+  readonly settings: Settings;
+  readonly logger: Logger;
+  readonly incarnation: string;
+  readonly usage: UsageSampler;
+  readonly counters: ControlCounters;
+  readonly peers: PeerClient;
+  readonly platform: PlatformClient;
+  readonly store: DistributionStore;
+  /** Throws until the membership is connected. */
+  readonly deferred: DeferredMembers;
+}
+
+function createSharedParts(settings: Settings, logger: Logger): SharedParts {
   const counters = createControlCounters();
-  const peers = createPeerClient({ logger, counters });
-  const platform = createHttpPlatform(settings.platformUrl);
-  const store = createConfigStore({ site, compile: compileRouting, logger });
-  const { members, connect } = createDeferredMembers();
+  const site = brandText<DataCentre>(settings.dataCentre);
+  return {
+    settings,
+    logger,
+    incarnation: createIncarnation(),
+    usage: new UsageSampler(),
+    counters,
+    peers: createPeerClient({ logger, counters }),
+    platform: createHttpPlatform(settings.platformUrl),
+    store: createConfigStore({ site, compile: compileRouting, logger }),
+    deferred: createDeferredMembers(),
+  };
+}
 
+/** The parts that run calls on the upstreams of this host. */
+interface InstanceParts {
+  readonly table: InstanceTable;
+  readonly partitions: KeyPartitions;
+  readonly dispatcher: InstanceDispatcher;
+}
+
+function createInstanceParts(shared: SharedParts): InstanceParts {
+  const { settings, logger, incarnation, platform, store } = shared;
+  const { members } = shared.deferred;
   const table = createInstanceTable({
     members,
     ttlMs: settings.announcementTtlMs,
-    ownHost: host,
+    ownHost: settings.host,
     logger,
   });
   const memory = createRequestMemory({
@@ -77,7 +107,17 @@
     partitions,
     logger,
   });
+  return { table, partitions, dispatcher };
+}
 
+/** The parts that observe calls. */
+interface ObserverParts {
+  readonly stats: CallStats;
+  readonly metrics: Metrics;
+  readonly observer: CallObserver;
+}
+
+function createObserverParts({ store, deferred, counters, usage }: SharedParts): ObserverParts {
   const stats = new CallStats(
     (route) => store.getRouting()?.routes.get(route)?.config.objective?.latencyMs,
   );
@@ -85,7 +125,7 @@
     const routing = store.getRouting();
     if (routing) stats.evictRoutes(routing.routes);
   });
-  const metrics = createMetrics({ store, table: members, counters, usage });
+  const metrics = createMetrics({ store, table: deferred.members, counters, usage });
   const observer: CallObserver = {
     record: (route, outcome, latencyMs) => {
       stats.record(route, outcome, latencyMs);
@@ -94,7 +134,22 @@
     recordSpillOver: metrics.recordSpillOver,
     recordRetry: metrics.recordRetry,
   };
+  return { stats, metrics, observer };
+}
 
+/** The ports that the member record names; they open before the membership starts. */
+interface MeshPorts {
+  readonly peerServer: PeerServer;
+  readonly callPort: CallPort;
+}
+
+async function openMeshPorts(
+  shared: SharedParts,
+  dispatcher: InstanceDispatcher,
+  observer: CallObserver,
+): Promise<MeshPorts> {
+  const { settings, logger, counters, store, deferred } = shared;
+  const { host } = settings;
   const peerServer = (
     await startPeerServer({ host, port: settings.peerPort, logger, counters })
   )._unsafeUnwrap();
@@ -103,16 +158,26 @@
     port: settings.callPort,
     settings: settings.calls,
     config: store,
-    members,
+    members: deferred.members,
     dispatcher,
     observer,
     logger,
   });
+  return { peerServer, callPort };
+}
+
+/** The tasks that talk to other nodes. */
+interface PeerTasks {
+  readonly membership: Membership;
+  readonly distribution: Distribution;
+}
+
+/** Starts membership, then distribution, and lets the peer port serve their methods. */
+function startPeerTasks(shared: SharedParts, { peerServer, callPort }: MeshPorts): PeerTasks {
+  const { settings, logger, incarnation, peers, platform, store, deferred } = shared;
+  const common = { settings, logger, peers, platform };
   const membership = startMembership({
-    settings,
-    logger,
-    peers,
-    platform,
+    ...common,
     getTag: store.getTag,
     self: {
       nodeId: settings.nodeId,
@@ -120,59 +185,75 @@
       region: settings.region,
       incarnation,
       sequence: 1,
-      host,
+      host: settings.host,
       callPort: callPort.port,
       peerPort: peerServer.port,
       state: 'joining',
       instances: [],
     },
   });
-  connect(membership);
+  deferred.connect(membership);
   peerServer.setSenderCheck(membership.checkSender);
   peerServer.addMethods(membership.methods);
-  const distribution = startDistribution({
-    settings,
-    logger,
-    peers,
-    platform,
-    members: membership,
+  const distribution = startDistribution({ ...common, members: membership, store });
+  peerServer.addMethods(distribution.methods);
+  return { membership, distribution };
+}
+
+async function openAnnouncePort(shared: SharedParts, table: InstanceTable): Promise<AnnouncePort> {
+  const { settings, logger, store } = shared;
+  const started = await startAnnouncePort({
+    host: settings.announceHost,
+    port: settings.announcePort,
+    ownHost: settings.host,
+    table,
     store,
+    logger,
   });
-  peerServer.addMethods(distribution.methods);
+  return started._unsafeUnwrap();
+}
+
+function openOperatorPort(
+  { settings, logger }: SharedParts,
+  sources: OperatorSources,
+): Promise<OperatorPort> {
+  return startOperatorPort({
+    host: settings.operatorHost,
+    port: settings.operatorPort,
+    token: settings.operatorToken,
+    logger,
+    handlers: createOperatorHandlers(sources),
+  });
+}
+
+/** Constructs and starts the parts in the order in which they need each other. */
+async function startParts(settings: Settings, logger: Logger): Promise<RunningNode> {
+  const shared = createSharedParts(settings, logger);
+  const { usage, counters, peers, platform, store } = shared;
+  const { table, partitions, dispatcher } = createInstanceParts(shared);
+  const { stats, metrics, observer } = createObserverParts(shared);
+  const meshPorts = await openMeshPorts(shared, dispatcher, observer);
+  const { peerServer, callPort } = meshPorts;
+  const { membership, distribution } = startPeerTasks(shared, meshPorts);
   const fleet = createFleetStatus({ membership, peers, store, stats });
   peerServer.addMethods(fleet.methods);
-  const announcePort = (
-    await startAnnouncePort({
-      host: settings.announceHost,
-      port: settings.announcePort,
-      ownHost: host,
-      table,
-      store,
-      logger,
-    })
-  )._unsafeUnwrap();
+  const announcePort = await openAnnouncePort(shared, table);
   partitions.start();
   let isStopping = false;
   store.onReady(() => {
     if (!isStopping) membership.updateSelf({ state: 'serving' });
   });
-  const operatorPort = await startOperatorPort({
-    host: settings.operatorHost,
-    port: settings.operatorPort,
-    token: settings.operatorToken,
-    logger,
-    handlers: createOperatorHandlers({
-      store,
-      membership,
-      counters,
-      usage,
-      metrics,
-      stats,
-      fleet,
-      callPort,
-      dispatcher,
-      partitions,
-    }),
+  const operatorPort = await openOperatorPort(shared, {
+    store,
+    membership,
+    counters,
+    usage,
+    metrics,
+    stats,
+    fleet,
+    callPort,
+    dispatcher,
+    partitions,
   });
 
   const stop = async () => {
--- a/src/plugins/operatorPort.ts
+++ b/src/plugins/operatorPort.ts
@@ -30,6 +30,12 @@
   readonly logger: Logger;
 }
 
+/** A listening operator port. */
+export interface OperatorPort {
+  readonly port: number;
+  stop(): Promise<void>;
+}
+
 /** Builds a JSON answer. */
 export function buildJsonAnswer(value: unknown, status = 200): OperatorAnswer {
   return { status, contentType: 'application/json', body: `${JSON.stringify(value)}\n` };
@@ -70,9 +76,7 @@
 }
 
 /** Starts the operator port; rejects when the port cannot be bound. */
-export async function startOperatorPort(
-  options: OperatorPortOptions,
-): Promise<{ port: number; stop(): Promise<void> }> {
+export async function startOperatorPort(options: OperatorPortOptions): Promise<OperatorPort> {
   const { logger } = options;
   const server = createServer(
     { requestTimeout: REQUEST_TIMEOUT_MS, maxHeaderSize: MAX_HEADER_BYTES },
