Use one in-memory platform in all tests

Cause: test/fakes held two in-memory platforms with the same store and conditional writes, one with faults of single calls and one with watches that wake up and an outage of all calls.

No test and no assertion changed; only test/fakes/nodes.ts imports the other name.

Ruled out: a fake with subclasses for each set, which would keep the store twice or hide it.

--- a/test/fakes/nodes.ts
+++ b/test/fakes/nodes.ts
@@ -12,7 +12,7 @@
 import { SILENT_LOGGER } from '../../src/utils/logger.js';
 import { startClock, stopClock } from './clock.js';
 import { createMemoryNetwork, type MemoryNetwork } from './memoryNetwork.js';
-import { createWatchedPlatform, type WatchedPlatform } from './watchedPlatform.js';
+import { createMemoryPlatform, type MemoryPlatform } from './memoryPlatform.js';
 
 /** Returns a generator of evenly spread numbers with a fixed seed (Park-Miller). */
 export function createRandom(seed: number): () => number {
@@ -77,7 +77,7 @@
 }
 
 /** Accepts a bundle in the platform, as the command line does. */
-export function acceptBundle(platform: WatchedPlatform, bundle: Bundle): void {
+export function acceptBundle(platform: MemoryPlatform, bundle: Bundle): void {
   platform.put(`bundles/${bundle.operationId}`, bundle);
   platform.put('config/head', toHead(bundle));
 }
@@ -97,14 +97,14 @@
 /** Parts that the nodes of a test share. */
 export interface TestMesh {
   readonly network: MemoryNetwork;
-  readonly platform: WatchedPlatform;
+  readonly platform: MemoryPlatform;
 }
 
 /** A running test node. */
 export type TestNode = ReturnType<typeof startTestNode>;
 
 export function createTestMesh(): TestMesh {
-  return { network: createMemoryNetwork(), platform: createWatchedPlatform() };
+  return { network: createMemoryNetwork(), platform: createMemoryPlatform() };
 }
 
 /** Starts membership and distribution of one node on the memory network. */
