Start daemons in tests and measurements as the executable does

Cause: the launcher started the daemon without the heap option of its first line, so measurements showed another process than the one that is shipped; a test imported a function that the clean-up had moved. Change: the launcher passes the option; the import. Ruled out: an environment variable, which would reach the stand-ins as well.

--- a/standins/launcher.ts
+++ b/standins/launcher.ts
@@ -71,6 +71,8 @@
 }
 
 const DAEMON = fileURLToPath(new URL('../src/daemon.js', import.meta.url));
+/** As in the first line of the daemon's executable. */
+const DAEMON_NODE_ARGS = ['--max-semi-space-size=4'];
 const PLATFORM = fileURLToPath(new URL('./platform/main.js', import.meta.url));
 const UPSTREAM = fileURLToPath(new URL('./upstream/main.js', import.meta.url));
 const POLL_MS = 50;
@@ -124,9 +126,10 @@
   let cuts: readonly string[] = [];
 
   const addProcess = (id: string, address: string, script: string, args: readonly string[]) => {
+    const nodeArgs = script === DAEMON ? DAEMON_NODE_ARGS : [];
     const links = listLinkDelays(topology);
     const network = { self: address, oneWayMs: topology.oneWayMs ?? 0, links };
-    processes.set(id, new ManagedProcess({ id, script, args, network }));
+    processes.set(id, new ManagedProcess({ id, script, args, nodeArgs, network }));
   };
   const platformArgs = ['--host', PLATFORM_ADDRESS, '--port', String(platformPort)];
   addProcess('platform', PLATFORM_ADDRESS, PLATFORM, platformArgs);
--- a/standins/launcher/managedProcess.ts
+++ b/standins/launcher/managedProcess.ts
@@ -9,6 +9,8 @@
 export interface ProcessPlan {
   readonly id: string;
   /** Path of the program. */
+  /** Options of Node.js itself. */
+  readonly nodeArgs?: readonly string[];
   readonly script: string;
   readonly args: readonly string[];
   readonly network: Omit<NetworkSettings, 'cuts'>;
@@ -59,9 +61,9 @@
   /** Starts and waits for the first JSON line, which the program prints when it listens. */
   start(cuts: readonly string[]): Promise<Record<string, unknown>> {
     if (this.isRunning()) throw new Error(`${this.plan.id} is running`);
-    const { script, args, network } = this.plan;
+    const { script, args, network, nodeArgs = [] } = this.plan;
     const settings: NetworkSettings = { ...network, cuts };
-    const child = spawn(process.execPath, ['--import', PRELOAD, script, ...args], {
+    const child = spawn(process.execPath, [...nodeArgs, '--import', PRELOAD, script, ...args], {
       stdio: ['ignore', 'pipe', 'pipe', 'ipc'],
       env: { ...process.env, [NETWORK_VARIABLE]: JSON.stringify(settings) },
     });
--- a/test/faults/support.ts
+++ b/test/faults/support.ts
@@ -2,7 +2,7 @@
 import type { TestContext } from 'node:test';
 import { v7 } from 'uuid';
 import { createHttpPlatform } from '../../src/core/platform/httpPlatform.js';
-import { computePartition } from '../../src/core/upstream/keyPartitions.js';
+import { computeKeyPartition } from '../../src/utils/keyPartition.js';
 import type { NodeStatus } from '../../src/generated/types.js';
 import { waitMs } from '../../src/utils/backoff.js';
 import {
@@ -168,7 +168,7 @@
 export function makeKey(timeMs: number, partition: number): string {
   for (;;) {
     const key = v7({ msecs: timeMs });
-    if (computePartition(key) === partition) return key;
+    if (computeKeyPartition(key) === partition) return key;
   }
 }
 
