Write a buffered response body without a pipe

Cause: a small response arrives with its head, yet each node on the path relayed it through stream.pipe, which adds some ten listeners to both streams and ends the response in a later tick.

Change: a body whose buffered bytes equal its content-length is written with the head by one response.end. Larger, chunked and empty bodies are piped as before, and all listeners for broken bodies and departed callers stay.

Ruled out: replacing the AbortController of each call (some 2% of self time in the profile of the entry node), since Call.signal is part of the interface of the call path.

--- a/src/core/calls/answer.ts
+++ b/src/core/calls/answer.ts
@@ -1,6 +1,5 @@
 /** Writes outcomes on the wire and reads them from the answers of other nodes. */
 import type { IncomingHttpHeaders, OutgoingHttpHeaders, ServerResponse } from 'node:http';
-import type { Readable } from 'node:stream';
 import type { LoadReport } from '../../types/calls.js';
 import { brandText, type NodeId } from '../../types/ids.js';
 import { CALL_HEADERS, type Outcome, type UnknownReason } from '../../types/outcome.js';
@@ -106,7 +105,18 @@
     : { kind: 'unknown', reason: result.reason, detail: result.detail };
 }
 
-function connectBody(body: Readable, response: ServerResponse, finish: (end: BodyEnd) => void) {
+/** True when every byte of the body has arrived; a HEAD response or an empty body is not meant. */
+function isBuffered({ body, headers }: AnsweredResult): boolean {
+  const { readableLength } = body;
+  return readableLength > 0 && headers['content-length'] === String(readableLength);
+}
+
+function connectBody(
+  result: AnsweredResult,
+  response: ServerResponse,
+  finish: (end: BodyEnd) => void,
+) {
+  const { body } = result;
   const breakOff = (error?: Error) => {
     if (body.readableEnded) return;
     finish({ reason: 'truncated', detail: error?.message ?? 'the response body broke off' });
@@ -120,7 +130,13 @@
     finish({ reason: 'cancelled', detail: 'the caller went away' });
     body.destroy();
   });
-  body.pipe(response);
+  if (isBuffered(result)) {
+    // A small body comes with its head; writing it at once saves the listeners of `pipe`.
+    response.end(body.read());
+    body.resume();
+  } else {
+    body.pipe(response);
+  }
 }
 
 /**
@@ -146,6 +162,6 @@
     // `lycheelane-*` headers of the upstream are dropped: only a node states an outcome.
     response.writeHead(status, Object.assign(listEndToEndHeaders(result.headers), added));
     // `stream.pipeline` aborts a signal at each end, which took 7% of the CPU time of a call.
-    connectBody(body, response, finish);
+    connectBody(result, response, finish);
   });
 }
