Refuse calls with more than 200 headers

Cause: the call port set maxHeadersCount to 200. Node's parser then drops the headers beyond it without an error. With 200 headers before them, the host and an idempotency key were lost; the answer was a bare 400 without an outcome, which a caller takes for an answer of the upstream.

Change: the parser's count is off (the size limit of the head stays) and serveCall refuses with 431 and 'not-run bad-request'. Only the entry node counts: nodes add headers of their own to a forwarded call. The test of a caller that goes away now asserts that the cancellation ended the run.

Ruled out: a limit of 200 plus the headers of nodes in the parser, since it would still drop instead of refuse.

Conclusion: a fault of the product, mended.

--- a/src/core/calls/callPort.ts
+++ b/src/core/calls/callPort.ts
@@ -23,7 +23,6 @@
 /** Longer than the idle timeout of the pools, so that a node never closes under a new request. */
 const KEEP_ALIVE_MS = 75_000;
 const TIMEOUT_CHECK_MS = 1000;
-const MAX_HEADER_COUNT = 200;
 /** Room for a dozen connections from each of the 540 nodes of the design size, and for callers. */
 const MAX_CONNECTIONS = 8192;
 /** Time for which a stopping node still refuses calls of nodes that have not heard of its stop. */
@@ -109,7 +108,8 @@
     connectionsCheckingInterval: TIMEOUT_CHECK_MS,
     keepAliveTimeout: KEEP_ALIVE_MS,
   });
-  server.maxHeadersCount = MAX_HEADER_COUNT;
+  // The parser drops headers beyond its limit, keys included; `serveCall` refuses such a request.
+  server.maxHeadersCount = 0;
   server.maxConnections = MAX_CONNECTIONS;
   const exchanges = createActiveExchanges();
   server.on('clientError', exchanges.refuseMalformed);
--- a/src/core/calls/serveCall.ts
+++ b/src/core/calls/serveCall.ts
@@ -23,6 +23,8 @@
   type CallTarget,
 } from './requestHead.js';
 
+const MAX_HEADER_COUNT = 200;
+
 /** Parts that serve a call. */
 export interface ServeParts extends EntryParts {
   readonly config: ConfigStore;
@@ -58,6 +60,11 @@
   startMs: number,
 ): Result<CallHead, Refusal> {
   const { headers } = request;
+  // Nodes add headers to a forwarded call, whose own ones the entry node has counted.
+  const isCounted = headers[CALL_HEADERS.target] === undefined;
+  if (isCounted && request.rawHeaders.length > 2 * MAX_HEADER_COUNT) {
+    return refuse('bad-request', `more than ${MAX_HEADER_COUNT} headers`, 431);
+  }
   const target = parseTarget(headers);
   if (target.isErr()) return refuse('bad-request', target.error.result.detail);
   if (requestId === undefined) return refuse('bad-request', `${CALL_HEADERS.request} is missing`);
--- a/test/calls/refusals.test.ts
+++ b/test/calls/refusals.test.ts
@@ -21,6 +21,12 @@
 const BAD = 'not-run bad-request';
 const UUID_V4 = 'f47ac10b-58cc-4372-a567-0e02b2c3d479';
 
+/** 200 headers and behind them a key, which must not get lost; `host` is sent too. */
+const MANY = {
+  ...Object.fromEntries(Array.from({ length: 200 }, (_, index) => [`h${index}`, '1'])),
+  'idempotency-key': '0190b6f0-0000-7000-8000-000000000000',
+};
+
 type RefusalCase = readonly [
   string,
   string,
@@ -30,6 +36,7 @@
 
 const CASES: readonly RefusalCase[] = [
   ['a header beyond the limit', `431 ${BAD}`, { big: 'x'.repeat(5000) }],
+  ['more than 200 headers', `431 ${BAD}`, MANY],
   ['a stated body beyond the limit', `413 ${BAD}`, {}, { body: 'x'.repeat(65) }],
   ['a chunked body beyond the limit', `413 ${BAD}`, CHUNKED, { body: 'x'.repeat(65) }],
   ['a deadline that is not a number', `400 ${BAD}`, { 'lycheelane-deadline-ms': 'soon' }],
--- a/test/faults/upstream.test.ts
+++ b/test/faults/upstream.test.ts
@@ -108,6 +108,9 @@
     const { abandoned, inFlight, busy } = await readSlots();
     return abandoned === 0 && inFlight === 0 && busy === 0;
   });
+  // Without the cancellation the upstream would end it at the deadline of the route.
+  const { cancelled, deadlinePassed } = await mesh.readUpstreamStats(host.instanceId);
+  assert.deepEqual({ cancelled, deadlinePassed }, { cancelled: 1, deadlinePassed: 0 });
   await mesh.setBehaviour(host.instanceId, { hangPercent: 0, lateMs: 2500 });
   await leaveAfterStart('stubborn');
   await waitFor('the abandoned call', async () => (await readView(host)).calls.abandoned === 1);
