--- a/test/calls/callPath.test.ts
+++ b/test/calls/callPath.test.ts
@@ -1,7 +1,16 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { computeHopBudgetMs } from '../../src/core/calls/forward.js';
-import { describe, createDispatcher, send, startInstanceNode, startMesh } from './fakes.js';
+import { SILENT_OBSERVER, type SpillOverReason } from '../../src/core/calls/observer.js';
+import {
+  buildView,
+  describe,
+  createDispatcher,
+  send,
+  startEntry,
+  startInstanceNode,
+  startMesh,
+} from './fakes.js';
 
 // Guards against a path that loses the body, the headers or the identity of a call on its way.
 test('a call passes through two nodes and its complete response comes back', async () => {
@@ -37,3 +46,17 @@
 test('the time budget shrinks at each hop', () => {
   assert.deepEqual([1000, 20, 5, 1].map(computeHopBudgetMs), [996, 18, 4, 0]);
 });
+
+// Guards against calls that leave the data centre without a count for operators.
+test('a call that goes to another data centre is reported with its reason', async () => {
+  const { port } = await startInstanceNode('n1', createDispatcher());
+  const far = buildView({ nodeId: 'n1', dataCentre: 'b', callPort: port });
+  const reported: [string, SpillOverReason][] = [];
+  const observer = {
+    ...SILENT_OBSERVER,
+    recordSpillOver: (route: string, reason: SpillOverReason) => reported.push([route, reason]),
+  };
+  const entry = await startEntry([far], { observer });
+  assert.equal(describe(await send(entry.port)), '200');
+  assert.deepEqual(reported, [['book', 'none-usable']]);
+});
--- a/test/calls/refusals.test.ts
+++ b/test/calls/refusals.test.ts
@@ -92,6 +92,18 @@
   assert.equal(dispatcher.calls.length, 0);
 });
 
+// Guards against connections that are held open by a request head which never ends.
+test('a request head slower than its limit is refused and its connection closed', async () => {
+  const dispatcher = createDispatcher();
+  const { port } = await startEntry([], { dispatcher, limits: { headersTimeoutMs: 100 } });
+  const socket = connect(port, '127.0.0.1');
+  socket.write('GET /x HTTP/1.1\r\nhost: a\r\n');
+  let text = '';
+  for await (const chunk of socket) text += String(chunk);
+  assert.match(text, /^HTTP\/1.1 400 [^]*lycheelane-outcome: not-run\r\n/);
+  assert.equal(dispatcher.calls.length, 0);
+});
+
 // Guards against a lost share of the common buffer: a second large body must still fit.
 test('a body that breaks off is never dispatched and frees its buffer', async () => {
   const dispatcher = createDispatcher();
