--- a/src/cli/config/checkFiles.ts
+++ b/src/cli/config/checkFiles.ts
@@ -60,7 +60,7 @@
 }
 
 /** Returns the size of the bundle of a content as the platform counts it, in bytes. */
-export function measureBundleBytes(content: ConfigContent): number {
+function measureBundleBytes(content: ConfigContent): number {
   // The widest version and author, so that what passes here is not refused at apply.
   const parent = { ...NO_PARENT, version: Number.MAX_SAFE_INTEGER - 1, digest: '0'.repeat(64) };
   const bundle = buildBundle(content, { ...parent, operationId: '0'.repeat(36) }, 'x'.repeat(256));
--- a/src/cli/config/findDuplicateKeys.ts
+++ b/src/cli/config/findDuplicateKeys.ts
@@ -1,3 +1,4 @@
+/** Finds keys that stand twice in a JSON object. */
 import type { Node } from 'jsonc-parser';
 import type { TextFault } from './workingFiles.js';
 
--- a/src/cli/config/replaceFile.ts
+++ b/src/cli/config/replaceFile.ts
@@ -1,3 +1,4 @@
+/** Replaces a file atomically. */
 import { rename, rm, writeFile } from 'node:fs/promises';
 import { basename, dirname, join } from 'node:path';
 
--- a/src/core/calls/answer.ts
+++ b/src/core/calls/answer.ts
@@ -108,13 +108,13 @@
 }
 
 function connectBody(body: Readable, response: ServerResponse, finish: (end: BodyEnd) => void) {
-  const breakOff = (error?: Error) => {
+  const abortTruncated = (error?: Error) => {
     if (body.readableEnded) return;
     finish({ reason: 'truncated', detail: error?.message ?? 'the response body broke off' });
     response.destroy();
   };
-  body.once('error', breakOff);
-  body.once('close', breakOff);
+  body.once('error', abortTruncated);
+  body.once('close', abortTruncated);
   response.once('finish', () => finish(undefined));
   response.once('close', () => {
     if (response.writableFinished) return;
--- a/src/core/calls/choose.ts
+++ b/src/core/calls/choose.ts
@@ -25,7 +25,7 @@
   return [];
 }
 
-function pickByWeight(
+function chooseByWeight(
   group: readonly Candidate[],
   except: Candidate | undefined,
   random: RandomSource,
@@ -48,9 +48,9 @@
 }
 
 function chooseOfTwo(group: readonly Candidate[], random: RandomSource): Candidate {
-  const first = pickByWeight(group, undefined, random);
+  const first = chooseByWeight(group, undefined, random);
   if (group.length === 1) return first;
-  const second = pickByWeight(group, first, random);
+  const second = chooseByWeight(group, first, random);
   if (first.score !== second.score) return first.score < second.score ? first : second;
   // With equal load the node of this process saves a hop.
   return second.isSelf ? second : first;
--- a/src/core/calls/entry.ts
+++ b/src/core/calls/entry.ts
@@ -55,7 +55,7 @@
 }
 
 /** True if a further attempt on another node is safe and can still be of use. */
-export function canRetry(call: Call, result: FailedResult): boolean {
+function canRetry(call: Call, result: FailedResult): boolean {
   if (result.retriesExhausted || call.signal.aborted) return false;
   if (call.deadlineMs <= performance.now()) return false;
   if (result.kind === 'notRun') return RETRY_AFTER_NOT_RUN[result.reason];
--- a/src/core/calls/forward.ts
+++ b/src/core/calls/forward.ts
@@ -3,7 +3,7 @@
 import type { MemberRecord } from '../../generated/types.js';
 import type { AttemptResult, Call } from '../../types/calls.js';
 import { CALL_HEADERS } from '../../types/outcome.js';
-import { ForwardHandler, type GiveUpCause } from './forwardHandler.js';
+import { ForwardHandler, type CancelCause } from './forwardHandler.js';
 import { buildNotRun } from './refusal.js';
 
 /**
@@ -56,9 +56,9 @@
         call.signal.removeEventListener('abort', cancel);
       },
     });
-    const giveUp = (cause: GiveUpCause) => handler.giveUp(cause);
-    cancel = () => giveUp('cancelled');
-    timer = setTimeout(giveUp, remainingMs, 'deadline');
+    const cancelExchange = (cause: CancelCause) => handler.cancelExchange(cause);
+    cancel = () => cancelExchange('cancelled');
+    timer = setTimeout(cancelExchange, remainingMs, 'deadline');
     call.signal.addEventListener('abort', cancel, { once: true });
     try {
       dispatcher.dispatch(
--- a/src/core/calls/forwardHandler.ts
+++ b/src/core/calls/forwardHandler.ts
@@ -10,7 +10,7 @@
 type Controller = Dispatcher.DispatchController;
 
 /** Why a forwarded request is given up. */
-export type GiveUpCause = 'deadline' | 'cancelled';
+export type CancelCause = 'deadline' | 'cancelled';
 
 /** Called once with the result, and once when the exchange has ended. */
 export interface ForwardEvents {
@@ -36,7 +36,7 @@
   ) {}
 
   /** Gives the request up: closes its connection, or keeps it from being sent. */
-  giveUp(cause: GiveUpCause): void {
+  cancelExchange(cause: CancelCause): void {
     if (this.isEnded) return;
     const result = this.controller
       ? buildUnknown(cause === 'deadline' ? 'timeout' : 'cancelled', `${this.peer}: ${cause}`)
@@ -49,7 +49,8 @@
   }
 
   onRequestStart(controller: Controller): void {
-    // A second start would send the request again; a start after `giveUp` would send it too late.
+    // A second start would send the request again; a start after `cancelExchange` would send it
+    // too late.
     if (this.isSettled || this.controller) {
       controller.abort(new Error('the request must not be sent again'));
       return;
--- a/src/core/calls/refusal.ts
+++ b/src/core/calls/refusal.ts
@@ -68,7 +68,7 @@
 }
 
 /** Builds a refusal; `status` replaces the one that belongs to the reason (413, 431). */
-export function buildRefusal(reason: NotRunReason, detail: string, status?: number): Refusal {
+function buildRefusal(reason: NotRunReason, detail: string, status?: number): Refusal {
   return { status: status ?? NOT_RUN_STATUS[reason], result: buildNotRun(reason, detail) };
 }
 
--- a/src/core/calls/requestBody.ts
+++ b/src/core/calls/requestBody.ts
@@ -59,7 +59,7 @@
         chunks.push(chunk);
       }
     };
-    const breakOff = () => finish(refuse('cancelled', 'the request body broke off'));
+    const refuseTruncated = () => finish(refuse('cancelled', 'the request body broke off'));
     timer = setTimeout(
       () => finish(refuse('deadline', 'the deadline passed while the body was read')),
       Math.max(0, deadlineMs - performance.now()),
@@ -70,8 +70,8 @@
       const body = chunks.length > 1 ? Buffer.concat(chunks, bytes) : first;
       finish(ok({ body, release }));
     });
-    request.once('error', breakOff);
-    request.once('close', breakOff);
+    request.once('error', refuseTruncated);
+    request.once('close', refuseTruncated);
   });
 }
 
--- a/src/core/calls/reserved.ts
+++ b/src/core/calls/reserved.ts
@@ -17,7 +17,7 @@
   readonly config: ConfigStore;
 }
 
-function issueToken(request: IncomingMessage, parts: ReservedParts): Result<string, Refusal> {
+function buildToken(request: IncomingMessage, parts: ReservedParts): Result<string, Refusal> {
   const url = new URL(request.url ?? '/', 'http://localhost');
   if (url.pathname !== TOKEN_PATH) return refuse('no-route', 'unknown reserved path');
   if (request.method !== 'POST') return refuse('bad-request', 'a token is requested by POST', 405);
@@ -43,7 +43,7 @@
   parts: ReservedParts,
 ): void {
   request.resume();
-  const token = issueToken(request, parts);
+  const token = buildToken(request, parts);
   if (token.isErr()) {
     writeFailure(response, token.error.result, undefined, token.error.status);
     return;
--- a/src/core/config/acceptBundle.ts
+++ b/src/core/config/acceptBundle.ts
@@ -13,10 +13,10 @@
   | { readonly kind: 'accepted'; readonly version: number; readonly operationId: string }
   /** The head moved past without this operation, which did not and cannot take effect. */
   | { readonly kind: 'superseded'; readonly operationId: string }
-  /** A write was sent and its fate cannot be told; `config status` tells later. */
+  /** A write was sent and its effect is not known; `config status` tells later. */
   | { readonly kind: 'unknown'; readonly operationId: string; readonly cause: StepError };
 
-/** How often and how patiently the platform is asked. */
+/** Number of attempts at the platform and the delays between them. */
 export interface AcceptOptions {
   readonly maxAttempts?: number;
   readonly backoff?: BackoffBounds;
--- a/src/core/config/buildBundle.ts
+++ b/src/core/config/buildBundle.ts
@@ -12,7 +12,7 @@
 export const NO_PARENT: VersionReference = { version: 0, digest: '', operationId: '' };
 
 /** Entries that the head keeps. */
-export const MAX_RECENT = 128;
+const MAX_RECENT = 128;
 
 /** Builds the bundle that follows `parent`, with a new operation id. */
 export function buildBundle(
--- a/src/core/config/matchRoutes.ts
+++ b/src/core/config/matchRoutes.ts
@@ -40,7 +40,7 @@
   return formatPrefix(path.replace(/\/{2,}/g, '/'));
 }
 
-function acceptsMethod(config: RouteConfig, method: string): boolean {
+function hasMethod(config: RouteConfig, method: string): boolean {
   return config.match.methods === undefined || config.match.methods.includes(method);
 }
 
@@ -51,7 +51,7 @@
 
 function hasCommonMethod(a: RouteConfig, b: RouteConfig): boolean {
   const { methods } = a.match;
-  return methods === undefined || methods.some((method) => acceptsMethod(b, method));
+  return methods === undefined || methods.some((method) => hasMethod(b, method));
 }
 
 /** Lists pairs of routes that match the same requests with the same precedence. */
@@ -74,7 +74,7 @@
   for (;;) {
     const route = index
       .get(`${authority} ${prefix}`)
-      ?.find(({ config }) => acceptsMethod(config, method));
+      ?.find(({ config }) => hasMethod(config, method));
     if (route || prefix === '') return route;
     prefix = prefix.slice(0, prefix.lastIndexOf('/'));
   }
--- a/src/core/config/pruneBundles.ts
+++ b/src/core/config/pruneBundles.ts
@@ -10,7 +10,7 @@
 export const KEPT_VERSIONS = 256;
 
 /** Platform object that lists stored bundles: `recent` of the head covers only 128 of them. */
-export const INDEX_NAME = 'config/bundles';
+const INDEX_NAME = 'config/bundles';
 
 /** Bounds the work of one apply when earlier ones could not remove anything. */
 const MAX_REMOVALS = 32;
--- a/src/core/config/readAccepted.ts
+++ b/src/core/config/readAccepted.ts
@@ -17,7 +17,7 @@
 }
 
 /** Reads the content that a head names; errors when it is missing or has another digest. */
-export async function readContent(
+async function readContent(
   platform: PlatformClient,
   head: PlatformObject<Head> | undefined,
 ): Promise<Result<ConfigContent, StepError>> {
--- a/src/core/distribution/context.ts
+++ b/src/core/distribution/context.ts
@@ -1,3 +1,4 @@
+/** Parts that the tasks of the distribution share. */
 import type { Sender, Settings } from '../../generated/types.js';
 import type { PeerClient, PlatformClient } from '../../types/interfaces.js';
 import type { Logger } from '../../utils/logger.js';
--- a/src/core/distribution/delta.ts
+++ b/src/core/distribution/delta.ts
@@ -1,3 +1,4 @@
+/** Differences between bundles (JSON Patch, RFC 6902). */
 import fastJsonPatch, { type Operation } from 'fast-json-patch';
 import { err, type Result } from 'neverthrow';
 import { buildError, toStepError, type StepError } from '../../errors.js';
--- a/src/core/distribution/floor.ts
+++ b/src/core/distribution/floor.ts
@@ -1,3 +1,4 @@
+/** Search for the floor at start-up. */
 import { ok, type Result } from 'neverthrow';
 import type { StepError } from '../../errors.js';
 import type { ConfigFloorAnswer, MemberChange } from '../../generated/types.js';
@@ -73,7 +74,7 @@
   const { settings, logger, peers, members, store, random, signal } = context;
   const isDone = () => store.isFloorKnown() || signal.aborted;
 
-  const askPeer = async (nodeId: string, address: PeerAddress): Promise<FloorAnswer[]> => {
+  const requestFloor = async (nodeId: string, address: PeerAddress): Promise<FloorAnswer[]> => {
     const params = { from: getOwnSender(context) };
     const answer = await peers.request<ConfigFloorAnswer>(
       address,
@@ -84,7 +85,7 @@
     return answer.isOk() ? [{ nodeId, answer: answer.value }] : [];
   };
 
-  const askPeers = async () => {
+  const requestFloors = async () => {
     const targets = members
       .listMembers()
       .filter(
@@ -93,7 +94,7 @@
           member.record.dataCentre === settings.dataCentre &&
           member.record.nodeId !== settings.nodeId,
       );
-    const asked = targets.map(({ record }) => askPeer(record.nodeId, toAddress(record)));
+    const asked = targets.map(({ record }) => requestFloor(record.nodeId, toAddress(record)));
     const answers = (await Promise.all(asked)).flat();
     const floor = computeMajorityFloor(answers, settings.dataCentre, settings.nodeId);
     if (!floor || isDone()) return;
@@ -107,7 +108,7 @@
   const runPeers = async () => {
     await Promise.race([members.joined, waitMs(PEERS_FIRST_MS, signal)]);
     for (let attempt = 0; !isDone(); attempt += 1) {
-      await askPeers();
+      await requestFloors();
       if (!isDone()) await waitMs(computeDelayMs(PEER_BOUNDS, attempt, random), signal);
     }
   };
--- a/src/core/distribution/held.ts
+++ b/src/core/distribution/held.ts
@@ -1,3 +1,4 @@
+/** Recent bundles, kept as bases of differences. */
 import type { Bundle } from '../../generated/types.js';
 
 /** Bundles that differences can start from. */
--- a/src/core/distribution/notify.ts
+++ b/src/core/distribution/notify.ts
@@ -1,3 +1,4 @@
+/** Notification of members about an installed version. */
 import type { MemberView, VersionTag } from '../../types/interfaces.js';
 import { chooseRandom } from '../../utils/random.js';
 import { toAddress } from '../membership/context.js';
--- a/src/core/distribution/obtain.ts
+++ b/src/core/distribution/obtain.ts
@@ -1,3 +1,4 @@
+/** Obtains versions that were announced, from peers or from the platform. */
 import type { ConfigFetchAnswer } from '../../generated/types.js';
 import type { NodeId } from '../../types/ids.js';
 import type { MemberView, VersionTag } from '../../types/interfaces.js';
--- a/src/core/distribution/readHeadBundle.ts
+++ b/src/core/distribution/readHeadBundle.ts
@@ -1,3 +1,4 @@
+/** Read of the bundle that a head names. */
 import { err, ok, type Result } from 'neverthrow';
 import { buildError, type StepError } from '../../errors.js';
 import type { Bundle, Head } from '../../generated/types.js';
--- a/src/core/distribution/serveFetch.ts
+++ b/src/core/distribution/serveFetch.ts
@@ -1,3 +1,4 @@
+/** Serves `config.fetch`. */
 import { err, ok, type Result } from 'neverthrow';
 import { buildError, type StepError } from '../../errors.js';
 import type { ConfigFetch, ConfigFetchAnswer } from '../../generated/types.js';
--- a/src/core/distribution/start.ts
+++ b/src/core/distribution/start.ts
@@ -1,3 +1,4 @@
+/** Starts the tasks of the distribution. */
 import { ok } from 'neverthrow';
 import type { ConfigNotify } from '../../generated/types.js';
 import type { PeerMethods } from '../peer/dispatcher.js';
--- a/src/core/distribution/store.ts
+++ b/src/core/distribution/store.ts
@@ -1,3 +1,4 @@
+/** Installed version, floor and readiness of a node. */
 import { err, ok, type Result } from 'neverthrow';
 import { buildError, type StepError } from '../../errors.js';
 import type { Bundle } from '../../generated/types.js';
--- a/src/core/distribution/verify.ts
+++ b/src/core/distribution/verify.ts
@@ -1,3 +1,4 @@
+/** Verification of bundles. */
 import { err, ok, type Result } from 'neverthrow';
 import { buildError, type StepError } from '../../errors.js';
 import type { Bundle } from '../../generated/types.js';
--- a/src/core/distribution/watchHead.ts
+++ b/src/core/distribution/watchHead.ts
@@ -1,3 +1,4 @@
+/** Watch of the head at relays. */
 import type { StepError } from '../../errors.js';
 import { computeDelayMs, waitMs } from '../../utils/backoff.js';
 import type { DistributionContext } from './context.js';
--- a/src/core/membership/antiEntropy.ts
+++ b/src/core/membership/antiEntropy.ts
@@ -1,3 +1,4 @@
+/** Comparison of member tables between two nodes. */
 import { ok, type Result } from 'neverthrow';
 import type { StepError } from '../../errors.js';
 import type {
@@ -30,7 +31,7 @@
 /** Compares tables with other members and exchanges what differs. */
 export interface AntiEntropy {
   /** Starts an exchange when the hashes differ and gossip alone will not repair it. */
-  noteHash(address: PeerAddress, tableHash: string): void;
+  recordHash(address: PeerAddress, tableHash: string): void;
   /** Exchanges summaries now. `spread` repeats what was new on pings. */
   runSummary(address: PeerAddress, spread: boolean): Promise<Result<number, StepError>>;
   handleSummary(params: MembersSummary): Result<MembersSummaryAnswer, StepError>;
@@ -101,7 +102,7 @@
 
   return {
     runSummary,
-    noteHash: (address, tableHash) => {
+    recordHash: (address, tableHash) => {
       const nowMs = Date.now();
       if (isRunning || tableHash === table.computeHash() || nowMs < notBeforeMs) return;
       const quietMs = QUIET_INTERVALS * settings.membership.pingIntervalMs;
--- a/src/core/membership/context.ts
+++ b/src/core/membership/context.ts
@@ -1,3 +1,4 @@
+/** Parts that the tasks of the membership share. */
 import type { MemberRecord, Sender, Settings } from '../../generated/types.js';
 import type {
   PeerAddress,
--- a/src/core/membership/detector.ts
+++ b/src/core/membership/detector.ts
@@ -1,3 +1,4 @@
+/** Failure detection inside the data centre (SWIM). */
 import type { MemberChange, PingIndirectAnswer } from '../../generated/types.js';
 import { waitMs } from '../../utils/backoff.js';
 import { chooseRandom, toShuffled } from '../../utils/random.js';
--- a/src/core/membership/exchange.ts
+++ b/src/core/membership/exchange.ts
@@ -1,3 +1,4 @@
+/** Pings and their acks. */
 import { err, ok, type Result } from 'neverthrow';
 import { buildError, type StepError } from '../../errors.js';
 import type { MemberChange, Ping, PingIndirect, Sender } from '../../generated/types.js';
--- a/src/core/membership/gossip.ts
+++ b/src/core/membership/gossip.ts
@@ -1,8 +1,9 @@
+/** Changes that are piggybacked on pings and acks. */
 import type { MemberChange } from '../../generated/types.js';
 import { toChange, type Table } from './table.js';
 
 /** Largest piggybacked part of one ping or ack: about forty records, for mass restarts. */
-export const PIGGYBACK_BYTES = 16 * 1024;
+const PIGGYBACK_BYTES = 16 * 1024;
 /** Repetitions per change as a multiple of the logarithm of the group size (SWIM's lambda). */
 const REPEAT_FACTOR = 3;
 
--- a/src/core/membership/incarnation.ts
+++ b/src/core/membership/incarnation.ts
@@ -1,3 +1,4 @@
+/** Incarnations: one run of one node process. */
 import { randomBytes } from 'node:crypto';
 
 /** Creates the incarnation of a process that starts now: start time, hyphen, random text. */
--- a/src/core/membership/join.ts
+++ b/src/core/membership/join.ts
@@ -1,3 +1,4 @@
+/** Joining by the seeds. */
 import type { PeerAddress } from '../../types/interfaces.js';
 import { computeDelayMs, waitMs } from '../../utils/backoff.js';
 import { chooseRandom, toShuffled } from '../../utils/random.js';
--- a/src/core/membership/merge.ts
+++ b/src/core/membership/merge.ts
@@ -1,3 +1,4 @@
+/** Order of two changes of one member. */
 import canonicalize from 'canonicalize';
 import type { MemberChange, MemberRecord } from '../../generated/types.js';
 import type { MemberVerdict } from '../../types/interfaces.js';
--- a/src/core/membership/receive.ts
+++ b/src/core/membership/receive.ts
@@ -1,3 +1,4 @@
+/** Changes received from other members. */
 import type { MemberChange, Sender } from '../../generated/types.js';
 import { compareChanges, isPresent } from './merge.js';
 import type { MembershipContext } from './context.js';
@@ -30,7 +31,7 @@
  *   cannot remove the members it lost sight of;
  * - at relays, any new verdict about a member elsewhere, for the same reason.
  */
-function needsProbe(
+function shouldProbe(
   context: MembershipContext,
   change: MemberChange,
   current: Entry | undefined,
@@ -109,7 +110,7 @@
         const current = table.get(nodeId);
         if (current && compareChanges(change, current) <= 0) continue;
         if (!current && !isPresent(change)) continue;
-        if (needsProbe(context, change, current, from)) {
+        if (shouldProbe(context, change, current, from)) {
           scheduleProbe(change, spread);
           taken += 1;
         } else if (take(change, spread)) {
--- a/src/core/membership/relayExchange.ts
+++ b/src/core/membership/relayExchange.ts
@@ -1,3 +1,4 @@
+/** Exchange of records with other data centres. */
 import { waitMs } from '../../utils/backoff.js';
 import { toAddress, type MembershipContext } from './context.js';
 import type { Heard, PingExchange } from './exchange.js';
@@ -37,7 +38,7 @@
 export interface RelayExchange {
   runOnce(): Promise<void>;
   run(): Promise<void>;
-  noteHeard(heard: Heard): void;
+  recordHeard(heard: Heard): void;
   listDataCentres(): readonly DataCentreView[];
 }
 
@@ -86,7 +87,7 @@
   const syncDataCentre = async (dataCentre: string) => {
     const link = getLink(dataCentre);
     const revision = table.getRevision();
-    const news = table
+    const changed = table
       .list()
       .filter(
         (entry) =>
@@ -94,7 +95,7 @@
       )
       .sort((a, b) => a.revision - b.revision);
     const { version } = context.getTag();
-    const isIdle = news.length === 0 && version === link.sentVersion && link.failures === 0;
+    const isIdle = changed.length === 0 && version === link.sentVersion && link.failures === 0;
     // An exchange that the other side started serves both.
     if (isIdle && Date.now() - link.contactMs < relaySyncMs * (IDLE_INTERVALS - 0.1)) return;
     const candidates = ranking.listRanked(dataCentre).slice(0, TRIED_MEMBERS);
@@ -102,7 +103,7 @@
     const index = isFailing ? link.failures : Math.floor(random() * Math.min(2, candidates.length));
     const target = candidates[index % Math.max(1, candidates.length)];
     if (!target) return;
-    const first = limitChanges(news, SYNC_BYTES);
+    const first = limitChanges(changed, SYNC_BYTES);
     const address = toAddress(target.record);
     const targetId = target.record.nodeId;
     const answer = await exchange.ping(address, { targetId, first, timeoutMs: pingTimeoutMs });
@@ -112,9 +113,9 @@
       return;
     }
     link.sentVersion = version;
-    const isComplete = first.length === news.length;
-    link.sentRevision = isComplete ? revision : (news[first.length - 1]?.revision ?? revision);
-    antiEntropy.noteHash(address, answer.value.tableHash);
+    const isComplete = first.length === changed.length;
+    link.sentRevision = isComplete ? revision : (changed[first.length - 1]?.revision ?? revision);
+    antiEntropy.recordHash(address, answer.value.tableHash);
   };
 
   const runOnce = async () => {
@@ -136,7 +137,7 @@
         await waitMs(Math.max(0, relaySyncMs - (Date.now() - startedMs)), signal);
       }
     },
-    noteHeard: ({ from }) => {
+    recordHeard: ({ from }) => {
       if (from.dataCentre !== settings.dataCentre && context.isRelay()) {
         recordContact(from.dataCentre);
       }
--- a/src/core/membership/relays.ts
+++ b/src/core/membership/relays.ts
@@ -1,9 +1,10 @@
+/** Ranking of members for the relay role. */
 import type { DataCentre } from '../../types/ids.js';
 import { rankMembers } from '../../utils/rendezvous.js';
 import type { Entry, Table } from './table.js';
 
 /** Relays of one data centre. */
-export const RELAYS_PER_DATA_CENTRE = 2;
+const RELAYS_PER_DATA_CENTRE = 2;
 
 /** Ranks the members of data centres for the relay role. */
 export interface RelayRanking {
--- a/src/core/membership/seeds.ts
+++ b/src/core/membership/seeds.ts
@@ -1,3 +1,4 @@
+/** The seed list of a data centre in the platform. */
 import type { SeedList } from '../../generated/types.js';
 import { validateSeeds } from '../../generated/validators.js';
 import type { PeerAddress, PlatformObject } from '../../types/interfaces.js';
--- a/src/core/membership/start.ts
+++ b/src/core/membership/start.ts
@@ -1,3 +1,4 @@
+/** Starts the tasks of the membership. */
 import { err, ok } from 'neverthrow';
 import { buildError } from '../../errors.js';
 import type { MemberChange, MemberRecord, Settings } from '../../generated/types.js';
@@ -125,12 +126,12 @@
   const joiner = createJoiner(context, exchange, antiEntropy, ranking, onJoined);
 
   gossip.add(self.nodeId);
-  exchange.onHeard(relayExchange.noteHeard);
+  exchange.onHeard(relayExchange.recordHeard);
   exchange.onHeard(({ from, tableHash, direction }) => {
     const sender = table.get(from.nodeId);
     // Only the side that pinged compares, so that one difference starts one exchange.
     if (direction === 'ack' && sender && from.dataCentre === settings.dataCentre) {
-      antiEntropy.noteHash(toAddress(sender.record), tableHash);
+      antiEntropy.recordHash(toAddress(sender.record), tableHash);
     }
   });
 
--- a/src/core/membership/table.ts
+++ b/src/core/membership/table.ts
@@ -1,3 +1,4 @@
+/** The member table. */
 import { createHash } from 'node:crypto';
 import type { MemberChange, MemberRecord } from '../../generated/types.js';
 import type { MemberVerdict, MemberView, VersionTag } from '../../types/interfaces.js';
--- a/src/core/peer/client.ts
+++ b/src/core/peer/client.ts
@@ -1,3 +1,4 @@
+/** Client side of the messages between nodes. */
 import { err, ok, type Result } from 'neverthrow';
 import { buildError, type StepError } from '../../errors.js';
 import type { ControlCounters, PeerAddress, PeerClient } from '../../types/interfaces.js';
--- a/src/core/peer/connect.ts
+++ b/src/core/peer/connect.ts
@@ -1,3 +1,4 @@
+/** Opens connections to peers. */
 import { connect, type Socket } from 'node:net';
 import { err, ok, type Result } from 'neverthrow';
 import { buildError, type StepError } from '../../errors.js';
--- a/src/core/peer/dispatcher.ts
+++ b/src/core/peer/dispatcher.ts
@@ -1,3 +1,4 @@
+/** Dispatch of received messages to their methods. */
 import { err, ok, type Result } from 'neverthrow';
 import { buildError, toStepError, type StepError } from '../../errors.js';
 import type { Sender } from '../../generated/types.js';
--- a/src/core/peer/lines.ts
+++ b/src/core/peer/lines.ts
@@ -1,3 +1,4 @@
+/** Line framing of a socket. */
 import type { Socket } from 'node:net';
 import { from, fromEvent, type Stream } from 'most';
 import { buildError } from '../../errors.js';
--- a/src/core/peer/link.ts
+++ b/src/core/peer/link.ts
@@ -1,3 +1,4 @@
+/** One connection to a peer, with its queue and its backoff. */
 import { once } from 'node:events';
 import type { Socket } from 'node:net';
 import { JSONRPCClient, createJSONRPCErrorResponse, isJSONRPCResponse } from 'json-rpc-2.0';
@@ -10,7 +11,7 @@
 import { createLineStream } from './lines.js';
 import { MAX_BAD_MESSAGES, MAX_LINE_BYTES, RECONNECT_BOUNDS } from './limits.js';
 import { createSendQueue } from './sendQueue.js';
-import { TIMEOUT_CODE, fromWireError } from './wireErrors.js';
+import { TIMEOUT_CODE, parseWireError } from './wireErrors.js';
 
 /** Parts that the links of a client share. */
 export interface LinkOptions {
@@ -173,7 +174,7 @@
       try {
         return ok((await requester.request(method, params, { expiresAtMs, onRefused })) as unknown);
       } catch (thrown) {
-        return err(refusal ?? fromWireError(thrown, method, peer));
+        return err(refusal ?? parseWireError(thrown, method, peer));
       }
     },
     notify: (method, params) =>
--- a/src/core/peer/sendQueue.ts
+++ b/src/core/peer/sendQueue.ts
@@ -1,3 +1,4 @@
+/** Bounded queue of messages for one peer. */
 import { MAX_QUEUED_BYTES, MAX_QUEUED_MESSAGES } from './limits.js';
 
 /** One encoded line that waits to be sent. */
--- a/src/core/peer/server.ts
+++ b/src/core/peer/server.ts
@@ -1,3 +1,4 @@
+/** The peer port. */
 import { createServer, type AddressInfo, type Socket } from 'node:net';
 import { err, ok, type Result } from 'neverthrow';
 import { buildError, toStepError, type StepError } from '../../errors.js';
--- a/src/core/peer/serverConnection.ts
+++ b/src/core/peer/serverConnection.ts
@@ -1,3 +1,4 @@
+/** One accepted connection of the peer port. */
 import type { Socket } from 'node:net';
 import {
   JSONRPCServer,
--- a/src/core/peer/validation.ts
+++ b/src/core/peer/validation.ts
@@ -1,3 +1,4 @@
+/** Schema checks of messages between nodes. */
 import { err, ok, type Result } from 'neverthrow';
 import { buildError, type StepError } from '../../errors.js';
 import {
--- a/src/core/peer/wireErrors.ts
+++ b/src/core/peer/wireErrors.ts
@@ -1,12 +1,11 @@
+/** Errors as they are sent between nodes. */
 import { JSONRPCErrorCode, JSONRPCErrorException } from 'json-rpc-2.0';
 import { buildError, type ErrorKind, type StepError } from '../../errors.js';
 
 /** JSON-RPC error code of every error that carries a kind in its data. */
-export const STEP_ERROR_CODE = -32000;
+const STEP_ERROR_CODE = -32000;
 /** Code that the client side gives to its own time-outs; never sent. */
 export const TIMEOUT_CODE = -32001;
-/** Code that the client side gives to lost connections; never sent. */
-export const LOST_CODE = -32002;
 
 const INVALID_CODE: number = JSONRPCErrorCode.InvalidParams;
 const NOT_FOUND_CODE: number = JSONRPCErrorCode.MethodNotFound;
@@ -45,7 +44,7 @@
 }
 
 /** Converts what a JSON-RPC request threw into an error of step `method` at `peer`. */
-export function fromWireError(thrown: unknown, method: string, peer: string): StepError {
+export function parseWireError(thrown: unknown, method: string, peer: string): StepError {
   const message = thrown instanceof Error ? thrown.message : String(thrown);
   return buildError(findKind(thrown), method, peer, message, thrown);
 }
--- a/src/core/platform/readLimitedText.ts
+++ b/src/core/platform/readLimitedText.ts
@@ -1,3 +1,4 @@
+/** Reads bodies up to a limit. */
 import type { Readable } from 'node:stream';
 import { buildError } from '../../errors.js';
 
--- a/src/core/upstream/callerLimit.ts
+++ b/src/core/upstream/callerLimit.ts
@@ -1,3 +1,4 @@
+/** A caller's deadline and departure. */
 import type { Call } from '../../types/calls.js';
 
 /** Waits for a caller's deadline or departure; the returned function stops the wait. */
--- a/src/core/upstream/dispatcher.ts
+++ b/src/core/upstream/dispatcher.ts
@@ -145,7 +145,7 @@
     return result;
   };
 
-  const cutRuns = (entry: InstanceEntry) => {
+  const abortRuns = (entry: InstanceEntry) => {
     for (const [cut, runEntry] of runs) {
       if (runEntry !== entry) continue;
       if (cut.isAwaited()) {
@@ -164,7 +164,7 @@
       const config = store.getRouting()?.services.get(entry.service)?.config;
       const drainMs = config?.drainMs ?? DEFAULT_DRAIN_MS;
       const timer = setTimeout(() => {
-        if (entry.state === 'draining' || entry.state === 'gone') cutRuns(entry);
+        if (entry.state === 'draining' || entry.state === 'gone') abortRuns(entry);
       }, drainMs);
       drainTimers.set(entry.instanceId, timer);
     } else if (known && (!isLeaving || change === 'removed')) {
--- a/src/core/upstream/keyPartitions.ts
+++ b/src/core/upstream/keyPartitions.ts
@@ -48,9 +48,9 @@
 
 /** Ownership of the key partitions. */
 export interface KeyPartitions {
-  /** Judges a key; reads the owner from the platform when it is not known. */
+  /** Decides whether a key may be dispatched here; reads the owner when it is not known. */
   checkKey(service: ServiceName, key: UuidKey): Promise<KeyVerdict>;
-  /** Judges a key at the moment of its hand-over; nothing may be awaited in between. */
+  /** Decides the same at the moment of the hand-over; nothing may be awaited in between. */
   takeKey(service: ServiceName, key: UuidKey): KeyVerdict;
   /** Claims and renews periodically until `stop`. */
   start(): void;
@@ -131,7 +131,7 @@
     return partition;
   };
 
-  const judgeForeign = (owner: KeyPartition, timeMs: number): KeyVerdict => {
+  const deriveForeignVerdict = (owner: KeyPartition, timeMs: number): KeyVerdict => {
     if (owner.nodeId !== members.getSelf().nodeId && isOwnerRunning(members, owner)) {
       const hint = brandText<NodeId>(owner.nodeId);
       return { kind: 'notRun', reason: 'wrong-node', detail: `owned by ${hint}`, hint };
@@ -142,7 +142,7 @@
     return { kind: 'notRun', reason: 'key-unowned', detail: 'the last owner is gone' };
   };
 
-  const judge = ({ lease }: Partition, timeMs: number): KeyVerdict => {
+  const deriveVerdict = ({ lease }: Partition, timeMs: number): KeyVerdict => {
     const held = isStopped ? undefined : lease.getHeld();
     if (held) {
       if (timeMs < held.from) {
@@ -152,7 +152,7 @@
       return { kind: 'notRun', reason: 'key-unowned', detail: 'later than the owned interval' };
     }
     const view = lease.getView();
-    if (typeof view === 'object') return judgeForeign(view, timeMs);
+    if (typeof view === 'object') return deriveForeignVerdict(view, timeMs);
     return { kind: 'notRun', reason: 'key-unowned', detail: 'no owner is known' };
   };
 
@@ -264,16 +264,16 @@
   return {
     async checkKey(service, key) {
       const partition = getPartition(service, computeKeyPartition(key.text));
-      const verdict = judge(partition, key.issuedAtMs);
+      const verdict = deriveVerdict(partition, key.issuedAtMs);
       const isFinal = partition.lease.getHeld() !== undefined || verdict.kind === 'allowed';
       const hasHint = verdict.kind === 'notRun' && verdict.reason === 'wrong-node';
       if (isFinal || hasHint || isStopped) return verdict;
       await readForCall(partition);
-      return judge(partition, key.issuedAtMs);
+      return deriveVerdict(partition, key.issuedAtMs);
     },
     takeKey(service, key) {
       const partition = getPartition(service, computeKeyPartition(key.text));
-      const verdict = judge(partition, key.issuedAtMs);
+      const verdict = deriveVerdict(partition, key.issuedAtMs);
       if (verdict.kind === 'allowed') partition.lease.recordTaken(key.issuedAtMs);
       return verdict;
     },
--- a/src/plugins/fleetStatus.ts
+++ b/src/plugins/fleetStatus.ts
@@ -62,7 +62,7 @@
     return { nodeId, dataCentre, region, verdict, state, ready, version, digest, refusal };
   };
 
-  const describeSilent = ({ record, verdict, tag }: MemberView): NodeStatus => {
+  const buildSilentStatus = ({ record, verdict, tag }: MemberView): NodeStatus => {
     const { nodeId, dataCentre, region, state } = record;
     const { version, digest } = tag;
     return {
@@ -78,7 +78,7 @@
     };
   };
 
-  const ask = (
+  const requestStatus = (
     to: MemberRecord,
     method: 'status.get' | 'status.collect',
     what: StatusCollect['what'],
@@ -108,9 +108,9 @@
       PARALLEL_REQUESTS,
       async (view): Promise<Collected> => {
         if (view.record.nodeId === self.nodeId) return answerOwn(what);
-        const answer = await ask(view.record, 'status.get', what);
+        const answer = await requestStatus(view.record, 'status.get', what);
         if (answer.isOk()) return answer.value;
-        return { nodes: what === 'nodes' ? [describeSilent(view)] : [], burn: [] };
+        return { nodes: what === 'nodes' ? [buildSilentStatus(view)] : [], burn: [] };
       },
     );
     return {
@@ -127,14 +127,14 @@
     const others = listPresent(dataCentre).filter((view) => !relays.includes(view));
     let failure: StepError | undefined;
     for (const { record } of [...relays, ...others].slice(0, TRIED_RELAYS)) {
-      const answer = await ask(record, 'status.collect', what);
+      const answer = await requestStatus(record, 'status.collect', what);
       if (answer.isOk()) return ok(answer.value);
       failure = answer.error;
     }
     return err(failure);
   };
 
-  const noteReachable = (name: string, reachable: boolean): DataCentreStatus => {
+  const recordReachable = (name: string, reachable: boolean): DataCentreStatus => {
     if (reachable) unreachableSince.delete(name);
     else if (!unreachableSince.has(name)) unreachableSince.set(name, Date.now());
     const relayView = membership.listDataCentres().find((view) => view.dataCentre === name);
@@ -166,9 +166,9 @@
       const nodes: NodeStatus[] = [];
       const dataCentres: DataCentreStatus[] = [];
       for (const { name, collected } of await listAll('nodes')) {
-        const silent = () => listPresent(name).map(describeSilent);
-        nodes.push(...(collected.isOk() ? collected.value.nodes : silent()));
-        dataCentres.push(noteReachable(name, collected.isOk()));
+        const listSilent = () => listPresent(name).map(buildSilentStatus);
+        nodes.push(...(collected.isOk() ? collected.value.nodes : listSilent()));
+        dataCentres.push(recordReachable(name, collected.isOk()));
       }
       return { nodes, dataCentres };
     },
--- a/src/plugins/operatorHandlers.ts
+++ b/src/plugins/operatorHandlers.ts
@@ -55,7 +55,7 @@
 }
 
 /** Builds the burn report of some nodes against the objectives of the installed version. */
-export function buildBurnReport(store: ConfigStore, stats: readonly RouteStats[]): object {
+function buildBurnReport(store: ConfigStore, stats: readonly RouteStats[]): object {
   const routes = store.getRouting()?.routes;
   return {
     version: store.getTag().version,
