Let planned stops cut no call and keep keyed calls alive through them

Keyed calls ended as key-undecided while a partition changed hands. Data centres that start together found each other only at looks up to 60 s apart. Change: a stopping port keeps refusing until all connections are closed, at most 3 s, and peers close theirs when they hear of the stop; a node that takes no new work is asked once and costs no retry; a draining instance is pushed to peers at once; the owner of a key is looked for again within the deadline; relays look for other data centres early; the floor of peers waits for the local upstream. The test of the hint loop now has a deadline without a second look and keeps its exact counts. Two tests with 50 ms and 100 ms limits hung or failed under load; they have limits that do not decide their outcome now. Ruled out: closing all connections at once, and a longer fixed wait.

--- a/src/core/calls/attempt.ts
+++ b/src/core/calls/attempt.ts
@@ -6,6 +6,7 @@
 import { forwardCall } from './forward.js';
 import type { NodeStats, NodeStatsTable } from './nodeStats.js';
 import type { PeerPools } from './peerPools.js';
+import { isStaleChoice } from './refusal.js';
 
 /** Parts that an attempt needs. */
 export interface AttemptParts {
@@ -37,6 +38,7 @@
       if (result.load) stats.recordLoad(result.load, nowMs);
       // Overload spreads over the other nodes by load; it says nothing about a node's health.
       if (result.reason === 'overloaded') stats.recordFull(nowMs);
+      if (isStaleChoice(result)) stats.recordLeaving(nowMs);
       if (result.reason === 'connect-failed') stats.outlier.recordFailure(outlier, nowMs);
       break;
     // no default
--- a/src/core/calls/callPort.ts
+++ b/src/core/calls/callPort.ts
@@ -25,8 +25,17 @@
 const TIMEOUT_CHECK_MS = 1000;
 /** Room for a dozen connections from each of the 540 nodes of the design size, and for callers. */
 const MAX_CONNECTIONS = 8192;
-/** Time for which a stopping node still refuses calls of nodes that have not heard of its stop. */
-const LINGER_MS = 250;
+/**
+ * Longest time for which a stopping node still refuses calls over open connections. By then all
+ * nodes have heard of its stop and have closed theirs; a request that crosses the closing of its
+ * connection would end as unknown.
+ */
+const LINGER_MS = 3000;
+/** Shortest such time, for calls of nodes that are about to connect. */
+const MIN_LINGER_MS = 250;
+/** Time for requests that crossed the closing of idle connections to be refused. */
+const CLOSE_GRACE_MS = 250;
+const POLL_MS = 25;
 
 /** What a call port needs. */
 export interface CallPortOptions {
@@ -97,9 +106,10 @@
     isLeaving: () => isLeaving,
   };
   members.onChange(({ record, verdict }) => {
-    if (verdict !== 'dead' && record.state !== 'left') return;
-    pools.remove(brandText<NodeId>(record.nodeId));
-    stats.remove(record.nodeId);
+    const isGone = verdict === 'dead' || record.state === 'left';
+    // Idle connections to a stopping node are closed before it closes them.
+    if (isGone || record.state === 'leaving') pools.remove(brandText<NodeId>(record.nodeId));
+    if (isGone) stats.remove(record.nodeId);
   });
   const server = createServer({
     maxHeaderSize: settings.maxHeaderBytes,
@@ -146,18 +156,30 @@
     onIdle = () => limit.abort();
     await waitMs(limitMs, limit.signal);
   };
+  const countConnections = () =>
+    new Promise<number>((resolve) => {
+      server.getConnections((error, count) => resolve(error ? 0 : count));
+    });
+  /** Waits until no connection is open, at most `limitMs`. */
+  const waitForConnections = async (limitMs: number) => {
+    const endMs = performance.now() + limitMs;
+    while (performance.now() < endMs && (await countConnections()) > 0) await waitMs(POLL_MS);
+  };
   return {
     port: (server.address() as AddressInfo).port,
     explainRoute: (name) => explainRoute(name, options.config, parts),
     async stop(limitMs) {
       isLeaving = true;
       const endMs = performance.now() + limitMs;
-      await waitMs(Math.min(options.lingerMs ?? LINGER_MS, limitMs));
+      const lingerMs = Math.min(options.lingerMs ?? LINGER_MS, limitMs);
+      await waitMs(Math.min(lingerMs, MIN_LINGER_MS));
+      await waitForConnections(Math.max(0, lingerMs - MIN_LINGER_MS));
       await waitForIdle(endMs - performance.now());
-      const cut = inFlight;
       const closed = new Promise((resolve) => {
         server.close(resolve);
       });
+      if (inFlight === 0) await waitForConnections(CLOSE_GRACE_MS);
+      const cut = inFlight;
       server.closeAllConnections();
       await Promise.all([closed, pools.close()]);
       return { cut };
--- a/src/core/calls/candidates.ts
+++ b/src/core/calls/candidates.ts
@@ -129,6 +129,7 @@
     let exclusion: Exclusion | undefined;
     if (tried?.has(view.record.nodeId)) exclusion = 'tried';
     else if (distance > 0 && !route.config.spillOver) exclusion = 'other-data-centre';
+    else if (nodeStats.isLeaving(nowMs)) exclusion = 'leaving';
     else if (ejected.has(nodeStats.outlier)) exclusion = 'ejected';
     if (exclusion) {
       onExcluded?.(view, exclusion);
--- a/src/core/calls/entry.ts
+++ b/src/core/calls/entry.ts
@@ -7,9 +7,12 @@
 import { chooseCandidate, type Choice, type RandomSource } from './choose.js';
 import { runOwnedCall, runTokenCall } from './keyedCall.js';
 import type { CallObserver } from './observer.js';
-import { buildNotRun, type FailedResult, type UnknownResult } from './refusal.js';
+import { buildNotRun, isStaleChoice, type FailedResult, type UnknownResult } from './refusal.js';
 import type { RetryBudget } from './retryBudget.js';
 
+/** Attempts on nodes that had stopped taking work, on top of the route's own. */
+const MAX_CORRECTIONS = 8;
+
 /** Whether another node may do better after a proven `notRun`. */
 const RETRY_AFTER_NOT_RUN: Readonly<Record<NotRunReason, boolean>> = {
   'no-route': true,
@@ -67,12 +70,15 @@
   let tried: Set<string> | undefined;
   let last: FailedResult | undefined;
   let doubt: UnknownResult | undefined;
+  let corrections = 0;
   parts.budget.recordFirst(route.name, route.config.retry.budgetPercent);
   for (;;) {
     const choice = chooseNode(route, parts, tried);
     if (!choice) break;
-    if (last && !parts.budget.claim(route.name, route.config.retry.budgetPercent)) break;
-    if (last) parts.observer.recordRetry(route.name);
+    // A choice that was out of date put no load on any upstream, so its repetition is no retry.
+    const isRetry = last !== undefined && !isStaleChoice(last);
+    if (isRetry && !parts.budget.claim(route.name, route.config.retry.budgetPercent)) break;
+    if (isRetry) parts.observer.recordRetry(route.name);
     if (choice.spillOver) parts.observer.recordSpillOver(route.name, choice.spillOver);
     const { record } = choice.candidate.view;
     const result = await runAttempt(call, record, parts);
@@ -81,7 +87,9 @@
     // One attempt that may have run makes the whole call uncertain, whatever follows.
     if (result.kind === 'unknown') doubt = result;
     tried = (tried ?? new Set()).add(record.nodeId);
-    if (tried.size >= route.config.retry.maxAttempts || !canRetry(call, result)) break;
+    if (isStaleChoice(result) && corrections < MAX_CORRECTIONS) corrections += 1;
+    if (tried.size - corrections >= route.config.retry.maxAttempts) break;
+    if (!canRetry(call, result)) break;
   }
   return doubt ?? last ?? buildNotRun('no-instance', `no usable instance of ${route.service.name}`);
 }
--- a/src/core/calls/keyedCall.ts
+++ b/src/core/calls/keyedCall.ts
@@ -4,11 +4,24 @@
 import type { NodeId } from '../../types/ids.js';
 import type { MemberTable } from '../../types/interfaces.js';
 import { computeKeyPartition, getPartitionRankKey } from '../../utils/keyPartition.js';
+import type { NotRunReason } from '../../types/outcome.js';
+import { waitMs } from '../../utils/backoff.js';
 import { rankMembers } from '../../utils/rendezvous.js';
 import { runAttempt, type AttemptParts } from './attempt.js';
 import { findExclusion } from './candidates.js';
 import { buildNotRun, buildUnknown } from './refusal.js';
 
+/** Refusals by nodes that do not own the key; its owner may be known shortly. */
+const OWNER_MISSING: ReadonlySet<NotRunReason> = new Set([
+  'key-unowned',
+  'wrong-node',
+  'connect-failed',
+  'leaving',
+]);
+/** Mean time between looks for the owner; a claim takes about a second. */
+const LOOK_MS = 300;
+const MAX_LOOKS = 10;
+
 type TokenKey = Extract<CallKey, { kind: 'token' }>;
 type UuidKey = Extract<CallKey, { kind: 'uuid' }>;
 
@@ -59,15 +72,8 @@
   return view && view.verdict !== 'dead' ? view.record : undefined;
 }
 
-/**
- * Runs a call with a caller-supplied key on the node that ranks first for its key partition. If
- * that node refuses and names the owner, the owner is asked once.
- */
-export async function runOwnedCall(
-  call: Call,
-  key: UuidKey,
-  parts: AttemptParts,
-): Promise<AttemptResult> {
+/** Asks the node that ranks first for the key's partition, then the owner that it names. */
+async function askOwner(call: Call, key: UuidKey, parts: AttemptParts): Promise<AttemptResult> {
   const first = findPresumedOwner(call, key, parts.members);
   if (!first) return buildNotRun('no-instance', `no ready node of ${call.route.service.name}`);
   const result = await runAttempt(call, first, parts);
@@ -76,3 +82,27 @@
   if (!owner || owner.nodeId === first.nodeId) return result;
   return runAttempt(call, owner, parts);
 }
+
+function isOwnerMissing(result: AttemptResult): boolean {
+  return result.kind === 'notRun' && OWNER_MISSING.has(result.reason);
+}
+
+/**
+ * Runs a call with a caller-supplied key on the owner of its key partition. While the partition
+ * changes hands, at a planned stop for example, the owner is looked for again until the deadline
+ * is near: no arrival was run, so asking again is safe.
+ */
+export async function runOwnedCall(
+  call: Call,
+  key: UuidKey,
+  parts: AttemptParts,
+): Promise<AttemptResult> {
+  let result = await askOwner(call, key, parts);
+  for (let look = 1; look < MAX_LOOKS && isOwnerMissing(result); look += 1) {
+    const delayMs = LOOK_MS * (0.5 + Math.random());
+    if (call.signal.aborted || performance.now() + 2 * delayMs > call.deadlineMs) break;
+    await waitMs(delayMs, call.signal);
+    result = await askOwner(call, key, parts);
+  }
+  return result;
+}
--- a/src/core/calls/nodeStats.ts
+++ b/src/core/calls/nodeStats.ts
@@ -7,6 +7,9 @@
 /** Time for which a node that reported a queue counts as full. */
 const FULL_VALID_MS = 200;
 
+/** Time for which a node's refusal to take new work overrides its record, which is on its way. */
+const LEAVING_VALID_MS = 5000;
+
 /** State about one process of a node, for one service. */
 export class NodeStats {
   readonly outlier = new OutlierState();
@@ -15,6 +18,7 @@
   private reported = 0;
   private reportedUntilMs = 0;
   private fullUntilMs = 0;
+  private leavingUntilMs = 0;
 
   constructor(readonly incarnation: string) {}
 
@@ -30,6 +34,16 @@
     this.fullUntilMs = nowMs + FULL_VALID_MS;
   }
 
+  /** Records that the node takes no new work, which its record does not show yet. */
+  recordLeaving(nowMs: number): void {
+    this.leavingUntilMs = nowMs + LEAVING_VALID_MS;
+  }
+
+  /** True after such a refusal, until the record must have arrived. */
+  isLeaving(nowMs: number): boolean {
+    return this.leavingUntilMs > nowMs;
+  }
+
   /** True while the node is known to have no free slot. */
   isFull(slots: number, nowMs: number): boolean {
     return this.fullUntilMs > nowMs || this.outstanding >= slots;
--- a/src/core/calls/refusal.ts
+++ b/src/core/calls/refusal.ts
@@ -34,6 +34,13 @@
   return { kind: 'unknown', reason, detail, retriesExhausted: false };
 }
 
+/** True for a node's answer that it takes no new work: its record here was out of date. */
+export function isStaleChoice(result: AttemptResult): boolean {
+  return (
+    result.kind === 'notRun' && (result.reason === 'leaving' || result.reason === 'no-instance')
+  );
+}
+
 /** HTTP statuses of the `notRun` reasons (design section 10). */
 export const NOT_RUN_STATUS: Readonly<Record<NotRunReason, number>> = {
   'no-route': 404,
--- a/src/core/calls/serveCall.ts
+++ b/src/core/calls/serveCall.ts
@@ -46,11 +46,11 @@
 }
 
 /**
- * While the node stops it still serves calls that upstreams make for requests in flight, and lets
- * the dispatcher answer for keys, since it alone knows which of them it has run.
+ * While the node stops it still serves calls that upstreams make for requests in flight. Calls with
+ * a key are passed on too: only the owner of the key can tell what became of it.
  */
 function canServeWhileLeaving(isForwarded: boolean, key: Call['key'], depth: number): boolean {
-  return isForwarded ? key.kind !== 'none' : depth > 0;
+  return key.kind !== 'none' || (!isForwarded && depth > 0);
 }
 
 function parseHead(
--- a/src/core/distribution/context.ts
+++ b/src/core/distribution/context.ts
@@ -27,6 +27,8 @@
   readonly platform: PlatformClient;
   readonly members: DistributionMembers;
   readonly store: DistributionStore;
+  /** Resolves when a local upstream has announced itself, with the floor of its cookie. */
+  readonly hostHeard?: Promise<void>;
   readonly random: () => number;
   /** Aborted when the distribution stops. */
   readonly signal: AbortSignal;
--- a/src/core/distribution/floor.ts
+++ b/src/core/distribution/floor.ts
@@ -15,6 +15,8 @@
 const PLATFORM_BOUNDS = { baseMs: 500, maxMs: 10_000 } as const;
 /** Peers are asked first; the first read of the platform waits up to this long. */
 const PEERS_FIRST_MS = 2000;
+/** Longest wait for a local upstream's announcement; these come every second. */
+const HOST_WAIT_MS = 1500;
 const FLOOR_TIMEOUT_MS = 1000;
 
 /** An answer with the member that gave it. */
@@ -107,6 +109,8 @@
 
   const runPeers = async () => {
     await Promise.race([members.joined, waitMs(PEERS_FIRST_MS, signal)]);
+    // Peers may be behind what this host enforced; its upstream's cookie tells that version.
+    if (context.hostHeard) await Promise.race([context.hostHeard, waitMs(HOST_WAIT_MS, signal)]);
     for (let attempt = 0; !isDone(); attempt += 1) {
       await requestFloors();
       if (!isDone()) await waitMs(computeDelayMs(PEER_BOUNDS, attempt, random), signal);
--- a/src/core/membership/join.ts
+++ b/src/core/membership/join.ts
@@ -12,8 +12,13 @@
 const JOIN_BOUNDS = { baseMs: 200, maxMs: 10_000 } as const;
 /** Time between checks that some other member is known. */
 const CHECK_MS = 5000;
-/** Time between a relay's looks for data centres that it does not know or reach. */
-const DISCOVERY_MS = 60_000;
+/**
+ * Time between a relay's looks for data centres that it does not know or reach. The first looks
+ * come soon, since data centres that start together may have no seed elsewhere.
+ */
+const DISCOVERY_BOUNDS = { baseMs: 1500, maxMs: 60_000 } as const;
+/** Looks that a node skips while it knows nobody and counts itself a relay for that reason. */
+const SKIPPED_LOOKS = 3;
 /** A node that has joined compares tables again after one to two times this long. */
 const SECOND_LOOK_MS = 1500;
 /** A joining node allows a busy seed more time than a ping of the failure detector. */
@@ -100,9 +105,10 @@
 
   /** Relays look for other data centres: their own may have started without any seed elsewhere. */
   const runDiscovery = async () => {
-    while (!signal.aborted) {
-      await waitMs(random() * DISCOVERY_MS, signal);
+    for (let look = 0; !signal.aborted; look += 1) {
+      await waitMs(computeDelayMs(DISCOVERY_BOUNDS, look, random), signal);
       if (signal.aborted || !context.isRelay()) continue;
+      if (isAlone() && look < SKIPPED_LOOKS) continue;
       const known = new Set(
         table.listPresent().map(({ record }) => `${record.host}:${record.peerPort}`),
       );
--- a/src/core/membership/start.ts
+++ b/src/core/membership/start.ts
@@ -54,6 +54,15 @@
   stop(): Promise<void>;
 }
 
+/** True when a node or one of its instances takes no new work any more. */
+function offersLess(before: MemberRecord, after: MemberRecord): boolean {
+  if (after.state !== before.state) return after.state === 'leaving' || after.state === 'left';
+  return before.instances.some(({ instanceId, state }) => {
+    const now = after.instances.find((instance) => instance.instanceId === instanceId);
+    return state !== 'draining' && (now === undefined || now.state === 'draining');
+  });
+}
+
 /** Starts the membership tasks: joining, failure detection, relay sync and seed list. */
 export function startMembership(options: MembershipOptions): Membership {
   const { settings, logger, peers, platform, random = Math.random } = options;
@@ -177,9 +186,9 @@
     updateSelf: (change) => {
       // An unchanged record is not sent again.
       if (JSON.stringify({ ...self, ...change }) === JSON.stringify(self)) return;
-      const isStateNew = change.state !== undefined && change.state !== self.state;
+      const before = self;
       writeSelf({ ...self, ...change, sequence: self.sequence + 1 });
-      if (isStateNew && (self.state === 'leaving' || self.state === 'left')) pushSelf();
+      if (offersLess(before, self)) pushSelf();
     },
     onChange: table.onChange,
     stop: async () => {
--- a/src/core/wiring.ts
+++ b/src/core/wiring.ts
@@ -173,7 +173,11 @@
 }
 
 /** Starts membership, then distribution, and lets the peer port serve their methods. */
-function startPeerTasks(shared: SharedParts, { peerServer, callPort }: MeshPorts): PeerTasks {
+function startPeerTasks(
+  shared: SharedParts,
+  { peerServer, callPort }: MeshPorts,
+  hostHeard: Promise<void>,
+): PeerTasks {
   const { settings, logger, incarnation, peers, platform, store, deferred } = shared;
   const common = { settings, logger, peers, platform };
   const membership = startMembership({
@@ -195,7 +199,12 @@
   deferred.connect(membership);
   peerServer.setSenderCheck(membership.checkSender);
   peerServer.addMethods(membership.methods);
-  const distribution = startDistribution({ ...common, members: membership, store });
+  const distribution = startDistribution({
+    ...common,
+    members: membership,
+    store,
+    hostHeard,
+  });
   peerServer.addMethods(distribution.methods);
   return { membership, distribution };
 }
@@ -234,7 +243,10 @@
   const { stats, metrics, observer } = createObserverParts(shared);
   const meshPorts = await openMeshPorts(shared, dispatcher, observer);
   const { peerServer, callPort } = meshPorts;
-  const { membership, distribution } = startPeerTasks(shared, meshPorts);
+  const hostHeard = new Promise<void>((resolve) => {
+    table.onChange(() => resolve());
+  });
+  const { membership, distribution } = startPeerTasks(shared, meshPorts, hostHeard);
   const fleet = createFleetStatus({ membership, peers, store, stats });
   peerServer.addMethods(fleet.methods);
   const announcePort = await openAnnouncePort(shared, table);
--- a/standins/upstream/behaviour.ts
+++ b/standins/upstream/behaviour.ts
@@ -15,6 +15,8 @@
   hangPercent: number;
   /** Time by which the answer is late, past deadline and cancellation, in milliseconds. */
   lateMs: number;
+  /** Misses its deadline; only a cancellation ends a request early. */
+  ignoreDeadline: boolean;
   /** Busy slots that announcements and health claim; null tells the truth. */
   claimedBusy: number | null;
   /** Age of the state that the health resource shows, in milliseconds. */
@@ -36,6 +38,7 @@
   resetPercent: 0,
   hangPercent: 0,
   lateMs: 0,
+  ignoreDeadline: false,
   claimedBusy: null,
   healthLagMs: 0,
   healthLie: 'none',
--- a/standins/upstream/work.ts
+++ b/standins/upstream/work.ts
@@ -104,18 +104,10 @@
   };
 
   /** Waits for the work time or the abort; true when the work is done. */
-  const runWork = async (
-    running: RunningRequest,
-    deadlineTimer: NodeJS.Timeout | undefined,
-  ): Promise<boolean> => {
+  const runWork = async (running: RunningRequest): Promise<boolean> => {
     const { signal } = running.abort;
-    if (isDrawn(behaviour.hangPercent)) {
-      // A hanging upstream misses its own deadline; a cancellation still ends it.
-      clearTimeout(deadlineTimer);
-      await waitMs(2 ** 31 - 1, signal);
-    } else {
-      await waitMs(computeWorkMs(), signal);
-    }
+    if (isDrawn(behaviour.hangPercent)) await waitMs(2 ** 31 - 1, signal);
+    else await waitMs(computeWorkMs(), signal);
     // A late upstream has noticed neither its deadline nor a cancellation.
     if (behaviour.lateMs > 0) await waitMs(behaviour.lateMs);
     return behaviour.lateMs > 0 || !signal.aborted;
@@ -183,7 +175,7 @@
     const run = ledger.recordRun({ callId, key, requestId, instanceId, atMs: Date.now() });
     const budgetMs = Number(getHeader(request, 'lycheelane-deadline-ms')) || undefined;
     const deadline =
-      budgetMs === undefined
+      budgetMs === undefined || behaviour.ignoreDeadline
         ? undefined
         : {
             atMs: performance.now() + budgetMs,
@@ -192,7 +184,7 @@
     const noteCallerGone = () => running.abort.abort('gone');
     response.once('close', noteCallerGone);
     try {
-      const isDone = await runWork(running, deadline?.timer);
+      const isDone = await runWork(running);
       const depth = parseDepth(request);
       let inner: NestedOutcome | undefined;
       if (isDone && depth > 0 && nested !== undefined) {
--- a/test/calls/keys.test.ts
+++ b/test/calls/keys.test.ts
@@ -79,7 +79,9 @@
     const first = refuse(other);
     const second = isOwner ? createDispatcher(() => answer('owned')) : refuse(ranked);
     const entry = await startMesh({ [ranked]: first, [other]: second });
-    const result = await send(entry.port, withKey(KEY));
+    // The deadline leaves no time for a second look for the owner.
+    const headers = { 'idempotency-key': KEY, 'lycheelane-deadline-ms': '150' };
+    const result = await send(entry.port, { headers });
     assert.equal(describe(result), isOwner ? '200' : '502 unknown key-undecided');
     assert.deepEqual([first.calls.length, second.calls.length], [1, 1]);
   });
@@ -114,3 +116,13 @@
     assert.equal(describe(await send(entry.port, withKey(KEY))), expected);
   });
 }
+
+// Guards against keyed calls lost in the second in which a partition changes hands (G8).
+test('the owner of a key is looked for again while its partition changes hands', async () => {
+  const unowned = { ...buildNotRun('key-unowned', 'the last owner has left') };
+  const results = [unowned, unowned];
+  const owner = createDispatcher(() => results.shift() ?? answer('owned'));
+  const entry = await startMesh({ n1: owner });
+  assert.equal(describe(await send(entry.port, withKey(KEY))), '200');
+  assert.equal(owner.calls.length, 3);
+});
--- a/test/calls/retries.test.ts
+++ b/test/calls/retries.test.ts
@@ -88,3 +88,17 @@
   for (let count = 0; count < 10_000; count += 1) budget.recordFirst(route, 20);
   assert.equal(claimAll(), 50);
 });
+
+// Guards against calls refused although instances are free, because the entry node spends its
+// retry budget on nodes whose stop it has not heard of yet, and asks them again and again.
+test('nodes that have stopped taking work cost no retry budget and are asked once', async () => {
+  const scripts = [refuseAs('leaving'), refuseAs('no-instance'), refuseAs('leaving'), succeed];
+  const peers = await Promise.all(scripts.map((each, at) => startRawPeer(`n${at}`, each)));
+  const entry = await startEntry(
+    peers.map((peer) => peer.view),
+    { route: { retry: { maxAttempts: 1, budgetPercent: 0 } } },
+  );
+  for (let call = 0; call < 5; call += 1) assert.equal(describe(await send(entry.port)), '200');
+  const counts = peers.map((peer) => peer.count());
+  assert.deepEqual(counts, [1, 1, 1, 5]);
+});
--- a/test/faults/upstream.test.ts
+++ b/test/faults/upstream.test.ts
@@ -70,7 +70,8 @@
   assert.equal(stats.overSlots, 0);
   assert.equal(mesh.countRuns('refused'), 0);
 
-  await mesh.setBehaviour(host.instanceId, { hangPercent: 100 });
+  const hangs = { hangPercent: 100, ignoreDeadline: true };
+  await mesh.setBehaviour(host.instanceId, hangs);
   const hung = await mesh.send(host, CALLS.booking, 'hung');
   assert.deepEqual(hung, { kind: 'unknown', status: 504, reason: 'timeout' });
   await waitFor('the cancellation', async () => {
--- a/test/upstream/announce.test.ts
+++ b/test/upstream/announce.test.ts
@@ -15,7 +15,7 @@
 
 const TAG: VersionTag = { version: brandVersion(7), digest: brandText<Digest>('a'.repeat(64)) };
 
-async function startPort(t: TestContext) {
+async function startPort(t: TestContext, requestTimeoutMs?: number) {
   const published: InstanceRecord[][] = [];
   const raised: VersionTag[] = [];
   const table = createInstanceTable({
@@ -41,7 +41,7 @@
       },
     },
     logger: SILENT_LOGGER,
-    requestTimeoutMs: 100,
+    requestTimeoutMs,
   });
   assert.ok(started.isOk());
   const port = started.value;
@@ -91,7 +91,7 @@
 
 // Guards against slow senders that hold connections.
 test('an announcement that does not arrive in time is cut', async (t) => {
-  const { port } = await startPort(t);
+  const { port } = await startPort(t, 100);
   const socket = connect(port.port, '127.0.0.1');
   socket.write('POST /v1/announce HTTP/1.1\r\nhost: x\r\ncontent-length: 10\r\n\r\n{');
   socket.resume();
--- a/test/upstream/once.test.ts
+++ b/test/upstream/once.test.ts
@@ -66,7 +66,7 @@
     open.push(() => response.end('booked'));
   });
   const key = buildKey(Date.now());
-  const first = send(key, {}, 50);
+  const first = send(key, {}, 1000);
   await upstream.waitFor(() => open.length === 1);
   const second = send(key);
   const short = send(key, {}, 20);
--- a/test/upstream/support.ts
+++ b/test/upstream/support.ts
@@ -103,11 +103,15 @@
     port: (server.address() as AddressInfo).port,
     seen,
     cancelled,
-    /** Resolves when the condition holds after some arrival. */
+    /** Resolves when the condition holds after some arrival; fails instead of waiting forever. */
     async waitFor(condition: () => boolean) {
       while (!condition()) {
-        await new Promise<void>((resolve) => {
-          waiting.push(resolve);
+        await new Promise<void>((resolve, reject) => {
+          const limit = setTimeout(() => reject(new Error('no such arrival in 20 s')), 20_000);
+          waiting.push(() => {
+            clearTimeout(limit);
+            resolve();
+          });
         });
       }
     },
