--- a/test/distribution/floor.test.ts
+++ b/test/distribution/floor.test.ts
@@ -105,3 +105,38 @@
   await advance(25_000);
   assert.equal(mesh.nodes[0]?.store.isReady(), true);
 });
+
+// Guards against a restarted node that serves a stale version of its peers in the second before
+// its upstream's cookie arrives (G1).
+test('a floor of peers waits for the announcement of the local upstream', async () => {
+  mesh.startNodes('dc-a', 100, 3);
+  acceptBundle(mesh.platform, buildBundle(1));
+  await advance(8000);
+  mesh.platform.setDown(true);
+  let hear = () => {};
+  const heard = new Promise<void>((resolve) => {
+    hear = resolve;
+  });
+  const node = startTestNode(mesh, 110, 'dc-a', [100], 1000, undefined, heard);
+  mesh.nodes.push(node);
+  await advance(900);
+  assert.equal(node.store.isFloorKnown(), false);
+  node.store.raiseFloor(toTag(buildBundle(2)), 'cookie');
+  hear();
+  await advance(5000);
+  assert.equal(node.store.isFloorKnown(), true);
+  assert.equal(node.store.isReady(), false, 'version 1 is below what the host enforced');
+});
+
+// Guards against a node without an upstream that never becomes ready.
+test('a node whose upstream is silent takes the floor of its peers after a while', async () => {
+  mesh.startNodes('dc-a', 100, 3);
+  acceptBundle(mesh.platform, buildBundle(1));
+  await advance(8000);
+  mesh.platform.setDown(true);
+  const silent = new Promise<void>(() => {});
+  const node = startTestNode(mesh, 110, 'dc-a', [100], 1000, undefined, silent);
+  mesh.nodes.push(node);
+  await advance(8000);
+  assert.equal(node.store.isReady(), true);
+});
--- a/test/fakes/nodes.ts
+++ b/test/fakes/nodes.ts
@@ -115,6 +115,7 @@
   seeds: number[],
   startMs = 1000,
   change: (settings: Settings) => void = () => {},
+  hostHeard?: Promise<void>,
 ) {
   const settings = buildSettings(port, dataCentre, seeds);
   change(settings);
@@ -127,7 +128,7 @@
   const members = startMembership({ ...common, self, getTag: store.getTag });
   dispatcher.setSenderCheck(members.checkSender);
   dispatcher.addMethods(members.methods);
-  const distribution = startDistribution({ ...common, members, store });
+  const distribution = startDistribution({ ...common, members, store, hostHeard });
   dispatcher.addMethods(distribution.methods);
   return {
     port,
--- a/test/membership/failures.test.ts
+++ b/test/membership/failures.test.ts
@@ -87,6 +87,18 @@
   assertAll(rest, (node) => getView(node, first)?.record.state, 'leaving');
 });
 
+// Guards against new work for an instance that drains until gossip has reached everyone.
+test('a draining instance is known to all members without waiting for a ping', async () => {
+  const [first, ...rest] = await startFive();
+  const instance = { instanceId: 'i', service: 'padbook', slots: 1, readySinceMs: 1 };
+  first.members.updateSelf({ instances: [{ ...instance, state: 'ready' }] });
+  await advance(5000);
+  first.members.updateSelf({ instances: [{ ...instance, state: 'draining' }] });
+  await settle();
+  const readState = (node: TestNode) => getView(node, first)?.record.instances[0]?.state;
+  assertAll(rest, readState, 'draining');
+});
+
 // Guards against unchanged state that is sent again and again.
 test('an update without a change raises no sequence and sends nothing', async () => {
   const [first] = await startFive();
