Let relays look for other data centres through all seeds, early

A node stops joining at the first seed of its own data centre that answers, so all nodes may skip the seed elsewhere (about 1 start in 16 with two near and far seeds each); relays then looked only at the seed lists in the platform, which are first written after 10 s. Change: relays look through the seeds of the settings as well, and the first relay writes the seed list after 2 s when it knows other members. Ruled out: joining through every seed, which costs a restarting node an exchange with each data centre; a longer wait in the test, which would hide the fault. Conclusion: data centres that start together find each other within seconds, with the platform down too when the settings name a seed elsewhere.

--- a/src/core/membership/join.ts
+++ b/src/core/membership/join.ts
@@ -13,8 +13,8 @@
 /** Time between checks that some other member is known. */
 const CHECK_MS = 5000;
 /**
- * Time between a relay's looks for data centres that it does not know or reach. The first looks
- * come soon, since data centres that start together may have no seed elsewhere.
+ * Time between a relay's looks for members elsewhere that it does not know or reach. The first
+ * looks come soon, since data centres that start together may have joined without each other.
  */
 const DISCOVERY_BOUNDS = { baseMs: 1500, maxMs: 60_000 } as const;
 /** Looks that a node skips while it knows nobody and counts itself a relay for that reason. */
@@ -103,18 +103,26 @@
     }
   };
 
-  /** Relays look for other data centres: their own may have started without any seed elsewhere. */
+  /** Seeds of the settings and of all data centres whose members are not in the table. */
+  const listUnknownSeeds = async (): Promise<PeerAddress[]> => {
+    const toKey = ({ host, port }: PeerAddress) => `${host}:${port}`;
+    const known = new Set(table.listPresent().map(({ record }) => toKey(toAddress(record))));
+    const seeds = [...settings.seeds, ...(await readAllSeeds(context))];
+    const unknown = new Map(seeds.map((address) => [toKey(address), address]));
+    for (const key of known) unknown.delete(key);
+    return [...unknown.values()];
+  };
+
+  /**
+   * Relays look for other data centres. Joining ends with the first seed of the own data centre
+   * that answers, so it may have tried none elsewhere.
+   */
   const runDiscovery = async () => {
     for (let look = 0; !signal.aborted; look += 1) {
       await waitMs(computeDelayMs(DISCOVERY_BOUNDS, look, random), signal);
       if (signal.aborted || !context.isRelay()) continue;
       if (isAlone() && look < SKIPPED_LOOKS) continue;
-      const known = new Set(
-        table.listPresent().map(({ record }) => `${record.host}:${record.peerPort}`),
-      );
-      const unknown = (await readAllSeeds(context)).filter(
-        ({ host, port }) => !known.has(`${host}:${port}`),
-      );
+      const unknown = await listUnknownSeeds();
       if (unknown.length > 0 && (await contactAny(unknown, () => true))) {
         logger.info('members-discovered', { dataCentres: ranking.listDataCentres().length });
       }
--- a/src/core/membership/seeds.ts
+++ b/src/core/membership/seeds.ts
@@ -11,6 +11,8 @@
 const MAX_SEEDS = 16;
 /** Shortest time between two writes of the seed list. */
 const WRITE_GAP_MS = 10_000;
+/** First write of a relay that knows other members: other data centres may wait for the list. */
+const FIRST_WRITE_MS = 2000;
 
 function listAddresses(objects: readonly PlatformObject<unknown>[]): PeerAddress[] {
   return objects.flatMap(({ value }) =>
@@ -87,6 +89,10 @@
   return {
     runOnce,
     run: async () => {
+      await waitMs(FIRST_WRITE_MS * (1 + random() * 0.2), signal);
+      // A node that knows nobody yet would replace the list of its data centre by itself.
+      const isAlone = table.listPresent(settings.dataCentre).length < 2;
+      if (!isAlone && !signal.aborted) await runOnce();
       while (!signal.aborted) {
         await waitMs(WRITE_GAP_MS * (1 + random() * 0.2), signal);
         if (!signal.aborted) await runOnce();
--- a/test/membership/failures.test.ts
+++ b/test/membership/failures.test.ts
@@ -157,3 +157,24 @@
   assert.equal(relays?.length, 2);
   assert.ok((mesh.platform.calls.create ?? 0) + (mesh.platform.calls.update ?? 0) <= 4);
 });
+
+// Guards against data centres that stay apart because every node joined through a near seed.
+test('data centres find each other through their settings with the platform down', async () => {
+  mesh.platform.setDown(true);
+  cut((port) => port.startsWith('2'));
+  mesh.startNodes('dc-a', 100, 2, [200]);
+  mesh.startNodes('dc-b', 200, 2, [100]);
+  await advance(3000);
+  assertAll(mesh.nodes, countAlive, 2);
+  mesh.network.decide = () => 'deliver';
+  await advance(12_000);
+  assertAll(mesh.nodes, countAlive, 4);
+});
+
+// Guards against data centres that wait for each other's seed list until its regular write.
+test('data centres without a seed elsewhere find each other soon after their start', async () => {
+  mesh.startNodes('dc-a', 100, 2);
+  mesh.startNodes('dc-b', 200, 2);
+  await advance(9000);
+  assertAll(mesh.nodes, countAlive, 4);
+});
