Bind all servers in one place and report a taken port with its cause

Cause: binding a server stood four times with three kinds of error. The peer and announce ports unwrapped their result with neverthrow's own throw, so that a daemon with a taken peer port ended with the reason '[object Object]'. An error of the call or announce server after the start, such as a failed accept, had no listener and would have ended the process. Change: utils/listen binds, returns the port or an error of kind 'unavailable' with step and address, and logs later errors; all four ports return results, which the wiring unwraps. getTreeValue, which only renamed getNodeValue, is gone. Ruled out: rejecting promises for all four, against the house style of results. Conclusion: one error kind for one fault.

--- a/src/cli/config/checkFiles.ts
+++ b/src/cli/config/checkFiles.ts
@@ -5,7 +5,7 @@
 import { formatPath, type ConfigFault, type JsonPath } from '../../core/config/configFault.js';
 import type { ConfigContent } from '../../core/config/renderSite.js';
 import { MAX_VALUE_BYTES } from '../../core/platform/limits.js';
-import { locateOffset } from '../../utils/jsoncTree.js';
+import { locateOffset } from '../../utils/locateOffset.js';
 import { formatFileName, getContent, type WorkingFile, type WorkingFiles } from './workingFiles.js';
 
 /** One fault with its place; line and column count from 1. */
--- a/src/cli/config/workingFiles.ts
+++ b/src/cli/config/workingFiles.ts
@@ -1,12 +1,12 @@
 /** The operator's files: `base.jsonc` and `overlays/<site>.jsonc`. */
 import { readFile, readdir, stat } from 'node:fs/promises';
 import { join } from 'node:path';
-import { parseTree, type Node, type ParseError } from 'jsonc-parser';
+import { getNodeValue, parseTree, type Node, type ParseError } from 'jsonc-parser';
 import { err, ok, type Result } from 'neverthrow';
 import { buildError, toStepError, type StepError } from '../../errors.js';
 import type { ConfigContent, JsonObject } from '../../core/config/renderSite.js';
 import { describeSyntax } from '../../utils/describeSyntax.js';
-import { getTreeValue } from '../../utils/jsoncTree.js';
+
 import { findDuplicateKeys } from './findDuplicateKeys.js';
 
 /** A fault of the text itself, at a character offset. */
@@ -62,7 +62,7 @@
   // Values of the tree have no prototype; the copy makes them plain objects for comparisons.
   const value =
     tree && faults.length === 0
-      ? (JSON.parse(JSON.stringify(getTreeValue(tree))) as JsonObject)
+      ? (JSON.parse(JSON.stringify(getNodeValue(tree))) as JsonObject)
       : {};
   return { site, file, text, tree, value, faults };
 }
--- a/src/core/calls/callPort.ts
+++ b/src/core/calls/callPort.ts
@@ -1,13 +1,13 @@
 /** The call port of a node: an HTTP/1.1 server for callers and for other nodes. */
-import { createServer, type Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
-import type { Result } from 'neverthrow';
-import { buildError, type StepError } from '../../errors.js';
+import { createServer } from 'node:http';
+import { err, ok, type Result } from 'neverthrow';
+import type { StepError } from '../../errors.js';
 import type { Settings } from '../../generated/types.js';
 import type { LocalDispatcher } from '../../types/calls.js';
 import type { ConfigStore, MemberTable } from '../../types/interfaces.js';
 import { brandText, type NodeId } from '../../types/ids.js';
 import { waitMs } from '../../utils/backoff.js';
+import { listen } from '../../utils/listen.js';
 import type { Logger } from '../../utils/logger.js';
 import { explainRoute, type RouteExplanation } from './explain.js';
 import { createActiveExchanges } from './malformed.js';
@@ -68,21 +68,11 @@
   stop(limitMs: number): Promise<{ readonly cut: number }>;
 }
 
-function listen(server: Server, host: string, port: number): Promise<void> {
-  return new Promise((resolve, reject) => {
-    const fail = (error: Error) =>
-      reject(buildError('unavailable', 'calls.listen', `${host}:${port}`, error.message, error));
-    server.once('error', fail);
-    server.listen(port, host, () => {
-      server.off('error', fail);
-      resolve();
-    });
-  });
-}
-
-/** Starts a call port; rejects with a StepError if the address cannot be bound. */
-export async function startCallPort(options: CallPortOptions): Promise<CallPort> {
-  const { settings, members, dispatcher, logger } = options;
+/** Starts a call port. Errors: kind `unavailable` when the address cannot be bound. */
+export async function startCallPort(
+  options: CallPortOptions,
+): Promise<Result<CallPort, StepError>> {
+  const { host, port, settings, members, dispatcher, logger } = options;
   const pools = createPeerPools(options.pools ?? POOL_LIMITS);
   const stats = createNodeStatsTable();
   let isLeaving = false;
@@ -149,7 +139,8 @@
         else response.once('close', release);
       });
   });
-  await listen(server, options.host, options.port);
+  const bound = await listen(server, { host, port, step: 'calls.listen', logger });
+  if (bound.isErr()) return err(bound.error);
   const waitForIdle = async (limitMs: number) => {
     if (inFlight === 0) return;
     const limit = new AbortController();
@@ -165,8 +156,8 @@
     const endMs = performance.now() + limitMs;
     while (performance.now() < endMs && (await countConnections()) > 0) await waitMs(POLL_MS);
   };
-  return {
-    port: (server.address() as AddressInfo).port,
+  return ok({
+    port: bound.value,
     explainRoute: (name) => explainRoute(name, options.config, parts),
     async stop(limitMs) {
       isLeaving = true;
@@ -184,5 +175,5 @@
       await Promise.all([closed, pools.close()]);
       return { cut };
     },
-  };
+  });
 }
--- a/src/core/peer/server.ts
+++ b/src/core/peer/server.ts
@@ -1,8 +1,9 @@
 /** The peer port. */
-import { createServer, type AddressInfo, type Socket } from 'node:net';
-import { err, ok, type Result } from 'neverthrow';
-import { buildError, toStepError, type StepError } from '../../errors.js';
+import { createServer, type Socket } from 'node:net';
+import type { Result } from 'neverthrow';
+import { toStepError, type StepError } from '../../errors.js';
 import type { ControlCounters } from '../../types/interfaces.js';
+import { listen } from '../../utils/listen.js';
 import type { Logger } from '../../utils/logger.js';
 import { createDispatcher, type PeerMethods, type SenderCheck } from './dispatcher.js';
 import { runServerConnection } from './serverConnection.js';
@@ -51,20 +52,9 @@
       });
   });
   server.maxConnections = MAX_CONNECTIONS;
-  const failure = await new Promise<Error | undefined>((resolve) => {
-    server.once('error', resolve);
-    server.listen(options.port, host, () => resolve(undefined));
-  });
-  if (failure) {
-    return err(
-      buildError('unavailable', 'peer.listen', `${host}:${options.port}`, failure.message),
-    );
-  }
-  server.on('error', (error) => {
-    logger.warn('peer-server-failed', { step: 'peer.listen', peer: 'self', reason: error.message });
-  });
-  return ok({
-    port: (server.address() as AddressInfo).port,
+  const bound = await listen(server, { host, port: options.port, step: 'peer.listen', logger });
+  return bound.map((port) => ({
+    port,
     addMethods: dispatcher.addMethods,
     setSenderCheck: dispatcher.setSenderCheck,
     close: () =>
@@ -72,5 +62,5 @@
         server.close(() => resolve());
         for (const socket of sockets) socket.destroy();
       }),
-  });
+  }));
 }
--- a/src/core/settings.ts
+++ b/src/core/settings.ts
@@ -1,7 +1,7 @@
 /** Settings of the daemon: JSON with comments, schema-checked, every fault listed. */
 import { readFile } from 'node:fs/promises';
 import { isIP } from 'node:net';
-import { findNodeAtLocation, parseTree } from 'jsonc-parser';
+import { findNodeAtLocation, getNodeValue, parseTree } from 'jsonc-parser';
 import type { Node, ParseError } from 'jsonc-parser';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
@@ -12,7 +12,7 @@
 import type { ValidationFault } from '../generated/validators.js';
 import { isLoopback } from '../utils/address.js';
 import { describeSyntax } from '../utils/describeSyntax.js';
-import { getTreeValue, locateOffset } from '../utils/jsoncTree.js';
+import { locateOffset } from '../utils/locateOffset.js';
 
 const MAX_SETTINGS_BYTES = 1_048_576;
 const STEP = 'settings.load';
@@ -62,7 +62,7 @@
     const lines = syntax.map((fault) => `${place(fault.offset)}: ${describeSyntax(fault.error)}`);
     return err(buildError('invalid', STEP, file, lines.join('\n') || `${file}: the file is empty`));
   }
-  const value = getTreeValue(tree) as Settings;
+  const value = getNodeValue(tree) as Settings;
   const lines: string[] = [];
   if (!validateSettings(value)) {
     for (const fault of validateSettings.errors ?? []) {
--- a/src/core/upstream/announcePort.ts
+++ b/src/core/upstream/announcePort.ts
@@ -1,12 +1,12 @@
 /** HTTP server for the announcements of the upstreams on this host. */
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import { err, ok, type Result } from 'neverthrow';
 import { buildError, toStepError, type StepError } from '../../errors.js';
 import type { Announcement, AnnouncementAnswer } from '../../generated/types.js';
 import { validateAnnouncement } from '../../generated/validators.js';
 import type { ConfigStore } from '../../types/interfaces.js';
 import { isLoopback } from '../../utils/address.js';
+import { listen } from '../../utils/listen.js';
 import type { Logger } from '../../utils/logger.js';
 import { decodeFloorCookie, encodeFloorCookie } from './floorCookie.js';
 import type { InstanceTable } from './instanceTable.js';
@@ -87,7 +87,7 @@
   response.end(JSON.stringify(value));
 }
 
-/** Starts the announce port. */
+/** Starts the announce port. Errors: kind `unavailable` when the address cannot be bound. */
 export async function startAnnouncePort(
   options: AnnouncePortOptions,
 ): Promise<Result<AnnouncePort, StepError>> {
@@ -139,22 +139,15 @@
     });
   });
 
-  return new Promise((resolve) => {
-    server.once('error', (thrown) => {
-      resolve(err(toStepError(thrown, 'announce.listen', `${options.host}:${options.port}`)));
-    });
-    server.listen(options.port, options.host, () => {
-      resolve(
-        ok({
-          port: (server.address() as AddressInfo).port,
-          close: () =>
-            new Promise<void>((done) => {
-              table.close();
-              server.close(() => done());
-              server.closeAllConnections();
-            }),
-        }),
-      );
-    });
-  });
+  const { host, port } = options;
+  const bound = await listen(server, { host, port, step: 'announce.listen', logger });
+  return bound.map((boundPort) => ({
+    port: boundPort,
+    close: () =>
+      new Promise<void>((resolve) => {
+        table.close();
+        server.close(() => resolve());
+        server.closeAllConnections();
+      }),
+  }));
 }
--- a/src/core/wiring.ts
+++ b/src/core/wiring.ts
@@ -11,6 +11,7 @@
 import { brandText, type DataCentre, type NodeId } from '../types/ids.js';
 import type { ControlCounters, PeerClient, PlatformClient } from '../types/interfaces.js';
 import type { Logger } from '../utils/logger.js';
+import { unwrap } from '../utils/unwrap.js';
 import { startCallPort, type CallPort } from './calls/callPort.js';
 import type { CallObserver } from './calls/observer.js';
 import { compileRouting } from './config/compileRouting.js';
@@ -150,10 +151,10 @@
 ): Promise<MeshPorts> {
   const { settings, logger, counters, store, deferred } = shared;
   const { host } = settings;
-  const peerServer = (
-    await startPeerServer({ host, port: settings.peerPort, logger, counters })
-  )._unsafeUnwrap();
-  const callPort = await startCallPort({
+  const peerServer = unwrap(
+    await startPeerServer({ host, port: settings.peerPort, logger, counters }),
+  );
+  const startedCallPort = await startCallPort({
     host,
     port: settings.callPort,
     settings: settings.calls,
@@ -163,7 +164,7 @@
     observer,
     logger,
   });
-  return { peerServer, callPort };
+  return { peerServer, callPort: unwrap(startedCallPort) };
 }
 
 /** The tasks that talk to other nodes. */
@@ -219,20 +220,21 @@
     store,
     logger,
   });
-  return started._unsafeUnwrap();
+  return unwrap(started);
 }
 
-function openOperatorPort(
+async function openOperatorPort(
   { settings, logger }: SharedParts,
   sources: OperatorSources,
 ): Promise<OperatorPort> {
-  return startOperatorPort({
+  const started = await startOperatorPort({
     host: settings.operatorHost,
     port: settings.operatorPort,
     token: settings.operatorToken,
     logger,
     handlers: createOperatorHandlers(sources),
   });
+  return unwrap(started);
 }
 
 /** Constructs and starts the parts in the order in which they need each other. */
--- a/src/plugins/operatorPort.ts
+++ b/src/plugins/operatorPort.ts
@@ -2,8 +2,9 @@
 import { createHash, timingSafeEqual } from 'node:crypto';
 import { createServer } from 'node:http';
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
-import { buildError, toStepError } from '../errors.js';
+import type { Result } from 'neverthrow';
+import { toStepError, type StepError } from '../errors.js';
+import { listen } from '../utils/listen.js';
 import type { Logger } from '../utils/logger.js';
 
 const REQUEST_TIMEOUT_MS = 10_000;
@@ -75,9 +76,11 @@
   response.end(answer.body);
 }
 
-/** Starts the operator port; rejects when the port cannot be bound. */
-export async function startOperatorPort(options: OperatorPortOptions): Promise<OperatorPort> {
-  const { logger } = options;
+/** Starts the operator port. Errors: kind `unavailable` when the address cannot be bound. */
+export async function startOperatorPort(
+  options: OperatorPortOptions,
+): Promise<Result<OperatorPort, StepError>> {
+  const { host, port, logger } = options;
   const server = createServer(
     { requestTimeout: REQUEST_TIMEOUT_MS, maxHeaderSize: MAX_HEADER_BYTES },
     (request, response) => {
@@ -92,18 +95,13 @@
         .catch(() => response.destroy());
     },
   );
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', (thrown) => {
-      reject(buildError('unavailable', 'operator.listen', options.host, thrown.message, thrown));
-    });
-    server.listen(options.port, options.host, resolve);
-  });
-  return {
-    port: (server.address() as AddressInfo).port,
+  const bound = await listen(server, { host, port, step: 'operator.listen', logger });
+  return bound.map((boundPort) => ({
+    port: boundPort,
     stop: () =>
-      new Promise((resolve) => {
+      new Promise<void>((resolve) => {
         server.close(() => resolve());
         server.closeAllConnections();
       }),
-  };
+  }));
 }
--- a/src/utils/jsoncTree.ts
+++ b/src/utils/locateOffset.ts
@@ -1,6 +1,4 @@
-/** Helpers for JSON with comments, on top of the syntax tree of jsonc-parser. */
-import { getNodeValue } from 'jsonc-parser';
-import type { Node } from 'jsonc-parser';
+/** Positions in a text. */
 
 /** A position in a text; both numbers count from 1. */
 export interface TextPosition {
@@ -14,8 +12,3 @@
   const lastBreak = before.lastIndexOf('\n');
   return { line: before.split('\n').length, column: offset - lastBreak };
 }
-
-/** Returns the plain value of a syntax tree. */
-export function getTreeValue(tree: Node): unknown {
-  return getNodeValue(tree);
-}
--- a/test/calls/fakes.ts
+++ b/test/calls/fakes.ts
@@ -14,6 +14,7 @@
 import type { ConfigStore, MemberTable, MemberView } from '../../src/types/interfaces.js';
 import type { CompiledRoute, RoutingState } from '../../src/types/routing.js';
 import { SILENT_LOGGER } from '../../src/utils/logger.js';
+import { unwrap } from '../fakes/results.js';
 
 const closers: (() => unknown)[] = [];
 // Servers stay open until the tests of a file are over, also when one fails.
@@ -95,7 +96,7 @@
   change: EntryChange = {},
 ): Promise<CallPort> {
   const { route, limits, ...options } = change;
-  const port = await startCallPort({
+  const started = await startCallPort({
     host: '127.0.0.1',
     port: 0,
     settings: { ...SIZES, headersTimeoutMs: 5000, maxInFlight: 10, ...limits },
@@ -108,6 +109,7 @@
     lingerMs: 0,
     ...options,
   });
+  const port = unwrap(started);
   onEnd(() => port.stop(0));
   return port;
 }
--- a/test/plugins/operatorPort.test.ts
+++ b/test/plugins/operatorPort.test.ts
@@ -3,6 +3,7 @@
 import { request } from 'undici';
 import { buildJsonAnswer, startOperatorPort } from '../../src/plugins/operatorPort.js';
 import { SILENT_LOGGER } from '../../src/utils/logger.js';
+import { unwrap } from '../fakes/results.js';
 
 describe('operator port', () => {
   const started = { port: 0, stop: async () => {} };
@@ -19,7 +20,7 @@
         },
       },
     });
-    Object.assign(started, running);
+    Object.assign(started, unwrap(running));
   });
   after(() => started.stop());
 
--- /dev/null
+++ b/test/settings/occupiedPorts.test.ts
@@ -0,0 +1,51 @@
+import assert from 'node:assert/strict';
+import { execFile } from 'node:child_process';
+import { once } from 'node:events';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { createServer, type AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { test } from 'node:test';
+import { fileURLToPath } from 'node:url';
+
+const DAEMON = fileURLToPath(new URL('../../src/daemon.js', import.meta.url));
+const HOST = '127.0.0.1';
+const TABLE = [
+  { name: 'callPort', step: 'calls.listen' },
+  { name: 'peerPort', step: 'peer.listen' },
+  { name: 'announcePort', step: 'announce.listen' },
+  { name: 'operatorPort', step: 'operator.listen' },
+] as const;
+
+/** Runs the daemon until it ends and returns its exit code and its output. */
+function runDaemon(path: string): Promise<{ code: unknown; output: string }> {
+  return new Promise((resolve) => {
+    const args = ['--enable-source-maps', DAEMON, '--settings', path];
+    execFile(process.execPath, args, { timeout: 20_000 }, (error, stdout, stderr) => {
+      resolve({ code: error?.code, output: stdout + stderr });
+    });
+  });
+}
+
+for (const { name, step } of TABLE) {
+  // Guards against a daemon that hangs on a taken port, or names neither the port nor the cause.
+  test(`a daemon whose ${name} is taken ends with the address and the cause`, async (t) => {
+    const occupier = createServer().listen(0, HOST);
+    await once(occupier, 'listening');
+    const folder = await mkdtemp(join(tmpdir(), 'lycheelane-'));
+    t.after(async () => {
+      occupier.close();
+      await rm(folder, { recursive: true });
+    });
+    const { port } = occupier.address() as AddressInfo;
+    const free = { callPort: 0, peerPort: 0, announcePort: 0, operatorPort: 0 };
+    const place = { nodeId: 'n1', dataCentre: 'dc', region: 'region', host: HOST };
+    const settings = { ...place, ...free, [name]: port, platformUrl: `http://${HOST}:1` };
+    const path = join(folder, 'n1.json');
+    await writeFile(path, JSON.stringify(settings));
+    const { code, output } = await runDaemon(path);
+    assert.equal(code, 1);
+    const line = output.split('\n').find((each) => each.includes('start-failed')) ?? output;
+    assert.match(line, new RegExp(`step=${step} peer=${HOST}:${port} .*EADDRINUSE`));
+  });
+}
