--- a/src/cli/config/parentRecord.ts
+++ b/src/cli/config/parentRecord.ts
@@ -6,7 +6,7 @@
 import type { VersionReference } from '../../core/config/buildBundle.js';
 import { isJsonObject } from '../../core/config/diffContent.js';
 import type { ConfigContent } from '../../core/config/renderSite.js';
-import { computeDigest } from '../../utils/digest.js';
+import { hasDigest } from '../../utils/digest.js';
 import { replaceFile } from './replaceFile.js';
 
 /** The parent version with its content: its bundle may be gone when the merge needs it. */
@@ -31,7 +31,7 @@
     typeof operationId === 'string' &&
     isJsonObject(base) &&
     isJsonObject(overlays) &&
-    computeDigest(content) === digest;
+    hasDigest(content, digest);
   if (!isValid) {
     const message = 'the record is damaged; run `lycheelane config pull --force` to replace it';
     return err(buildError('invalid', STEP, file, message));
--- a/src/cli/config/workingFiles.ts
+++ b/src/cli/config/workingFiles.ts
@@ -6,8 +6,8 @@
 import { buildError, toStepError, type StepError } from '../../errors.js';
 import type { ConfigContent, JsonObject } from '../../core/config/renderSite.js';
 import { describeSyntax } from '../../utils/describeSyntax.js';
-
 import { findDuplicateKeys } from './findDuplicateKeys.js';
+import { findUnstorableValues } from './findUnstorableValues.js';
 
 /** A fault of the text itself, at a character offset. */
 export interface TextFault {
@@ -54,7 +54,9 @@
     message: `syntax: ${describeSyntax(error)}`,
     expected: 'JSON with comments',
   }));
-  if (tree && errors.length === 0) faults.push(...findDuplicateKeys(tree));
+  if (tree && errors.length === 0) {
+    faults.push(...findDuplicateKeys(tree), ...findUnstorableValues(tree));
+  }
   if (tree?.type !== 'object' && errors.length === 0) {
     const message = 'the file does not hold an object';
     faults.push({ offset: tree?.offset ?? 0, path: [], message, expected: 'an object { ... }' });
--- a/src/core/config/compileRouting.ts
+++ b/src/core/config/compileRouting.ts
@@ -12,7 +12,7 @@
   type ServiceName,
 } from '../../types/ids.js';
 import type { CompiledRoute, CompiledService, RoutingState } from '../../types/routing.js';
-import { computeDigest } from '../../utils/digest.js';
+import { hasDigest } from '../../utils/digest.js';
 import { checkConfig } from './checkConfig.js';
 import { formatFault } from './configFault.js';
 import { freezeDeep, freezeMap } from './freezeDeep.js';
@@ -74,9 +74,8 @@
     return err(buildError('invalid', STEP, 'self', message));
   }
   const content = { base: bundle.base, overlays: bundle.overlays };
-  const digest = computeDigest(content);
-  if (digest !== bundle.digest) {
-    const message = `content has digest ${digest}, the bundle states ${bundle.digest}`;
+  if (!hasDigest(content, bundle.digest)) {
+    const message = `the content does not hash to ${bundle.digest}`;
     return err(buildError('mismatch', STEP, 'self', message));
   }
   const { faults, sites } = checkConfig(content);
--- a/src/core/config/readAccepted.ts
+++ b/src/core/config/readAccepted.ts
@@ -3,7 +3,7 @@
 import { buildError, type StepError } from '../../errors.js';
 import type { Head } from '../../generated/types.js';
 import type { PlatformClient, PlatformObject } from '../../types/interfaces.js';
-import { computeDigest } from '../../utils/digest.js';
+import { hasDigest } from '../../utils/digest.js';
 import { readBundle, readHead } from './readHead.js';
 import type { ConfigContent } from './renderSite.js';
 
@@ -30,7 +30,7 @@
     return err(buildError('not-found', 'config.read', 'platform', message));
   }
   const { base, overlays } = bundle.value;
-  if (computeDigest({ base, overlays }) !== digest) {
+  if (!hasDigest({ base, overlays }, digest)) {
     const message = `bundle ${operationId} of version ${version} has another digest`;
     return err(buildError('mismatch', 'config.read', 'platform', message));
   }
--- a/src/core/distribution/verify.ts
+++ b/src/core/distribution/verify.ts
@@ -5,7 +5,7 @@
 import { validateBundle } from '../../generated/validators.js';
 import { brandVersion, type Digest } from '../../types/ids.js';
 import type { VersionTag } from '../../types/interfaces.js';
-import { computeDigest } from '../../utils/digest.js';
+import { hasDigest } from '../../utils/digest.js';
 
 /** Returns the version and digest that a bundle or head names. */
 export function toTag(named: { readonly version: number; readonly digest: string }): VersionTag {
@@ -32,11 +32,11 @@
     return err(buildError('invalid', step, source, `not a bundle: ${reason}`));
   }
   const bundle = value as Bundle;
-  const digest = computeDigest({ base: bundle.base, overlays: bundle.overlays });
-  if (digest === bundle.digest) {
+  const { version, digest, base, overlays } = bundle;
+  if (hasDigest({ base, overlays }, digest)) {
     verified.add(bundle);
     return ok(bundle);
   }
-  const reason = `version ${bundle.version} hashes to ${digest}, not ${bundle.digest}`;
+  const reason = `the content of version ${version} does not hash to ${digest}`;
   return err(buildError('mismatch', step, source, reason));
 }
--- a/test/config/checkFiles.test.ts
+++ b/test/config/checkFiles.test.ts
@@ -37,6 +37,14 @@
     edit: ['"slots": 6', '"slots": 6, "slots": 7'],
     faults: [/^base:6:31: services\.skyguide\.slots: key "slots" is stated twice/],
   },
+  {
+    name: 'a text and a number that no digest covers',
+    overlay: '{ "services": { "a\\ud800": { "slots": 1e999 } } }',
+    faults: [
+      /^overlay:1:17: .*half of a surrogate pair; expected whole characters/,
+      /^overlay:1:39: .*slots: the number is too large; expected a number below/,
+    ],
+  },
   {
     name: 'a misspelt key',
     edit: ['"queueLimit"', '"queLimit"'],
--- a/test/distribution/fetch.test.ts
+++ b/test/distribution/fetch.test.ts
@@ -50,6 +50,7 @@
   return { answer };
 };
 const forged = { ...buildBundle(2), base: { services: {}, routes: {} } };
+const unhashable = { ...buildBundle(2), base: { services: { pad: '\ud800' }, routes: {} } };
 const unknownBase = diffBundles(buildBundle(1, 'z'), buildBundle(2));
 const faultyPatch: ConfigFetchAnswer = {
   kind: 'patch',
@@ -66,6 +67,7 @@
   ['without a newer version', { answer: { kind: 'same' } }],
   ['with an older version', whole(buildBundle(1))],
   ['with content of another digest', whole(forged)],
+  ['with content that has no digest', whole(unhashable)],
   ['with another digest for the version', whole(buildBundle(2, 'y'))],
   ['with a difference from an unknown base', { answer: unknownBase }],
   ['with a difference that cannot be applied', { answer: faultyPatch }],
