Free the place of a call whose connection breaks under its response

Cause: the call port took the end of a response from 'finish', or from 'close' when writableFinished was false. A response that loses its socket after its last write and before 'finish' has writableFinished true and never finishes, so its call stayed in flight for ever: the node would in time refuse all calls as overloaded and, when stopped, wait for its whole limit and report cut calls. A request followed by bytes that are no request did it every time, a caller that resets its connection at the wrong moment some of the time. Change: only the 'finish' event counts as sent; any other end is 'cancelled'. Ruled out: a timer that collects lost calls, which would hide the next such fault. Conclusion: every call leaves the count of calls in flight.

--- a/src/core/calls/answer.ts
+++ b/src/core/calls/answer.ts
@@ -125,9 +125,14 @@
   };
   body.once('error', abortTruncated);
   body.once('close', abortTruncated);
-  response.once('finish', () => finish(undefined));
+  let isSent = false;
+  response.once('finish', () => {
+    isSent = true;
+    finish(undefined);
+  });
   response.once('close', () => {
-    if (response.writableFinished) return;
+    // `writableFinished` is also true of a response that lost its socket before it was sent.
+    if (isSent) return;
     finish({ reason: 'cancelled', detail: 'the caller went away' });
     body.destroy();
   });
