Fuzz announcements and platform objects

Change: damaged announcements must be refused or publish a record that other nodes accept; damaged heads, bundles and seed lists must never be enforced nor keep the next good version out. Ruled out: fuzz of the settings file, which is read once by its own author.

--- /dev/null
+++ b/test/distribution/damagedObjects.test.ts
@@ -0,0 +1,43 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { advance } from '../fakes/clock.js';
+import { applyDamages, damages } from '../fakes/mutations.js';
+import { acceptBundle, buildBundle, getVersion, toHead, useTestMesh } from '../fakes/nodes.js';
+import { assertAll } from '../fakes/results.js';
+
+const mesh = useTestMesh();
+const NEXT = buildBundle(2);
+const SEEDS = { addresses: [{ host: '127.0.0.1', port: 100 }] };
+const OBJECTS = [
+  ['config/head', { ...toHead(NEXT), recent: [{ version: 2, operationId: 'o', digest: 'd' }] }],
+  ['bundles/op-2-x', { ...NEXT }],
+  ['seeds/dc-a', SEEDS],
+  ['seeds/dc-b', SEEDS],
+] as const;
+
+// Guards against a damaged platform object that ends a node, is enforced in part, or keeps the next
+// good version out.
+test('damaged objects of the platform are never enforced and block nothing', async () => {
+  acceptBundle(mesh.platform, buildBundle(1));
+  mesh.startNodes('dc-a', 100, 3);
+  await advance(8000);
+  assertAll(mesh.nodes, getVersion, 1);
+  await fc.assert(
+    fc.asyncProperty(fc.constantFrom(...OBJECTS), damages, async ([name, value], list) => {
+      mesh.platform.put(name, applyDamages(value, list));
+      await advance(3000, 500);
+      for (const { store } of mesh.nodes) {
+        const { version, digest } = store.getTag();
+        assert.ok(version === 1 || version === 2);
+        assert.equal(digest, buildBundle(version).digest);
+        assert.deepEqual(store.getBundle()?.base, buildBundle(version).base);
+      }
+    }),
+    { seed: 20_261_204, numRuns: 150 },
+  );
+  mesh.platform.put('seeds/dc-a', SEEDS);
+  acceptBundle(mesh.platform, buildBundle(3));
+  await advance(40_000, 250);
+  assertAll(mesh.nodes, getVersion, 3);
+});
--- a/test/upstream/announce.test.ts
+++ b/test/upstream/announce.test.ts
@@ -2,6 +2,7 @@
 import { connect } from 'node:net';
 import { once } from 'node:events';
 import { test, type TestContext } from 'node:test';
+import fc from 'fast-check';
 import { request } from 'undici';
 import { startAnnouncePort } from '../../src/core/upstream/announcePort.js';
 import { decodeFloorCookie, encodeFloorCookie } from '../../src/core/upstream/floorCookie.js';
@@ -10,6 +11,9 @@
 import { brandText, brandVersion, type Digest } from '../../src/types/ids.js';
 import type { VersionTag } from '../../src/types/interfaces.js';
 import { SILENT_LOGGER } from '../../src/utils/logger.js';
+import { validateMembersPush } from '../../src/generated/validators.js';
+import { applyDamages, damages } from '../fakes/mutations.js';
+import { buildRecord, toSender } from '../fakes/nodes.js';
 import { startMockClock } from './mockClock.js';
 import { buildAnnouncement, createInstanceSide } from './support.js';
 
@@ -89,6 +93,25 @@
   });
 }
 
+// Guards against an announcement that brings the node down, or that makes its record one that all
+// other nodes refuse.
+test('a damaged announcement is refused or publishes a valid record', async (t) => {
+  const { post, published } = await startPort(t);
+  const valid = buildAnnouncement({ running: ['request-1'], cookie: encodeFloorCookie(TAG) });
+  const record = buildRecord(100, 'dc-a');
+  await fc.assert(
+    fc.asyncProperty(damages, async (list) => {
+      const { status } = await post(JSON.stringify(applyDamages(valid, list)));
+      assert.ok([200, 400, 409, 503].includes(status), String(status));
+      const changes = [
+        { record: { ...record, instances: published.at(-1) ?? [] }, verdict: 'alive' },
+      ];
+      assert.ok(validateMembersPush({ from: toSender(record), changes }));
+    }),
+    { seed: 20_261_204, numRuns: 500 },
+  );
+});
+
 // Guards against slow senders that hold connections.
 test('an announcement that does not arrive in time is cut', async (t) => {
   const { port } = await startPort(t, 100);
