Take a proof of not-run from an upstream only when it names the request

Cause: read while looking for inputs to fuzz: a 503 with 'lycheelane-outcome: not-run' counted as proof before the request id was compared, and without any id at all. An upstream that passes on the response of a nested call, which carries these headers, denied its own run; the call was then tried elsewhere and a key was freed, so a booking could run twice. Change: the proof must carry the id of this very request; an id of another request gives 'unknown mismatched-answer' whatever else the response states. The upstream stand-in repeats the id. Ruled out: stripping the headers in nested calls, which the node does not see being copied inside the upstream. Conclusion: a refusal of an inner call can no longer pass for one of the outer.

--- a/src/core/upstream/callRun.ts
+++ b/src/core/upstream/callRun.ts
@@ -1,7 +1,6 @@
 /** One dispatched call: its exchange with the upstream, its deadline and its cancellation. */
 import type { Dispatcher } from 'undici';
 import type { AttemptResult, Call, LoadReport } from '../../types/calls.js';
-import { CALL_HEADERS } from '../../types/outcome.js';
 import { buildNotRun, buildUnknown } from '../calls/refusal.js';
 import { onCallerLimit } from './callerLimit.js';
 import { startExchange, type BodyEnd, type Exchange, type ExchangeHead } from './exchange.js';
@@ -10,6 +9,7 @@
   buildRequestHeaders,
   filterResponseHeaders,
   isNotRunProof,
+  isOtherAnswer,
   isRetryExhausted,
   isShed,
 } from './upstreamHeaders.js';
@@ -56,13 +56,12 @@
     return buildNotRun('connect-failed', detail, getLoad());
   }
   const { status, headers, body } = head;
-  if (isNotRunProof(status, headers)) {
+  if (isNotRunProof(status, headers, call.requestId)) {
     body.resume();
     const refusal = buildNotRun('overloaded', 'the upstream shed the call', getLoad());
     return { ...refusal, retriesExhausted: isRetryExhausted(headers) };
   }
-  const answeredId = headers[CALL_HEADERS.request];
-  if (answeredId !== undefined && answeredId !== call.requestId) {
+  if (isOtherAnswer(headers, call.requestId)) {
     body.resume();
     return buildUnknown('mismatched-answer', 'the upstream answered another request');
   }
@@ -80,9 +79,8 @@
     return head.wasSent ? { kind: 'handedOver', detail: head.error.message } : { kind: 'notRun' };
   }
   const { status, headers } = head;
-  if (isNotRunProof(status, headers)) return { kind: 'notRun' };
-  const answeredId = headers[CALL_HEADERS.request];
-  if (answeredId !== undefined && answeredId !== call.requestId) {
+  if (isNotRunProof(status, headers, call.requestId)) return { kind: 'notRun' };
+  if (isOtherAnswer(headers, call.requestId)) {
     return { kind: 'handedOver', detail: 'the upstream answered another request' };
   }
   if (end.kind !== 'complete') {
--- a/src/core/upstream/upstreamHeaders.ts
+++ b/src/core/upstream/upstreamHeaders.ts
@@ -1,6 +1,7 @@
 /** Headers between this node and an upstream. */
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Call } from '../../types/calls.js';
+import type { RequestId } from '../../types/ids.js';
 import { CALL_HEADERS } from '../../types/outcome.js';
 
 /** RFC 9110, section 7.6.1, and what the client sets itself. */
@@ -58,9 +59,23 @@
   return status === 503 || status === 429;
 }
 
-/** True when an upstream proves that it did not run the request. */
-export function isNotRunProof(status: number, headers: IncomingHttpHeaders): boolean {
-  return isShed(status) && headers[CALL_HEADERS.outcome] === 'not-run';
+/**
+ * True when an upstream proves that it did not run the request. The proof names the request: an
+ * upstream may pass on the refusal of a nested call, or the answer may have crossed with another.
+ */
+export function isNotRunProof(
+  status: number,
+  headers: IncomingHttpHeaders,
+  requestId: RequestId,
+): boolean {
+  const isNamed = headers[CALL_HEADERS.request] === requestId;
+  return isNamed && isShed(status) && headers[CALL_HEADERS.outcome] === 'not-run';
+}
+
+/** True when the response names another request than the one that was sent. */
+export function isOtherAnswer(headers: IncomingHttpHeaders, requestId: RequestId): boolean {
+  const answeredId = headers[CALL_HEADERS.request];
+  return answeredId !== undefined && answeredId !== requestId;
 }
 
 /** True when an inner level already spent its retries. */
--- a/standins/upstream/work.ts
+++ b/standins/upstream/work.ts
@@ -160,9 +160,10 @@
 
   const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     recordArrival();
+    const requestId = getHeader(request, 'lycheelane-request');
+    if (requestId !== '') response.setHeader('lycheelane-request', requestId);
     await readBody(request, MAX_BODY_BYTES);
     if (slots.busy >= slots.slots) counts.overSlots += 1;
-    const requestId = getHeader(request, 'lycheelane-request');
     const running = behaviour.shedAll ? undefined : slots.admit(requestId);
     if (running === undefined) {
       shed(response);
--- a/test/upstream/dispatcher.test.ts
+++ b/test/upstream/dispatcher.test.ts
@@ -2,6 +2,7 @@
 import { once } from 'node:events';
 import { createServer, type AddressInfo } from 'node:net';
 import { test, type TestContext } from 'node:test';
+import { brandText, type RequestId } from '../../src/types/ids.js';
 import {
   buildAnnouncement,
   buildCall,
@@ -54,19 +55,30 @@
   assert.equal(await readText(result.body), 'POST /book?pad=7 pad 7 mesh.example 1');
 });
 
+/** A response without a body; header lines are separated by commas. */
+const formatEmpty = (status: string, headers = '') =>
+  [`HTTP/1.1 ${status}`, ...headers.split(','), 'content-length: 0', '', ''].join('\r\n');
+const PROOF = 'lycheelane-outcome: not-run';
+
 // Guards against a wrong statement to the caller after each fault of an upstream.
 const FAULTS: readonly [string, string | 'reset', string][] = [
   ['a reset after the request was sent', 'reset', 'unknown connection-lost'],
   ['a close without an answer', '', 'unknown connection-lost'],
-  ['a bare 503', 'HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n', 'answered 503'],
+  ['a bare 503', formatEmpty('503 Busy', 'x: y'), 'answered 503'],
   [
     'a shed with proof',
-    'HTTP/1.1 503 Busy\r\nlycheelane-outcome: not-run\r\ncontent-length: 0\r\n\r\n',
+    formatEmpty('503 Busy', `${PROOF},lycheelane-request: asked`),
     'notRun overloaded',
   ],
+  ['a proof that names no request', formatEmpty('503 Busy', PROOF), 'answered 503'],
+  [
+    'a proof about another request, such as a nested call',
+    formatEmpty('503 Busy', `${PROOF},lycheelane-request: other`),
+    'unknown mismatched-answer',
+  ],
   [
     'an answer to another request',
-    'HTTP/1.1 200 OK\r\nlycheelane-request: other\r\ncontent-length: 0\r\n\r\n',
+    formatEmpty('200 OK', 'lycheelane-request: other'),
     'unknown mismatched-answer',
   ],
   ['a malformed answer', 'nonsense\r\n\r\n', 'unknown connection-lost'],
@@ -76,7 +88,8 @@
     const { port, server } = await startRawUpstream(t, answer);
     const { table, dispatcher } = createInstanceSide(t);
     assert.ok(table.record(buildAnnouncement({ port })).isOk());
-    const result = await dispatcher.dispatch(buildCall());
+    const requestId = brandText<RequestId>('asked');
+    const result = await dispatcher.dispatch(buildCall({ requestId }));
     const detail = result.kind === 'answered' ? result.status : result.reason;
     assert.equal(`${result.kind} ${detail}`, expected);
     if (result.kind === 'answered') result.body.destroy();
--- a/test/upstream/once.test.ts
+++ b/test/upstream/once.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import type { IncomingMessage } from 'node:http';
 import { test, type TestContext } from 'node:test';
 import { createRequestMemory, type MemoryKey } from '../../src/core/upstream/requestMemory.js';
 import type { AttemptResult, Call } from '../../src/types/calls.js';
@@ -33,6 +34,12 @@
   return { ...side, upstream, send };
 }
 
+/** The headers by which an upstream proves that it did not run a request. */
+function proveNotRun({ headers }: IncomingMessage) {
+  const id = headers['lycheelane-request'] ?? '';
+  return { 'lycheelane-outcome': 'not-run', 'lycheelane-request': id };
+}
+
 async function summarize(pending: AttemptResult | Promise<AttemptResult>): Promise<string> {
   const result = await pending;
   if (result.kind !== 'answered') return `${result.kind} ${result.reason}`;
@@ -81,7 +88,9 @@
 test('only a proven not-run frees a key', async (t) => {
   const script: UpstreamHandler[] = [
     (request) => request.socket.destroy(),
-    (request, response) => response.writeHead(503, { 'lycheelane-outcome': 'not-run' }).end(),
+    (request, response) => response.writeHead(503, proveNotRun(request)).end(),
+    (request, response) =>
+      response.writeHead(503, { 'lycheelane-outcome': 'not-run' }).end('no id'),
     (request, response) => response.writeHead(503).end('busy'),
     (request, response) => response.end('x'.repeat(40_000)),
   ];
@@ -93,12 +102,15 @@
   assert.equal(await summarize(send(lost)), 'unknown already-handed-over');
   const shed = buildKey(Date.now());
   assert.equal(await summarize(send(shed)), 'notRun overloaded');
-  assert.equal(await summarize(send(shed)), '503 busy');
-  assert.equal(await summarize(send(shed)), '503 busy');
+  assert.equal(await summarize(send(shed)), '503 no id');
+  assert.equal(await summarize(send(shed)), '503 no id');
+  const bare = buildKey(Date.now());
+  assert.equal(await summarize(send(bare)), '503 busy');
+  assert.equal(await summarize(send(bare)), '503 busy');
   const large = buildKey(Date.now());
   assert.match(await summarize(send(large)), /^200 x{40000}$/);
   assert.equal(await summarize(send(large)), 'unknown already-handed-over');
-  assert.equal(upstream.seen.length, 4);
+  assert.equal(upstream.seen.length, 5);
 });
 
 // Guards against keys that are forgotten under pressure while they could still be accepted.
