Return ejected nodes after one successful trial within 10 s

Cause: the ejection time of a node doubled up to 64 times ejectMs, 128 s by default, and each return let consecutiveFailures and all concurrent calls through. A healthy node stayed away long after its recovery. Change: after an ejection one call is the trial; its start renews the ejection with a doubled time of at most 10 s (or ejectMs), its success ends it. A node whose trial is due is chosen whatever its outstanding calls. Tests: test/calls/outlier.test.ts is new. Conclusion: a recovered node is tried within 10 s; a failing one gets one call in 10 s.

--- a/src/core/calls/attempt.ts
+++ b/src/core/calls/attempt.ts
@@ -5,6 +5,7 @@
 import type { CompiledService } from '../../types/routing.js';
 import { forwardCall } from './forward.js';
 import type { NodeStats, NodeStatsTable } from './nodeStats.js';
+import type { CallStart } from './outlier.js';
 import type { PeerPools } from './peerPools.js';
 import { isStaleChoice } from './refusal.js';
 
@@ -16,8 +17,12 @@
   readonly stats: NodeStatsTable;
 }
 
+/** Reasons that show nothing about the node, not even that it answers. */
+const INCONCLUSIVE: ReadonlySet<string> = new Set(['cancelled', 'already-handed-over']);
+
 function recordResult(
   stats: NodeStats,
+  start: CallStart,
   result: AttemptResult,
   service: CompiledService,
   nowMs: number,
@@ -26,20 +31,19 @@
   switch (result.kind) {
     case 'answered':
       if (result.load) stats.recordLoad(result.load, nowMs);
-      if (result.status >= 500) stats.outlier.recordFailure(outlier, nowMs);
-      else stats.outlier.recordSuccess(nowMs);
+      if (result.status >= 500) stats.outlier.recordFailure(outlier, start, nowMs);
+      else stats.outlier.recordSuccess(start, nowMs);
       break;
     case 'unknown':
-      if (result.reason !== 'cancelled' && result.reason !== 'already-handed-over') {
-        stats.outlier.recordFailure(outlier, nowMs);
-      }
+      if (!INCONCLUSIVE.has(result.reason)) stats.outlier.recordFailure(outlier, start, nowMs);
       break;
     case 'notRun':
       if (result.load) stats.recordLoad(result.load, nowMs);
       // Overload spreads over the other nodes by load; it says nothing about a node's health.
       if (result.reason === 'overloaded') stats.recordFull(nowMs);
       if (isStaleChoice(result)) stats.recordLeaving(nowMs);
-      if (result.reason === 'connect-failed') stats.outlier.recordFailure(outlier, nowMs);
+      if (result.reason === 'connect-failed') stats.outlier.recordFailure(outlier, start, nowMs);
+      else if (!INCONCLUSIVE.has(result.reason)) stats.outlier.recordRefusal(start, nowMs);
       break;
     // no default
   }
@@ -54,6 +58,7 @@
   const { service } = call.route;
   const stats = parts.stats.get(service.name, record.nodeId, record.incarnation);
   stats.outstanding += 1;
+  const start = stats.outlier.recordStart(service.config.outlier, performance.now());
   const result =
     record.nodeId === parts.members.getSelf().nodeId
       ? await parts.dispatcher.dispatch(call)
@@ -63,6 +68,6 @@
   };
   if (result.kind === 'answered') result.body.once('close', release);
   else release();
-  recordResult(stats, result, service, performance.now());
+  recordResult(stats, start, result, service, performance.now());
   return result;
 }
--- a/src/core/calls/candidates.ts
+++ b/src/core/calls/candidates.ts
@@ -89,6 +89,10 @@
     warmSlots += share * computeWeight(wallMs - instance.readySinceMs, service.config.coldStartMs);
   }
   const weight = warmSlots / slots;
+  // Calls that still hang from before the ejection would keep the trial away until they time out.
+  if (stats.outlier.isTrialDue(nowMs)) {
+    return { view, stats, distance, isSelf, weight, score: 0, isFull: false };
+  }
   const held = local ? local.busy + local.queued : stats.computeHeldCalls(nowMs);
   const isFull = local ? local.busy >= local.slots : stats.isFull(slots, nowMs);
   return { view, stats, distance, isSelf, weight, score: held / (slots * weight), isFull };
--- /dev/null
+++ b/test/calls/outlier.test.ts
@@ -0,0 +1,111 @@
+/* eslint n/no-unsupported-features/node-builtins: ["error", { "allowExperimental": true }] --
+   The design page asks for the mock timers of `node:test`, which Node.js 20 calls experimental. */
+import assert from 'node:assert/strict';
+import { mock, test, type TestContext } from 'node:test';
+import { runCall, type EntryParts } from '../../src/core/calls/entry.js';
+import { createNodeStatsTable } from '../../src/core/calls/nodeStats.js';
+import { SILENT_OBSERVER } from '../../src/core/calls/observer.js';
+import { createRetryBudget } from '../../src/core/calls/retryBudget.js';
+import { createFakePools, type ForwardReply } from '../fakes/callPools.js';
+import { settle } from '../fakes/clock.js';
+import { createRandom } from '../fakes/nodes.js';
+import { buildCall, buildRoute as buildCallRoute } from '../upstream/support.js';
+import { answer, buildView, createDispatcher, createMembers } from './fakes.js';
+
+const CALLS_PER_SECOND = 50;
+const STEP_MS = 1000 / CALLS_PER_SECOND;
+/** The node under test. */
+const FAULTY = 'n1';
+const SERVICE_CHANGE = {
+  outlier: { consecutiveFailures: 5, ejectMs: 2000, maxEjectedPercent: 50 },
+};
+
+/** An entry node that makes 50 calls a second to four nodes, one of which is told how to reply. */
+function startLoad(t: TestContext, timeoutMs: number) {
+  mock.timers.enable({ apis: ['setTimeout', 'Date'], now: 1_000_000 });
+  let nowMs = 0;
+  mock.method(performance, 'now', () => nowMs);
+  t.after(() => {
+    mock.timers.reset();
+    mock.restoreAll();
+  });
+  /** Times of the calls that the node under test got. */
+  const calls: number[] = [];
+  let replyFaulty = async (): Promise<ForwardReply> => answer('done');
+  const views = ['n1', 'n2', 'n3', 'n4'].map((nodeId) => buildView({ nodeId }));
+  const parts: EntryParts = {
+    members: createMembers(buildView({ nodeId: 'entry', instances: [] }), views),
+    dispatcher: createDispatcher(),
+    pools: createFakePools(async ({ nodeId }) => {
+      if (nodeId !== FAULTY) return answer('done');
+      calls.push(nowMs);
+      return replyFaulty();
+    }),
+    stats: createNodeStatsTable(),
+    getLocalLoad: () => undefined,
+    isLeaving: () => false,
+    budget: createRetryBudget(),
+    observer: SILENT_OBSERVER,
+    random: createRandom(20_261_204),
+  };
+  const route = buildCallRoute({ repeatability: 'once' }, SERVICE_CHANGE);
+  const send = async () => {
+    const result = await runCall(buildCall({ route }, timeoutMs), parts);
+    if (result.kind === 'answered') result.body.resume();
+  };
+  return {
+    calls,
+    setReply(reply: () => Promise<ForwardReply>) {
+      replyFaulty = reply;
+    },
+    /** Makes calls up to a time and returns when the node under test got one. */
+    async runTo(endMs: number): Promise<readonly number[]> {
+      const fromMs = nowMs;
+      for (; nowMs < endMs; nowMs += STEP_MS) {
+        void send();
+        mock.timers.tick(STEP_MS);
+        await settle();
+      }
+      return calls.filter((timeMs) => timeMs >= fromMs);
+    },
+  };
+}
+
+const fail = async (): Promise<ForwardReply> => {
+  const result = answer('broken');
+  assert.ok(result.kind === 'answered');
+  return { ...result, status: 500 };
+};
+const hang = () => new Promise<ForwardReply>(() => {});
+
+/** Way of failing, time limit of the calls, most calls in the first minute of failing. */
+const FAULTS: readonly (readonly [string, () => Promise<ForwardReply>, number, number])[] = [
+  ['answers with errors', fail, 5000, 15],
+  // The first ten calls fill its slots before the first one has timed out.
+  ['hangs', hang, 3000, 25],
+  ['hangs for longer than the longest ejection', hang, 25_000, 25],
+];
+
+// Guards against an ejected node that gets many failing calls whenever its ejection ends, and
+// against one that stays away long after it has recovered.
+for (const [fault, reply, timeoutMs, mostCalls] of FAULTS) {
+  test(`outlier: a node that ${fault} gets few calls and returns within 10 s`, async (t) => {
+    const load = startLoad(t, timeoutMs);
+    const before = await load.runTo(5000);
+    assert.ok(before.length > 40, `${before.length} of 250 calls before the fault`);
+    load.setReply(reply);
+    const during = await load.runTo(65_000);
+    assert.ok(during.length <= mostCalls, `${during.length} of 3000 calls`);
+    const late = await load.runTo(125_000);
+    // One trial in 10 s, of 500 calls: 0.2%.
+    assert.ok(late.length >= 5 && late.length <= 7, `${late.length} of 3000 calls`);
+    load.setReply(async () => answer('done'));
+    const [first = Infinity] = await load.runTo(136_000);
+    assert.ok(first <= 135_500, `the first call came ${first - 125_000} ms after the recovery`);
+    // Calls that still hang count as load of the node until they time out.
+    await load.runTo(125_000 + timeoutMs + 12_000);
+    const share = (await load.runTo(125_000 + timeoutMs + 22_000)).length / 500;
+    // A fair share is a quarter; random choices spread around it.
+    assert.ok(share > 0.18 && share < 0.32, `${share} of the calls after the return`);
+  });
+}
