Compare IPv6 addresses by value and write them with brackets

Cause: settings, announcements and the sender check compared addresses as text, so another way of writing an IPv6 address was refused (the loopback address 0:0:0:0:0:0:0:1 as operatorHost asked for a token, announcements with FD00::A on the host fd00::a were refused). Logs and errors joined IPv6 addresses and ports without brackets. The stand-ins print URLs with brackets. Ruled out: normalizing records of other nodes: their settings do it.

--- a/src/core/calls/callPort.ts
+++ b/src/core/calls/callPort.ts
@@ -9,6 +9,7 @@
 import { brandText, type NodeId } from '../../types/ids.js';
 import { waitMs } from '../../utils/backoff.js';
 import type { Logger } from '../../utils/logger.js';
+import { formatHostPort } from '../../utils/address.js';
 import { explainRoute, type RouteExplanation } from './explain.js';
 import { createActiveExchanges } from './malformed.js';
 import { createNodeStatsTable } from './nodeStats.js';
@@ -71,7 +72,9 @@
 function listen(server: Server, host: string, port: number): Promise<void> {
   return new Promise((resolve, reject) => {
     const fail = (error: Error) =>
-      reject(buildError('unavailable', 'calls.listen', `${host}:${port}`, error.message, error));
+      reject(
+        buildError('unavailable', 'calls.listen', formatHostPort(host, port), error.message, error),
+      );
     server.once('error', fail);
     server.listen(port, host, () => {
       server.off('error', fail);
--- a/src/core/calls/peerPools.ts
+++ b/src/core/calls/peerPools.ts
@@ -2,6 +2,7 @@
 import { Pool } from 'undici';
 import type { MemberRecord } from '../../generated/types.js';
 import type { NodeId } from '../../types/ids.js';
+import { formatHostPort } from '../../utils/address.js';
 
 /** Limits of the pools; times in milliseconds. */
 export interface PoolLimits {
@@ -32,8 +33,7 @@
 
 /** Creates a pool whose options keep undici from sending a request twice (design section 10). */
 export function createPeerPool(host: string, port: number, limits: PoolLimits): Pool {
-  const authority = host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`;
-  return new Pool(`http://${authority}`, {
+  return new Pool(`http://${formatHostPort(host, port)}`, {
     connections: limits.connections,
     pipelining: 1,
     keepAliveTimeout: limits.idleTimeoutMs,
--- a/src/core/membership/antiEntropy.ts
+++ b/src/core/membership/antiEntropy.ts
@@ -8,6 +8,7 @@
   MembersSummaryAnswer,
 } from '../../generated/types.js';
 import type { PeerAddress } from '../../types/interfaces.js';
+import { formatHostPort } from '../../utils/address.js';
 import { getSender, type MembershipContext } from './context.js';
 import { measureChange } from './gossip.js';
 import { compareRecords } from './merge.js';
@@ -97,7 +98,10 @@
     // A difference that an exchange does not settle is looked at ever less often.
     gapMs = repaired > 0 ? MIN_GAP_MS : Math.min(MAX_GAP_MS, gapMs * 2);
     notBeforeMs = Date.now() + gapMs;
-    logger.debug('member-tables-compared', { peer: `${address.host}:${address.port}`, repaired });
+    logger.debug('member-tables-compared', {
+      peer: formatHostPort(address.host, address.port),
+      repaired,
+    });
   };
 
   return {
--- a/src/core/membership/exchange.ts
+++ b/src/core/membership/exchange.ts
@@ -4,6 +4,7 @@
 import type { MemberChange, Ping, PingIndirect, Sender } from '../../generated/types.js';
 import { brandVersion, type Digest } from '../../types/ids.js';
 import type { PeerAddress, VersionTag } from '../../types/interfaces.js';
+import { formatHostPort } from '../../utils/address.js';
 import { getSender, type MembershipContext } from './context.js';
 import { compareIncarnations } from './incarnation.js';
 import type { ChangeReceiver } from './receive.js';
@@ -74,7 +75,7 @@
       return err(answer.error);
     }
     const { from } = answer.value;
-    const peer = `${address.host}:${address.port}`;
+    const peer = formatHostPort(address.host, address.port);
     if (targetId !== undefined && from.nodeId !== targetId) {
       return err(buildError('mismatch', 'ping', peer, `${from.nodeId} answers for ${targetId}`));
     }
--- a/src/core/membership/join.ts
+++ b/src/core/membership/join.ts
@@ -2,6 +2,7 @@
 import type { PeerAddress } from '../../types/interfaces.js';
 import { computeDelayMs, waitMs } from '../../utils/backoff.js';
 import { chooseRandom, toShuffled } from '../../utils/random.js';
+import { formatHostPort } from '../../utils/address.js';
 import { toAddress, type MembershipContext } from './context.js';
 import type { PingExchange } from './exchange.js';
 import type { RelayRanking } from './relays.js';
@@ -105,7 +106,7 @@
 
   /** Seeds of the settings and of all data centres whose members are not in the table. */
   const listUnknownSeeds = async (): Promise<PeerAddress[]> => {
-    const toKey = ({ host, port }: PeerAddress) => `${host}:${port}`;
+    const toKey = ({ host, port }: PeerAddress) => formatHostPort(host, port);
     const known = new Set(table.listPresent().map(({ record }) => toKey(toAddress(record))));
     const seeds = [...settings.seeds, ...(await readAllSeeds(context))];
     const unknown = new Map(seeds.map((address) => [toKey(address), address]));
--- a/src/core/peer/connect.ts
+++ b/src/core/peer/connect.ts
@@ -3,11 +3,12 @@
 import { err, ok, type Result } from 'neverthrow';
 import { buildError, type StepError } from '../../errors.js';
 import type { PeerAddress } from '../../types/interfaces.js';
+import { formatHostPort } from '../../utils/address.js';
 import { CONNECT_TIMEOUT_MS } from './limits.js';
 
 /** Returns the text form of an address, as used in logs and errors. */
 export function formatAddress(address: PeerAddress): string {
-  return `${address.host}:${address.port}`;
+  return formatHostPort(address.host, address.port);
 }
 
 /** Opens a connection to a peer port. Errors: kind `unavailable` or `timeout`. */
--- a/src/core/peer/server.ts
+++ b/src/core/peer/server.ts
@@ -4,6 +4,7 @@
 import { buildError, toStepError, type StepError } from '../../errors.js';
 import type { ControlCounters } from '../../types/interfaces.js';
 import type { Logger } from '../../utils/logger.js';
+import { formatHostPort } from '../../utils/address.js';
 import { createDispatcher, type PeerMethods, type SenderCheck } from './dispatcher.js';
 import { runServerConnection } from './serverConnection.js';
 import { SERVER_IDLE_MS, MAX_CONNECTIONS } from './limits.js';
@@ -36,7 +37,7 @@
   const dispatcher = createDispatcher(options.methods);
   const sockets = new Set<Socket>();
   const server = createServer({ noDelay: true, keepAlive: true }, (socket) => {
-    const peer = `${socket.remoteAddress ?? 'unknown'}:${socket.remotePort ?? 0}`;
+    const peer = formatHostPort(socket.remoteAddress ?? 'unknown', socket.remotePort ?? 0);
     sockets.add(socket);
     socket.setTimeout(options.idleMs ?? SERVER_IDLE_MS, () => socket.destroy());
     const run = runServerConnection({ socket, peer, dispatcher, counters, logger });
@@ -57,7 +58,7 @@
   });
   if (failure) {
     return err(
-      buildError('unavailable', 'peer.listen', `${host}:${options.port}`, failure.message),
+      buildError('unavailable', 'peer.listen', formatHostPort(host, options.port), failure.message),
     );
   }
   server.on('error', (error) => {
--- a/src/core/settings.ts
+++ b/src/core/settings.ts
@@ -10,7 +10,7 @@
 import type { Settings } from '../generated/types.js';
 import { validateSettings } from '../generated/validators.js';
 import type { ValidationFault } from '../generated/validators.js';
-import { isLoopback } from '../utils/address.js';
+import { isLoopback, isSameAddress, normalizeAddress } from '../utils/address.js';
 import { describeSyntax } from '../utils/describeSyntax.js';
 import { getTreeValue, locateOffset } from '../utils/jsoncTree.js';
 
@@ -41,7 +41,7 @@
   if (!isLoopback(settings.operatorHost) && settings.operatorToken === undefined) {
     faults.push('/operatorToken: is required because /operatorHost is not a loopback address');
   }
-  if (!isLoopback(settings.announceHost) && settings.announceHost !== settings.host) {
+  if (!isLoopback(settings.announceHost) && !isSameAddress(settings.announceHost, settings.host)) {
     faults.push('/announceHost: must be a loopback address or the address in /host');
   }
   if (settings.distribution.fetchTimeoutMs > settings.distribution.directReadAfterMs) {
@@ -72,6 +72,9 @@
     lines.push(...listRuleFaults(value).map((fault) => `${file}: ${fault}`));
   }
   if (lines.length > 0) return err(buildError('invalid', STEP, file, lines.join('\n')));
+  // Members compare hosts as text, their own with those of seeds and records included.
+  value.host = normalizeAddress(value.host);
+  for (const seed of value.seeds) seed.host = normalizeAddress(seed.host);
   return ok(value);
 }
 
--- a/src/core/upstream/announcePort.ts
+++ b/src/core/upstream/announcePort.ts
@@ -6,7 +6,7 @@
 import type { Announcement, AnnouncementAnswer } from '../../generated/types.js';
 import { validateAnnouncement } from '../../generated/validators.js';
 import type { ConfigStore } from '../../types/interfaces.js';
-import { isLoopback } from '../../utils/address.js';
+import { formatHostPort, isLoopback, isSameAddress } from '../../utils/address.js';
 import type { Logger } from '../../utils/logger.js';
 import { decodeFloorCookie, encodeFloorCookie } from './floorCookie.js';
 import type { InstanceTable } from './instanceTable.js';
@@ -104,7 +104,7 @@
 
   const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const peer = request.socket.remoteAddress ?? '';
-    if (!isLoopback(peer) && peer !== ownHost) {
+    if (!isLoopback(peer) && !isSameAddress(peer, ownHost)) {
       answerJson(response, 403, { error: 'announcements come from this host only' });
       return;
     }
@@ -141,7 +141,9 @@
 
   return new Promise((resolve) => {
     server.once('error', (thrown) => {
-      resolve(err(toStepError(thrown, 'announce.listen', `${options.host}:${options.port}`)));
+      resolve(
+        err(toStepError(thrown, 'announce.listen', formatHostPort(options.host, options.port))),
+      );
     });
     server.listen(options.port, options.host, () => {
       resolve(
--- a/src/core/upstream/instanceTable.ts
+++ b/src/core/upstream/instanceTable.ts
@@ -4,7 +4,7 @@
 import type { Announcement, InstanceRecord } from '../../generated/types.js';
 import { brandText, type InstanceId, type ServiceName } from '../../types/ids.js';
 import type { MemberTable } from '../../types/interfaces.js';
-import { isLoopback } from '../../utils/address.js';
+import { isLoopback, isSameAddress } from '../../utils/address.js';
 import type { Logger } from '../../utils/logger.js';
 import { createConcurrencyLimit, type ConcurrencyLimit } from './concurrencyLimit.js';
 import { createSlotUsage, type SlotUsage } from './slotUsage.js';
@@ -117,7 +117,7 @@
     if (!known && entries.size >= MAX_INSTANCES) {
       return buildError('busy', STEP, announcement.instanceId, `over ${MAX_INSTANCES} instances`);
     }
-    if (!isLoopback(announcement.host) && announcement.host !== ownHost) {
+    if (!isLoopback(announcement.host) && !isSameAddress(announcement.host, ownHost)) {
       const text = `host ${announcement.host} is not on this host`;
       return buildError('invalid', STEP, announcement.instanceId, text);
     }
--- a/src/core/upstream/upstreamClient.ts
+++ b/src/core/upstream/upstreamClient.ts
@@ -1,5 +1,6 @@
 /** HTTP connections to the upstreams of this host. */
 import { Client, Pool, type Dispatcher } from 'undici';
+import { formatHostPort } from '../../utils/address.js';
 import type { InstanceEntry } from './instanceTable.js';
 
 /** A loopback connection is made in about 1 ms; a full accept queue drops the first attempt. */
@@ -38,10 +39,7 @@
     if (connections.cancels) track(connections.cancels.close());
   };
 
-  const getOrigin = (entry: InstanceEntry) => {
-    const host = entry.host.includes(':') ? `[${entry.host}]` : entry.host;
-    return `http://${host}:${entry.port}`;
-  };
+  const getOrigin = ({ host, port }: InstanceEntry) => `http://${formatHostPort(host, port)}`;
 
   return {
     getPool(entry, connections) {
--- a/standins/platform/server.ts
+++ b/standins/platform/server.ts
@@ -1,5 +1,6 @@
 /** HTTP server of the platform stand-in: object API with conditional writes, watches and faults. */
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import { formatHostPort } from '../../src/utils/address.js';
 import { closeServer, openServer, readBody, sendJson } from '../http.js';
 import { createRandom } from '../random.js';
 import { PlatformCounters, type PlatformStats } from './counters.js';
@@ -180,7 +181,7 @@
   });
   const port = await openServer(server, host, options.port ?? 0);
   return {
-    url: `http://${host}:${port}`,
+    url: `http://${formatHostPort(host, port)}`,
     host,
     port,
     store,
--- a/standins/upstream/server.ts
+++ b/standins/upstream/server.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import type { Announcement } from '../../src/generated/types.js';
 import { waitMs } from '../../src/utils/backoff.js';
+import { formatHostPort } from '../../src/utils/address.js';
 import { closeServer, openServer, readBody, sendJson } from '../http.js';
 import { startAnnouncer, type AnnouncementCounts } from './announcer.js';
 import { GOOD_BEHAVIOUR, validateBehaviour, type UpstreamBehaviour } from './behaviour.js';
@@ -155,5 +156,12 @@
     await close();
     return isDrained;
   };
-  return { url: `http://${host}:${port}`, port, setBehaviour, getStats, drain, close };
+  return {
+    url: `http://${formatHostPort(host, port)}`,
+    port,
+    setBehaviour,
+    getStats,
+    drain,
+    close,
+  };
 }
