Close the exchanges of instances that disappear after their drain limit

Cause: the calls of a leaving instance were cut once, when drainMs had passed. An instance that disappeared with a call in flight, or only after that cut, kept the exchange, its slot and its entry for ever if the upstream had frozen. Change: the cut is repeated every drainMs while exchanges remain, so that the one after the disappearance closes them. The dispatcher takes the client of its upstreams as an option, so that tests can end exchanges themselves. Ruled out: closing at the first cut: the caller's cancellation would not reach an upstream that is still there. Conclusion: calls are cut at the instance's own drainMs and not before.

--- a/src/core/upstream/dispatcher.ts
+++ b/src/core/upstream/dispatcher.ts
@@ -12,7 +12,7 @@
 import type { KeyPartitions } from './keyPartitions.js';
 import { createOnceCalls } from './onceCalls.js';
 import { deriveMemoryKey, type RequestMemory, type Reservation } from './requestMemory.js';
-import { createUpstreamClient } from './upstreamClient.js';
+import { createUpstreamClient, type UpstreamClient } from './upstreamClient.js';
 
 const DEFAULT_DRAIN_MS = 10_000;
 
@@ -25,6 +25,8 @@
   readonly memory: RequestMemory;
   readonly partitions: Pick<KeyPartitions, 'checkKey' | 'takeKey' | 'stop'>;
   readonly logger: Logger;
+  /** Connections to the upstreams; replaced in tests. */
+  readonly client?: UpstreamClient | undefined;
 }
 
 /** The dispatcher with what operators see of it. */
@@ -38,7 +40,7 @@
 export function createLocalDispatcher(options: LocalDispatcherOptions): InstanceDispatcher {
   const { table, store, memory, partitions, logger } = options;
   const admission = createAdmission({ table, store });
-  const client = createUpstreamClient();
+  const client = options.client ?? createUpstreamClient();
   const counters = createCallCounters();
   const runs = new Map<CallRun, InstanceEntry>();
   const drainTimers = new Map<string, NodeJS.Timeout>();
@@ -156,17 +158,25 @@
     }
   };
 
+  const hasRuns = (entry: InstanceEntry) =>
+    [...runs.values()].some((runEntry) => runEntry === entry);
+
+  /** Cuts after `drainMs` and again, since an instance may disappear after its first limit. */
+  const scheduleAbort = (entry: InstanceEntry, drainMs: number) => {
+    const timer = setTimeout(() => {
+      abortRuns(entry);
+      if (hasRuns(entry)) scheduleAbort(entry, drainMs);
+    }, drainMs);
+    drainTimers.set(entry.instanceId, timer);
+  };
+
   table.onChange((entry, change) => {
     if (change === 'removed') client.removeInstance(entry);
     const isLeaving = entry.state === 'draining' || entry.state === 'gone';
     const known = drainTimers.get(entry.instanceId);
     if (isLeaving && !known && change !== 'removed') {
       const config = store.getRouting()?.services.get(entry.service)?.config;
-      const drainMs = config?.drainMs ?? DEFAULT_DRAIN_MS;
-      const timer = setTimeout(() => {
-        if (entry.state === 'draining' || entry.state === 'gone') abortRuns(entry);
-      }, drainMs);
-      drainTimers.set(entry.instanceId, timer);
+      scheduleAbort(entry, config?.drainMs ?? DEFAULT_DRAIN_MS);
     } else if (known && (!isLeaving || change === 'removed')) {
       clearTimeout(known);
       drainTimers.delete(entry.instanceId);
--- a/test/upstream/support.ts
+++ b/test/upstream/support.ts
@@ -12,13 +12,14 @@
   createRequestMemory,
   type RequestMemoryOptions,
 } from '../../src/core/upstream/requestMemory.js';
+import type { UpstreamClient } from '../../src/core/upstream/upstreamClient.js';
 import { buildError } from '../../src/errors.js';
 import type { Announcement, MemberRecord } from '../../src/generated/types.js';
 import type { Call } from '../../src/types/calls.js';
 import { brandText, type NodeId, type RequestId, type ServiceName } from '../../src/types/ids.js';
 import type { MemberView, PlatformObject } from '../../src/types/interfaces.js';
 import { NO_VERSION } from '../../src/types/ids.js';
-import type { CompiledRoute } from '../../src/types/routing.js';
+import type { CompiledRoute, RoutingState } from '../../src/types/routing.js';
 import { SILENT_LOGGER } from '../../src/utils/logger.js';
 
 export const SERVICE = brandText<ServiceName>('padbook');
@@ -143,6 +144,9 @@
   readonly partitions?: typeof OPEN_PARTITIONS;
   readonly memory?: Partial<RequestMemoryOptions>;
   readonly ttlMs?: number;
+  readonly client?: UpstreamClient;
+  /** Settings of the service in the installed configuration; none installed when absent. */
+  readonly service?: Partial<CompiledRoute['service']['config']>;
 }
 
 /** One instance side with a table that is fed directly. */
@@ -159,14 +163,19 @@
     logger: SILENT_LOGGER,
   });
   const memory = createRequestMemory({ maxKeys: 1000, rememberMs: 900_000, ...options.memory });
+  const { service } = buildRoute({}, options.service);
+  const routing = options.service
+    ? ({ services: new Map([[SERVICE, service]]) } as unknown as RoutingState)
+    : undefined;
   const dispatcher = createLocalDispatcher({
     nodeId: brandText<NodeId>('n1'),
     incarnation: '1-a',
     table,
-    store: { getRouting: () => undefined, isReady: () => true },
+    store: { getRouting: () => routing, isReady: () => true },
     memory,
     partitions: options.partitions ?? OPEN_PARTITIONS,
     logger: SILENT_LOGGER,
+    client: options.client,
   });
   t.after(async () => {
     table.close();
