--- a/test/upstream/keySequences.test.ts
+++ b/test/upstream/keySequences.test.ts
@@ -1,16 +1,24 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
+import { createLocalDispatcher } from '../../src/core/upstream/dispatcher.js';
+import { createInstanceTable } from '../../src/core/upstream/instanceTable.js';
 import { createKeyPartitions, type UuidKey } from '../../src/core/upstream/keyPartitions.js';
-import { createRequestMemory, type MemoryKey } from '../../src/core/upstream/requestMemory.js';
+import { createRequestMemory } from '../../src/core/upstream/requestMemory.js';
+import type { AttemptResult } from '../../src/types/calls.js';
+import { brandText, type NodeId } from '../../src/types/ids.js';
 import type { MemberView } from '../../src/types/interfaces.js';
 import { SILENT_LOGGER } from '../../src/utils/logger.js';
+import { settle } from '../fakes/clock.js';
+import { createFakeClient } from './fakeClient.js';
 import {
+  buildAnnouncement,
+  buildCall,
   buildMember,
+  buildRoute,
   buildView,
   createFakeMembers,
   createFakePlatform,
-  SERVICE,
   type PlatformFault,
 } from './support.js';
 
@@ -26,6 +34,12 @@
   return { kind: 'uuid', text, issuedAtMs };
 });
 
+/** Slots of each instance; further calls wait in the queue while the upstream holds these. */
+const SLOTS = 3;
+const ROUTE = buildRoute({ repeatability: 'once' }, { queueLimit: 10 * KEY_COUNT });
+/** Beyond the real time of every run. */
+const LONG_MS = 600_000;
+
 /** One process: it can be paused, replaced, and wrongly taken for dead. */
 function createProcess(nodeId: string, mesh: ReturnType<typeof createMesh>) {
   const incarnation = `${mesh.nextStart()}-${nodeId}`;
@@ -38,9 +52,49 @@
     now: () => mesh.clock.nowMs + (mesh.skews.get(nodeId) ?? 0),
     random: () => 0,
   });
-  const memory = createRequestMemory({ maxKeys: 1000, rememberMs: 1e12 });
-  const pending: UuidKey[] = [];
-  return { nodeId, partitions, memory, pending };
+  const keys = new Map<string, string>();
+  const upstream = createFakeClient(({ requestId }) => {
+    const text = keys.get(requestId) ?? '';
+    mesh.dispatched.set(text, [...(mesh.dispatched.get(text) ?? []), nodeId]);
+  });
+  const table = createInstanceTable({
+    members: { updateSelf: () => {} },
+    ...{ ttlMs: LONG_MS, ownHost: '127.0.0.1', logger: SILENT_LOGGER },
+  });
+  const dispatcher = createLocalDispatcher({
+    nodeId: brandText<NodeId>(nodeId),
+    ...{ incarnation, table, partitions, logger: SILENT_LOGGER, client: upstream.client },
+    store: { getRouting: () => undefined, isReady: () => true },
+    memory: createRequestMemory({ maxKeys: 1000, rememberMs: 1e12 }),
+  });
+  table.record(buildAnnouncement({ instanceId: nodeId, slots: SLOTS }));
+  return {
+    ...{ nodeId, partitions, dispatcher },
+    /** Sends all keys; each is handed over at once, waits for a slot, or is refused. */
+    async submitAll(): Promise<void> {
+      for (const key of KEYS) {
+        const call = buildCall({ route: ROUTE, key }, LONG_MS);
+        keys.set(call.requestId, key.text);
+        mesh.calls.push(dispatcher.dispatch(call));
+      }
+      await settle();
+    },
+    /** Ends the exchanges under way, so that calls in the queue are handed over. */
+    async finish(isLost: boolean): Promise<boolean> {
+      const open = upstream.listOpen();
+      for (const exchange of open) {
+        if (isLost) exchange.fail();
+        else exchange.answer();
+      }
+      await settle();
+      return open.length > 0;
+    },
+    async close(): Promise<void> {
+      await dispatcher.drain(0);
+      table.close();
+      await dispatcher.close();
+    },
+  };
 }
 
 function createMesh() {
@@ -53,6 +107,7 @@
   const dispatched = new Map<string, string[]>();
   const views = new Map<string, MemberView>();
   const clock = { nowMs: START_MS };
+  const calls: Promise<AttemptResult>[] = [];
   let started = 0;
   const nextStart = () => {
     started += 1;
@@ -61,31 +116,22 @@
   const advance = (ms: number) => {
     clock.nowMs += ms;
   };
-  return { platform, dispatched, views, clock, skews, nextStart, advance };
+  return { platform, dispatched, views, clock, skews, calls, nextStart, advance };
 }
 
 type Mesh = ReturnType<typeof createMesh>;
 type Process = ReturnType<typeof createProcess>;
 
-/** The hand-over as the dispatcher does it: memory, ownership, reservation, in one step. */
-function handOver(mesh: Mesh, process: Process, key: UuidKey): void {
-  const { text, issuedAtMs: timeMs } = key;
-  const memoryKey: MemoryKey = { text, timeMs, isRepeatable: true, fingerprint: '' };
-  if (process.memory.find(memoryKey).kind !== 'new') return;
-  if (process.partitions.takeKey(SERVICE, key).kind !== 'allowed') return;
-  process.memory.add(memoryKey)?.settle({ kind: 'handedOver', detail: '' });
-  const by = mesh.dispatched.get(text) ?? [];
-  mesh.dispatched.set(text, [...by, process.nodeId]);
-}
-
 const node = fc.integer({ min: 0, max: 2 });
 const fault = fc.constantFrom<PlatformFault>('none', 'none', 'down', 'loseAnswer', 'delayWrite');
 const step = fc.oneof(
   { weight: 6, arbitrary: fc.record({ kind: fc.constant('passes'), faults: fc.array(fault) }) },
   { weight: 4, arbitrary: fc.record({ kind: fc.constant('pass'), node, faults: fc.array(fault) }) },
   { weight: 6, arbitrary: fc.record({ kind: fc.constant('submitAll'), node }) },
-  { weight: 4, arbitrary: fc.record({ kind: fc.constant('checkAll'), node }) },
-  { weight: 4, arbitrary: fc.record({ kind: fc.constant('handOverChecked'), node }) },
+  {
+    weight: 8,
+    arbitrary: fc.record({ kind: fc.constant('finish'), node, isLost: fc.boolean() }),
+  },
   { weight: 5, arbitrary: fc.record({ kind: fc.constant('wait'), seconds: fc.nat(60) }) },
   { weight: 2, arbitrary: fc.record({ kind: fc.constant('suspect'), node }) },
   { weight: 2, arbitrary: fc.record({ kind: fc.constant('restart'), node }) },
@@ -97,6 +143,7 @@
   kind: string;
   node?: number;
   seconds?: number;
+  isLost?: boolean;
   faults?: PlatformFault[];
 }
 
@@ -104,7 +151,7 @@
   const index = next.node ?? 0;
   const process = processes[index];
   assert.ok(process);
-  const { nodeId, partitions, pending } = process;
+  const { nodeId, partitions } = process;
   const faults = [...(next.faults ?? [])];
   mesh.platform.setFaults(() => faults.shift() ?? 'none');
   const view = mesh.views.get(nodeId);
@@ -118,19 +165,10 @@
       break;
     case 'submitAll':
       // Replaced processes may be paused, not dead: they hand over too.
-      for (const each of all) {
-        if (each.nodeId !== nodeId) continue;
-        for (const key of KEYS) handOver(mesh, each, key);
-      }
-      break;
-    case 'checkAll':
-      for (const key of KEYS) {
-        const verdict = await partitions.checkKey(SERVICE, key);
-        if (verdict.kind === 'allowed') pending.push(key);
-      }
+      for (const each of all) if (each.nodeId === nodeId) await each.submitAll();
       break;
-    case 'handOverChecked':
-      for (const key of pending.splice(0)) handOver(mesh, process, key);
+    case 'finish':
+      for (const each of all) if (each.nodeId === nodeId) await each.finish(next.isLost === true);
       break;
     case 'wait':
       mesh.advance((next.seconds ?? 0) * 1000);
@@ -169,6 +207,13 @@
       const processes = ['a', 'b', 'c'].map((nodeId) => createProcess(nodeId, mesh));
       const all = [...processes];
       for (const next of steps) await runStep(mesh, processes, all, next);
+      mesh.platform.setFaults(() => 'none');
+      for (const each of all) {
+        while (await each.finish(false));
+        await each.close();
+      }
+      // Every call must have ended, and a key that ran was handed over once.
+      await Promise.all(mesh.calls);
       for (const [key, by] of mesh.dispatched) assert.equal(by.length, 1, `${key} by ${by}`);
       handedOver += mesh.dispatched.size;
     }),
