--- a/src/core/peer/server.ts
+++ b/src/core/peer/server.ts
@@ -5,6 +5,7 @@
 import type { ControlCounters } from '../../types/interfaces.js';
 import { listen } from '../../utils/listen.js';
 import type { Logger } from '../../utils/logger.js';
+import { formatHostPort } from '../../utils/address.js';
 import { createDispatcher, type PeerMethods, type SenderCheck } from './dispatcher.js';
 import { runServerConnection } from './serverConnection.js';
 import { SERVER_IDLE_MS, MAX_CONNECTIONS } from './limits.js';
@@ -37,7 +38,7 @@
   const dispatcher = createDispatcher(options.methods);
   const sockets = new Set<Socket>();
   const server = createServer({ noDelay: true, keepAlive: true }, (socket) => {
-    const peer = `${socket.remoteAddress ?? 'unknown'}:${socket.remotePort ?? 0}`;
+    const peer = formatHostPort(socket.remoteAddress ?? 'unknown', socket.remotePort ?? 0);
     sockets.add(socket);
     socket.setTimeout(options.idleMs ?? SERVER_IDLE_MS, () => socket.destroy());
     const run = runServerConnection({ socket, peer, dispatcher, counters, logger });
--- a/src/core/upstream/announcePort.ts
+++ b/src/core/upstream/announcePort.ts
@@ -5,7 +5,7 @@
 import type { Announcement, AnnouncementAnswer } from '../../generated/types.js';
 import { validateAnnouncement } from '../../generated/validators.js';
 import type { ConfigStore } from '../../types/interfaces.js';
-import { isLoopback } from '../../utils/address.js';
+import { isLoopback, isSameAddress } from '../../utils/address.js';
 import { listen } from '../../utils/listen.js';
 import type { Logger } from '../../utils/logger.js';
 import { decodeFloorCookie, encodeFloorCookie } from './floorCookie.js';
@@ -104,7 +104,7 @@
 
   const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const peer = request.socket.remoteAddress ?? '';
-    if (!isLoopback(peer) && peer !== ownHost) {
+    if (!isLoopback(peer) && !isSameAddress(peer, ownHost)) {
       answerJson(response, 403, { error: 'announcements come from this host only' });
       return;
     }
--- a/src/utils/listen.ts
+++ b/src/utils/listen.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo, Server } from 'node:net';
 import { err, ok, type Result } from 'neverthrow';
 import { buildError, type StepError } from '../errors.js';
+import { formatHostPort } from './address.js';
 import type { Logger } from './logger.js';
 
 /** Where a server listens; `step` names the port in errors and logs. */
@@ -30,7 +31,9 @@
     });
   });
   if (failure) {
-    return err(buildError('unavailable', step, `${host}:${port}`, failure.message, failure));
+    return err(
+      buildError('unavailable', step, formatHostPort(host, port), failure.message, failure),
+    );
   }
   server.on('error', ({ message: reason }) => {
     logger.warn('server-failed', { step, peer: 'self', reason });
