Let every node judge a refused version and report its refusal

Cause: a version that does not compile is not installed, so it travels with no ping and no notification. Only the nodes that read it from the platform, the relays, refused it; the others showed their old version without a reason. A node that had heard of a refused version first also never asked for a lower one that was in force.

Change: relays publish {version, digest, step, reason} in their member record while they refuse a version. Members that lack it fetch the refused bundle with config.fetch {wantDigest}, judge it and keep their own refusal, shown by nodes, status and the metric lycheelane_config_refused_version. The refusal ends with the next installed version. Reasons are cut to 2000 characters, since a longer one made the command line refuse the whole answer. A wanted version that was refused meanwhile no longer hides a lower one.

Ruled out: the refused version in pings and acks (steady traffic while the refusal lasts); a refusal in every member record (one bad version would change all records of the fleet instead of two in a data centre).

Figures: test/distribution/refusals, 2 data centres of 6 nodes: 12 of 12 nodes refuse the version within 5 s, 4 platform reads, no config.* message in the next 10 s.

Conclusion: test/faults/badVersion now asks each of three nodes for all three refusals with their step; before it accepted the two relays' refusals only.

--- a/src/cli/commands/nodes.ts
+++ b/src/cli/commands/nodes.ts
@@ -1,5 +1,6 @@
 import { BaseCommand, NODE_FLAGS } from '../baseCommand.js';
 import { fetchNodes } from '../fetchNodes.js';
+import { formatRefusal } from '../config/formatOutput.js';
 import { formatTable } from '../formatTable.js';
 
 const HEADER = ['NODE', 'DATA CENTRE', 'STATE', 'VERDICT', 'READY', 'VERSION', 'REFUSED'];
@@ -22,7 +23,7 @@
       node.verdict,
       node.ready ? 'yes' : 'no',
       String(node.version),
-      node.refusal ? `${node.refusal.version}: ${node.refusal.reason}` : '-',
+      node.refusal ? formatRefusal(node.refusal) : '-',
     ]);
     this.log(formatTable(HEADER, rows));
     for (const { name, reachable, sinceMs } of answer.dataCentres) {
--- a/src/cli/commands/status.ts
+++ b/src/cli/commands/status.ts
@@ -1,4 +1,6 @@
+import type { NodeStatus } from '../../generated/types.js';
 import { BaseCommand, NODE_FLAGS } from '../baseCommand.js';
+import { formatRefusal } from '../config/formatOutput.js';
 import { requestNode } from '../requestNode.js';
 
 /** The parts of `GET /v1/status` that are printed as text. */
@@ -11,7 +13,7 @@
   readonly version: number;
   readonly digest: string;
   readonly floor: { readonly version: number };
-  readonly refusal: { readonly version: number; readonly reason: string } | null;
+  readonly refusal: NodeStatus['refusal'];
   readonly instances: readonly { instanceId: string; service: string; state: string }[];
   readonly members: { readonly alive: number; readonly suspect: number; readonly dead: number };
   readonly calls: { readonly inFlight: number; readonly queued: number };
@@ -36,7 +38,7 @@
       `${Math.round(usage.residentBytes / BYTES_PER_MB)} MB resident`,
   ];
   if (status.refusal) {
-    lines.push(`refused      version ${status.refusal.version}: ${status.refusal.reason}`);
+    lines.push(`refused      version ${formatRefusal(status.refusal)}`);
   }
   for (const { instanceId, service, state } of status.instances) {
     lines.push(`instance     ${instanceId} of ${service}, ${state}`);
--- a/src/cli/config/formatOutput.ts
+++ b/src/cli/config/formatOutput.ts
@@ -1,6 +1,7 @@
 /** Texts of the configuration commands. */
 import { formatPath } from '../../core/config/configFault.js';
 import type { JsonChange } from '../../core/config/diffContent.js';
+import type { NodeStatus } from '../../generated/types.js';
 import type { MergeConflict } from '../../core/config/mergeThreeWay.js';
 import type { ForceReport } from './assessNodes.js';
 
@@ -26,6 +27,13 @@
   return `~ ${name}: ${formatValue(before)} -> ${formatValue(after)}`;
 }
 
+/** Formats a refusal as one line: version, reason and the step that found the fault. */
+export function formatRefusal(refusal: NonNullable<NodeStatus['refusal']>): string {
+  // Nodes before step was added to the status do not state it.
+  const step = refusal.step ? ` (step ${refusal.step})` : '';
+  return `${refusal.version}: ${refusal.reason}${step}`;
+}
+
 /** Formats the progress of each data centre, one line each. */
 export function formatProgress({ dataCentres, version }: ForceReport): string {
   return dataCentres
--- a/src/core/distribution/context.ts
+++ b/src/core/distribution/context.ts
@@ -16,6 +16,7 @@
   | 'listOwnChanges'
   | 'onChange'
   | 'onHeard'
+  | 'updateSelf'
   | 'joined'
 >;
 
--- a/src/core/distribution/obtain.ts
+++ b/src/core/distribution/obtain.ts
@@ -21,6 +21,10 @@
 /** Members remembered as holders of the wanted version. */
 const MAX_HOLDERS = 16;
 
+/** True when a member has refused this very version, and so holds its bundle. */
+const hasRefused = ({ record }: MemberView, tag: VersionTag): boolean =>
+  record.refused?.version === tag.version && record.refused.digest === tag.digest;
+
 type FetchResult = 'installed' | 'failed' | { readonly retryAfterMs: number };
 
 /** Brings versions that were heard of into the store. */
@@ -65,7 +69,9 @@
       if (member && isPresent(member)) return member;
     }
     const sources = listSources();
-    const holding = sources.filter((member) => member.tag.version >= tag.version);
+    const holding = sources.filter(
+      (member) => member.tag.version >= tag.version || hasRefused(member, tag),
+    );
     return chooseRandom(holding.length > 0 ? holding : sources, 1, random)[0];
   };
 
@@ -87,10 +93,11 @@
     const { nodeId } = source.record;
     const have = store.getTag();
     const haveDigest = wantsWhole ? '' : have.digest;
+    const wanting = hasRefused(source, tag) ? { wantDigest: tag.digest } : {};
     const answer = await peers.request<ConfigFetchAnswer>(
       toAddress(source.record),
       'config.fetch',
-      { from: getOwnSender(context), haveVersion: have.version, haveDigest },
+      { from: getOwnSender(context), haveVersion: have.version, haveDigest, ...wanting },
       fetchTimeoutMs,
     );
     if (answer.isErr()) {
@@ -180,7 +187,8 @@
     if (!isMissing(tag)) return;
     const isIgnored = ignored?.tag.version === tag.version && ignored.tag.digest === tag.digest;
     if (isIgnored && Date.now() < (ignored?.untilMs ?? 0)) return;
-    if (!wanted || tag.version > wanted.version) {
+    // A version that was refused meanwhile must not hide a lower one that is in force.
+    if (!isMissing(wanted) || tag.version > wanted.version) {
       wanted = tag;
       holders = [];
     }
--- a/src/core/distribution/serveFetch.ts
+++ b/src/core/distribution/serveFetch.ts
@@ -1,7 +1,7 @@
 /** Serves `config.fetch`. */
 import { err, ok, type Result } from 'neverthrow';
 import { buildError, type StepError } from '../../errors.js';
-import type { ConfigFetch, ConfigFetchAnswer } from '../../generated/types.js';
+import type { Bundle, ConfigFetch, ConfigFetchAnswer } from '../../generated/types.js';
 import type { PeerContext } from '../peer/dispatcher.js';
 import { diffBundles } from './delta.js';
 import type { DistributionStore } from './store.js';
@@ -24,36 +24,44 @@
 ): FetchHandler {
   let running = 0;
   let differences = new Map<string, ConfigFetchAnswer>();
-  store.onInstall(() => {
+  const evictDifferences = () => {
     differences = new Map();
-  });
+  };
+  store.onInstall(evictDifferences);
+  store.onRefuse(evictDifferences);
 
-  const buildAnswer = (haveDigest: string): ConfigFetchAnswer | undefined => {
-    const bundle = store.getBundle();
-    if (!bundle) return undefined;
+  const buildAnswer = (haveDigest: string, bundle: Bundle): ConfigFetchAnswer => {
     const held = store.held.findDigest(haveDigest);
     if (!held) return { kind: 'whole', bundle: { ...bundle } };
-    const known = differences.get(haveDigest);
+    const key = `${haveDigest} ${bundle.digest}`;
+    const known = differences.get(key);
     if (known) return known;
     const answer = diffBundles(held, bundle);
-    differences.set(haveDigest, answer);
+    differences.set(key, answer);
     return answer;
   };
 
-  return ({ haveVersion, haveDigest }, context) => {
+  /** The refused bundle for those that ask for it, so that they judge it too. */
+  const findRefused = (wantDigest: string | undefined): Bundle | undefined => {
+    const bundle = store.getRefusedBundle();
+    return bundle?.digest === wantDigest ? bundle : undefined;
+  };
+
+  return ({ haveVersion, haveDigest, wantDigest }, context) => {
     const { version } = store.getTag();
-    if (haveVersion >= version && version > 0) return ok({ kind: 'same' });
+    const refused = findRefused(wantDigest);
+    if (!refused && haveVersion >= version && version > 0) return ok({ kind: 'same' });
     if (running >= MAX_RUNNING_FETCHES) {
       return ok({ kind: 'busy', retryAfterMs: Math.ceil(BUSY_DELAY_MS * (0.5 + random())) });
     }
-    const answer = buildAnswer(haveDigest);
-    if (!answer) {
+    const bundle = refused ?? store.getBundle();
+    if (!bundle) {
       return err(buildError('not-found', 'config.fetch', 'self', 'no version is installed'));
     }
     running += 1;
     context.onAnswered(() => {
       running -= 1;
     });
-    return ok(answer);
+    return ok(buildAnswer(haveDigest, bundle));
   };
 }
--- a/src/core/distribution/start.ts
+++ b/src/core/distribution/start.ts
@@ -6,6 +6,7 @@
 import { handleFloor, runFloorSearch } from './floor.js';
 import { notifyMembers } from './notify.js';
 import { createSeeker } from './obtain.js';
+import { publishRefusals } from './publishRefusals.js';
 import { createFetchHandler } from './serveFetch.js';
 import { toTag } from './verify.js';
 import { runHeadWatch } from './watchHead.js';
@@ -33,6 +34,10 @@
   if (isRelayMode) {
     members.onHeard(({ from, tag }) => seeker.hear(tag, from.nodeId));
     store.onInstall((tag) => notifyMembers(context, tag));
+    members.onChange(({ record }) => {
+      if (record.refused) seeker.hear(toTag(record.refused), record.nodeId);
+    });
+    publishRefusals(context);
   }
   store.onFloor((tag) => seeker.hear(tag));
   const tasks = Promise.all([runFloorSearch(context, seeker), runHeadWatch(context, seeker)]);
--- a/src/core/distribution/store.ts
+++ b/src/core/distribution/store.ts
@@ -1,7 +1,7 @@
 /** Installed version, floor and readiness of a node. */
 import { err, ok, type Result } from 'neverthrow';
 import { buildError, type StepError } from '../../errors.js';
-import type { Bundle } from '../../generated/types.js';
+import type { Bundle, Refusal } from '../../generated/types.js';
 import { NO_VERSION, type DataCentre } from '../../types/ids.js';
 import type { ConfigStore, VersionTag } from '../../types/interfaces.js';
 import type { RoutingState } from '../../types/routing.js';
@@ -34,6 +34,10 @@
   confirmFloor(tag: VersionTag, source: FloorSource): void;
   /** True when this very version was refused, so that fetching it again is pointless. */
   isRefused(tag: VersionTag): boolean;
+  /** Bundle of the last refusal, for members that have not judged it yet. */
+  getRefusedBundle(): Bundle | undefined;
+  /** Calls the listener after each refusal. */
+  onRefuse(listener: () => void): void;
   /** Calls the listener when the floor rises. */
   onFloor(listener: (tag: VersionTag) => void): void;
   /** Calls the listener once, when the node becomes ready, or at once if it is. */
@@ -43,6 +47,9 @@
 /** Refused versions remembered, so that they are not fetched again. */
 const MAX_REFUSED = 16;
 
+/** Reasons quote names and values of the bundle, which have no limit of their own. */
+const MAX_REASON_LENGTH = 2000;
+
 const NO_TAG: VersionTag = { version: NO_VERSION, digest: '' };
 
 /** Creates a store that holds nothing. */
@@ -59,7 +66,8 @@
   let hasStarted = false;
   let hostFloor = NO_TAG;
   const readyListeners: (() => void)[] = [];
-  let refusal: { version: number; reason: string } | undefined;
+  const refuseListeners: (() => void)[] = [];
+  let refused: { readonly bundle: Bundle; readonly refusal: Refusal } | undefined;
   let refusedDigests: string[] = [];
 
   /**
@@ -86,12 +94,16 @@
     for (const listener of floorListeners) listener(raised);
   };
 
-  const refuse = (refused: Bundle, error: StepError) => {
-    const { version, digest } = refused;
-    refusal = { version, reason: error.message };
+  const refuse = (candidate: Bundle, error: StepError) => {
+    const { version, digest } = candidate;
+    const { step, peer } = error;
+    const reason = error.message.slice(0, MAX_REASON_LENGTH);
     refusedDigests = [...refusedDigests, `${version} ${digest}`].slice(-MAX_REFUSED);
-    const { step, peer, message } = error;
-    logger.error('config-refused', { step, peer, version, reason: message });
+    logger.error('config-refused', { step, peer, version, reason });
+    if (!refused || version >= refused.refusal.version) {
+      refused = { bundle: candidate, refusal: { version, digest, step, reason } };
+      for (const listener of refuseListeners) listener();
+    }
     return err(error);
   };
 
@@ -120,6 +132,7 @@
     routing = compiled.value;
     bundle = candidate;
     tag = toTag(candidate);
+    if (refused && refused.refusal.version <= tag.version) refused = undefined;
     held.add(candidate);
     logger.info('config-installed', { version: tag.version, source });
     for (const listener of listeners) listener(tag);
@@ -155,6 +168,8 @@
     isRefused: ({ version, digest }) => refusedDigests.includes(`${version} ${digest}`),
     onFloor: (listener) => floorListeners.push(listener),
     onInstall: (listener) => listeners.push(listener),
-    getLastRefusal: () => refusal,
+    getLastRefusal: () => refused?.refusal,
+    getRefusedBundle: () => refused?.bundle,
+    onRefuse: (listener) => refuseListeners.push(listener),
   };
 }
--- a/src/plugins/fleetStatus.ts
+++ b/src/plugins/fleetStatus.ts
@@ -4,7 +4,7 @@
 import type { Membership } from '../core/membership/start.js';
 import type { PeerMethods } from '../core/peer/dispatcher.js';
 import type { StepError } from '../errors.js';
-import type { MemberRecord, NodeStatus, StatusCollect } from '../generated/types.js';
+import type { MemberRecord, NodeStatus, Refusal, StatusCollect } from '../generated/types.js';
 import { brandText, type DataCentre } from '../types/ids.js';
 import type { ConfigStore, MemberView, PeerClient } from '../types/interfaces.js';
 import { mapLimited } from '../utils/mapLimited.js';
@@ -48,6 +48,12 @@
   listBurn(): Promise<RouteStats[]>;
 }
 
+function buildRefusal(refusal: Refusal | undefined): NodeStatus['refusal'] {
+  if (!refusal) return null;
+  const { version, step, reason } = refusal;
+  return { version, step, reason };
+}
+
 /** Creates the fleet status of a node. */
 export function createFleetStatus(options: FleetStatusOptions): FleetStatus {
   const { membership, peers, store, stats } = options;
@@ -56,14 +62,14 @@
   const getOwn = (): NodeStatus => {
     const { nodeId, dataCentre, region, state } = membership.getSelf();
     const { version, digest } = store.getTag();
-    const refusal = store.getLastRefusal() ?? null;
+    const refusal = buildRefusal(store.getLastRefusal());
     const verdict = 'alive';
     const ready = store.isReady();
     return { nodeId, dataCentre, region, verdict, state, ready, version, digest, refusal };
   };
 
   const buildSilentStatus = ({ record, verdict, tag }: MemberView): NodeStatus => {
-    const { nodeId, dataCentre, region, state } = record;
+    const { nodeId, dataCentre, region, state, refused } = record;
     const { version, digest } = tag;
     return {
       nodeId,
@@ -74,7 +80,8 @@
       ready: false,
       version,
       digest,
-      refusal: null,
+      // A refused version that was installed since is told by the tag, which is newer.
+      refusal: buildRefusal(refused && refused.version > version ? refused : undefined),
     };
   };
 
--- a/src/plugins/metrics.ts
+++ b/src/plugins/metrics.ts
@@ -43,6 +43,11 @@
     'Installed configuration version.',
     () => store.getTag().version,
   );
+  gauge(
+    'lycheelane_config_refused_version',
+    'Version above the installed one that this node refuses to enforce; 0 when there is none.',
+    () => store.getLastRefusal()?.version ?? 0,
+  );
   gauge('lycheelane_ready', '1 when the node serves calls.', () => (store.isReady() ? 1 : 0));
   gauge('lycheelane_relay', '1 when the node is a relay.', () => (table.isRelay() ? 1 : 0));
   gauge(
--- a/src/types/interfaces.ts
+++ b/src/types/interfaces.ts
@@ -1,6 +1,6 @@
 /** Interfaces between the subsystems of a node. `core/wiring.ts` connects the implementations. */
 import type { Result } from 'neverthrow';
-import type { Bundle, MemberRecord } from '../generated/types.js';
+import type { Bundle, MemberRecord, Refusal } from '../generated/types.js';
 import type { StepError } from '../errors.js';
 import type { ConfigVersion, DataCentre, Digest, NodeId, ServiceName } from './ids.js';
 import type { RoutingState } from './routing.js';
@@ -62,8 +62,8 @@
   /** True once a version at or above the floor is installed and a floor is known. */
   isReady(): boolean;
   onInstall(listener: (tag: VersionTag) => void): void;
-  /** Last refused version with its reason, for operators. */
-  getLastRefusal(): { readonly version: number; readonly reason: string } | undefined;
+  /** Highest refused version, as long as no version at or above it is installed. */
+  getLastRefusal(): Readonly<Refusal> | undefined;
 }
 
 /** Verdict of the failure detector about a member. */
@@ -87,7 +87,7 @@
   listRelays(dataCentre: DataCentre): readonly MemberView[];
   isRelay(): boolean;
   /** Changes this node's own record, raises its sequence and spreads the change. */
-  updateSelf(change: Partial<Pick<MemberRecord, 'state' | 'instances'>>): void;
+  updateSelf(change: Partial<Pick<MemberRecord, 'state' | 'instances' | 'refused'>>): void;
   onChange(listener: (member: MemberView) => void): void;
 }
 
--- /dev/null
+++ b/test/distribution/refusals.test.ts
@@ -0,0 +1,63 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { MemberRecord } from '../../src/generated/types.js';
+import { advance } from '../fakes/clock.js';
+import {
+  acceptBundle,
+  buildBundle,
+  getVersion,
+  startTestNode,
+  useTestMesh,
+  type TestNode,
+} from '../fakes/nodes.js';
+import { assertAll } from '../fakes/results.js';
+
+const mesh = useTestMesh();
+const BAD = buildBundle(2, 'bad');
+const getRefused = ({ store }: TestNode) => store.getLastRefusal()?.version;
+const getRecord = ({ members }: TestNode): MemberRecord => members.getSelf();
+
+/** Two data centres at version 1, in which version 2 has then been accepted and refused. */
+async function startWithRefusal(nodesEach: number) {
+  acceptBundle(mesh.platform, buildBundle(1));
+  mesh.startNodes('dc-a', 100, nodesEach, [200]);
+  mesh.startNodes('dc-b', 200, nodesEach, [100]);
+  await advance(8000);
+  assertAll(mesh.nodes, getVersion, 1);
+  mesh.platform.calls.read = 0;
+  acceptBundle(mesh.platform, BAD);
+  await advance(5000);
+}
+
+// Guards against a refusal that only the relays know of, nodes that each read the platform for it,
+// and traffic that goes on after all have refused.
+test('every node refuses a bad version itself, once, and the next version clears it', async () => {
+  await startWithRefusal(6);
+  assertAll(mesh.nodes, getRefused, 2);
+  assertAll(mesh.nodes, getVersion, 1);
+  assert.deepEqual(mesh.platform.calls.read, 4, 'one bundle read of each relay');
+  const publishers = mesh.nodes.filter((node) => getRecord(node).refused);
+  assert.equal(publishers.length, 4, 'only relays publish a refusal in their record');
+  const { version, step, reason } = getRecord(publishers[0]!).refused ?? {};
+  assert.deepEqual([version, step], [2, 'compile']);
+  assert.match(reason ?? '', /undefined service/);
+  mesh.network.sent.length = 0;
+  await advance(10_000);
+  const wasted = mesh.network.sent.filter(({ method }) => method.startsWith('config.'));
+  assert.equal(wasted.length, 0);
+  acceptBundle(mesh.platform, buildBundle(3));
+  await advance(3000);
+  assertAll(mesh.nodes, getVersion, 3);
+  assertAll(mesh.nodes, (node) => getRecord(node).refused, undefined);
+});
+
+// Guards against a node that starts in a data centre with a refusal and never asks for the version
+// in force, because it has heard of the refused one first.
+test('a node that starts among nodes with a refusal installs the version in force', async () => {
+  await startWithRefusal(3);
+  mesh.platform.setDown(true);
+  const late = startTestNode(mesh, 103, 'dc-a', [100]);
+  mesh.nodes.push(late);
+  await advance(10_000);
+  assert.deepEqual([getVersion(late), getRefused(late), late.store.isReady()], [1, 2, true]);
+});
--- a/test/faults/badVersion.test.ts
+++ b/test/faults/badVersion.test.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { request } from 'undici';
+import type { NodesAnswer } from '../../src/generated/types.js';
 import { requestJson } from '../../standins/launcher.js';
 import {
   AUTHORITY,
@@ -12,6 +14,10 @@
   waitForVersion,
 } from './support.js';
 
+async function readMetrics({ operatorUrl }: { readonly operatorUrl: string }): Promise<string> {
+  return (await request(`${operatorUrl}/metrics`)).body.text();
+}
+
 /** A route that is fine by itself. */
 const GOOD_ROUTE = {
   service: 'padbook',
@@ -28,21 +34,22 @@
   assert.ok(entry);
   const missing = { ...GOOD_ROUTE, match: { pathPrefix: '/missing' }, service: 'nowhere' };
   const bad = await mesh.accept(buildConfig(8000, { waitlist: GOOD_ROUTE, missing }));
-  const readNodes = () =>
-    requestJson<{
-      nodes: { version: number; refusal: { version: number; reason: string } | null }[];
-    }>(`${entry.operatorUrl}/v1/nodes?scope=all`);
-  // Only relays read it: a version that was not installed is not passed on.
-  const { nodes } = await waitFor('the refusals of both relays', async () => {
-    const report = await readNodes();
-    return report.nodes.filter((node) => node.refusal?.version === bad).length === 2 && report;
-  });
-  assert.equal(nodes.length, 3);
-  for (const node of nodes) {
-    assert.equal(node.version, 1);
-    if (node.refusal) assert.match(node.refusal.reason, /nowhere/);
-  }
   for (const [index, host] of mesh.hosts.entries()) {
+    // Two of the three are relays; the third learns of the version from their records.
+    const { nodes } = await waitFor('the refusals of all nodes', async () => {
+      const report = await requestJson<NodesAnswer>(`${host.operatorUrl}/v1/nodes?scope=all`);
+      return report.nodes.every((node) => node.refusal?.version === bad) && report;
+    });
+    assert.equal(nodes.length, 3);
+    for (const node of nodes) {
+      assert.equal(node.version, 1);
+      assert.match(node.refusal?.reason ?? '', /nowhere/);
+      assert.equal(node.refusal?.step, 'config.compile');
+    }
+    assert.match(
+      await readMetrics(host),
+      new RegExp(`^lycheelane_config_refused_version ${bad}$`, 'm'),
+    );
     const served = await mesh.send(host, CALLS.browse, `served-${index}`);
     assert.deepEqual(served, { kind: 'answered', status: 200, check: 'whole', version: 1 });
     const partly = await mesh.send(host, WAITLIST, `partly-${index}`);
@@ -51,6 +58,7 @@
   await waitForVersion(mesh.hosts, await mesh.accept(buildConfig(8000, { waitlist: GOOD_ROUTE })));
   assert.equal((await mesh.send(entry, WAITLIST, 'good')).kind, 'answered');
   assert.equal((await readView(entry)).version, bad + 1);
+  assert.match(await readMetrics(entry), /^lycheelane_config_refused_version 0$/m);
 });
 
 // Guards G2 and G5: a route whose service has no instance, at first or since its last one stopped.
