--- a/src/cli/commands/config/apply.ts
+++ b/src/cli/commands/config/apply.ts
@@ -95,7 +95,13 @@
       this.log(`version ${version} is in force everywhere`);
       return EXIT_CODES.done;
     }
-    this.logToStderr(`version ${version} is accepted, but not in force everywhere`);
+    const refusals = report?.pending.filter(({ isRefused }) => isRefused).length ?? 0;
+    this.logToStderr(
+      report?.isRefused
+        ? `version ${version} is accepted, but refused by ${refusals} node(s), which keep the ` +
+            'version they have: mend the fault and apply again'
+        : `version ${version} is accepted, but not in force everywhere`,
+    );
     for (const { nodeId, dataCentre, reason } of report?.pending ?? []) {
       this.logToStderr(`  ${nodeId} (${dataCentre}): ${reason}`);
     }
--- a/src/cli/config/assessNodes.ts
+++ b/src/cli/config/assessNodes.ts
@@ -1,5 +1,6 @@
 /** Which nodes enforce a version, and why others do not. */
 import type { NodesAnswer, NodeStatus } from '../../generated/types.js';
+import { formatRefusal } from './formatOutput.js';
 
 /** Progress of one data centre. */
 export interface DataCentreProgress {
@@ -16,6 +17,8 @@
   readonly dataCentre: string;
   readonly version: number;
   readonly reason: string;
+  /** True when the node has refused this very version, so that waiting is pointless. */
+  readonly isRefused: boolean;
 }
 
 /** State of a version in the fleet. */
@@ -27,12 +30,14 @@
   readonly isReachedInForce: boolean;
   /** True when that holds and every data centre can be reached. */
   readonly isEverywhere: boolean;
+  /** True when reachable nodes are pending and every one of them has refused the version. */
+  readonly isRefused: boolean;
 }
 
 function explainPending(node: NodeStatus, version: number, isReachable: boolean): string {
   if (!isReachable) return 'its data centre cannot be reached';
   if (node.refusal && node.refusal.version >= version) {
-    return `refused version ${node.refusal.version}: ${node.refusal.reason}`;
+    return `refused version ${formatRefusal(node.refusal)}`;
   }
   if (node.verdict === 'suspect') return 'does not answer pings';
   if (node.version === 0) return 'has no configuration yet';
@@ -60,11 +65,14 @@
   const pending = late.map((node): PendingNode => {
     const { nodeId, dataCentre } = node;
     const reason = explainPending(node, version, isReachable(dataCentre));
-    return { nodeId, dataCentre, version: node.version, reason };
+    const isRefused = node.refusal?.version === version;
+    return { nodeId, dataCentre, version: node.version, reason, isRefused };
   });
   const isReachedInForce =
     nodes.length > 0 && late.every(({ dataCentre }) => !isReachable(dataCentre));
   const isEverywhere =
     isReachedInForce && late.length === 0 && dataCentres.every(({ reachable }) => reachable);
-  return { version, dataCentres, pending, isReachedInForce, isEverywhere };
+  const awaited = pending.filter(({ dataCentre }) => isReachable(dataCentre));
+  const isRefused = awaited.length > 0 && awaited.every((node) => node.isRefused);
+  return { version, dataCentres, pending, isReachedInForce, isEverywhere, isRefused };
 }
--- a/src/cli/config/waitInForce.ts
+++ b/src/cli/config/waitInForce.ts
@@ -1,4 +1,4 @@
-/** `config apply --wait`: polls a node until every reachable node enforces a version. */
+/** `config apply --wait`: polls a node until a version is in force, or refused for good. */
 import type { Result } from 'neverthrow';
 import type { StepError } from '../../errors.js';
 import type { NodesAnswer } from '../../generated/types.js';
@@ -19,7 +19,10 @@
   readonly lastError: StepError | undefined;
 }
 
-/** Polls until every reachable node has the version or the time is over. */
+/**
+ * Polls until every reachable node has the version, until all reachable nodes that lack it have
+ * refused it, or until the time is over.
+ */
 export async function waitInForce(
   fetchNodes: () => Promise<Result<NodesAnswer, StepError>>,
   version: number,
@@ -36,7 +39,7 @@
       if (answer.isOk()) {
         report = assessNodes(answer.value, version);
         onReport(report);
-        if (report.isReachedInForce) break;
+        if (report.isReachedInForce || report.isRefused) break;
       }
       if (over.signal.aborted) break;
       await waitMs(intervalMs, over.signal);
--- a/test/config/waitInForce.test.ts
+++ b/test/config/waitInForce.test.ts
@@ -22,7 +22,7 @@
   return { nodes, dataCentres };
 }
 
-const REFUSAL = { refusal: { version: 5, reason: 'bad digest' } };
+const REFUSAL = { refusal: { version: 5, step: 'config.compile', reason: 'bad digest' } };
 const CASES: readonly [string, NodesAnswer, boolean, boolean, readonly string[]][] = [
   ['all nodes', buildAnswer([buildNode('a1', 5), buildNode('b1', 6)]), true, true, []],
   [
@@ -37,7 +37,7 @@
     buildAnswer([buildNode('a1', 4, REFUSAL)]),
     false,
     false,
-    ['refused version 5: bad digest'],
+    ['refused version 5: bad digest (step config.compile)'],
   ],
   [
     'a suspect and a new node',
@@ -104,6 +104,36 @@
   assert.deepEqual([polls, report?.isEverywhere, lastError], [3, true, undefined]);
 });
 
+const HAS_IT = buildNode('a1', 5);
+const REFUSES = buildNode('a2', 4, REFUSAL);
+const LATER = { refusal: { version: 6, reason: 'bad' } };
+const ENDINGS: readonly [string, NodesAnswer, number][] = [
+  ['every node refuses', buildAnswer([buildNode('a1', 4, REFUSAL), REFUSES]), 1],
+  ['the rest refuses', buildAnswer([HAS_IT, REFUSES]), 1],
+  ['one of two may still get it', buildAnswer([REFUSES, buildNode('b1', 4)]), 3],
+  ['one refuses a later version', buildAnswer([HAS_IT, buildNode('a2', 4, LATER)]), 3],
+  ['the other cannot be reached', buildAnswer([REFUSES, buildNode('b1', 4)], ['b']), 1],
+];
+// Guards against a wait to the time limit for nodes that have already decided, and against one that
+// gives up on nodes that have not.
+for (const [name, answer, expected] of ENDINGS) {
+  test(`the wait ends after poll ${expected} when ${name}`, async (context) => {
+    context.mock.timers.enable({ apis: ['setTimeout'] });
+    let polls = 0;
+    const fetch = async () => {
+      polls += 1;
+      return ok(answer);
+    };
+    const waiting = waitInForce(fetch, 5, { ...OPTIONS, intervalMs: 700 });
+    for (const stepMs of [700, 300]) {
+      await yieldLoop();
+      context.mock.timers.tick(stepMs);
+    }
+    const { report } = await waiting;
+    assert.deepEqual([polls, report?.isRefused], [expected, expected === 1]);
+  });
+}
+
 // Guards against a wait without end, and against an end without the last state.
 test('the wait ends at its time limit with the last report', async (context) => {
   context.mock.timers.enable({ apis: ['setTimeout'] });
