Remove bundles of crashed and losing applies with config prune

Cause: an apply that ends between its two writes, or that loses a race and cannot remove its bundle, leaves a bundle that nothing names and nothing removed. The index config/bundles lists accepted versions only.

Change: `config prune` lists the bundles, reads the head, and removes those whose version another operation holds in the history, by conditional deletes. The fake platform's remove now has the faults lost-before and lost-after, not-found, and actions.

Ruled out: age alone (a paused apply could make a removed bundle the head); removal as part of every apply (the list has all values, about 9.5 MB with 256 bundles of 37308 bytes, docs/CAPACITY.md); an index entry before the bundle write (one more contended write for each apply).

--- a/src/cli/baseCommand.ts
+++ b/src/cli/baseCommand.ts
@@ -1,7 +1,7 @@
 /** Flags, output and errors that all commands share. */
 import { Command, Flags } from '@oclif/core';
 import type { Result } from 'neverthrow';
-import { createHttpPlatform } from '../core/platform/httpPlatform.js';
+import { createHttpPlatform, type HttpPlatformOptions } from '../core/platform/httpPlatform.js';
 import type { StepError } from '../errors.js';
 import type { PlatformClient } from '../types/interfaces.js';
 import { EXIT_CODES, getExitCode } from './exitCodes.js';
@@ -48,11 +48,12 @@
   protected async withPlatform<Value>(
     url: string,
     run: (platform: PlatformClient) => Promise<Value>,
+    limits: HttpPlatformOptions = {},
   ): Promise<Value> {
     if (!URL.canParse(url)) {
       this.error(`--platform is not a URL: ${url}`, { exit: EXIT_CODES.faulty });
     }
-    const platform = createHttpPlatform(url);
+    const platform = createHttpPlatform(url, limits);
     try {
       return await run(platform);
     } finally {
--- a/test/config/commands.test.ts
+++ b/test/config/commands.test.ts
@@ -4,9 +4,10 @@
 import { join } from 'node:path';
 import { test, type TestContext } from 'node:test';
 import { Config } from '@oclif/core';
-import { HEAD_NAME } from '../../src/core/config/readHead.js';
+import { buildBundle, NO_PARENT } from '../../src/core/config/buildBundle.js';
+import { formatBundleName, HEAD_NAME } from '../../src/core/config/readHead.js';
 import { createMemoryPlatform, type MemoryPlatform } from '../fakes/memoryPlatform.js';
-import { BASE_TEXT, createDir, writeFiles } from './samples.js';
+import { BASE_TEXT, buildContent, createDir, writeFiles } from './samples.js';
 
 const STATUS: Readonly<Record<string, number>> = { conflict: 412, refused: 403 };
 const NAME = /^\/v1\/objects\/(.*)$/;
@@ -28,12 +29,20 @@
     const dataCentres = [{ name: 'a', reachable: true, sinceMs: 0 }];
     return { status: 200, text: JSON.stringify({ nodes: [{ ...node, ...state }], dataCentres }) };
   }
+  if (request.method === 'GET' && name === 'bundles') {
+    const objects = (await platform.list(name))._unsafeUnwrap();
+    return { status: 200, text: JSON.stringify({ version: 0, objects }) };
+  }
   if (request.method === 'GET') {
     const found = (await platform.read(name))._unsafeUnwrap();
     if (!found) return { status: 404, text: '' };
     return { status: 200, text: JSON.stringify(found.value), etag: `"${found.version}"` };
   }
   const expected = Number(request.headers['if-match']?.replaceAll('"', ''));
+  if (request.method === 'DELETE') {
+    const removed = await platform.remove(name, expected);
+    return { status: removed.isOk() ? 204 : 412, text: '' };
+  }
   const result = request.headers['if-none-match']
     ? await platform.create(name, body)
     : await platform.update(name, body, expected);
@@ -149,6 +158,23 @@
   );
 });
 
+// Guards against a prune that removes what it should only list, or keeps silent about it.
+test('prune lists and removes the bundle of a crashed apply', async (context) => {
+  const { run, where, platform, url } = await createWorld(context);
+  const crashed = buildBundle(buildContent(), NO_PARENT);
+  platform.put(formatBundleName(crashed.operationId), crashed);
+  const prune = (...args: string[]) => run('prune', '--platform', url, ...args);
+  assert.match((await prune('--min-age', '0')).text, /^0 lost; kept: 0 accepted, 1 open/);
+  await run('apply', ...where);
+  assert.match((await prune()).text, /^0 lost; kept: 1 accepted, 0 open, 1 younger than 24 h/);
+  const dry = await prune('--min-age', '0', '--dry-run');
+  assert.match(dry.text, new RegExp(`^would remove ${crashed.operationId}\n1 lost`));
+  const done = JSON.parse((await prune('--min-age', '0', '--json')).text);
+  assert.deepEqual(done.removed, [crashed.operationId]);
+  assert.equal((await run('history', '--platform', url)).code, 0);
+  assert.equal(platform.objects.has(formatBundleName(crashed.operationId)), false);
+});
+
 // Guards against a wait that reports success while nodes lag.
 for (const [lag, code, pattern] of [
   [0, 0, /a: 1 of 1 nodes at version 1[^]*in force everywhere/],
--- a/test/fakes/memoryPlatform.ts
+++ b/test/fakes/memoryPlatform.ts
@@ -172,10 +172,15 @@
     },
     async remove(name, expected) {
       recordCall('remove');
-      if (takeFault('remove', name)) return fail('unavailable', 'remove');
-      if (objects.get(name)?.version !== expected) return fail('conflict', 'remove');
+      await runAction('remove', name);
+      const fault = takeFault('remove', name);
+      if (fault === 'unavailable') return fail('unavailable', 'remove');
+      if (fault === 'lost-before') return fail('answer-lost', 'remove');
+      const stored = objects.get(name);
+      if (!stored) return fail('not-found', 'remove');
+      if (stored.version !== expected) return fail('conflict', 'remove');
       objects.delete(name);
-      return ok(undefined);
+      return fault === 'lost-after' ? fail('answer-lost', 'remove') : ok(undefined);
     },
     watch: async (name, from, waitMs, signal) => {
       recordCall('watch');
