Compare member tables by hashes of buckets of members

Cause: a comparison sent a row of every member, whatever differed, and the hash of the table was computed anew over all rows after each change. Members that had left were asked for and pushed at each comparison, since their rows looked like those of members alive. Change: nodes first compare hashes of buckets (members.buckets), then send rows of the differing buckets. Hashes are sums of row hashes, updated row by row. Rows name members that left. Ruled out: a tree of hashes (more exchanges), invertible Bloom tables (the difference has to be estimated first), highest sequences per data centre (each record has its own writer).

--- a/scripts/generate.js
+++ b/scripts/generate.js
@@ -27,6 +27,8 @@
   validatePing: 'messages#/properties/ping',
   validatePingIndirect: 'messages#/properties/pingIndirect',
   validatePingIndirectAnswer: 'messages#/properties/pingIndirectAnswer',
+  validateMembersBuckets: 'messages#/properties/membersBuckets',
+  validateMembersBucketsAnswer: 'messages#/properties/membersBucketsAnswer',
   validateMembersSummary: 'messages#/properties/membersSummary',
   validateMembersSummaryAnswer: 'messages#/properties/membersSummaryAnswer',
   validateMembersPush: 'messages#/properties/membersPush',
--- a/src/core/membership/antiEntropy.ts
+++ b/src/core/membership/antiEntropy.ts
@@ -1,16 +1,19 @@
 /** Comparison of member tables between two nodes. */
-import { ok, type Result } from 'neverthrow';
+import { err, ok, type Result } from 'neverthrow';
 import type { StepError } from '../../errors.js';
 import type {
   MemberChange,
+  MembersBuckets,
+  MembersBucketsAnswer,
   MembersPush,
   MembersSummary,
   MembersSummaryAnswer,
 } from '../../generated/types.js';
 import type { PeerAddress } from '../../types/interfaces.js';
+import { computeBucketCount, locateBucket } from './bucketHashes.js';
 import { getSender, type MembershipContext } from './context.js';
 import { measureChange } from './gossip.js';
-import { compareRecords } from './merge.js';
+import { compareRecords, isPresent } from './merge.js';
 import type { ChangeReceiver } from './receive.js';
 import { toChange, type Entry } from './table.js';
 
@@ -27,13 +30,15 @@
 const MAX_GAP_MS = 60_000;
 
 type Row = MembersSummary['summary'][number];
+type Buckets = MembersSummary['buckets'];
 
 /** Compares tables with other members and exchanges what differs. */
 export interface AntiEntropy {
   /** Starts an exchange when the hashes differ and gossip alone will not repair it. */
   recordHash(address: PeerAddress, tableHash: string): void;
-  /** Exchanges summaries now. `spread` repeats what was new on pings. */
-  runSummary(address: PeerAddress, spread: boolean): Promise<Result<number, StepError>>;
+  /** Compares tables now. `spread` repeats what was new on pings. */
+  runComparison(address: PeerAddress, spread: boolean): Promise<Result<number, StepError>>;
+  handleBuckets(params: MembersBuckets): Result<MembersBucketsAnswer, StepError>;
   handleSummary(params: MembersSummary): Result<MembersSummaryAnswer, StepError>;
   handlePush(params: MembersPush): Result<object, StepError>;
 }
@@ -51,9 +56,14 @@
   return changes;
 }
 
+function toRow({ record, verdict }: Entry): Row {
+  const isLeft = verdict === 'alive' && record.state === 'left';
+  return [record.nodeId, record.incarnation, record.sequence, isLeft ? 'left' : verdict];
+}
+
 function compareRow(entry: Entry, [, incarnation, sequence, verdict]: Row): number {
   const byRecord = compareRecords(entry.record, { incarnation, sequence });
-  const ranks = { alive: 0, suspect: 1, dead: 2 };
+  const ranks = { alive: 0, left: 0, suspect: 1, dead: 2 };
   return byRecord || ranks[entry.verdict] - ranks[verdict];
 }
 
@@ -67,17 +77,33 @@
   let gapMs = MIN_GAP_MS;
   let notBeforeMs = 0;
 
-  const buildSummary = (): Row[] =>
-    table
+  const listEntries = (buckets: Buckets): readonly Entry[] => {
+    if (!buckets) return table.list();
+    const differing = new Set(buckets.differing);
+    return table
       .list()
-      .map(({ record, verdict }) => [record.nodeId, record.incarnation, record.sequence, verdict]);
+      .filter(({ record }) => differing.has(locateBucket(record.nodeId, buckets.count)));
+  };
 
-  const runSummary = async (address: PeerAddress, spread: boolean) => {
+  /** Asks which buckets differ, so that rows are sent of those alone. */
+  const findDiffering = async (address: PeerAddress): Promise<Result<Buckets, StepError>> => {
+    const count = computeBucketCount(table.list().length);
+    if (count === 0) return ok(undefined);
+    const answer = await peers.request<MembersBucketsAnswer>(
+      address,
+      'members.buckets',
+      { from: getSender(context), hashes: table.listBucketHashes(count) },
+      SUMMARY_TIMEOUT_MS,
+    );
+    return answer.map(({ differing }) => ({ count, differing }));
+  };
+
+  const runSummary = async (address: PeerAddress, buckets: Buckets, spread: boolean) => {
     const from = getSender(context);
     const answer = await peers.request<MembersSummaryAnswer>(
       address,
       'members.summary',
-      { from, summary: buildSummary() },
+      { from, buckets, summary: listEntries(buckets).map(toRow) },
       SUMMARY_TIMEOUT_MS,
     );
     return answer.map(({ changes, wanted }) => {
@@ -89,9 +115,16 @@
     });
   };
 
+  const runComparison = async (address: PeerAddress, spread: boolean) => {
+    const buckets = await findDiffering(address);
+    if (buckets.isErr()) return err(buckets.error);
+    if (buckets.value?.differing.length === 0) return ok(0);
+    return runSummary(address, buckets.value, spread);
+  };
+
   const runRepair = async (address: PeerAddress) => {
     isRunning = true;
-    const result = await runSummary(address, true);
+    const result = await runComparison(address, true);
     isRunning = false;
     const repaired = result.unwrapOr(0);
     // A difference that an exchange does not settle is looked at ever less often.
@@ -101,7 +134,7 @@
   };
 
   return {
-    runSummary,
+    runComparison,
     recordHash: (address, tableHash) => {
       const nowMs = Date.now();
       if (isRunning || tableHash === table.computeHash() || nowMs < notBeforeMs) return;
@@ -109,18 +142,22 @@
       if (nowMs - table.getChangedAtMs() < quietMs) return;
       void runRepair(address);
     },
-    handleSummary: ({ summary }) => {
+    handleBuckets: ({ hashes }) => {
+      const own = table.listBucketHashes(hashes.length);
+      const differing = [...own.keys()].filter((bucket) => own[bucket] !== hashes[bucket]);
+      return ok({ differing });
+    },
+    handleSummary: ({ buckets, summary }) => {
       const rows = new Map(summary.map((row) => [row[0], row]));
-      const newer = table.list().filter((entry) => {
+      const newer = listEntries(buckets).filter((entry) => {
         const row = rows.get(entry.record.nodeId);
         // A tombstone is sent only to those that still hold the member.
-        if (!row) return entry.verdict !== 'dead' && entry.record.state !== 'left';
-        return compareRow(entry, row) > 0;
+        return row ? compareRow(entry, row) > 0 : isPresent(entry);
       });
       const wanted = summary.filter((row) => {
         const entry = table.get(row[0]);
         if (row[0] === settings.nodeId) return false;
-        return entry ? compareRow(entry, row) < 0 : row[3] !== 'dead';
+        return entry ? compareRow(entry, row) < 0 : row[3] !== 'dead' && row[3] !== 'left';
       });
       return ok({
         changes: limitChanges(newer, MAX_CHANGES_BYTES),
--- a/src/core/membership/join.ts
+++ b/src/core/membership/join.ts
@@ -52,7 +52,7 @@
     const answer = await exchange.ping(address, { first, timeoutMs: JOIN_TIMEOUT_MS });
     if (answer.isErr()) return undefined;
     // The seeds have these records already, so they are not gossiped again.
-    const result = await antiEntropy.runSummary(address, false);
+    const result = await antiEntropy.runComparison(address, false);
     if (result.isErr()) return undefined;
     onJoined();
     return answer.value.from.dataCentre;
@@ -85,7 +85,7 @@
       .filter(({ record }) => record.nodeId !== settings.nodeId);
     const [member] = chooseRandom(others, 1, random);
     if (member && !signal.aborted) {
-      await antiEntropy.runSummary(toAddress(member.record), false);
+      await antiEntropy.runComparison(toAddress(member.record), false);
     }
   };
 
--- a/src/core/membership/start.ts
+++ b/src/core/membership/start.ts
@@ -162,6 +162,7 @@
     methods: {
       ping: exchange.handlePing,
       pingIndirect: exchange.handlePingIndirect,
+      'members.buckets': antiEntropy.handleBuckets,
       'members.summary': antiEntropy.handleSummary,
       'members.push': antiEntropy.handlePush,
     },
--- a/src/core/membership/table.ts
+++ b/src/core/membership/table.ts
@@ -1,8 +1,8 @@
 /** The member table. */
-import { createHash } from 'node:crypto';
 import type { MemberChange, MemberRecord } from '../../generated/types.js';
 import type { MemberVerdict, MemberView, VersionTag } from '../../types/interfaces.js';
 import { NO_VERSION, type ServiceName } from '../../types/ids.js';
+import { createBucketHashes } from './bucketHashes.js';
 import { compareChanges, isPresent } from './merge.js';
 
 /** The tag of a member that has not been heard of directly. */
@@ -37,6 +37,8 @@
   removeExpired(tombstoneMs: number): void;
   /** Hash over the present members; tombstones are left out, as they expire at other times. */
   computeHash(): string;
+  /** Hashes over the present members of each of `count` buckets, a power of two up to 256. */
+  listBucketHashes(count: number): string[];
   getRevision(): number;
   getChangedAtMs(): number;
   onChange(listener: (member: MemberView) => void): void;
@@ -55,12 +57,11 @@
   const listeners: ((member: MemberView) => void)[] = [];
   let revision = 0;
   let changedAtMs = Date.now();
-  let hash: string | undefined;
+  const hashes = createBucketHashes();
   let present: Map<string, readonly Entry[]> = new Map();
   let byService: Map<ServiceName, readonly Entry[]> = new Map();
 
   const resetCaches = () => {
-    hash = undefined;
     present = new Map();
     byService = new Map();
   };
@@ -77,6 +78,8 @@
       sinceMs: current && isSame ? current.sinceMs : changedAtMs,
       revision,
     };
+    if (current) hashes.remove(current);
+    hashes.add(entry);
     entries.set(change.record.nodeId, entry);
     resetCaches();
     return entry;
@@ -126,15 +129,8 @@
         if (!isPresent(entry) && entry.sinceMs <= oldestMs) entries.delete(nodeId);
       }
     },
-    computeHash: () => {
-      if (hash !== undefined) return hash;
-      const lines = listPresent().map(
-        ({ record, verdict }) =>
-          `${record.nodeId} ${record.incarnation} ${record.sequence} ${verdict}`,
-      );
-      hash = createHash('sha1').update(lines.sort().join('\n')).digest('hex').slice(0, 16);
-      return hash;
-    },
+    computeHash: () => hashes.computeTotal(),
+    listBucketHashes: (count) => hashes.list(count),
     getRevision: () => revision,
     getChangedAtMs: () => changedAtMs,
     onChange: (listener) => listeners.push(listener),
--- a/src/core/peer/validation.ts
+++ b/src/core/peer/validation.ts
@@ -7,6 +7,8 @@
   validateConfigFloor,
   validateConfigFloorAnswer,
   validateConfigNotify,
+  validateMembersBuckets,
+  validateMembersBucketsAnswer,
   validateMembersPush,
   validateMembersSummary,
   validateMembersSummaryAnswer,
@@ -26,6 +28,7 @@
 const METHODS: Readonly<Record<string, MethodSchema>> = {
   ping: { params: validatePing, answer: validatePing },
   pingIndirect: { params: validatePingIndirect, answer: validatePingIndirectAnswer },
+  'members.buckets': { params: validateMembersBuckets, answer: validateMembersBucketsAnswer },
   'members.summary': { params: validateMembersSummary, answer: validateMembersSummaryAnswer },
   'members.push': { params: validateMembersPush },
   'config.notify': { params: validateConfigNotify },
--- a/test/fakes/nodes.ts
+++ b/test/fakes/nodes.ts
@@ -114,16 +114,16 @@
   dataCentre: string,
   seeds: number[],
   startMs = 1000,
-  change: (settings: Settings) => void = () => {},
+  change: (settings: Settings, self: MemberRecord) => void = () => {},
   hostHeard?: Promise<void>,
 ) {
   const settings = buildSettings(port, dataCentre, seeds);
-  change(settings);
-  const { peers, dispatcher } = network.addNode(port);
+  const self = { ...buildRecord(port, dataCentre, startMs), state: 'serving' as const };
+  change(settings, self);
+  const { peers, dispatcher, counters } = network.addNode(port);
   const random = createRandom(port);
   const logger = SILENT_LOGGER;
   const store = createConfigStore({ site: dataCentre as DataCentre, compile: compileAny, logger });
-  const self = { ...buildRecord(port, dataCentre, startMs), state: 'serving' as const };
   const common = { settings, logger, peers, platform, random };
   const members = startMembership({ ...common, self, getTag: store.getTag });
   dispatcher.setSenderCheck(members.checkSender);
@@ -136,6 +136,7 @@
     members,
     peers,
     dispatcher,
+    counters,
     stop: async () => {
       network.removeNode(port);
       await Promise.all([members.stop(), distribution.stop()]);
