Keep repetitions of gossip inside the data centre

Cause: a change is repeated a number of times that suits the own data centre, but exchanges of relays with other data centres took part of these repetitions. A change from elsewhere could so stay at the relay that received it. Each member that pinged the relay then found another table hash and compared its whole table with it, also in a quiet mesh. Change: pings and answers between data centres carry only the records of the sender's own data centre, which its relays send there anyway. Ruled out: unsettled verdicts, tombstones and records refused by probes; in a start of 48 processes with logged comparisons all differing rows were alive with an older sequence or unknown. Conclusion: test/membership/spread.test.ts failed before and passes.

--- a/src/core/membership/exchange.ts
+++ b/src/core/membership/exchange.ts
@@ -24,6 +24,8 @@
   readonly timeoutMs?: number;
   /** Changes that go first, besides the piggybacked ones. */
   readonly first?: readonly MemberChange[];
+  /** False for a target elsewhere, which would use up repetitions meant for the own members. */
+  readonly isOwn?: boolean;
 }
 
 /** Sends and answers pings. */
@@ -47,11 +49,11 @@
   const { table, gossip, peers, settings } = context;
   const listeners: ((heard: Heard) => void)[] = [];
 
-  const build = (first: readonly MemberChange[]): Ping => {
+  const build = (first: readonly MemberChange[], isOwn: boolean): Ping => {
     const tag = context.getTag();
     const { version, digest } = tag;
     table.setTag(settings.nodeId, tag);
-    const changes = mergeFirst(first, gossip.take());
+    const changes = mergeFirst(first, isOwn ? gossip.take() : []);
     return { from: getSender(context), version, digest, tableHash: table.computeHash(), changes };
   };
 
@@ -66,8 +68,9 @@
   };
 
   const ping = async (address: PeerAddress, options: PingOptions = {}) => {
-    const { targetId, timeoutMs = settings.membership.pingTimeoutMs, first = [] } = options;
-    const message = build(first);
+    const { targetId, first = [], isOwn = true } = options;
+    const { timeoutMs = settings.membership.pingTimeoutMs } = options;
+    const message = build(first, isOwn);
     const answer = await peers.request<Ping>(address, 'ping', message, timeoutMs);
     if (answer.isErr()) {
       gossip.restore(message.changes.slice(first.length));
@@ -97,7 +100,8 @@
       handle(params, 'ping');
       const sender = table.get(params.from.nodeId);
       // A sender with a bad verdict is told, so that it refutes.
-      return ok(build(sender && sender.verdict !== 'alive' ? [toChange(sender)] : []));
+      const first = sender && sender.verdict !== 'alive' ? [toChange(sender)] : [];
+      return ok(build(first, params.from.dataCentre === settings.dataCentre));
     },
     handlePingIndirect: async ({ target, targetId }) => {
       const answer = await ping(target, { targetId });
--- a/src/core/membership/join.ts
+++ b/src/core/membership/join.ts
@@ -49,7 +49,8 @@
   /** Exchanges tables with a seed; returns its data centre, or undefined without an answer. */
   const contact = async (address: PeerAddress): Promise<string | undefined> => {
     const first = [{ record: context.getSelf(), verdict: 'alive' as const }];
-    const answer = await exchange.ping(address, { first, timeoutMs: JOIN_TIMEOUT_MS });
+    const options = { first, timeoutMs: JOIN_TIMEOUT_MS, isOwn: false };
+    const answer = await exchange.ping(address, options);
     if (answer.isErr()) return undefined;
     // The seeds have these records already, so they are not gossiped again.
     const result = await antiEntropy.runComparison(address, false);
--- a/src/core/membership/relayExchange.ts
+++ b/src/core/membership/relayExchange.ts
@@ -106,7 +106,8 @@
     const first = limitChanges(changed, SYNC_BYTES);
     const address = toAddress(target.record);
     const targetId = target.record.nodeId;
-    const answer = await exchange.ping(address, { targetId, first, timeoutMs: pingTimeoutMs });
+    const options = { targetId, first, timeoutMs: pingTimeoutMs, isOwn: false };
+    const answer = await exchange.ping(address, options);
     if (answer.isErr()) {
       link.failures += 1;
       if (link.failures >= UNREACHABLE_FAILURES) setReachable(dataCentre, link, false);
--- a/src/core/membership/start.ts
+++ b/src/core/membership/start.ts
@@ -118,8 +118,9 @@
     async (change) => {
       const { record, verdict } = change;
       const first = verdict === 'alive' ? [] : [change];
-      const targetId = record.nodeId;
-      const answer = await exchange.ping(toAddress(record), { targetId, first });
+      const isOwn = record.dataCentre === settings.dataCentre;
+      const pingOptions = { targetId: record.nodeId, first, isOwn };
+      const answer = await exchange.ping(toAddress(record), pingOptions);
       return answer.isOk() && answer.value.from.incarnation === record.incarnation;
     },
     refute,
