--- a/src/core/membership/join.ts
+++ b/src/core/membership/join.ts
@@ -50,10 +50,11 @@
   /** Exchanges tables with a seed; returns its data centre, or undefined without an answer. */
   const contact = async (address: PeerAddress): Promise<string | undefined> => {
     const first = [{ record: context.getSelf(), verdict: 'alive' as const }];
-    const answer = await exchange.ping(address, { first, timeoutMs: JOIN_TIMEOUT_MS });
+    const options = { first, timeoutMs: JOIN_TIMEOUT_MS, isOwn: false };
+    const answer = await exchange.ping(address, options);
     if (answer.isErr()) return undefined;
     // The seeds have these records already, so they are not gossiped again.
-    const result = await antiEntropy.runSummary(address, false);
+    const result = await antiEntropy.runComparison(address, false);
     if (result.isErr()) return undefined;
     onJoined();
     return answer.value.from.dataCentre;
@@ -86,7 +87,7 @@
       .filter(({ record }) => record.nodeId !== settings.nodeId);
     const [member] = chooseRandom(others, 1, random);
     if (member && !signal.aborted) {
-      await antiEntropy.runSummary(toAddress(member.record), false);
+      await antiEntropy.runComparison(toAddress(member.record), false);
     }
   };
 
