Print the text and time of refusals in the soak run's examples

Cause: the soak run counted keyed calls that ended as key-undecided, without the step or reason, so their cause was guessed and not traced. Change: the caller can keep the text of a refusal; the examples show it with the time that the call took. The checker's comment names both cases that it excepts. Ruled out: reading the daemons' logs, which state no single refusal.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -44,7 +44,7 @@
   calm: Readonly<CalmState>,
   random: () => number,
 ): SoakCallers {
-  const caller = createCaller();
+  const caller = createCaller({ keepsDetail: true });
   const stopping = new AbortController();
   setMaxListeners(WORKERS, stopping.signal);
   const results = new Map<string, number>();
@@ -63,9 +63,11 @@
     const length = Math.floor(random() * 20_000);
     const { callId } = call;
     const plan = { ...template, ...extra, callId, length, entryUrl: entry.callUrl };
+    const startMs = performance.now();
     const result = await caller.send(plan);
+    const tookMs = Math.round(performance.now() - startMs);
     const isCalm = round !== 0 && round === calm.round;
-    checker.recordResult({ ...sent, isCalm, stopped: calm.stopped }, result);
+    checker.recordResult({ ...sent, isCalm, stopped: calm.stopped, tookMs }, result);
     if (result.kind === 'answered' && result.version > 0) {
       checker.recordServedVersion(entry.nodeId, servedBefore, result.version);
     }
--- a/soak/checker.ts
+++ b/soak/checker.ts
@@ -28,6 +28,8 @@
   readonly isCalm: boolean;
   /** Process whose planned stop was the last one. */
   readonly stopped?: string;
+  /** Time from the request to the end of its response, in milliseconds. */
+  readonly tookMs?: number;
 }
 
 /** Version that a node reported. */
@@ -42,6 +44,12 @@
 /** Examples kept for each violation. */
 const MAX_EXAMPLES = 10;
 
+function describeFailure(call: SentCall, result: CallResult): string {
+  if (result.kind === 'answered') return `status ${result.status}`;
+  const detail = 'detail' in result ? `: ${result.detail}` : '';
+  return `${result.kind} ${result.reason} after ${call.tookMs} ms${detail}`;
+}
+
 /** Records calls, runs, versions and routes, and counts violations. */
 export class SoakChecker {
   readonly #counts = new Map<Violation, number>(VIOLATIONS.map((name) => [name, 0]));
@@ -83,10 +91,10 @@
         return;
       case 'unknown':
       case 'broken':
-        // A token of a process that has stopped: this request came after the stop, and the caller
-        // is told what section 10 of the design says.
+        // A token of a process that has stopped, or a key of an owner that an earlier round killed:
+        // nobody else may run it (section 10 of the design).
         if (call.isCalm && result.reason !== 'process-replaced') {
-          const what = `${name}: ${result.kind} ${result.reason}, stopped ${call.stopped}`;
+          const what = `${name}: ${describeFailure(call, result)}, stopped ${call.stopped}`;
           this.#add('requests cut by a planned stop', what);
         }
         return;
--- a/standins/caller.ts
+++ b/standins/caller.ts
@@ -31,7 +31,13 @@
       /** Configuration version of the entry node for this call; 0 when not stated. */
       readonly version: number;
     }
-  | { readonly kind: 'notRun' | 'unknown'; readonly status: number; readonly reason: string }
+  | {
+      readonly kind: 'notRun' | 'unknown';
+      readonly status: number;
+      readonly reason: string;
+      /** Text of the refusal; present only if the caller was created to keep it. */
+      readonly detail?: string;
+    }
   /** The connection could not be made, so nothing was sent. */
   | { readonly kind: 'unsent'; readonly reason: string }
   /** The connection ended before the response did. */
@@ -62,8 +68,14 @@
   return checks.includes('truncated') ? 'truncated' : 'crossed';
 }
 
+/** What a caller keeps of responses. */
+export interface CallerOptions {
+  /** Keeps the text of refusals. */
+  readonly keepsDetail?: boolean;
+}
+
 /** Creates a caller. Each call has a connection of its own, so a closed one is never a race. */
-export function createCaller(): Caller {
+export function createCaller({ keepsDetail = false }: CallerOptions = {}): Caller {
   const agent = new Agent({
     pipelining: 0,
     connect: { timeout: CONNECT_TIMEOUT_MS },
@@ -91,8 +103,10 @@
       const outcome = answer.headers[CALL_HEADERS.outcome]?.toString();
       const reason = answer.headers[CALL_HEADERS.reason]?.toString() ?? '';
       const status = answer.statusCode;
-      if (outcome === 'not-run') return { kind: 'notRun', status, reason };
-      if (outcome !== undefined) return { kind: 'unknown', status, reason };
+      if (outcome !== undefined) {
+        const kind = outcome === 'not-run' ? 'notRun' : 'unknown';
+        return { kind, status, reason, ...(keepsDetail && { detail: text.trim() }) };
+      }
       const version = Number(answer.headers[CALL_HEADERS.version] ?? 0);
       const isBodyOfAnswer = status === 200 || status === 502;
       const check = isBodyOfAnswer ? checkBody(text, plan) : 'whole';
