Hold keyed calls at a starting node until it has a configuration

Cause: a restarted node opens its call port before it has a configuration. It refused calls as not-ready; a call with a key cannot be told that, since an earlier arrival may have run elsewhere, and got unknown key-undecided at once. Change: calls with a key wait for the configuration, at most 5 s and within their deadline; calls without one are still refused at once as not run. Ruled out: opening the port later, because the member record names it, and stating not-run, because a starting node cannot vouch for earlier arrivals.

--- a/src/core/calls/callPort.ts
+++ b/src/core/calls/callPort.ts
@@ -14,6 +14,7 @@
 import { createNodeStatsTable } from './nodeStats.js';
 import type { CallObserver } from './observer.js';
 import { createPeerPools, POOL_LIMITS, type PoolLimits } from './peerPools.js';
+import { createReadyWait } from './readyWait.js';
 import { RESERVED_PREFIX, serveReserved } from './reserved.js';
 import { createRetryBudget } from './retryBudget.js';
 import { serveCall, type ServeParts } from './serveCall.js';
@@ -104,6 +105,7 @@
     },
     getLocalLoad: (service) => dispatcher.getLoad(service),
     isLeaving: () => isLeaving,
+    waitUntilReady: createReadyWait(options.config),
   };
   members.onChange(({ record, verdict }) => {
     const isGone = verdict === 'dead' || record.state === 'left';
--- a/src/core/calls/serveCall.ts
+++ b/src/core/calls/serveCall.ts
@@ -10,6 +10,8 @@
 import { formatLoad, relayAnswer, toOutcome, writeFailure } from './answer.js';
 import { parseCallKey } from './callKey.js';
 import { runCall, type EntryParts } from './entry.js';
+import { computeHopBudgetMs } from './forward.js';
+import type { ReadyWait } from './readyWait.js';
 import { buildUnknown, refuse, type FailedResult, type Refusal } from './refusal.js';
 import { readBody, type BodyBudget } from './requestBody.js';
 import {
@@ -24,11 +26,17 @@
 } from './requestHead.js';
 
 const MAX_HEADER_COUNT = 200;
+/**
+ * Longest time for which a starting node holds a call with a key. A node that can reach its peers
+ * or the platform has its configuration within 3.5 s (`distribution/floor`).
+ */
+const READY_WAIT_MS = 5000;
 
 /** Parts that serve a call. */
 export interface ServeParts extends EntryParts {
   readonly config: ConfigStore;
   readonly bodies: BodyBudget;
+  readonly waitUntilReady: ReadyWait;
 }
 
 /** What the head of a request says. */
@@ -168,6 +176,23 @@
   return relayAnswer(response, result, added);
 }
 
+/**
+ * Holds a call with a key while this node starts. Refused here, it could not be told apart from
+ * an arrival that ran, so the caller would get `unknown` for a call that was only early.
+ */
+async function holdUntilReady(
+  request: IncomingMessage,
+  response: ServerResponse,
+  parts: ServeParts,
+  startMs: number,
+): Promise<void> {
+  const { headers } = request;
+  if (headers[CALL_HEADERS.key] === undefined || parts.config.isReady()) return;
+  const budgetMs = parseBudgetMs(headers, READY_WAIT_MS).unwrapOr(0);
+  const isAbandoned = () => response.destroyed || parts.isLeaving();
+  await parts.waitUntilReady(startMs + computeHopBudgetMs(budgetMs), isAbandoned);
+}
+
 /** Serves a request; `isOverLimit` refuses it because too many are in flight. */
 export async function serveCall(
   request: IncomingMessage,
@@ -178,6 +203,7 @@
   const startMs = performance.now();
   const isForwarded = request.headers[CALL_HEADERS.target] !== undefined;
   const requestId = isForwarded ? getRequestId(request.headers) : randomUUID();
+  if (!isOverLimit && !isForwarded) await holdUntilReady(request, response, parts, startMs);
   const head = isOverLimit
     ? refuse<CallHead>('overloaded', 'too many calls are in flight')
     : parseHead(request, parts, requestId, startMs);
--- a/test/calls/keys.test.ts
+++ b/test/calls/keys.test.ts
@@ -6,7 +6,9 @@
 import { rankMembers } from '../../src/utils/rendezvous.js';
 import {
   answer,
+  buildRoute,
   buildView,
+  createConfig,
   describe,
   createDispatcher,
   send,
@@ -126,3 +128,19 @@
   assert.equal(describe(await send(entry.port, withKey(KEY))), '200');
   assert.equal(owner.calls.length, 3);
 });
+
+// Guards against keyed calls that are refused, with an outcome nobody can vouch for, because their
+// entry node has just been restarted (G8), and against a hold beyond the deadline.
+test('a starting node holds a keyed call until it is ready, within the deadline', async () => {
+  let isReady = false;
+  const config = { ...createConfig(buildRoute()), isReady: () => isReady };
+  const node = await startInstanceNode('n1', createDispatcher());
+  const entry = await startEntry([node.view], { config });
+  const headers = { 'idempotency-key': KEY, 'lycheelane-deadline-ms': '50' };
+  assert.equal(describe(await send(entry.port, { headers })), '502 unknown key-undecided');
+  assert.equal(describe(await send(entry.port)), '503 not-run not-ready');
+  const held = send(entry.port, withKey(KEY));
+  await send(entry.port);
+  isReady = true;
+  assert.equal(describe(await held), '200');
+});
