Let nodes start under a version that they refuse

Reading head and bundle stood twice and is installAccepted now. Ruled out: starting at once (a node whose software alone refuses would serve less than its host enforced), asking a majority (a data centre of one node has none).

--- a/src/core/distribution/obtain.ts
+++ b/src/core/distribution/obtain.ts
@@ -9,7 +9,7 @@
 import { getOwnSender, type DistributionContext } from './context.js';
 import { applyDifference } from './delta.js';
 import { readHead } from '../config/readHead.js';
-import { readHeadBundle } from './readHeadBundle.js';
+import { installAccepted } from './installAccepted.js';
 import { toTag, verifyBundle } from './verify.js';
 
 /** Delays between fetches of one version from different members. */
@@ -129,14 +129,8 @@
     const head = read.value?.value;
     store.confirmFloor(toTag(head ?? { version: 0, digest: '' }), 'platform');
     if (head && isMissing(toTag(head))) {
-      const bundle = await readHeadBundle(platform, head);
-      if (bundle.isErr()) {
-        const { step, peer, message } = bundle.error;
-        const { version } = head;
-        logger.warn('config-bundle-not-read', { step, peer, version, reason: message });
-        return false;
-      }
-      store.install(bundle.value, 'platform');
+      const installed = await installAccepted(context, head);
+      if (installed.isErr()) return false;
     }
     if (wanted && wanted.version > (head?.version ?? 0)) {
       logger.error('version-not-accepted', {
--- a/src/core/distribution/readHeadBundle.ts
+++ b/src/core/distribution/readHeadBundle.ts
@@ -1,4 +1,4 @@
-/** Read of the bundle that a head names. */
+/** Read of a bundle that a head names. */
 import { err, ok, type Result } from 'neverthrow';
 import { buildError, type StepError } from '../../errors.js';
 import type { Bundle, Head } from '../../generated/types.js';
@@ -6,10 +6,10 @@
 import { formatBundleName } from '../config/readHead.js';
 import { verifyBundle } from './verify.js';
 
-/** Reads the bundle that a head names. Errors: `mismatch` when it is another one. */
+/** Reads the bundle that a head or its history names. Errors: `mismatch` when it is another one. */
 export async function readHeadBundle(
   platform: PlatformClient,
-  { version, digest, operationId }: Head,
+  { version, digest, operationId }: Pick<Head, 'version' | 'digest' | 'operationId'>,
 ): Promise<Result<Bundle, StepError>> {
   const name = formatBundleName(operationId);
   const object = await platform.read<unknown>(name);
--- a/src/core/distribution/start.ts
+++ b/src/core/distribution/start.ts
@@ -7,6 +7,7 @@
 import { notifyMembers } from './notify.js';
 import { createSeeker } from './obtain.js';
 import { publishRefusals } from './publishRefusals.js';
+import { runRefusedStart } from './refusedStart.js';
 import { createFetchHandler } from './serveFetch.js';
 import { toTag } from './verify.js';
 import { runHeadWatch } from './watchHead.js';
@@ -32,7 +33,10 @@
   const isRelayMode = settings.distribution.mode === 'relay';
 
   if (isRelayMode) {
-    members.onHeard(({ from, tag }) => seeker.hear(tag, from.nodeId));
+    members.onHeard(({ from, tag }) => {
+      store.recordEnforced(tag);
+      seeker.hear(tag, from.nodeId);
+    });
     store.onInstall((tag) => notifyMembers(context, tag));
     members.onChange(({ record }) => {
       if (record.refused) seeker.hear(toTag(record.refused), record.nodeId);
@@ -40,12 +44,18 @@
     publishRefusals(context);
   }
   store.onFloor((tag) => seeker.hear(tag));
-  const tasks = Promise.all([runFloorSearch(context, seeker), runHeadWatch(context, seeker)]);
+  const tasks = Promise.all([
+    runFloorSearch(context, seeker),
+    runHeadWatch(context, seeker),
+    runRefusedStart(context),
+  ]);
 
   return {
     methods: {
       'config.notify': ({ from, version, digest }: ConfigNotify) => {
-        if (isRelayMode) seeker.hear(toTag({ version, digest }), from.nodeId);
+        const tag = toTag({ version, digest });
+        store.recordEnforced(tag);
+        if (isRelayMode) seeker.hear(tag, from.nodeId);
         return ok({});
       },
       'config.fetch': createFetchHandler(store, random),
--- a/src/core/distribution/store.ts
+++ b/src/core/distribution/store.ts
@@ -32,6 +32,13 @@
    * was accepted. Later calls have no effect but for the platform's digest of the floor.
    */
   confirmFloor(tag: VersionTag, source: FloorSource): void;
+  /** Records that a member enforces a version. */
+  recordEnforced(tag: VersionTag): void;
+  /**
+   * Lets a node that has not started serve below a floor that it refuses, unless a member is known
+   * to enforce a higher version or its host did.
+   */
+  allowStartBelowRefused(): void;
   /** True when this very version was refused, so that fetching it again is pointless. */
   isRefused(tag: VersionTag): boolean;
   /** Bundle of the last refusal, for members that have not judged it yet. */
@@ -69,13 +76,28 @@
   const refuseListeners: (() => void)[] = [];
   let refused: { readonly bundle: Bundle; readonly refusal: Refusal } | undefined;
   let refusedDigests: string[] = [];
+  let highestEnforced = 0;
+  let mayStartBelowRefused = false;
+
+  const isRefusedVersion = (version: number) =>
+    refusedDigests.some((refusedDigest) => refusedDigest.startsWith(`${version} `));
+
+  /** True when this node refuses every version above its own up to the floor, as all others do. */
+  const isFloorRefused = (): boolean => {
+    if (!mayStartBelowRefused || highestEnforced > tag.version) return false;
+    for (let version: number = floor.version; version > tag.version; version -= 1) {
+      if (!isRefusedVersion(version)) return false;
+    }
+    return true;
+  };
 
   /**
    * The floor of the mesh gates only the start: a ready node stays ready while a newer version is
    * on its way, or when it refuses one. What its own host enforced before gates it at any time.
    */
   const updateReady = () => {
-    if (hasStarted || !isFloorKnown || tag.version === 0 || tag.version < floor.version) return;
+    if (hasStarted || !isFloorKnown || tag.version === 0) return;
+    if (tag.version < floor.version && !isFloorRefused()) return;
     hasStarted = true;
     logger.info('node-ready', { version: tag.version });
     for (const listener of readyListeners.splice(0)) listener();
@@ -104,6 +126,7 @@
       refused = { bundle: candidate, refusal: { version, digest, step, reason } };
       for (const listener of refuseListeners) listener();
     }
+    updateReady();
     return err(error);
   };
 
@@ -165,6 +188,13 @@
       if (hasStarted) listener();
       else readyListeners.push(listener);
     },
+    recordEnforced: ({ version }) => {
+      highestEnforced = Math.max(highestEnforced, version);
+    },
+    allowStartBelowRefused: () => {
+      mayStartBelowRefused = true;
+      updateReady();
+    },
     isRefused: ({ version, digest }) => refusedDigests.includes(`${version} ${digest}`),
     onFloor: (listener) => floorListeners.push(listener),
     onInstall: (listener) => listeners.push(listener),
--- a/src/core/distribution/watchHead.ts
+++ b/src/core/distribution/watchHead.ts
@@ -4,7 +4,7 @@
 import type { DistributionContext } from './context.js';
 import type { VersionSeeker } from './obtain.js';
 import { HEAD_NAME, parseHead, readHead } from '../config/readHead.js';
-import { readHeadBundle } from './readHeadBundle.js';
+import { installAccepted } from './installAccepted.js';
 import { toTag } from './verify.js';
 import type { Head } from '../../generated/types.js';
 
@@ -38,13 +38,7 @@
       seeker.hear(toTag(head));
       return;
     }
-    const bundle = await readHeadBundle(platform, head);
-    if (bundle.isOk()) {
-      store.install(bundle.value, 'platform');
-    } else {
-      const { step, peer, message } = bundle.error;
-      logger.warn('config-bundle-not-read', { step, peer, version: head.version, reason: message });
-    }
+    await installAccepted(context, head);
     // Still missing after a failed read: peers, then the platform again with a backoff.
     seeker.hear(toTag(head));
   };
--- a/test/distribution/damagedObjects.test.ts
+++ b/test/distribution/damagedObjects.test.ts
@@ -37,7 +37,9 @@
     { seed: 20_261_204, numRuns: 150 },
   );
   mesh.platform.put('seeds/dc-a', SEEDS);
-  acceptBundle(mesh.platform, buildBundle(3));
+  const repaired = buildBundle(3);
+  mesh.platform.put('bundles/op-3-x', repaired);
+  mesh.platform.put('config/head', toHead(repaired));
   await advance(40_000, 250);
   assertAll(mesh.nodes, getVersion, 3);
 });
--- a/test/distribution/refusals.test.ts
+++ b/test/distribution/refusals.test.ts
@@ -1,10 +1,14 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { err } from 'neverthrow';
+import type { Compile } from '../../src/core/distribution/store.js';
+import { buildError } from '../../src/errors.js';
 import type { MemberRecord } from '../../src/generated/types.js';
 import { advance } from '../fakes/clock.js';
 import {
   acceptBundle,
   buildBundle,
+  compileAny,
   getVersion,
   startTestNode,
   useTestMesh,
@@ -17,6 +21,11 @@
 const getRefused = ({ store }: TestNode) => store.getLastRefusal()?.version;
 const getRecord = ({ members }: TestNode): MemberRecord => members.getSelf();
 
+const refuseVersion2: Compile = (bundle, site) =>
+  bundle.version === 2
+    ? err(buildError('invalid', 'compile', site, 'unknown field'))
+    : compileAny(bundle, site);
+
 /** Two data centres at version 1, in which version 2 has then been accepted and refused. */
 async function startWithRefusal(nodesEach: number) {
   acceptBundle(mesh.platform, buildBundle(1));
@@ -51,6 +60,45 @@
   assertAll(mesh.nodes, (node) => getRecord(node).refused, undefined);
 });
 
+// Guards against a refused version that keeps every node from serving that restarts meanwhile.
+test('a node that starts under a refused head serves the last good version', async () => {
+  await startWithRefusal(3);
+  acceptBundle(mesh.platform, buildBundle(3, 'bad'));
+  await advance(3000);
+  const late = startTestNode(mesh, 103, 'dc-a', [100]);
+  const alone = startTestNode(mesh, 300, 'dc-c', []);
+  mesh.nodes.push(late, alone);
+  await advance(20_000);
+  for (const node of [late, alone]) {
+    assert.deepEqual([getVersion(node), getRefused(node), node.store.isReady()], [1, 3, true]);
+  }
+});
+
+// Guards against a refused version that ends the service of a data centre whose nodes all restart.
+test('a data centre that restarts as a whole serves the version before a refused one', async () => {
+  await startWithRefusal(3);
+  const herd = mesh.nodes.splice(0, 3);
+  await Promise.all(herd.map((node) => node.stop()));
+  for (const { port } of herd) {
+    mesh.nodes.push(startTestNode(mesh, port, 'dc-a', [100, 101, 200], 500_000));
+  }
+  await advance(20_000);
+  assertAll(mesh.nodes, getVersion, 1);
+  assertAll(mesh.nodes, ({ store }) => store.isReady(), true);
+});
+
+// Guards against a node with other software that serves an older version than its peers enforce.
+test('a node that alone refuses the accepted version does not start below it', async () => {
+  acceptBundle(mesh.platform, buildBundle(1));
+  mesh.startNodes('dc-a', 100, 3);
+  acceptBundle(mesh.platform, buildBundle(2));
+  await advance(8000);
+  const odd = startTestNode(mesh, 103, 'dc-a', [100], 1000, () => {}, undefined, refuseVersion2);
+  mesh.nodes.push(odd);
+  await advance(20_000);
+  assert.deepEqual([getVersion(odd), getRefused(odd), odd.store.isReady()], [1, 2, false]);
+});
+
 // Guards against a node that starts in a data centre with a refusal and never asks for the version
 // in force, because it has heard of the refused one first.
 test('a node that starts among nodes with a refusal installs the version in force', async () => {
--- a/test/fakes/nodes.ts
+++ b/test/fakes/nodes.ts
@@ -72,14 +72,16 @@
   return { version, operationId, parent, base, overlays: {}, digest };
 }
 
-export function toHead({ version, digest, operationId }: Bundle): Head {
-  return { version, digest, operationId, recent: [] };
+export function toHead({ version, digest, operationId }: Bundle, previous?: Head): Head {
+  const entry = { version, digest, operationId };
+  return { ...entry, recent: [entry, ...(previous?.recent ?? [])] };
 }
 
 /** Accepts a bundle in the platform, as the command line does. */
 export function acceptBundle(platform: MemoryPlatform, bundle: Bundle): void {
   platform.put(`bundles/${bundle.operationId}`, bundle);
-  platform.put('config/head', toHead(bundle));
+  const previous = platform.objects.get('config/head')?.value as Head | undefined;
+  platform.put('config/head', toHead(bundle, previous));
 }
 
 /** A compiler that accepts everything but the variant `bad`. */
@@ -116,6 +118,7 @@
   startMs = 1000,
   change: (settings: Settings, self: MemberRecord) => void = () => {},
   hostHeard?: Promise<void>,
+  compile: Compile = compileAny,
 ) {
   const settings = buildSettings(port, dataCentre, seeds);
   const self = { ...buildRecord(port, dataCentre, startMs), state: 'serving' as const };
@@ -123,7 +126,7 @@
   const { peers, dispatcher, counters } = network.addNode(port);
   const random = createRandom(port);
   const logger = SILENT_LOGGER;
-  const store = createConfigStore({ site: dataCentre as DataCentre, compile: compileAny, logger });
+  const store = createConfigStore({ site: dataCentre as DataCentre, compile, logger });
   const common = { settings, logger, peers, platform, random };
   const members = startMembership({ ...common, self, getTag: store.getTag });
   dispatcher.setSenderCheck(members.checkSender);
--- a/test/peer/fuzz.test.ts
+++ b/test/peer/fuzz.test.ts
@@ -34,10 +34,18 @@
 const MESSAGES: readonly (readonly [string, object])[] = [
   ['ping', PING],
   ['pingIndirect', { from, target: { host: '127.0.0.1', port: 101 }, targetId: SENDER.nodeId }],
-  ['members.summary', { from, summary: [[SENDER.nodeId, '2000-a', 0, 'alive']] }],
+  ['members.buckets', { from, hashes: ['00000000', 'ffffffff'] }],
+  [
+    'members.summary',
+    {
+      from,
+      buckets: { count: 2, differing: [0, 1] },
+      summary: [[SENDER.nodeId, '2000-a', 0, 'alive']],
+    },
+  ],
   ['members.push', { from, changes: CHANGES }],
   ['config.notify', { from, version: 1, digest: buildBundle(1).digest }],
-  ['config.fetch', { from, haveVersion: 0, haveDigest: buildBundle(1).digest }],
+  ['config.fetch', { from, haveVersion: 0, haveDigest: buildBundle(1).digest, wantDigest: '' }],
   ['config.floor', { from }],
 ];
 
