Close the connection under a response that answers another request

Cause: an upstream that responds twice shifts all later responses of its connection. The response with a foreign id was refused, but the connection was used again, so the next requests got the shifted responses; one without an id then passed for the answer to another call. Change: the exchange judges the head before anything else and closes the connection under a foreign one; the upstream gets a cancellation, since it may still run the request. The entry side did this already. Ruled out: requiring the id in every response, which ordinary upstreams do not send. Conclusion: one wrong response costs one call, told as unknown.

--- a/src/core/upstream/callRun.ts
+++ b/src/core/upstream/callRun.ts
@@ -52,7 +52,7 @@
 ): AttemptResult {
   if (head.kind === 'failed') {
     const detail = head.error.message;
-    if (head.wasSent) return buildUnknown('connection-lost', detail);
+    if (head.wasSent) return buildUnknown(head.reason, detail);
     return buildNotRun('connect-failed', detail, getLoad());
   }
   const { status, headers, body } = head;
@@ -61,10 +61,6 @@
     const refusal = buildNotRun('overloaded', 'the upstream shed the call', getLoad());
     return { ...refusal, retriesExhausted: isRetryExhausted(headers) };
   }
-  if (isOtherAnswer(headers, call.requestId)) {
-    body.resume();
-    return buildUnknown('mismatched-answer', 'the upstream answered another request');
-  }
   return {
     kind: 'answered',
     status,
@@ -80,9 +76,6 @@
   }
   const { status, headers } = head;
   if (isNotRunProof(status, headers, call.requestId)) return { kind: 'notRun' };
-  if (isOtherAnswer(headers, call.requestId)) {
-    return { kind: 'handedOver', detail: 'the upstream answered another request' };
-  }
   if (end.kind !== 'complete') {
     return { kind: 'handedOver', detail: `the answer was not kept: ${end.kind}` };
   }
@@ -135,6 +128,7 @@
       body: call.body.length > 0 ? call.body : null,
     },
     keepBytes: reservation ? MAX_STORED_ANSWER_BYTES : 0,
+    isOwnAnswer: (headers) => !isOtherAnswer(headers, call.requestId),
     onBodyLeft: removeCaller,
   });
   const stopWaiting = onCallerLimit(call, (reason) => {
@@ -145,6 +139,8 @@
   const follow = async (): Promise<RunEnd> => {
     head = await exchange.head;
     resolveResult(convertHead(head, call, getLoad));
+    // The upstream may still run the request that it has not answered.
+    if (head.kind === 'failed' && head.reason === 'mismatched-answer') cancel();
     // The result was given before the head came: nobody reads this body.
     if (!isCallerThere && head.kind === 'response') head.body.resume();
     const end = await exchange.ended;
--- a/src/core/upstream/exchange.ts
+++ b/src/core/upstream/exchange.ts
@@ -18,6 +18,7 @@
       readonly kind: 'failed';
       /** True when bytes of the request may have been written. */
       readonly wasSent: boolean;
+      readonly reason: 'connection-lost' | 'mismatched-answer';
       readonly error: Error;
     };
 
@@ -44,6 +45,11 @@
   readonly request: Dispatcher.DispatchOptions;
   /** Bodies up to this size are kept for `ended`. */
   readonly keepBytes: number;
+  /**
+   * Decides whether a response answers this request. Another one closes the connection, since the
+   * responses that follow on it would be shifted too.
+   */
+  readonly isOwnAnswer: (headers: IncomingHttpHeaders) => boolean;
   /** Called when the reader destroys the body before its end. */
   readonly onBodyLeft: () => void;
 }
@@ -105,11 +111,12 @@
 
 /** Starts an exchange. The dispatcher sends the request at most once. */
 export function startExchange(options: ExchangeOptions): Exchange {
-  const { dispatcher, request, keepBytes, onBodyLeft } = options;
+  const { dispatcher, request, keepBytes, isOwnAnswer, onBodyLeft } = options;
   let controller: Dispatcher.DispatchController | undefined;
   let sink: BodySink | undefined;
   let unsentReason: Error | undefined;
   let hasEnded = false;
+  let failure: 'connection-lost' | 'mismatched-answer' = 'connection-lost';
   let resolveHead: (head: ExchangeHead) => void;
   let resolveEnded: (end: BodyEnd) => void;
   const head = new Promise<ExchangeHead>((resolve) => {
@@ -125,7 +132,7 @@
   };
   const fail = (error: Error) => {
     if (hasEnded) return;
-    resolveHead({ kind: 'failed', wasSent: controller !== undefined, error });
+    resolveHead({ kind: 'failed', wasSent: controller !== undefined, reason: failure, error });
     sink?.abort(error);
     finish({ kind: 'failed', error });
   };
@@ -141,6 +148,11 @@
     },
     onResponseStart(started, status, headers) {
       if (status < 200) return;
+      if (!isOwnAnswer(headers)) {
+        failure = 'mismatched-answer';
+        started.abort(new Error('the upstream answered another request'));
+        return;
+      }
       sink = createBodySink(started, keepBytes, onBodyLeft);
       resolveHead({ kind: 'response', status, headers, body: sink.body });
     },
