--- a/test/upstream/upstreamFaults.test.ts
+++ b/test/upstream/upstreamFaults.test.ts
@@ -4,93 +4,9 @@
 import { test, type TestContext } from 'node:test';
 import fc from 'fast-check';
 import type { AttemptResult } from '../../src/types/calls.js';
+import { BEHAVIOURS, buildBody, respond, type Behaviour } from '../fakes/faultyResponses.js';
 import { buildAnnouncement, buildCall, createInstanceSide, readText, SERVICE } from './support.js';
 
-/** What the upstream does with one request. */
-const BEHAVIOURS = [
-  'answer',
-  'answerWithoutId',
-  'answerInChunks',
-  'answerAfterHints',
-  'answerTwice',
-  'answerWithRest',
-  'answerOther',
-  'breakHead',
-  'breakBody',
-  'breakChunks',
-  'shedWithProof',
-  'shedWithoutId',
-  'close',
-  'reset',
-] as const;
-type Behaviour = (typeof BEHAVIOURS)[number];
-
-const buildBody = (id: string) => `${id} ${'x'.repeat(200)}`;
-
-function formatAnswer(id: string, status: string, body: string, extra: readonly string[]): string {
-  const lines = [`HTTP/1.1 ${status}`, ...extra, `content-length: ${body.length}`, '', body];
-  return lines.join('\r\n');
-}
-
-function formatChunks(id: string): string {
-  const body = buildBody(id);
-  const head = ['HTTP/1.1 200 OK', `lycheelane-request: ${id}`, 'transfer-encoding: chunked', ''];
-  return [...head, body.length.toString(16), body, '0', '', ''].join('\r\n');
-}
-
-function respond(socket: Socket, id: string, behaviour: Behaviour): void {
-  const named = [`lycheelane-request: ${id}`];
-  const whole = formatAnswer(id, '200 OK', buildBody(id), named);
-  const proof = 'lycheelane-outcome: not-run';
-  switch (behaviour) {
-    case 'answer':
-      socket.write(whole);
-      return;
-    case 'answerWithoutId':
-      socket.write(formatAnswer(id, '200 OK', buildBody(id), []));
-      return;
-    case 'answerInChunks':
-      socket.write(formatChunks(id));
-      return;
-    case 'answerAfterHints':
-      socket.write(`HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n${whole}`);
-      return;
-    case 'answerTwice':
-      socket.write(whole);
-      setTimeout(() => socket.write(whole), 2);
-      return;
-    case 'answerWithRest':
-      socket.write(`${whole}rest`);
-      return;
-    case 'answerOther':
-      socket.write(formatAnswer(id, '200 OK', buildBody('other'), ['lycheelane-request: other']));
-      return;
-    case 'breakHead':
-      socket.end(whole.slice(0, 30));
-      return;
-    case 'breakBody':
-      socket.end(whole.slice(0, -20));
-      return;
-    case 'breakChunks':
-      socket.end(formatChunks(id).slice(0, -20));
-      return;
-    case 'shedWithProof':
-      socket.write(formatAnswer(id, '503 Busy', '', [...named, proof]));
-      return;
-    case 'shedWithoutId':
-      socket.write(formatAnswer(id, '503 Busy', '', [proof]));
-      return;
-    case 'close':
-      socket.end();
-      return;
-    case 'reset':
-      socket.resetAndDestroy();
-      return;
-    default:
-      behaviour satisfies never;
-  }
-}
-
 /** Starts an upstream that takes the next behaviour for each request and notes which it got. */
 async function startFaultyUpstream(t: TestContext) {
   const script: Behaviour[] = [];
