Accept unknown fields in messages between nodes

Change: validators of peer messages and operator answers allow up to 32 fields in an object; unknown ones of member records are kept and passed on. Types are unchanged, and settings, files, announcements and platform objects stay strict. Ruled out: dropping unknown fields, since a record would lose a new field on its way through older nodes; a version number in each message, which decides nothing that a missing field does not.

--- a/scripts/generate.js
+++ b/scripts/generate.js
@@ -104,6 +104,22 @@
   return copy;
 }
 
+/** Schemas of messages between processes that may run different versions of the software. */
+const TOLERANT_SCHEMAS = new Set(['messages', 'operator']);
+/** Fields of one object; unknown ones in member records are kept and passed on. */
+const MAX_FIELDS = 32;
+
+/** Allows unknown fields, so that a newer process can add optional ones during an upgrade. */
+function tolerateUnknown(schema) {
+  if (Array.isArray(schema)) return schema.map(tolerateUnknown);
+  if (schema === null || typeof schema !== 'object') return schema;
+  const copy = Object.fromEntries(
+    Object.entries(schema).map(([key, value]) => [key, tolerateUnknown(value)]),
+  );
+  if (copy.additionalProperties !== false) return copy;
+  return { ...copy, additionalProperties: true, maxProperties: MAX_FIELDS };
+}
+
 async function generateTypes(schemas) {
   let text = NOTICE;
   for (const schema of schemas) {
@@ -121,7 +137,9 @@
 
 function generateValidators(schemas) {
   const ajv = new Ajv({
-    schemas,
+    schemas: schemas.map((schema) =>
+      TOLERANT_SCHEMAS.has(schema.$id) ? tolerateUnknown(schema) : schema,
+    ),
     allErrors: true,
     verbose: false,
     useDefaults: true,
