Survive clocks that are behind or set back in the membership

Cause: an incarnation is the start time of a process. A host whose clock is behind that of the process it replaces was refused by all members as an earlier process, for as long as it ran; one process whose clock was ahead once kept all later ones out. A suspicion that began before the clock was set back stayed a suspicion for as long as the clock was set back; the idle interval of relays did too. Change: a starting process asks its seeds for the latest incarnation they know of its node (members.lookup) and starts above it, with a warning. Intervals of the detector and the relays are bounded whatever the clock does. Ruled out: a new incarnation at run time, since tokens and key partitions name it; a number kept by the platform, which costs a write for each start. Residual: no seed answers within 1.5 s and the clock is behind: the process stays out until it is started again. Conclusion: wrong clocks cost a start at most.

--- a/scripts/generate.js
+++ b/scripts/generate.js
@@ -31,6 +31,8 @@
   validateMembersBucketsAnswer: 'messages#/properties/membersBucketsAnswer',
   validateMembersSummary: 'messages#/properties/membersSummary',
   validateMembersSummaryAnswer: 'messages#/properties/membersSummaryAnswer',
+  validateMembersLookup: 'messages#/properties/membersLookup',
+  validateMembersLookupAnswer: 'messages#/properties/membersLookupAnswer',
   validateMembersPush: 'messages#/properties/membersPush',
   validateConfigNotify: 'messages#/properties/configNotify',
   validateConfigFetch: 'messages#/properties/configFetch',
--- a/src/core/membership/detector.ts
+++ b/src/core/membership/detector.ts
@@ -1,6 +1,7 @@
 /** Failure detection inside the data centre (SWIM). */
 import type { MemberChange, PingIndirectAnswer } from '../../generated/types.js';
 import { waitMs } from '../../utils/backoff.js';
+import { waitRest } from '../../utils/waitRest.js';
 import { chooseRandom, toShuffled } from '../../utils/random.js';
 import { getSender, toAddress, type MembershipContext } from './context.js';
 import type { PingExchange } from './exchange.js';
@@ -120,7 +121,8 @@
 
   const runExpiry = () => {
     const nowMs = Date.now();
-    const wasStopped = nowMs - lastExpiryMs > suspectMs / 2;
+    // A clock that was set back counts as well: the times of suspicions would lie ahead.
+    const wasStopped = Math.abs(nowMs - lastExpiryMs) > suspectMs / 2;
     lastExpiryMs = nowMs;
     for (const entry of table.listPresent(settings.dataCentre)) {
       if (entry.verdict !== 'suspect') continue;
@@ -138,7 +140,7 @@
     while (!signal.aborted) {
       const startedMs = Date.now();
       await runRound();
-      await waitMs(Math.max(0, pingIntervalMs - (Date.now() - startedMs)), signal);
+      await waitRest(pingIntervalMs, startedMs, signal);
     }
   };
 
--- a/src/core/membership/incarnation.ts
+++ b/src/core/membership/incarnation.ts
@@ -6,10 +6,15 @@
   return `${startMs}-${randomBytes(5).toString('hex')}`;
 }
 
+/** Returns the start time that an incarnation names, in milliseconds since the epoch. */
+export function getStartMs(incarnation: string): number {
+  return Number(incarnation.slice(0, incarnation.indexOf('-')));
+}
+
 /** Orders incarnations by start time, then by their random text. */
 export function compareIncarnations(a: string, b: string): number {
   if (a === b) return 0;
-  const [startA = 0, startB = 0] = [a, b].map((text) => Number(text.slice(0, text.indexOf('-'))));
-  if (startA !== startB) return startA - startB;
+  const difference = getStartMs(a) - getStartMs(b);
+  if (difference !== 0) return difference;
   return a < b ? -1 : 1;
 }
--- a/src/core/membership/relayExchange.ts
+++ b/src/core/membership/relayExchange.ts
@@ -1,5 +1,6 @@
 /** Exchange of records with other data centres. */
 import { waitMs } from '../../utils/backoff.js';
+import { waitRest } from '../../utils/waitRest.js';
 import { toAddress, type MembershipContext } from './context.js';
 import type { Heard, PingExchange } from './exchange.js';
 import type { RelayRanking } from './relays.js';
@@ -97,7 +98,9 @@
     const { version } = context.getTag();
     const isIdle = changed.length === 0 && version === link.sentVersion && link.failures === 0;
     // An exchange that the other side started serves both.
-    if (isIdle && Date.now() - link.contactMs < relaySyncMs * (IDLE_INTERVALS - 0.1)) return;
+    // Absolute, so that a clock that was set back does not stop the exchanges.
+    const sinceContactMs = Math.abs(Date.now() - link.contactMs);
+    if (isIdle && sinceContactMs < relaySyncMs * (IDLE_INTERVALS - 0.1)) return;
     const candidates = ranking.listRanked(dataCentre).slice(0, TRIED_MEMBERS);
     const isFailing = link.failures > 0;
     const index = isFailing ? link.failures : Math.floor(random() * Math.min(2, candidates.length));
@@ -135,7 +138,7 @@
       while (!signal.aborted) {
         const startedMs = Date.now();
         await runOnce();
-        await waitMs(Math.max(0, relaySyncMs - (Date.now() - startedMs)), signal);
+        await waitRest(relaySyncMs, startedMs, signal);
       }
     },
     recordHeard: ({ from }) => {
--- a/src/core/membership/seeds.ts
+++ b/src/core/membership/seeds.ts
@@ -21,7 +21,9 @@
 }
 
 /** Reads the seed list of the own data centre; empty when absent or the platform is down. */
-export async function readSeeds(context: MembershipContext): Promise<PeerAddress[]> {
+export async function readSeeds(
+  context: Pick<MembershipContext, 'settings' | 'platform'>,
+): Promise<PeerAddress[]> {
   const name = `seeds/${context.settings.dataCentre}`;
   const object = await context.platform.read<unknown>(name);
   return object.isOk() && object.value ? listAddresses([object.value]) : [];
--- a/src/core/membership/start.ts
+++ b/src/core/membership/start.ts
@@ -1,7 +1,7 @@
 /** Starts the tasks of the membership. */
 import { err, ok } from 'neverthrow';
 import { buildError } from '../../errors.js';
-import type { MemberChange, MemberRecord, Settings } from '../../generated/types.js';
+import type { MemberChange, MemberRecord, MembersLookup, Settings } from '../../generated/types.js';
 import type { DataCentre } from '../../types/ids.js';
 import type {
   MemberTable,
@@ -166,6 +166,8 @@
       'members.buckets': antiEntropy.handleBuckets,
       'members.summary': antiEntropy.handleSummary,
       'members.push': antiEntropy.handlePush,
+      'members.lookup': ({ nodeId }: MembersLookup) =>
+        ok({ incarnation: table.get(nodeId)?.record.incarnation }),
     },
     checkSender: (from) => {
       const known = table.get(from.nodeId)?.record.incarnation;
--- a/src/core/peer/dispatcher.ts
+++ b/src/core/peer/dispatcher.ts
@@ -51,7 +51,9 @@
       if (!method) return err(buildError('not-found', name, context.peer, 'unknown method'));
       const checked = checkParams(name, params, context.peer);
       if (checked.isErr()) return err(checked.error);
-      const allowed = checkSender((checked.value as { from: Sender }).from);
+      // Only a look-up, which comes before the sender has an incarnation, names no sender.
+      const { from } = checked.value as { from?: Sender };
+      const allowed = from ? checkSender(from) : ok(undefined);
       if (allowed.isErr()) return err(allowed.error);
       try {
         return await method(checked.value as never, context);
--- a/src/core/wiring.ts
+++ b/src/core/wiring.ts
@@ -18,7 +18,7 @@
 import { createDeferredMembers, type DeferredMembers } from './deferredMembers.js';
 import { startDistribution, type Distribution } from './distribution/start.js';
 import { createConfigStore, type DistributionStore } from './distribution/store.js';
-import { createIncarnation } from './membership/incarnation.js';
+import { chooseIncarnation } from './membership/chooseIncarnation.js';
 import { startMembership, type Membership } from './membership/start.js';
 import { createPeerClient } from './peer/client.js';
 import { createControlCounters } from './peer/counters.js';
@@ -62,17 +62,19 @@
   readonly deferred: DeferredMembers;
 }
 
-function createSharedParts(settings: Settings, logger: Logger): SharedParts {
+async function createSharedParts(settings: Settings, logger: Logger): Promise<SharedParts> {
   const counters = createControlCounters();
+  const peers = createPeerClient({ logger, counters });
+  const platform = createHttpPlatform(settings.platformUrl);
   const site = brandText<DataCentre>(settings.dataCentre);
   return {
     settings,
     logger,
-    incarnation: createIncarnation(),
+    incarnation: await chooseIncarnation({ settings, platform, peers, logger }),
     usage: new UsageSampler(),
     counters,
-    peers: createPeerClient({ logger, counters }),
-    platform: createHttpPlatform(settings.platformUrl),
+    peers,
+    platform,
     store: createConfigStore({ site, compile: compileRouting, logger }),
     deferred: createDeferredMembers(),
   };
@@ -239,7 +241,7 @@
 
 /** Constructs and starts the parts in the order in which they need each other. */
 async function startParts(settings: Settings, logger: Logger): Promise<RunningNode> {
-  const shared = createSharedParts(settings, logger);
+  const shared = await createSharedParts(settings, logger);
   const { usage, counters, peers, platform, store } = shared;
   const { table, partitions, dispatcher } = createInstanceParts(shared);
   const { stats, metrics, observer } = createObserverParts(shared);
--- a/test/membership/failures.test.ts
+++ b/test/membership/failures.test.ts
@@ -2,7 +2,16 @@
 import { test } from 'node:test';
 import type { DataCentre, NodeId, ServiceName } from '../../src/types/ids.js';
 import { advance, settle } from '../fakes/clock.js';
-import { startTestNode, useTestMesh, type TestNode } from '../fakes/nodes.js';
+import { chooseIncarnation } from '../../src/core/membership/chooseIncarnation.js';
+import { getStartMs } from '../../src/core/membership/incarnation.js';
+import { SILENT_LOGGER } from '../../src/utils/logger.js';
+import {
+  buildSettings,
+  startTestNode,
+  toSender,
+  useTestMesh,
+  type TestNode,
+} from '../fakes/nodes.js';
 import { assertAll } from '../fakes/results.js';
 
 const mesh = useTestMesh();
@@ -178,3 +187,45 @@
   await advance(9000);
   assertAll(mesh.nodes, countAlive, 4);
 });
+
+// Guards against a host that stays out for ever because its clock is behind that of the process it
+// replaces, or because the clock of that process was ahead once.
+test('a process whose clock is behind replaces the earlier one of its node', async () => {
+  await startFive();
+  const old = mesh.nodes.pop() as TestNode;
+  const record = { ...old.members.getSelf(), incarnation: `${Date.now() + 3_600_000}-a` };
+  const push = { from: toSender(record), changes: [{ record, verdict: 'alive' }] };
+  for (const { port } of mesh.nodes) {
+    old.peers.notify({ host: '127.0.0.1', port }, 'members.push', push);
+  }
+  await settle();
+  await old.stop();
+  await advance(12_000);
+  const { peers } = mesh.network.addNode(old.port);
+  const settings = buildSettings(old.port, 'dc-a', [100]);
+  const choosing = chooseIncarnation({
+    settings,
+    peers,
+    platform: mesh.platform,
+    logger: SILENT_LOGGER,
+  });
+  await advance(600);
+  const incarnation = await choosing;
+  assert.equal(getStartMs(incarnation), getStartMs(record.incarnation) + 1);
+  const back = startTestNode(mesh, old.port, 'dc-a', [100], getStartMs(incarnation));
+  mesh.nodes.push(back);
+  await advance(8000);
+  assertAll(mesh.nodes, countAlive, 5);
+});
+
+// Guards against suspicions that last as long as the wall clock was set back.
+test('a crash is found although the clock is set back meanwhile', async () => {
+  const [first] = await startFive();
+  const crashed = mesh.nodes.pop() as TestNode;
+  await crashed.stop();
+  while (getView(first, crashed)?.verdict !== 'suspect') await advance(100);
+  const { now } = Date;
+  Date.now = () => now() - 3_600_000;
+  await advance(10_000);
+  assertAll(mesh.nodes, (node) => getView(node, crashed)?.verdict, 'dead');
+});
--- a/test/peer/fuzz.test.ts
+++ b/test/peer/fuzz.test.ts
@@ -44,6 +44,7 @@
     },
   ],
   ['members.push', { from, changes: CHANGES }],
+  ['members.lookup', { nodeId: SENDER.nodeId }],
   ['config.notify', { from, version: 1, digest: buildBundle(1).digest }],
   ['config.fetch', { from, haveVersion: 0, haveDigest: buildBundle(1).digest, wantDigest: '' }],
   ['config.floor', { from }],
