--- a/standins/upstream/behaviour.ts
+++ b/standins/upstream/behaviour.ts
@@ -9,6 +9,8 @@
   failStatus: number;
   /** Share of answers whose connection breaks in the middle of the body. */
   truncatePercent: number;
+  /** Sends truncated answers in chunks: without a stated length only the framing shows the end. */
+  truncateChunked: boolean;
   /** Share of runs whose connection breaks before the answer. */
   resetPercent: number;
   /** Share of runs that do not end until they are cancelled. */
@@ -35,6 +37,7 @@
   failPercent: 0,
   failStatus: 500,
   truncatePercent: 0,
+  truncateChunked: false,
   resetPercent: 0,
   hangPercent: 0,
   lateMs: 0,
--- a/standins/upstream/work.ts
+++ b/standins/upstream/work.ts
@@ -63,10 +63,11 @@
   response.end(body);
 }
 
-/** Sends the announced length with half of the body and breaks the connection. */
-function sendHalf(response: ServerResponse, text: string): void {
+/** Sends half of the body, with the whole length or in chunks, and breaks the connection. */
+function sendHalf(response: ServerResponse, text: string, isChunked: boolean): void {
   const body = Buffer.from(text);
-  response.writeHead(200, { 'content-type': 'application/json', 'content-length': body.length });
+  const framing = isChunked ? {} : { 'content-length': body.length };
+  response.writeHead(200, { 'content-type': 'application/json', ...framing });
   response.write(body.subarray(0, Math.floor(body.length / 2)), () => response.destroy());
 }
 
@@ -141,7 +142,7 @@
     const shown = inner && { status: inner.status, outcome: inner.outcome, reason: inner.reason };
     const body = buildAnswer(callId, options.instanceId, run, parseLength(request), shown);
     if (isDrawn(behaviour.truncatePercent)) {
-      sendHalf(response, body);
+      sendHalf(response, body, behaviour.truncateChunked);
       return;
     }
     if (inner !== undefined && (inner.status === 0 || inner.status >= 500)) {
--- a/test/faults/partition.test.ts
+++ b/test/faults/partition.test.ts
@@ -46,9 +46,11 @@
   assert.deepEqual(await mesh.send(entry, CALLS.booking, 'healed'), { ...WHOLE, version: 3 });
 });
 
-// Guards G9: a version accepted right before an outage that stays with the node that read it.
+// Guards G9: a version accepted right before an outage that stays with the nodes that read it. The
+// third node of dc0 is no relay and dc1 is cut off, so neither can read it from the platform.
 test('partition: a change accepted right before an outage reaches every node', async (t) => {
-  const mesh = await startFaultMesh(t, buildSites(2, 2));
+  const mesh = await startFaultMesh(t, buildSites(3, 1));
+  await mesh.setCuts([['dc1', 'platform']]);
   const version = await mesh.accept(buildConfig(8000));
   await waitFor('one node with the version', async () => {
     const views = await Promise.all(mesh.hosts.map(readView));
--- a/test/faults/upstream.test.ts
+++ b/test/faults/upstream.test.ts
@@ -15,29 +15,38 @@
 const TWO_HOSTS = buildSites(2);
 const LENGTH = 200_000;
 
-// Guards G4: an answer that is cut short and looks whole, through its own node or another.
-test('upstream: a truncated answer breaks the connection of its caller only', async (t) => {
-  const mesh = await startFaultMesh(t, TWO_HOSTS);
-  const [cutting, whole] = [mesh.getHost(0), mesh.getHost(1)];
-  await mesh.setBehaviour(cutting.instanceId, { truncatePercent: 100 });
-  const calls = Array.from({ length: 20 }, (_, index) => `cut-${index}`);
-  const results = await Promise.all(
-    calls.map((id, index) =>
-      mesh.send(mesh.getHost(index % 2), { ...CALLS.booking, length: LENGTH }, id),
-    ),
-  );
-  const runs = mesh.listRuns();
-  for (const [index, id] of calls.entries()) {
-    const result = results[index];
-    const instances = runs.filter((run) => run.callId === id).map((run) => run.instanceId);
-    assert.equal(instances.length, 1, id);
-    const isCut = instances[0] === cutting.instanceId;
-    if (isCut) assert.ok(result?.kind === 'broken' || result?.kind === 'unknown', id);
-    else assert.deepEqual(result, { kind: 'answered', status: 200, check: 'whole', version: 1 });
-  }
-  assert.ok(runs.some((run) => run.instanceId === cutting.instanceId));
-  assert.ok(runs.some((run) => run.instanceId === whole.instanceId));
-});
+// Guards G4: an answer that is cut short and looks whole, through its own node or another. In
+// chunks, since a stated length alone shows the caller that something is missing.
+for (const truncateChunked of [false, true]) {
+  const form = truncateChunked ? 'in chunks' : 'of stated length';
+  test(`upstream: a truncated answer ${form} breaks its caller's connection only`, async (t) => {
+    const mesh = await startFaultMesh(t, TWO_HOSTS);
+    const [cutting, whole] = [mesh.getHost(0), mesh.getHost(1)];
+    await mesh.setBehaviour(cutting.instanceId, { truncatePercent: 100, truncateChunked });
+    const calls = Array.from({ length: 20 }, (_, index) => `cut-${index}`);
+    const results = await Promise.all(
+      calls.map((id, index) =>
+        mesh.send(mesh.getHost(index % 2), { ...CALLS.booking, length: LENGTH }, id),
+      ),
+    );
+    const runs = mesh.listRuns();
+    const cutEntries = new Set<number>();
+    for (const [index, id] of calls.entries()) {
+      const result = results[index];
+      const instances = runs.filter((run) => run.callId === id).map((run) => run.instanceId);
+      assert.equal(instances.length, 1, id);
+      if (instances[0] === cutting.instanceId) {
+        assert.ok(result?.kind === 'broken' || result?.kind === 'unknown', id);
+        cutEntries.add(index % 2);
+      } else {
+        assert.deepEqual(result, { kind: 'answered', status: 200, check: 'whole', version: 1 });
+      }
+    }
+    // Both ways are cut: at the instance's own node and at the node that forwarded the call.
+    assert.deepEqual([...cutEntries].sort(), [0, 1]);
+    assert.ok(runs.some((run) => run.instanceId === whole.instanceId));
+  });
+}
 
 // Guards G4 and G5: a late answer that reaches the next caller, a call past its deadline that is
 // called "not run", and a slot that is given away while the upstream still works.
