Rank relays and compare equal records without hashing again

Cause: a profile of 540 nodes joining on the memory network showed 25 of 130 s in canonical texts of repeated changes, and 23 s in hashes, most of them the ranking of a data centre after each change of the table. Change: equal texts of two records are found before they are made canonical; the ranking is kept while the live members of the data centre are the same. Ruled out: none of the rest exceeds a tenth but copies of the network fake.

--- a/src/core/membership/merge.ts
+++ b/src/core/membership/merge.ts
@@ -24,6 +24,9 @@
   if (byRecord !== 0) return byRecord;
   const byVerdict = VERDICT_RANK[a.verdict] - VERDICT_RANK[b.verdict];
   if (byVerdict !== 0) return byVerdict;
+  // Repeated changes are mostly equal to the letter. Canonical texts of them all took a fifth of
+  // the processor time in which 540 nodes joined.
+  if (JSON.stringify(a.record) === JSON.stringify(b.record)) return 0;
   const textA = canonicalize(a.record) ?? '';
   const textB = canonicalize(b.record) ?? '';
   if (textA === textB) return 0;
--- a/src/core/membership/relays.ts
+++ b/src/core/membership/relays.ts
@@ -18,6 +18,18 @@
 export function createRelayRanking(table: Table): RelayRanking {
   let revision = -1;
   let ranked = new Map<string, readonly Entry[]>();
+  const orders = new Map<string, { readonly names: string; readonly order: readonly string[] }>();
+
+  /** Scores are computed again only when the live members change, not with each record. */
+  const rankNames = (dataCentre: string, live: readonly Entry[]): readonly string[] => {
+    const nodeIds = live.map(({ record }) => record.nodeId);
+    const names = nodeIds.join('\n');
+    const known = orders.get(dataCentre);
+    if (known?.names === names) return known.order;
+    const order = rankMembers(dataCentre, nodeIds, (nodeId) => nodeId);
+    orders.set(dataCentre, { names, order });
+    return order;
+  };
 
   const listRanked = (dataCentre: string): readonly Entry[] => {
     if (revision !== table.getRevision()) {
@@ -29,7 +41,7 @@
     const live = table
       .listPresent(dataCentre)
       .filter(({ record, verdict }) => verdict === 'alive' && record.state !== 'leaving');
-    const list = rankMembers(dataCentre, live, ({ record }) => record.nodeId);
+    const list = rankNames(dataCentre, live).flatMap((nodeId) => table.get(nodeId) ?? []);
     ranked.set(dataCentre, list);
     return list;
   };
