Name the nearest command, flag and help after wrong usage

Cause: a misspelt command or flag got oclif's bare error, with ids such as config:aply, and a page of usage.

Change: a hook for unknown commands and the catch of the base command name the nearest command or flag, the environment variable of a missing flag, and the help to run; the exit code is 2. Two swapped letters now count as one edit in all suggestions, those of `config check` included.

Ruled out: a plugin for unknown commands (not installed, and it asks at the terminal).

--- a/src/cli/baseCommand.ts
+++ b/src/cli/baseCommand.ts
@@ -5,6 +5,7 @@
 import type { StepError } from '../errors.js';
 import type { PlatformClient } from '../types/interfaces.js';
 import { EXIT_CODES, getExitCode } from './exitCodes.js';
+import { explainFlags, explainUsage } from './suggestCommand.js';
 
 /** Flag of commands that read or write the platform. */
 export const PLATFORM_FLAG = {
@@ -29,10 +30,42 @@
   dir: Flags.string({ description: 'directory of base.jsonc and overlays/', default: '.' }),
 };
 
+/** Errors as oclif passes them on; `parse` is there after a fault in arguments or flags. */
+interface CommandError extends Error {
+  showHelp?: boolean;
+  readonly code?: string;
+  readonly exitCode?: number;
+  readonly oclif?: { readonly exit?: number };
+  readonly parse?: { readonly input?: { readonly flags?: Record<string, { env?: string }> } };
+  /** Flags that do not exist. */
+  readonly flags?: readonly string[];
+}
+
+/** What oclif appends to faults of usage. */
+const OCLIF_HELP = '\nSee more help with --help';
+
 /** Base of all commands: text for people, or one JSON value with `--json`. */
 export abstract class BaseCommand extends Command {
   static override enableJsonFlag = true;
 
+  /** Names the help in faults of usage, and sets the exit code, which oclif drops with `--json`. */
+  protected override async catch(error: CommandError): Promise<unknown> {
+    if (error.parse || error.message.endsWith(OCLIF_HELP)) {
+      const flags = error.parse?.input?.flags ?? {};
+      const text = error.flags
+        ? explainFlags(error.flags, Object.keys(flags))
+        : explainUsage(error.message.replace(OCLIF_HELP, ''), flags);
+      const message = `${text}\nsee: lycheelane ${this.id?.replaceAll(':', ' ')} --help`;
+      Object.assign(error, { message, showHelp: false });
+    }
+    const exitCode = error.oclif?.exit ?? EXIT_CODES.failed;
+    process.exitCode = exitCode;
+    if (!this.jsonEnabled()) return super.catch(error);
+    // oclif would add the parsed input, with paths and the values of secret flags.
+    this.logJson({ error: { code: error.code, message: error.message, exitCode } });
+    return undefined;
+  }
+
   /** Ends the command with the message of an error, which names step and peer. */
   protected fail(error: StepError): never {
     const message = `${error.message} (step ${error.step}, ${error.peer})`;
--- a/src/cli/commands/config/apply.ts
+++ b/src/cli/commands/config/apply.ts
@@ -41,7 +41,7 @@
     if (!isDone || !flags.wait || !flags.node) return finishCommand(exitCode, outcome);
     const { node, timeout, 'node-token': token } = flags;
     const { report, lastError } = await waitInForce(
-      () => fetchNodes(node, token),
+      () => fetchNodes({ node, 'node-token': token }),
       outcome.version,
       {
         timeoutMs: timeout * 1000,
--- a/src/cli/commands/nodes.ts
+++ b/src/cli/commands/nodes.ts
@@ -14,8 +14,7 @@
   /** Runs the command. */
   async run() {
     const { flags } = await this.parse(Nodes);
-    if (flags.node === undefined) this.error('--node is missing', { exit: 2 });
-    const answer = this.unwrap(await fetchNodes(flags.node, flags['node-token']));
+    const answer = this.unwrap(await fetchNodes(flags));
     const rows = answer.nodes.map((node) => [
       node.nodeId,
       node.dataCentre,
--- a/src/cli/fetchNodes.ts
+++ b/src/cli/fetchNodes.ts
@@ -2,17 +2,13 @@
 import { buildError, type StepError } from '../errors.js';
 import type { NodesAnswer } from '../generated/types.js';
 import { validateNodesAnswer } from '../generated/validators.js';
-import { requestNode } from './requestNode.js';
+import { requestNode, type NodeTarget } from './requestNode.js';
 
-/** Reads what a node knows of all nodes; `token` is needed when its port is not on loopback. */
-export async function fetchNodes(
-  nodeUrl: string,
-  token?: string,
-): Promise<Result<NodesAnswer, StepError>> {
-  const target = { node: nodeUrl, 'node-token': token };
+/** Reads what a node knows of all nodes. */
+export async function fetchNodes(target: NodeTarget): Promise<Result<NodesAnswer, StepError>> {
   const answer = await requestNode<NodesAnswer>(target, '/v1/nodes?scope=all');
   if (answer.isErr() || validateNodesAnswer(answer.value)) return answer;
   const [fault] = validateNodesAnswer.errors ?? [];
   const message = `malformed answer: ${fault?.instancePath ?? ''} ${fault?.message ?? ''}`;
-  return err(buildError('invalid', 'operator.nodes', nodeUrl, message));
+  return err(buildError('invalid', 'operator.nodes', target.node ?? 'self', message));
 }
--- a/src/cli/requestNode.ts
+++ b/src/cli/requestNode.ts
@@ -27,7 +27,10 @@
   const { node, 'node-token': token } = target;
   const step = `operator${path.split('?')[0]!.replaceAll('/', '.')}`;
   if (node === undefined || !URL.canParse(node)) {
-    const message = node === undefined ? '--node is missing' : `--node is not a URL: ${node}`;
+    const message =
+      node === undefined
+        ? '--node is missing: give the URL of a node’s operator port, or set LYCHEELANE_NODE'
+        : `--node is not a URL: ${node}`;
     return err(buildError('refused', 'config.node', 'self', message));
   }
   let text: string;
--- a/src/core/config/suggestName.ts
+++ b/src/core/config/suggestName.ts
@@ -1,13 +1,18 @@
 /** Suggestions for misspelt names. */
 
+/** Letters to add, remove, replace or swap with their neighbour, to get from one to the other. */
 function computeEditDistance(a: string, b: string): number {
+  let before: number[] = [];
   let row = Array.from({ length: b.length + 1 }, (_, index) => index);
   for (let i = 1; i <= a.length; i += 1) {
     const next = [i];
     for (let j = 1; j <= b.length; j += 1) {
       const change = (row[j - 1] ?? 0) + (a[i - 1] === b[j - 1] ? 0 : 1);
-      next.push(Math.min(change, (row[j] ?? 0) + 1, (next[j - 1] ?? 0) + 1));
+      const isSwap = i > 1 && j > 1 && a[i - 1] === b[j - 2] && a[i - 2] === b[j - 1];
+      const swap = isSwap ? (before[j - 2] ?? 0) + 1 : change;
+      next.push(Math.min(change, swap, (row[j] ?? 0) + 1, (next[j - 1] ?? 0) + 1));
     }
+    before = row;
     row = next;
   }
   return row[b.length] ?? 0;
--- /dev/null
+++ b/test/config/usage.test.ts
@@ -0,0 +1,70 @@
+import assert from 'node:assert/strict';
+import { spawn } from 'node:child_process';
+import { test } from 'node:test';
+
+/** Runs the program as an operator does, since oclif finds hooks and help only then. */
+async function run(...args: string[]) {
+  const env = { ...process.env };
+  delete env.LYCHEELANE_NODE;
+  delete env.LYCHEELANE_PLATFORM;
+  const child = spawn(process.execPath, ['dist/src/cli/main.js', ...args], { env });
+  const read = async (stream: NodeJS.ReadableStream) => {
+    const chunks: Buffer[] = [];
+    for await (const chunk of stream) chunks.push(chunk as Buffer);
+    return Buffer.concat(chunks).toString();
+  };
+  const closed = new Promise<number | null>((resolve) => {
+    child.once('close', resolve);
+  });
+  const [stdout, stderr, code] = await Promise.all([
+    read(child.stdout),
+    read(child.stderr),
+    closed,
+  ]);
+  // oclif wraps its error texts to the width of the terminal.
+  return { stdout, stderr: stderr.replaceAll(/\s*›\s*/g, ' ').trim(), code };
+}
+
+const CASES: readonly [string, string, string][] = [
+  ['nods', 'did you mean "lycheelane nodes"?', 'nodes'],
+  ['config aply --wait', 'did you mean "lycheelane config apply"?', 'config'],
+  ['config statsu 123', 'did you mean "lycheelane config status"?', 'config'],
+  ['brun', 'did you mean "lycheelane report burn"?', ''],
+  ['conf', 'there is no command "conf"', 'config'],
+  ['weather', 'there is no command "weather"', ''],
+  ['report burn now', '"report burn" takes no argument "now"', 'report burn'],
+  ['nodes --nod x', 'there is no flag --nod; did you mean --node?', 'nodes'],
+  ['config check --wait', 'there is no flag --wait', 'config check'],
+  ['config history', 'platform (or set LYCHEELANE_PLATFORM)', 'config history'],
+  ['config apply --wait --platform http://x', '--node (or set LYCHEELANE_NODE)', 'config apply'],
+  ['config history --limit 0', 'greater than or equal to 1', 'config history'],
+];
+
+// Guards against a wrong command or flag that names neither the nearest one nor the help to run, or
+// that ends with another code than wrong usage.
+for (const [line, expected, help] of CASES) {
+  test(`usage: ${line}`, async () => {
+    const { stderr, code } = await run(...line.split(' '));
+    assert.equal(code, 2, stderr);
+    const text = stderr.replaceAll(/\s+/g, ' ');
+    assert.ok(text.includes(expected), text);
+    const end = `see: lycheelane ${help} --help`.replace('  ', ' ');
+    assert.ok(text.endsWith(end), text);
+  });
+}
+
+// Guards against `--json` that ends every error with 1, and that prints tokens and paths that
+// oclif keeps with the error.
+test('usage: --json keeps the exit code and prints only the message', async () => {
+  for (const [code, ...args] of [
+    ['2', 'nodes', '--nonsense', '--node-token', 'secret'],
+    ['2', 'config', 'check', '--dir', '/nowhere'],
+    ['1', 'config', 'history', '--platform', 'http://127.0.0.1:9'],
+  ]) {
+    const result = await run(...args, '--json');
+    const { error } = JSON.parse(result.stdout) as { error: object };
+    assert.equal(String(result.code), code, result.stdout);
+    assert.deepEqual(Object.keys(error).sort().slice(-2), ['exitCode', 'message']);
+    assert.doesNotMatch(result.stdout, /secret/);
+  }
+});
