--- a/src/cli/commands/report/burn.ts
+++ b/src/cli/commands/report/burn.ts
@@ -1,30 +1,19 @@
 import { Flags } from '@oclif/core';
-import type { BurnAlert, BurnCounts, BurnRates } from '../../../plugins/burnRate.js';
+import { buildError, toStepError } from '../../../errors.js';
 import { BURN_WINDOWS_MIN } from '../../../plugins/burnRate.js';
 import { BaseCommand, NODE_FLAGS } from '../../baseCommand.js';
+import { replaceFile } from '../../config/replaceFile.js';
 import { formatTable } from '../../formatTable.js';
+import {
+  formatNumber,
+  listObjectives,
+  type BurnAnswer,
+  type BurnOfObjective,
+  type BurnRoute,
+} from '../../report/burnAnswer.js';
+import { renderBurnPage } from '../../report/burnHtml.js';
 import { requestNode } from '../../requestNode.js';
 
-interface BurnOfObjective {
-  readonly burn: BurnRates;
-  readonly alert: BurnAlert;
-}
-
-interface BurnRoute {
-  readonly route: string;
-  readonly windows: Readonly<Record<number, BurnCounts>>;
-  readonly p50Ms: number;
-  readonly p99Ms: number;
-  readonly objective: object | null;
-  readonly availability?: BurnOfObjective;
-  readonly latency?: BurnOfObjective | null;
-}
-
-interface BurnAnswer {
-  readonly version: number;
-  readonly routes: readonly BurnRoute[];
-}
-
 const HEADER = [
   'ROUTE',
   'OBJECTIVE',
@@ -39,19 +28,18 @@
   return [
     route.route,
     name,
-    ...BURN_WINDOWS_MIN.map((windowMin) => objective?.burn[windowMin]?.toFixed(2) ?? '-'),
+    ...BURN_WINDOWS_MIN.map((windowMin) => formatNumber(objective?.burn[windowMin], 2)),
     objective?.alert ?? '-',
     String(route.windows[360]?.total ?? 0),
-    route.p50Ms.toFixed(1),
-    route.p99Ms.toFixed(1),
+    formatNumber(route.p50Ms, 1),
+    formatNumber(route.p99Ms, 1),
   ];
 }
 
 function listRows(route: BurnRoute): string[][] {
-  if (route.objective === null) return [formatRow(route, 'none', undefined)];
-  const rows = [formatRow(route, 'availability', route.availability)];
-  if (route.latency) rows.push(formatRow(route, 'latency', route.latency));
-  return rows;
+  const objectives = listObjectives(route);
+  if (objectives.length === 0) return [formatRow(route, 'none', undefined)];
+  return objectives.map(({ name, burn }) => formatRow(route, name, burn));
 }
 
 /** `lycheelane report burn` */
@@ -70,6 +58,7 @@
       options: ['local', 'all'],
       default: 'all',
     }),
+    html: Flags.string({ description: 'file that gets the report as one page with charts' }),
   };
 
   /** Runs the command. */
@@ -79,6 +68,23 @@
     const answer = this.unwrap(await requestNode<BurnAnswer>(flags, path));
     if (answer.routes.length === 0) this.log('no calls yet');
     else this.log(formatTable(HEADER, answer.routes.flatMap(listRows)));
+    if (flags.html !== undefined) await this.writePage(flags.html, answer, flags);
     return answer;
   }
+
+  private async writePage(
+    file: string,
+    answer: BurnAnswer,
+    { node = '', scope }: { readonly node?: string | undefined; readonly scope: string },
+  ): Promise<void> {
+    // The URL may hold credentials, and the page is made to be kept and passed on.
+    const source = { node: new URL(node).origin, scope, atMs: Date.now() };
+    try {
+      await replaceFile(file, renderBurnPage(answer, source));
+    } catch (thrown) {
+      const { message } = toStepError(thrown, 'report.write', file);
+      this.fail(buildError('unavailable', 'report.write', file, `not written: ${message}`, thrown));
+    }
+    this.log(`written to ${file}`);
+  }
 }
--- a/src/plugins/burnRate.ts
+++ b/src/plugins/burnRate.ts
@@ -83,12 +83,18 @@
 }
 
 /**
- * Applies the multi-window rule to the rates of one objective. Both windows of a pair must exceed
- * the rate: the long one shows that it matters, the short one that it still goes on.
+ * The multi-window rules, the most urgent first. Both windows of a rule must reach the rate: the
+ * long one shows that it matters, the short one that it still goes on.
  */
+export const BURN_RULES = [
+  { alert: 'page', rate: 14.4, windowsMin: [5, 60] as readonly number[] },
+  { alert: 'ticket', rate: 6, windowsMin: [30, 360] as readonly number[] },
+] as const;
+
+/** Applies the multi-window rules to the rates of one objective. */
 export function deriveAlert(rates: BurnRates): BurnAlert {
-  const exceeds = (windowMin: number, rate: number) => (rates[windowMin] ?? 0) >= rate;
-  if (exceeds(5, 14.4) && exceeds(60, 14.4)) return 'page';
-  if (exceeds(30, 6) && exceeds(360, 6)) return 'ticket';
-  return 'none';
+  const rule = BURN_RULES.find(({ rate, windowsMin }) =>
+    windowsMin.every((windowMin) => (rates[windowMin] ?? 0) >= rate),
+  );
+  return rule?.alert ?? 'none';
 }
--- a/test/config/usage.test.ts
+++ b/test/config/usage.test.ts
@@ -1,29 +1,6 @@
 import assert from 'node:assert/strict';
-import { spawn } from 'node:child_process';
 import { test } from 'node:test';
-
-/** Runs the program as an operator does, since oclif finds hooks and help only then. */
-async function run(...args: string[]) {
-  const env = { ...process.env };
-  delete env.LYCHEELANE_NODE;
-  delete env.LYCHEELANE_PLATFORM;
-  const child = spawn(process.execPath, ['dist/src/cli/main.js', ...args], { env });
-  const read = async (stream: NodeJS.ReadableStream) => {
-    const chunks: Buffer[] = [];
-    for await (const chunk of stream) chunks.push(chunk as Buffer);
-    return Buffer.concat(chunks).toString();
-  };
-  const closed = new Promise<number | null>((resolve) => {
-    child.once('close', resolve);
-  });
-  const [stdout, stderr, code] = await Promise.all([
-    read(child.stdout),
-    read(child.stderr),
-    closed,
-  ]);
-  // oclif wraps its error texts to the width of the terminal.
-  return { stdout, stderr: stderr.replaceAll(/\s*›\s*/g, ' ').trim(), code };
-}
+import { runProgram } from './runProgram.js';
 
 const CASES: readonly [string, string, string][] = [
   ['nods', 'did you mean "lycheelane nodes"?', 'nodes'],
@@ -44,7 +21,7 @@
 // that ends with another code than wrong usage.
 for (const [line, expected, help] of CASES) {
   test(`usage: ${line}`, async () => {
-    const { stderr, code } = await run(...line.split(' '));
+    const { stderr, code } = await runProgram(...line.split(' '));
     assert.equal(code, 2, stderr);
     const text = stderr.replaceAll(/\s+/g, ' ');
     assert.ok(text.includes(expected), text);
@@ -61,7 +38,7 @@
     ['2', 'config', 'check', '--dir', '/nowhere'],
     ['1', 'config', 'history', '--platform', 'http://127.0.0.1:9'],
   ]) {
-    const result = await run(...args, '--json');
+    const result = await runProgram(...args, '--json');
     const { error } = JSON.parse(result.stdout) as { error: object };
     assert.equal(String(result.code), code, result.stdout);
     assert.deepEqual(Object.keys(error).sort().slice(-2), ['exitCode', 'message']);
