--- a/src/core/distribution/obtain.ts
+++ b/src/core/distribution/obtain.ts
@@ -128,7 +128,8 @@
     if (read.isErr()) return false;
     const head = read.value?.value;
     store.confirmFloor(toTag(head ?? { version: 0, digest: '' }), 'platform');
-    if (head && isMissing(toTag(head))) {
+    // Under a refused head an earlier version may be missing.
+    if (head && head.version > store.getTag().version) {
       const installed = await installAccepted(context, head);
       if (installed.isErr()) return false;
     }
--- a/src/core/distribution/watchHead.ts
+++ b/src/core/distribution/watchHead.ts
@@ -34,7 +34,7 @@
 
   const obtainHead = async (head: Head) => {
     store.confirmFloor(toTag(head), 'platform');
-    if (head.version <= store.getTag().version || store.isRefused(toTag(head))) {
+    if (head.version <= store.getTag().version) {
       seeker.hear(toTag(head));
       return;
     }
--- a/src/core/membership/antiEntropy.ts
+++ b/src/core/membership/antiEntropy.ts
@@ -79,7 +79,7 @@
   const { table, peers, settings, logger } = context;
   let isRunning = false;
   let gapMs = MIN_GAP_MS;
-  let notBeforeMs = 0;
+  let comparedAtMs = -Infinity;
 
   const listEntries = (buckets: Buckets): readonly Entry[] => {
     if (!buckets) return table.list();
@@ -133,7 +133,7 @@
     const repaired = result.unwrapOr(0);
     // A difference that an exchange does not settle is looked at ever less often.
     gapMs = repaired > 0 ? MIN_GAP_MS : Math.min(MAX_GAP_MS, gapMs * 2);
-    notBeforeMs = Date.now() + gapMs;
+    comparedAtMs = Date.now();
     logger.debug('member-tables-compared', {
       peer: formatHostPort(address.host, address.port),
       repaired,
@@ -144,9 +144,11 @@
     runComparison,
     recordHash: (address, tableHash, isOverdue = false) => {
       const nowMs = Date.now();
-      if (isRunning || tableHash === table.computeHash() || nowMs < notBeforeMs) return;
+      // Absolute, so that a clock that was set back holds no comparison up.
+      const isEarly = Math.abs(nowMs - comparedAtMs) < gapMs;
+      if (isRunning || isEarly || tableHash === table.computeHash()) return;
       const quietMs = QUIET_INTERVALS * settings.membership.pingIntervalMs;
-      if (!isOverdue && nowMs - table.getChangedAtMs() < quietMs) return;
+      if (!isOverdue && Math.abs(nowMs - table.getChangedAtMs()) < quietMs) return;
       void runRepair(address);
     },
     handleBuckets: ({ hashes }) => {
--- a/test/calls/callFleet.ts
+++ b/test/calls/callFleet.ts
@@ -13,6 +13,7 @@
 import { brandText, type NodeId } from '../../src/types/ids.js';
 import type { MemberTable, MemberView } from '../../src/types/interfaces.js';
 import type { CompiledRoute, RoutingState } from '../../src/types/routing.js';
+import { CALL_HEADERS } from '../../src/types/outcome.js';
 import { SILENT_LOGGER } from '../../src/utils/logger.js';
 import { createFakePools } from '../fakes/callPools.js';
 import { settle } from '../fakes/clock.js';
@@ -43,7 +44,11 @@
 export const ENDINGS = {
   answer: (exchange: FakeExchange) => exchange.answer(),
   error: (exchange: FakeExchange) => exchange.answer(500),
-  shed: (exchange: FakeExchange) => exchange.answer(503, { 'lycheelane-outcome': 'not-run' }),
+  shed: (exchange: FakeExchange) =>
+    exchange.answer(503, {
+      [CALL_HEADERS.outcome]: 'not-run',
+      [CALL_HEADERS.request]: exchange.requestId,
+    }),
   busy: (exchange: FakeExchange) => exchange.answer(503),
   fail: (exchange: FakeExchange) => exchange.fail(),
   truncate: (exchange: FakeExchange) => {
--- a/test/upstream/renewals.test.ts
+++ b/test/upstream/renewals.test.ts
@@ -162,11 +162,16 @@
   views.set('a', view);
   await run(2);
   assert.equal(node.listHeld().length, 8);
+  const taken = buildKey(Date.now() - 500);
+  assert.equal(node.takeKey(SERVICE, taken).kind, 'allowed');
   await node.stop();
   const stored = JSON.stringify([...platform.objects.values()]);
-  for (const { value } of platform.objects.values()) {
-    assert.equal((value as KeyPartition).until, Date.now());
-  }
+  const ends = [...platform.objects.values()].map(({ value }) => (value as KeyPartition).until);
+  // Each interval ends above the keys that were handed over, so a successor may run all others.
+  assert.deepEqual(
+    ends.sort((one, other) => one - other),
+    [0, 0, 0, 0, 0, 0, 0, taken.issuedAtMs + 1],
+  );
   await run(60);
   assert.equal(JSON.stringify([...platform.objects.values()]), stored);
 });
