--- a/test/membership/spread.test.ts
+++ b/test/membership/spread.test.ts
@@ -45,7 +45,8 @@
     node.members.listMembers().filter(({ record }) => record.instances.length > 0).length;
   assertAll(mesh.nodes, countInstances, changed.length);
   const comparisons = mesh.network.sent.filter(({ method }) => method === 'members.buckets');
-  assert.ok(comparisons.length <= 3, `${comparisons.length} comparisons`);
+  // A node may miss a change by chance; one comparison for each data centre spreads it again.
+  assert.ok(comparisons.length <= sites.length, `${comparisons.length} comparisons`);
 });
 
 /** Starts two data centres of six nodes; returns the relays of the first, best rank first. */
