Keep seeking a version that members hold when the head was lowered

Cause: a node that restarts on a lowered head and reads the platform before its peers have handed out their higher version took that version for one that was never accepted and ignored it for 30 s. On a loaded machine fetches pass their 500 ms timeout, so the test 'a head with a lower version moves no node back' could exceed its 12 s. Change: an announced version above the head is dropped only if no present member has it installed. Ruled out: a longer wait in the test, and a shorter time of ignoring, which would still let the node serve the old version meanwhile. Conclusion: a cause of the unexplained failure; the failed run's log is gone, so it is not shown that this was the one.

--- a/src/core/distribution/obtain.ts
+++ b/src/core/distribution/obtain.ts
@@ -58,6 +58,9 @@
           member.record.dataCentre === settings.dataCentre,
       );
 
+  const isHeldByMember = ({ version }: VersionTag): boolean =>
+    members.listMembers().some((member) => isPresent(member) && member.tag.version >= version);
+
   /** A member that announced the version, else one that is known to hold it, else any. */
   const takeSource = (tag: VersionTag): MemberView | undefined => {
     for (let nodeId = holders.shift(); nodeId !== undefined; nodeId = holders.shift()) {
@@ -138,8 +141,11 @@
         version: wanted.version,
         head: head?.version ?? 0,
       });
-      ignored = { tag: wanted, untilMs: Date.now() + IGNORE_MS };
-      wanted = undefined;
+      // A head that was lowered does not refute a version that members have installed.
+      if (!isHeldByMember(wanted)) {
+        ignored = { tag: wanted, untilMs: Date.now() + IGNORE_MS };
+        wanted = undefined;
+      }
     }
     return true;
   };
--- a/test/distribution/floor.test.ts
+++ b/test/distribution/floor.test.ts
@@ -140,3 +140,25 @@
   await advance(8000);
   assert.equal(node.store.isReady(), true);
 });
+
+// Guards G1: a node that starts on a head which was lowered, reads it before its slow peers hand
+// out their higher version, and then takes that version for one that was never accepted.
+test('a node that starts on a lowered head takes the version of its slow peers', async () => {
+  mesh.startNodes('dc-a', 100, 3);
+  await advance(8000);
+  acceptBundle(mesh.platform, buildBundle(2));
+  await advance(4000);
+  assertAll(mesh.nodes, ({ store }) => Number(store.getTag().version), 2);
+  acceptBundle(mesh.platform, buildBundle(1));
+  const old = mesh.nodes.pop() as TestNode;
+  await old.stop();
+  let isSlow = true;
+  mesh.network.decide = ({ method }) =>
+    isSlow && method.startsWith('config.') ? { delayMs: 1500 } : 'deliver';
+  const restarted = startTestNode(mesh, old.port, 'dc-a', [100], 500_000);
+  mesh.nodes.push(restarted);
+  await advance(6000);
+  isSlow = false;
+  await advance(4000);
+  assert.equal(restarted.store.getTag().version, 2);
+});
