--- a/test/calls/lifecycle.test.ts
+++ b/test/calls/lifecycle.test.ts
@@ -5,6 +5,7 @@
 import { test } from 'node:test';
 import { createToken } from '../../src/core/calls/callKey.js';
 import { SILENT_OBSERVER } from '../../src/core/calls/observer.js';
+import { waitMs } from '../../src/utils/backoff.js';
 import type { Call } from '../../src/types/calls.js';
 import type { Outcome } from '../../src/types/outcome.js';
 import {
@@ -108,6 +109,32 @@
   await assert.rejects(send(port), /ECONNREFUSED/);
 });
 
+// Guards against a keyed call that is cut because it came over a connection made before the port
+// closed, and then looked for its owner for longer than the closing takes (G8).
+test('a call over one of the last connections is waited for', async () => {
+  const dispatcher = createDispatcher(async () => {
+    await waitMs(400);
+    return answer('done');
+  });
+  const { port, stop } = await startInstanceNode('n1', dispatcher);
+  const socket = connect(port, '127.0.0.1');
+  await once(socket, 'connect');
+  const stopped = stop(60_000);
+  const isOpen = () =>
+    send(port).then(
+      () => true,
+      () => false,
+    );
+  while (await isOpen());
+  const key = createToken('n1', '1-n1');
+  const target = 'lycheelane-target: n1/1-n1\r\nlycheelane-request: request-1';
+  socket.write(`POST /x HTTP/1.1\r\nhost: a\r\n${target}\r\nidempotency-key: ${key}\r\n\r\n`);
+  let text = '';
+  for await (const chunk of socket) text += String(chunk);
+  assert.match(text, /^HTTP\/1.1 200 [^]*done/);
+  assert.deepEqual(await stopped, { cut: 0 });
+});
+
 // Guards against a stop that hangs on a call that does not end.
 test('a stop cuts the calls that remain at its limit and counts them', async () => {
   const { dispatcher, first, end } = createWaiting();
