Move the decision on a key into a file of its own

Change: keyVerdict.ts derives the verdict from what is known of a partition. The order of its checks is that of the bounds; its results are the same. Ruled out: nothing. Conclusion: no change of behaviour.

--- a/src/core/upstream/keyPartitions.ts
+++ b/src/core/upstream/keyPartitions.ts
@@ -1,8 +1,6 @@
 /** Key partitions of the services on this host: which caller-supplied keys may run here. */
 import { toStepError, type StepError } from '../../errors.js';
-import type { KeyPartition } from '../../generated/types.js';
-import type { CallKey } from '../../types/calls.js';
-import { brandText, type NodeId, type ServiceName } from '../../types/ids.js';
+import { brandText, type ServiceName } from '../../types/ids.js';
 import type { PlatformClient } from '../../types/interfaces.js';
 import { computeDelayMs, waitMs } from '../../utils/backoff.js';
 import {
@@ -12,6 +10,7 @@
 } from '../../utils/keyPartition.js';
 import type { Logger } from '../../utils/logger.js';
 import { computeScore } from '../../utils/rendezvous.js';
+import { deriveKeyVerdict, holdsTime, type KeyVerdict, type UuidKey } from './keyVerdict.js';
 import {
   isFirstRanked,
   isOwnerGone,
@@ -20,7 +19,7 @@
   isReadyFor,
   type Members,
 } from './partitionClaim.js';
-import { createPartitionLease, type Bounds, type PartitionLease } from './partitionLease.js';
+import { createPartitionLease, type PartitionLease } from './partitionLease.js';
 
 const HORIZON_MS = 120_000;
 const RENEW_MS = 30_000;
@@ -33,20 +32,6 @@
 const READ_INTERVAL_MS = 1000;
 const RETRY = { baseMs: 1000, maxMs: 8000 };
 
-/** A caller-supplied key. */
-export type UuidKey = Extract<CallKey, { kind: 'uuid' }>;
-
-/** Whether a key may be dispatched here. */
-export type KeyVerdict =
-  | { readonly kind: 'allowed' }
-  | {
-      readonly kind: 'notRun';
-      readonly reason: 'wrong-node' | 'key-unowned';
-      readonly detail: string;
-      readonly hint?: NodeId;
-    }
-  | { readonly kind: 'unknown'; readonly detail: string };
-
 /** Ownership of the key partitions. */
 export interface KeyPartitions {
   /** Decides whether a key may be dispatched here; reads the owner when it is not known. */
@@ -88,7 +73,6 @@
   retryAtMs: number;
   failures: number;
   readAtMs: number;
-  /** Incarnation of the owner that had ended when its record was read. */
   endedOwner: string | undefined;
   readySeenMs: number;
   isBusy: boolean;
@@ -140,51 +124,8 @@
     return partition;
   };
 
-  const deriveHint = (owner: KeyPartition): KeyVerdict => {
-    const hint = brandText<NodeId>(owner.nodeId);
-    return { kind: 'notRun', reason: 'wrong-node', detail: `owned by ${hint}`, hint };
-  };
-
-  const deriveForeignVerdict = (
-    { endedOwner }: Partition,
-    owner: KeyPartition,
-    timeMs: number,
-  ): KeyVerdict => {
-    const isSelf = owner.nodeId === members.getSelf().nodeId;
-    if (!isSelf && isOwnerRunning(members, owner)) return deriveHint(owner);
-    if (!isSelf && timeMs < owner.until && isOwnerLeaving(members, owner)) return deriveHint(owner);
-    if (timeMs < owner.until && endedOwner !== owner.incarnation) {
-      // Its last act may have been to truncate the interval.
-      return { kind: 'notRun', reason: 'key-unowned', detail: 'the bounds were read too early' };
-    }
-    if (timeMs < owner.until) {
-      return { kind: 'unknown', detail: `an owner that is gone may have run it: ${owner.nodeId}` };
-    }
-    return { kind: 'notRun', reason: 'key-unowned', detail: 'the last owner is gone' };
-  };
-
-  const holdsTime = (bounds: Bounds | undefined, timeMs: number): boolean =>
-    bounds !== undefined && bounds.from <= timeMs && timeMs < bounds.until;
-
-  const deriveVerdict = (partition: Partition, timeMs: number): KeyVerdict => {
-    const { lease } = partition;
-    if (holdsTime(lease.getRetained(), timeMs)) return { kind: 'allowed' };
-    const held = isStopped ? undefined : lease.getHeld();
-    if (held) {
-      if (timeMs < held.from) {
-        const previous = lease.getPrevious();
-        const isReachable =
-          previous && holdsTime(previous, timeMs) && isOwnerLeaving(members, previous);
-        if (isReachable) return deriveHint(previous);
-        return { kind: 'unknown', detail: 'an earlier owner may have run it' };
-      }
-      if (timeMs < held.until) return { kind: 'allowed' };
-      return { kind: 'notRun', reason: 'key-unowned', detail: 'later than the owned interval' };
-    }
-    const view = lease.getView();
-    if (typeof view === 'object') return deriveForeignVerdict(partition, view, timeMs);
-    return { kind: 'notRun', reason: 'key-unowned', detail: 'no owner is known' };
-  };
+  const deriveVerdict = (partition: Partition, timeMs: number): KeyVerdict =>
+    deriveKeyVerdict(partition, timeMs, members, isStopped);
 
   const recordFailure = (partition: Partition, operation: string, error: StepError) => {
     const { rankKey } = partition;
--- a/src/core/upstream/onceCalls.ts
+++ b/src/core/upstream/onceCalls.ts
@@ -5,7 +5,8 @@
 import type { CallCounters } from './callCounters.js';
 import { buildNotRun, buildUnknown } from '../calls/refusal.js';
 import { onCallerLimit } from './callerLimit.js';
-import type { KeyPartitions, KeyVerdict } from './keyPartitions.js';
+import type { KeyPartitions } from './keyPartitions.js';
+import type { KeyVerdict } from './keyVerdict.js';
 import type { MemoryKey, RequestMemory, Reservation, StoredOutcome } from './requestMemory.js';
 
 /** Entries of tokens from further ahead would stay in the memory beyond its retention. */
--- a/test/upstream/keySequences.test.ts
+++ b/test/upstream/keySequences.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { createKeyPartitions, type UuidKey } from '../../src/core/upstream/keyPartitions.js';
+import { createKeyPartitions } from '../../src/core/upstream/keyPartitions.js';
+import type { UuidKey } from '../../src/core/upstream/keyVerdict.js';
 import { createRequestMemory, type MemoryKey } from '../../src/core/upstream/requestMemory.js';
 import type { MemberView } from '../../src/types/interfaces.js';
 import { SILENT_LOGGER } from '../../src/utils/logger.js';
