--- a/test/calls/keys.test.ts
+++ b/test/calls/keys.test.ts
@@ -32,6 +32,12 @@
   return rankMembers(rankKey, ['n1', 'n2'], (name) => name);
 }
 
+/** A node that names another one as the owner of every key. */
+function createRefusing(hint: string) {
+  const refusal = buildNotRun('wrong-node', 'owned elsewhere');
+  return createDispatcher(() => ({ ...refusal, hint: brandText<NodeId>(hint) }));
+}
+
 // Guards against a token that is dispatched by another process than the one it names (G6).
 test('a token goes to its process from any entry node, whatever the choice would be', async () => {
   const named = createDispatcher();
@@ -73,13 +79,8 @@
 for (const isOwner of [true, false]) {
   test(`a wrong-node hint is followed once (second node is owner: ${isOwner})`, async () => {
     const [ranked = '', other = ''] = rankNodes();
-    const refuse = (hint: string) =>
-      createDispatcher(() => ({
-        ...buildNotRun('wrong-node', 'owned elsewhere'),
-        hint: brandText<NodeId>(hint),
-      }));
-    const first = refuse(other);
-    const second = isOwner ? createDispatcher(() => answer('owned')) : refuse(ranked);
+    const first = createRefusing(other);
+    const second = isOwner ? createDispatcher(() => answer('owned')) : createRefusing(ranked);
     const entry = await startMesh({ [ranked]: first, [other]: second });
     // The deadline leaves no time for a second look for the owner.
     const headers = { 'idempotency-key': KEY, 'lycheelane-deadline-ms': '150' };
@@ -137,13 +138,8 @@
 // reach the stopping owner.
 test('the hint to an owner that is stopping is followed behind that to its successor', async () => {
   const [ranked = '', other = ''] = rankNodes();
-  const refuse = (hint: string) =>
-    createDispatcher(() => ({
-      ...buildNotRun('wrong-node', 'owned elsewhere'),
-      hint: brandText<NodeId>(hint),
-    }));
   const stopping = createDispatcher(() => answer('owned'));
-  const nodes = { [ranked]: refuse(other), [other]: refuse('n3'), n3: stopping };
+  const nodes = { [ranked]: createRefusing(other), [other]: createRefusing('n3'), n3: stopping };
   const running = await Promise.all(
     Object.entries(nodes).map(([name, each]) => startInstanceNode(name, each)),
   );
