Mend what confused a new user of the command line

Ruled out: refusing an overlay without a node (an overlay may be accepted before its data centre starts).

--- a/src/cli/baseCommand.ts
+++ b/src/cli/baseCommand.ts
@@ -50,7 +50,8 @@
 
   /** Names the help in faults of usage, and sets the exit code, which oclif drops with `--json`. */
   protected override async catch(error: CommandError): Promise<unknown> {
-    if (error.parse || error.message.endsWith(OCLIF_HELP)) {
+    // Errors of this project have a code, those of wrong usage have none.
+    if (error.oclif?.exit === EXIT_CODES.faulty && error.code === undefined) {
       const flags = error.parse?.input?.flags ?? {};
       const text = error.flags
         ? explainFlags(error.flags, Object.keys(flags))
@@ -83,8 +84,9 @@
     run: (platform: PlatformClient) => Promise<Value>,
     limits: HttpPlatformOptions = {},
   ): Promise<Value> {
-    if (!URL.canParse(url)) {
-      this.error(`--platform is not a URL: ${url}`, { exit: EXIT_CODES.faulty });
+    if (!/^https?:\/\//.test(url) || !URL.canParse(url)) {
+      const message = `--platform is not a URL: ${url}; expected one such as http://10.0.0.5:8000`;
+      this.error(message, { exit: EXIT_CODES.faulty });
     }
     const platform = createHttpPlatform(url, limits);
     try {
--- a/src/cli/commands/config/apply.ts
+++ b/src/cli/commands/config/apply.ts
@@ -6,6 +6,7 @@
 import type { ForceReport } from '../../config/assessNodes.js';
 import { formatFileFault } from '../../config/checkFiles.js';
 import { formatConflict, formatProgress } from '../../config/formatOutput.js';
+import { readWorkingFiles } from '../../config/workingFiles.js';
 import { waitInForce } from '../../config/waitInForce.js';
 import { EXIT_CODES, finishCommand } from '../../exitCodes.js';
 import { fetchNodes } from '../../fetchNodes.js';
@@ -50,9 +51,22 @@
       },
     );
     if (lastError) this.logToStderr(`node ${node}: ${lastError.message}`);
+    if (report) await this.warnOfUnusedOverlays(flags.dir, report);
     return finishCommand(this.printReport(outcome.version, report), { ...outcome, report });
   }
 
+  /** A misspelt overlay is no fault of the files, and does nothing. */
+  private async warnOfUnusedOverlays(dir: string, { dataCentres }: ForceReport): Promise<void> {
+    const working = await readWorkingFiles(dir);
+    if (working.isErr()) return;
+    const known = dataCentres.map(({ name }) => name);
+    for (const { site, file } of working.value.files) {
+      if (site !== '' && !known.includes(site)) {
+        this.warn(`${file}: no node of a data centre named ${site} is known`);
+      }
+    }
+  }
+
   private printOutcome(outcome: ApplyOutcome): number {
     switch (outcome.kind) {
       case 'accepted':
--- a/src/cli/commands/config/history.ts
+++ b/src/cli/commands/config/history.ts
@@ -22,7 +22,10 @@
       const time = acceptedAtMs === undefined ? '-' : new Date(acceptedAtMs).toISOString();
       this.log(`${version}  ${time}  ${operationId}  ${digest.slice(0, 12)}  ${author ?? '-'}`);
     }
-    if (versions.length === 0) this.log('no version is accepted yet');
+    if (versions.length === 0) {
+      // Any other server answers 404 too.
+      this.log(`no version is accepted yet at ${flags.platform}`);
+    }
     return { versions };
   }
 }
--- a/src/cli/commands/explain.ts
+++ b/src/cli/commands/explain.ts
@@ -24,6 +24,10 @@
     );
     if (explained.chosen === undefined) this.log('no node can take the call: it would be not run');
     if (explained.spillOver) this.log(`other data centres are used: ${explained.spillOver}`);
+    if (explained.nodes.length === 0) {
+      this.log(`no node has an instance of service ${explained.service}`);
+      return explained;
+    }
     const rows = explained.nodes.map((node) => [
       node.nodeId,
       node.dataCentre,
--- a/src/cli/commands/status.ts
+++ b/src/cli/commands/status.ts
@@ -26,11 +26,13 @@
 function formatStatus(status: StatusAnswer): string[] {
   const { members, calls, process: usage } = status;
   const controlBytes = Object.values(status.control).reduce((sum, { bytes }) => sum + bytes, 0);
+  const digest = status.digest.slice(0, 12);
+  const installed = status.version === 0 ? 'none installed' : `${status.version} ${digest}`;
   const rate = controlBytes / Math.max(1, usage.uptimeMs / 1000);
   const lines = [
     `node         ${status.nodeId} in ${status.dataCentre}${status.relay ? ', relay' : ''}`,
     `state        ${status.state}, ${status.ready ? 'ready' : 'not ready'}`,
-    `version      ${status.version} (floor ${status.floor.version}) ${status.digest.slice(0, 12)}`,
+    `version      ${installed} (floor ${status.floor.version})`,
     `members      ${members.alive} alive, ${members.suspect} suspect, ${members.dead} dead`,
     `calls        ${calls.inFlight} in flight, ${calls.queued} queued`,
     `control      ${Math.round(rate)} bytes/s since the start`,
--- a/src/cli/config/workingFiles.ts
+++ b/src/cli/config/workingFiles.ts
@@ -110,7 +110,16 @@
 export async function readWorkingFiles(dir: string): Promise<Result<WorkingFiles, StepError>> {
   const found = await findWorkingFiles(dir);
   return found.andThen((files) =>
-    files ? ok(files) : err(buildError('not-found', STEP, dir, 'no base.jsonc or overlays here')),
+    files
+      ? ok(files)
+      : err(
+          buildError(
+            'not-found',
+            STEP,
+            dir,
+            'no base.jsonc or overlays/ here; name the directory with --dir',
+          ),
+        ),
   );
 }
 
--- a/src/cli/requestNode.ts
+++ b/src/cli/requestNode.ts
@@ -8,6 +8,9 @@
 /** About 400 bytes for each of 540 nodes, with room for growth and for long refusals. */
 const MAX_ANSWER_BYTES = 4_194_304;
 
+/** Longest part of an error answer that is printed. */
+const MAX_ERROR_LENGTH = 400;
+
 /** Where and how a command reaches a node. */
 export interface NodeTarget {
   readonly node: string | undefined;
@@ -15,6 +18,21 @@
   readonly 'node-token'?: string | undefined;
 }
 
+/** The text of an error that a node states; undefined for the answer of another server. */
+function findErrorText(text: string): string | undefined {
+  try {
+    const { error } = JSON.parse(text) as { error?: unknown };
+    return typeof error === 'string' ? error.slice(0, MAX_ERROR_LENGTH) : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+function describeForeign(status: number, text: string): string {
+  const quoted = text.trim().slice(0, MAX_ERROR_LENGTH);
+  return `status ${status}: ${quoted}; is this the operator port of a node?`;
+}
+
 /**
  * Reads a path of a node's operator port. Errors: `unavailable` when the node does not answer,
  * `not-found` for an unknown name, `refused` for any other status, `invalid` for a body that is
@@ -26,11 +44,11 @@
 ): Promise<Result<Answer, StepError>> {
   const { node, 'node-token': token } = target;
   const step = `operator${path.split('?')[0]!.replaceAll('/', '.')}`;
-  if (node === undefined || !URL.canParse(node)) {
+  if (node === undefined || !/^https?:\/\//.test(node) || !URL.canParse(node)) {
     const message =
       node === undefined
         ? '--node is missing: give the URL of a node’s operator port, or set LYCHEELANE_NODE'
-        : `--node is not a URL: ${node}`;
+        : `--node is not a URL: ${node}; expected one such as http://127.0.0.1:7400`;
     return err(buildError('refused', 'config.node', 'self', message));
   }
   let text: string;
@@ -42,7 +60,10 @@
     text = await readLimitedText(response.body, MAX_ANSWER_BYTES);
     if (response.statusCode !== 200) {
       const kind = response.statusCode === 404 ? 'not-found' : 'refused';
-      const message = `status ${response.statusCode}: ${text.trim().slice(0, 200)}`;
+      // Only `explain` asks for something that a node may lack.
+      const isKnown = response.statusCode !== 404 || path.startsWith('/v1/explain');
+      const stated = isKnown ? findErrorText(text) : undefined;
+      const message = stated ?? describeForeign(response.statusCode, text);
       return err(buildError(kind, step, node, message));
     }
   } catch (thrown) {
--- a/src/core/calls/explain.ts
+++ b/src/core/calls/explain.ts
@@ -3,6 +3,7 @@
 import { buildError, type StepError } from '../../errors.js';
 import { brandText, type RouteName } from '../../types/ids.js';
 import type { ConfigStore, MemberView } from '../../types/interfaces.js';
+import { suggestName } from '../config/suggestName.js';
 import { listCandidates, type Candidate, type Exclusion } from './candidates.js';
 import { chooseCandidate } from './choose.js';
 import type { EntryParts } from './entry.js';
@@ -53,9 +54,15 @@
 ): Result<RouteExplanation, StepError> {
   const step = 'calls.explain';
   const routing = config.getRouting();
-  if (!routing) return err(buildError('unavailable', step, 'self', 'no configuration'));
+  if (!routing) {
+    return err(buildError('unavailable', step, 'self', 'the node has no configuration yet'));
+  }
   const route = routing.routes.get(brandText<RouteName>(name));
-  if (!route) return err(buildError('not-found', step, 'self', `no route named ${name}`));
+  if (!route) {
+    const nearest = suggestName(name, [...routing.routes.keys()]);
+    const question = nearest === undefined ? '' : `; did you mean ${nearest}?`;
+    return err(buildError('not-found', step, 'self', `no route named ${name}${question}`));
+  }
   const service = route.service.name;
   const nodes: ExplainedNode[] = [];
   const candidates = listCandidates(route, parts, undefined, performance.now(), (view, reason) =>
--- a/src/core/wiring.ts
+++ b/src/core/wiring.ts
@@ -137,6 +137,12 @@
   return { stats, metrics, observer };
 }
 
+/** Returns a started part; `startNode` turns the thrown error into its result. */
+function unwrapStarted<Part>(started: Result<Part, StepError>): Part {
+  if (started.isErr()) throw started.error;
+  return started.value;
+}
+
 /** The ports that the member record names; they open before the membership starts. */
 interface MeshPorts {
   readonly peerServer: PeerServer;
@@ -150,9 +156,9 @@
 ): Promise<MeshPorts> {
   const { settings, logger, counters, store, deferred } = shared;
   const { host } = settings;
-  const peerServer = (
-    await startPeerServer({ host, port: settings.peerPort, logger, counters })
-  )._unsafeUnwrap();
+  const peerServer = unwrapStarted(
+    await startPeerServer({ host, port: settings.peerPort, logger, counters }),
+  );
   const callPort = await startCallPort({
     host,
     port: settings.callPort,
@@ -219,7 +225,7 @@
     store,
     logger,
   });
-  return started._unsafeUnwrap();
+  return unwrapStarted(started);
 }
 
 function openOperatorPort(
--- a/test/config/commands.test.ts
+++ b/test/config/commands.test.ts
@@ -7,6 +7,7 @@
 import { buildBundle, NO_PARENT } from '../../src/core/config/buildBundle.js';
 import { formatBundleName, HEAD_NAME } from '../../src/core/config/readHead.js';
 import { createMemoryPlatform, type MemoryPlatform } from '../fakes/memoryPlatform.js';
+import { runProgram } from './runProgram.js';
 import { BASE_TEXT, buildContent, createDir, writeFiles } from './samples.js';
 
 const STATUS: Readonly<Record<string, number>> = { conflict: 412, refused: 403 };
@@ -97,6 +98,42 @@
   return { platform, dir, run, url, where: ['--dir', dir, '--platform', url] };
 }
 
+// Guards against an error of a node that reads as raw JSON, and against the port of another server
+// that is taken for an operator port.
+test('explain and status tell what the node, or another server, answers', async (context) => {
+  const { run, url } = await createWorld(context);
+  const answers = new Map([
+    ['/v1/explain?route=bok', '{"error":"no route named bok; did you mean book?"}'],
+    ['/v1/status', '<html>none</html>'],
+  ]);
+  const server = createServer((request, response) => {
+    response.writeHead(404).end(answers.get(request.url ?? ''));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  context.after(() => server.close());
+  const node = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const explained = await runProgram('explain', 'bok', '--node', node);
+  assert.match(explained.stderr, /Error: no route named bok; did you mean book\? \(step/);
+  const status = await runProgram('status', '--node', node);
+  assert.match(status.stderr.replaceAll(/\s+/g, ' '), /is this the operator port of a node\?/);
+  assert.deepEqual([explained.code, status.code], [1, 1]);
+  assert.match((await run('history', '--platform', url)).text, /accepted yet at http:/);
+});
+
+// Guards against an overlay with a misspelt name, which changes nothing, without a word.
+test('apply --wait warns of an overlay whose data centre has no node', async (context) => {
+  const { dir, run, where, url } = await createWorld(context);
+  await writeFiles(dir, { 'overlays/aa.jsonc': '{}' });
+  const { text } = await run('apply', ...where, '--wait', '--node', url);
+  assert.match(
+    text.replaceAll(/[\s›]+/g, ' '),
+    /aa\.jsonc: no node of a data centre named aa is known/,
+  );
+  assert.doesNotMatch(text, /named a is known/);
+});
+
 // Guards against exit codes that scripts cannot rely on.
 test('exit codes: done, failed, faulty files and wrong usage', async (context) => {
   const { dir, run, where } = await createWorld(context);
--- a/test/config/usage.test.ts
+++ b/test/config/usage.test.ts
@@ -15,6 +15,8 @@
   ['config history', 'platform (or set LYCHEELANE_PLATFORM)', 'config history'],
   ['config apply --wait --platform http://x', '--node (or set LYCHEELANE_NODE)', 'config apply'],
   ['config history --limit 0', 'greater than or equal to 1', 'config history'],
+  ['config check --dir', 'Flag --dir expects a value', 'config check'],
+  ['config history --platform 10.0.0.5:8000', 'expected one such as http://', 'config history'],
 ];
 
 // Guards against a wrong command or flag that names neither the nearest one nor the help to run, or
