Read the head of a call in a file of its own, step by step

Cause: parseHead nested five andThen calls inside serveCall, which did two jobs; the loop of attempts derived its count from two others. Change: callHead.ts with early returns; attempts are counted, stale choices apart. Ruled out: neverthrow's safeTry, a generator for each call on the hot path.

--- a/src/core/calls/entry.ts
+++ b/src/core/calls/entry.ts
@@ -70,6 +70,7 @@
   let tried: Set<string> | undefined;
   let last: FailedResult | undefined;
   let doubt: UnknownResult | undefined;
+  let attempts = 0;
   let corrections = 0;
   parts.budget.recordFirst(route.name, route.config.retry.budgetPercent);
   for (;;) {
@@ -88,7 +89,8 @@
     if (result.kind === 'unknown') doubt = result;
     tried = (tried ?? new Set()).add(record.nodeId);
     if (isStaleChoice(result) && corrections < MAX_CORRECTIONS) corrections += 1;
-    if (tried.size - corrections >= route.config.retry.maxAttempts) break;
+    else attempts += 1;
+    if (attempts >= route.config.retry.maxAttempts) break;
     if (!canRetry(call, result)) break;
   }
   return doubt ?? last ?? buildNotRun('no-instance', `no usable instance of ${route.service.name}`);
--- a/src/core/calls/serveCall.ts
+++ b/src/core/calls/serveCall.ts
@@ -1,32 +1,20 @@
 /** Serves one HTTP request on the call port, from its head to the end of the response. */
 import { randomUUID } from 'node:crypto';
 import type { IncomingMessage, OutgoingHttpHeaders, ServerResponse } from 'node:http';
-import { ok, type Result } from 'neverthrow';
 import type { AttemptResult, Call } from '../../types/calls.js';
 import { brandText, type RequestId } from '../../types/ids.js';
 import type { ConfigStore } from '../../types/interfaces.js';
 import { CALL_HEADERS, type Outcome } from '../../types/outcome.js';
-import type { CompiledRoute, RoutingState } from '../../types/routing.js';
 import { formatLoad, relayAnswer, toOutcome, writeFailure } from './answer.js';
-import { parseCallKey } from './callKey.js';
+import { parseHead, type CallHead } from './callHead.js';
 import { CallerSignal } from './callerSignal.js';
 import { runCall, type EntryParts } from './entry.js';
 import { computeHopBudgetMs } from './forward.js';
 import type { ReadyWait } from './readyWait.js';
 import { buildUnknown, refuse, type FailedResult, type Refusal } from './refusal.js';
 import { readBody, type BodyBudget } from './requestBody.js';
-import {
-  findRoute,
-  getRequestId,
-  listEndToEndHeaders,
-  parseBudgetMs,
-  parseDepth,
-  parsePath,
-  parseTarget,
-  type CallTarget,
-} from './requestHead.js';
+import { getRequestId, listEndToEndHeaders, parseBudgetMs } from './requestHead.js';
 
-const MAX_HEADER_COUNT = 200;
 /**
  * Longest time for which a starting node holds a call with a key. A node that can reach its peers
  * or the platform has its configuration within 3.5 s (`distribution/floor`).
@@ -40,69 +28,6 @@
   readonly waitUntilReady: ReadyWait;
 }
 
-/** What the head of a request says. */
-interface CallHead {
-  readonly routing: RoutingState;
-  readonly route: CompiledRoute;
-  readonly isForwarded: boolean;
-  readonly key: Call['key'];
-  readonly depth: number;
-  readonly deadlineMs: number;
-}
-
-function isProcess(target: CallTarget, self: { nodeId: string; incarnation: string }): boolean {
-  return target.nodeId === self.nodeId && target.incarnation === self.incarnation;
-}
-
-/**
- * While the node stops it still serves calls that upstreams make for requests in flight. Calls with
- * a key are passed on too: only the owner of the key can tell what became of it.
- */
-function canServeWhileLeaving(isForwarded: boolean, key: Call['key'], depth: number): boolean {
-  return key.kind !== 'none' || (!isForwarded && depth > 0);
-}
-
-function parseHead(
-  request: IncomingMessage,
-  parts: ServeParts,
-  requestId: string | undefined,
-  startMs: number,
-): Result<CallHead, Refusal> {
-  const { headers } = request;
-  // Nodes add headers to a forwarded call, whose own ones the entry node has counted.
-  const isCounted = headers[CALL_HEADERS.target] === undefined;
-  if (isCounted && request.rawHeaders.length > 2 * MAX_HEADER_COUNT) {
-    return refuse('bad-request', `more than ${MAX_HEADER_COUNT} headers`, 431);
-  }
-  const target = parseTarget(headers);
-  if (target.isErr()) return refuse('bad-request', target.error.result.detail);
-  if (requestId === undefined) return refuse('bad-request', `${CALL_HEADERS.request} is missing`);
-  const isForwarded = target.value !== undefined;
-  const self = parts.members.getSelf();
-  if (target.value && !isProcess(target.value, self)) {
-    return refuse('wrong-node', `this is ${self.nodeId}/${self.incarnation}`);
-  }
-  const routing = parts.config.isReady() ? parts.config.getRouting() : undefined;
-  if (!routing) return refuse('not-ready', 'no accepted configuration is installed');
-  return parsePath(request.url ?? '').andThen((path) =>
-    parseDepth(headers).andThen((depth) =>
-      findRoute(request, path, routing, isForwarded).andThen((route) =>
-        parseCallKey(headers[CALL_HEADERS.key], route.config.repeatability === 'once').andThen(
-          (key) =>
-            parseBudgetMs(headers, route.config.timeoutMs).andThen((budgetMs) => {
-              if (parts.isLeaving() && !canServeWhileLeaving(isForwarded, key, depth)) {
-                return refuse<CallHead>('leaving', `${self.nodeId} is stopping`);
-              }
-              if (budgetMs === 0) return refuse<CallHead>('deadline', 'no time left');
-              const deadlineMs = startMs + budgetMs;
-              return ok({ routing, route, isForwarded, key, depth, deadlineMs });
-            }),
-        ),
-      ),
-    ),
-  );
-}
-
 function buildCall(
   request: IncomingMessage,
   response: ServerResponse,
