Begin function names with the verbs of the list

Ruled out: adding each of these verbs to the list, which is to stay short. Conclusion: names in src follow the list.

--- a/src/cli/config/applyConfig.ts
+++ b/src/cli/config/applyConfig.ts
@@ -100,7 +100,7 @@
   return { kind, version, operationId, updatedFiles: updated.unwrapOr([]), warnings };
 }
 
-async function attemptApply(
+async function runAttempt(
   platform: PlatformClient,
   edit: Edit,
   options: ApplyOptions,
@@ -146,7 +146,7 @@
   if (parent.isErr()) return err(parent.error);
   const edit = { working: working.value, ours: getContent(working.value), parent: parent.value };
   for (let race = 0; race < MAX_RACES; race += 1) {
-    const attempt = await attemptApply(platform, edit, options);
+    const attempt = await runAttempt(platform, edit, options);
     if (attempt.isErr()) return err(attempt.error);
     if (attempt.value.kind !== 'superseded') return ok(attempt.value);
     await (options.wait ?? waitMs)(computeDelayMs(RACE_BACKOFF, race));
--- a/src/core/calls/keyedCall.ts
+++ b/src/core/calls/keyedCall.ts
@@ -80,7 +80,7 @@
  * Asks the node that ranks first for the key's partition, then the owner that it names, then the
  * owner before that, which keeps the keys of its time while it leaves.
  */
-async function askOwner(call: Call, key: UuidKey, parts: AttemptParts): Promise<AttemptResult> {
+async function requestOwner(call: Call, key: UuidKey, parts: AttemptParts): Promise<AttemptResult> {
   const first = findPresumedOwner(call, key, parts.members);
   if (!first) return buildNotRun('no-instance', `no ready node of ${call.route.service.name}`);
   const asked = new Set([first.nodeId]);
@@ -108,13 +108,13 @@
   key: UuidKey,
   parts: AttemptParts,
 ): Promise<AttemptResult> {
-  let result = await askOwner(call, key, parts);
+  let result = await requestOwner(call, key, parts);
   for (let look = 1; isOwnerMissing(result); look += 1) {
     const meanMs = look < FAST_LOOKS ? LOOK_MS : SLOW_LOOK_MS;
     const delayMs = meanMs * (0.5 + Math.random());
     if (call.signal.aborted || performance.now() + 2 * delayMs > call.deadlineMs) break;
     await waitMs(delayMs, call.signal);
-    result = await askOwner(call, key, parts);
+    result = await requestOwner(call, key, parts);
   }
   return result;
 }
--- a/src/core/calls/malformed.ts
+++ b/src/core/calls/malformed.ts
@@ -26,12 +26,12 @@
 /** Creates a counter without connections. */
 export function createActiveExchanges(): ActiveExchanges {
   const counts = new WeakMap<Duplex, number>();
-  const change = (socket: Duplex, by: number) => {
+  const addTo = (socket: Duplex, by: number) => {
     counts.set(socket, (counts.get(socket) ?? 0) + by);
   };
   return {
-    add: (socket) => change(socket, 1),
-    remove: (socket) => change(socket, -1),
+    add: (socket) => addTo(socket, 1),
+    remove: (socket) => addTo(socket, -1),
     refuseMalformed(error, socket) {
       if (error.code === 'ECONNRESET' || !socket.writable || (counts.get(socket) ?? 0) > 0) {
         socket.destroy();
--- a/src/core/calls/serveCall.ts
+++ b/src/core/calls/serveCall.ts
@@ -59,7 +59,7 @@
  * process that owns the key can make that statement; any other refusal is `unknown`. Refusals of
  * the request's form are made before any key could be accepted.
  */
-function qualifyRefusal(result: FailedResult, hasKey: boolean): FailedResult {
+function deriveStatement(result: FailedResult, hasKey: boolean): FailedResult {
   if (result.kind !== 'notRun' || !hasKey || result.isKeyChecked) return result;
   if (result.reason === 'bad-request' || result.reason === 'no-route') return result;
   const detail = `${result.reason}: ${result.detail}; repeat the request with the same key`;
@@ -73,7 +73,7 @@
   requestId: string | undefined,
   hasKey: boolean,
 ): Outcome {
-  const qualified = qualifyRefusal(result, hasKey);
+  const qualified = deriveStatement(result, hasKey);
   writeFailure(response, qualified, requestId, qualified === result ? status : undefined);
   return toOutcome(qualified);
 }
@@ -88,7 +88,7 @@
   if (result.kind !== 'answered') {
     const load = head.isForwarded ? parts.dispatcher.getLoad(call.route.service.name) : undefined;
     const stated = result.kind === 'notRun' && load ? { ...result, load } : result;
-    const qualified = qualifyRefusal(stated, !head.isForwarded && head.key.kind !== 'none');
+    const qualified = deriveStatement(stated, !head.isForwarded && head.key.kind !== 'none');
     writeFailure(response, qualified, call.requestId);
     return toOutcome(qualified);
   }
@@ -106,7 +106,7 @@
  * Holds a call with a key while this node starts. Refused here, it could not be told apart from
  * an arrival that ran, so the caller would get `unknown` for a call that was only early.
  */
-async function holdUntilReady(
+async function waitUntilInstalled(
   request: IncomingMessage,
   response: ServerResponse,
   parts: ServeParts,
@@ -129,7 +129,7 @@
   const startMs = performance.now();
   const isForwarded = request.headers[CALL_HEADERS.target] !== undefined;
   const requestId = isForwarded ? getRequestId(request.headers) : randomUUID();
-  if (!isOverLimit && !isForwarded) await holdUntilReady(request, response, parts, startMs);
+  if (!isOverLimit && !isForwarded) await waitUntilInstalled(request, response, parts, startMs);
   const head = isOverLimit
     ? refuse<CallHead>('overloaded', 'too many calls are in flight')
     : parseHead(request, parts, requestId, startMs);
--- a/src/core/config/acceptBundle.ts
+++ b/src/core/config/acceptBundle.ts
@@ -103,7 +103,7 @@
   return err(buildError('stale', STEP, 'platform', message));
 }
 
-async function moveHead(
+async function updateHead(
   platform: PlatformClient,
   bundle: Bundle,
   parent: PlatformObject<Head> | undefined,
@@ -151,5 +151,5 @@
   }
   const created = await createBundle(platform, bundle, options);
   if (created.isErr()) return err(created.error);
-  return moveHead(platform, bundle, parent, options);
+  return updateHead(platform, bundle, parent, options);
 }
--- a/src/core/distribution/floor.ts
+++ b/src/core/distribution/floor.ts
@@ -103,7 +103,7 @@
     logger.info('floor-from-peers', { version: floor.version, answers: answers.length });
     store.confirmFloor(floor, 'peers');
     for (const { nodeId, answer } of answers) {
-      if (answer.version === floor.version) seeker.hear(floor, nodeId);
+      if (answer.version === floor.version) seeker.recordHeard(floor, nodeId);
     }
   };
 
--- a/src/core/distribution/obtain.ts
+++ b/src/core/distribution/obtain.ts
@@ -30,7 +30,7 @@
 /** Brings versions that were heard of into the store. */
 export interface VersionSeeker {
   /** Notes that a version exists; `nodeId` names a member that holds it. */
-  hear(tag: VersionTag, nodeId?: string): void;
+  recordHeard(tag: VersionTag, nodeId?: string): void;
   /** Reads the head and its bundle from the platform; false when it could not be read. */
   readAccepted(): Promise<boolean>;
   /** Resolves when no version is being sought. */
@@ -178,7 +178,7 @@
     }
   };
 
-  const hear = (tag: VersionTag, nodeId?: string) => {
+  const recordHeard = (tag: VersionTag, nodeId?: string) => {
     const installed = store.getTag();
     if (tag.version === installed.version && tag.version > 0 && tag.digest !== installed.digest) {
       const { version } = tag;
@@ -198,9 +198,9 @@
     }
     running ??= seek().finally(() => {
       running = undefined;
-      if (!signal.aborted && isMissing(wanted)) hear(wanted);
+      if (!signal.aborted && isMissing(wanted)) recordHeard(wanted);
     });
   };
 
-  return { hear, readAccepted, idle: async () => running };
+  return { recordHeard, readAccepted, idle: async () => running };
 }
--- a/src/core/distribution/start.ts
+++ b/src/core/distribution/start.ts
@@ -35,15 +35,15 @@
   if (isRelayMode) {
     members.onHeard(({ from, tag }) => {
       store.recordEnforced(tag);
-      seeker.hear(tag, from.nodeId);
+      seeker.recordHeard(tag, from.nodeId);
     });
     store.onInstall((tag) => notifyMembers(context, tag));
     members.onChange(({ record }) => {
-      if (record.refused) seeker.hear(toTag(record.refused), record.nodeId);
+      if (record.refused) seeker.recordHeard(toTag(record.refused), record.nodeId);
     });
     publishRefusals(context);
   }
-  store.onFloor((tag) => seeker.hear(tag));
+  store.onFloor((tag) => seeker.recordHeard(tag));
   const tasks = Promise.all([
     runFloorSearch(context, seeker),
     runHeadWatch(context, seeker),
@@ -55,7 +55,7 @@
       'config.notify': ({ from, version, digest }: ConfigNotify) => {
         const tag = toTag({ version, digest });
         store.recordEnforced(tag);
-        if (isRelayMode) seeker.hear(tag, from.nodeId);
+        if (isRelayMode) seeker.recordHeard(tag, from.nodeId);
         return ok({});
       },
       'config.fetch': createFetchHandler(store, random),
--- a/src/core/distribution/watchHead.ts
+++ b/src/core/distribution/watchHead.ts
@@ -35,12 +35,12 @@
   const obtainHead = async (head: Head) => {
     store.confirmFloor(toTag(head), 'platform');
     if (head.version <= store.getTag().version) {
-      seeker.hear(toTag(head));
+      seeker.recordHeard(toTag(head));
       return;
     }
     await installAccepted(context, head);
     // Still missing after a failed read: peers, then the platform again with a backoff.
-    seeker.hear(toTag(head));
+    seeker.recordHeard(toTag(head));
   };
 
   /** Reads the head and follows it until an error or the loss of the role. */
--- a/src/core/membership/exchange.ts
+++ b/src/core/membership/exchange.ts
@@ -73,7 +73,7 @@
   };
 
   /** Leaves out of an answer what is the same in its ping: a third of the bytes in a quiet mesh. */
-  const shortenAnswer = (answer: Ping, { version, digest, tableHash }: Ping): Ping => ({
+  const limitAnswer = (answer: Ping, { version, digest, tableHash }: Ping): Ping => ({
     ...answer,
     digest: answer.version === version && answer.digest === digest ? '' : answer.digest,
     tableHash: answer.tableHash === tableHash ? '' : answer.tableHash,
@@ -132,7 +132,7 @@
       const first = sender && sender.verdict !== 'alive' ? [toChange(sender)] : [];
       const isOwn = params.from.dataCentre === settings.dataCentre;
       // A change that has just come with the ping is not sent back in its answer.
-      return ok(shortenAnswer(build(first, isOwn, listShared(params.changes)), params));
+      return ok(limitAnswer(build(first, isOwn, listShared(params.changes)), params));
     },
     handlePingIndirect: async ({ target, targetId }) => {
       const answer = await ping(target, { targetId });
--- a/src/core/membership/start.ts
+++ b/src/core/membership/start.ts
@@ -55,7 +55,7 @@
 }
 
 /** True when a node or one of its instances takes no new work any more. */
-function offersLess(before: MemberRecord, after: MemberRecord): boolean {
+function hasFewerOffers(before: MemberRecord, after: MemberRecord): boolean {
   if (after.state !== before.state) return after.state === 'leaving' || after.state === 'left';
   return before.instances.some(({ instanceId, state }) => {
     const now = after.instances.find((instance) => instance.instanceId === instanceId);
@@ -192,7 +192,7 @@
       if (JSON.stringify({ ...self, ...change }) === JSON.stringify(self)) return;
       const before = self;
       writeSelf({ ...self, ...change, sequence: self.sequence + 1 });
-      if (offersLess(before, self)) pushSelf();
+      if (hasFewerOffers(before, self)) pushSelf();
     },
     onChange: table.onChange,
     stop: async () => {
--- a/src/core/platform/httpPlatform.ts
+++ b/src/core/platform/httpPlatform.ts
@@ -60,7 +60,7 @@
   // Writes must not share a connection with other calls in flight, so there is no pipelining.
   const pool = new Pool(origin, { connections: limits.connections, pipelining: 1 });
 
-  const exchange = async (call: Exchange): Promise<Result<Answer, StepError>> => {
+  const runExchange = async (call: Exchange): Promise<Result<Answer, StepError>> => {
     const isWrite = call.method !== 'GET';
     const deadline = AbortSignal.timeout(call.timeoutMs ?? limits.timeoutMs);
     const signal = call.signal ? AbortSignal.any([call.signal, deadline]) : deadline;
@@ -93,14 +93,14 @@
     const [header = '', version = ''] = condition;
     const headers = { 'content-type': 'application/json', [header]: version };
     const path = buildPath('objects', name);
-    const answer = await exchange({ step, method: 'PUT', path, headers, body });
+    const answer = await runExchange({ step, method: 'PUT', path, headers, body });
     return answer.andThen(({ etag }) => decodeVersion(etag, { step, peer: origin, isWrite: true }));
   };
 
   return {
     async read<Value>(name: string) {
       const step = 'platform.read';
-      const answer = await exchange({ step, method: 'GET', path: buildPath('objects', name) });
+      const answer = await runExchange({ step, method: 'GET', path: buildPath('objects', name) });
       if (answer.isErr() && answer.error.kind === 'not-found') return ok(undefined);
       const where = { step, peer: origin, isWrite: false };
       return answer.andThen(({ text, etag }) => decodeObject<Value>(name, text, etag, where));
@@ -108,7 +108,12 @@
     async list<Value>(kind: string) {
       const step = 'platform.list';
       const path = buildPath('objects', kind);
-      const answer = await exchange({ step, method: 'GET', path, maxBytes: limits.maxListBytes });
+      const answer = await runExchange({
+        step,
+        method: 'GET',
+        path,
+        maxBytes: limits.maxListBytes,
+      });
       const where = { step, peer: origin, isWrite: false };
       return answer.andThen(({ text }): Result<readonly PlatformObject<Value>[], StepError> =>
         decodeList<Value>(kind, text, where),
@@ -120,14 +125,19 @@
     async remove(name, expected) {
       const headers = { 'if-match': `"${expected}"` };
       const path = buildPath('objects', name);
-      const answer = await exchange({ step: 'platform.remove', method: 'DELETE', path, headers });
+      const answer = await runExchange({
+        step: 'platform.remove',
+        method: 'DELETE',
+        path,
+        headers,
+      });
       return answer.map(() => undefined);
     },
     async watch(name, from, waitMs, signal): Promise<Result<WatchAnswer, StepError>> {
       const step = 'platform.watch';
       const path = `${buildPath('watch', name)}?from=${from}&waitMs=${waitMs}`;
       const timeoutMs = waitMs + limits.timeoutMs;
-      const answer = await exchange({ step, method: 'GET', path, timeoutMs, signal });
+      const answer = await runExchange({ step, method: 'GET', path, timeoutMs, signal });
       return answer.andThen(({ text }) =>
         decodeWatch(name, text, { step, peer: origin, isWrite: false }),
       );
--- a/src/core/upstream/admission.ts
+++ b/src/core/upstream/admission.ts
@@ -87,7 +87,7 @@
     return best;
   };
 
-  const grant = (entry: InstanceEntry, call: Call, lane: Lane): Admitted => {
+  const admitNow = (entry: InstanceEntry, call: Call, lane: Lane): Admitted => {
     entry.usage.addExchange(call.requestId);
     return { kind: 'granted', entry, connections: countConnections(entry, lane.config) };
   };
@@ -110,7 +110,7 @@
       const waiter = lane.queue.removeNext();
       if (!waiter) return;
       if (notReady) waiter.settle(notReady);
-      else if (entry) waiter.settle(grant(entry, waiter.call, lane));
+      else if (entry) waiter.settle(admitNow(entry, waiter.call, lane));
     }
   };
 
@@ -154,7 +154,7 @@
     // A free slot is given without an estimate: otherwise one slow spell would refuse every
     // call, and no new run time would correct the mean.
     const entry = findFree(lane);
-    if (entry) return grant(entry, call, lane);
+    if (entry) return admitNow(entry, call, lane);
 
     const { priority } = call.route.config;
     const estimateMs = estimateFinishMs(lane, lane.queue.countAhead(priority));
--- a/src/core/upstream/callRun.ts
+++ b/src/core/upstream/callRun.ts
@@ -103,7 +103,7 @@
     isCallerThere = false;
     cancelIfAbandoned();
   };
-  const leave = (reason: 'timeout' | 'cancelled', detail: string) => {
+  const finishForCaller = (reason: 'timeout' | 'cancelled', detail: string) => {
     if (head?.kind === 'response') {
       // Destroying an unread body counts as the caller's departure (onBodyLeft).
       if (isCallerThere) head.body.destroy(new Error(detail));
@@ -132,7 +132,7 @@
     onBodyLeft: removeCaller,
   });
   const stopWaiting = onCallerLimit(call, (reason) => {
-    leave(reason, reason === 'timeout' ? 'the deadline passed' : 'the caller has gone');
+    finishForCaller(reason, reason === 'timeout' ? 'the deadline passed' : 'the caller has gone');
   });
   if (reservation) reservation.onWaiterLeft = cancelIfAbandoned;
 
@@ -157,7 +157,7 @@
     isAwaited,
     cut(detail, hard) {
       if (hasEnded) return;
-      leave('cancelled', detail);
+      finishForCaller('cancelled', detail);
       if (hard) exchange.abort(new Error(detail));
     },
   };
--- a/src/core/upstream/keyPartitions.ts
+++ b/src/core/upstream/keyPartitions.ts
@@ -10,7 +10,7 @@
 } from '../../utils/keyPartition.js';
 import type { Logger } from '../../utils/logger.js';
 import { computeScore } from '../../utils/rendezvous.js';
-import { deriveKeyVerdict, holdsTime, type KeyVerdict, type UuidKey } from './keyVerdict.js';
+import { deriveKeyVerdict, isWithin, type KeyVerdict, type UuidKey } from './keyVerdict.js';
 import {
   isFirstRanked,
   isOwnerGone,
@@ -270,7 +270,7 @@
     },
     isRetained(service, key) {
       const partition = getPartition(service, computeKeyPartition(key.text));
-      return holdsTime(partition.lease.getRetained(), key.issuedAtMs);
+      return isWithin(partition.lease.getRetained(), key.issuedAtMs);
     },
     start: () => schedulePass(random() * PASS_MS),
     runPass,
--- a/src/core/upstream/keyVerdict.ts
+++ b/src/core/upstream/keyVerdict.ts
@@ -27,7 +27,7 @@
 }
 
 /** True if the bounds exist and hold the time of a key. */
-export function holdsTime(bounds: Bounds | undefined, timeMs: number): boolean {
+export function isWithin(bounds: Bounds | undefined, timeMs: number): boolean {
   return bounds !== undefined && bounds.from <= timeMs && timeMs < bounds.until;
 }
 
@@ -65,13 +65,13 @@
   isStopped: boolean,
 ): KeyVerdict {
   const { lease } = partition;
-  if (holdsTime(lease.getRetained(), timeMs)) return { kind: 'allowed' };
+  if (isWithin(lease.getRetained(), timeMs)) return { kind: 'allowed' };
   const held = isStopped ? undefined : lease.getHeld();
   if (held) {
     if (timeMs >= held.until) return refuseUnowned('later than the owned interval');
     if (timeMs >= held.from) return { kind: 'allowed' };
     const previous = lease.getPrevious();
-    if (previous && holdsTime(previous, timeMs) && isOwnerLeaving(members, previous)) {
+    if (previous && isWithin(previous, timeMs) && isOwnerLeaving(members, previous)) {
       return refuseFor(previous);
     }
     return { kind: 'unknown', detail: 'an earlier owner may have run it' };
--- a/src/core/upstream/onceCalls.ts
+++ b/src/core/upstream/onceCalls.ts
@@ -106,7 +106,7 @@
   };
 
   /** Marks a refusal of a key that this process owns and has not run. */
-  const markChecked = (call: Call, result: AttemptResult): AttemptResult => {
+  const recordChecked = (call: Call, result: AttemptResult): AttemptResult => {
     if (result.kind !== 'notRun' || takeKey(call)) return result;
     return { ...result, isKeyChecked: true };
   };
@@ -114,10 +114,10 @@
   const runFirst = async (call: Call, key: MemoryKey): Promise<AttemptResult> => {
     const reservation = memory.add(key);
     if (reservation) {
-      return markChecked(call, await run(call, reservation, () => takeKey(call)));
+      return recordChecked(call, await run(call, reservation, () => takeKey(call)));
     }
     const detail = 'the memory of dispatched keys is full';
-    return markChecked(call, buildNotRun('overloaded', detail, getLoad(call)));
+    return recordChecked(call, buildNotRun('overloaded', detail, getLoad(call)));
   };
 
   return async (call: Call, key: MemoryKey): Promise<AttemptResult> => {
@@ -140,7 +140,7 @@
         }
         case 'new': {
           const refusal = checkServing(call);
-          if (refusal) return isOwnerChecked ? markChecked(call, refusal) : refusal;
+          if (refusal) return isOwnerChecked ? recordChecked(call, refusal) : refusal;
           if (isOwnerChecked || call.key.kind !== 'uuid') return runFirst(call, key);
           // The check may read the platform; afterwards the memory is asked again.
           const verdict = await partitions.checkKey(call.route.service.name, call.key);
