Move the in-memory stand-ins out of the tests

Cause: bench/membership imported the in-memory network, platform, nodes and clock from test/fakes, so a program depended on the tests; the mocked clock stood twice. Change: they live in standins/memory, faultyResponses in standins; useTestMesh, which hooks into node:test, stays in test/fakes; one startMockClock is left. Ruled out: a copy for the benchmark. Conclusion: programs and tests share stand-ins from one place.

--- a/bench/membership/main.ts
+++ b/bench/membership/main.ts
@@ -3,15 +3,15 @@
  * network and a mocked clock. Milliseconds are those of the mocked clock; the network has no delay.
  */
 import { parseArgs } from 'node:util';
-import { advance, startClock, stopClock } from '../../test/fakes/clock.js';
+import { advance, startClock, stopClock } from '../../standins/memory/clock.js';
 import {
   measureDataCentre,
   measureRack,
   measureRegions,
   measureRestart,
   runRestartMinute,
-} from '../../test/fakes/largeFaults.js';
-import { startLargeMesh, startTraffic, type LargeMesh } from '../../test/fakes/largeMesh.js';
+} from '../../standins/memory/largeFaults.js';
+import { startLargeMesh, startTraffic, type LargeMesh } from '../../standins/memory/largeMesh.js';
 import { renderTraffic } from './traffic.js';
 
 const SCENARIOS = ['quiet', 'restarts', 'restart', 'rack', 'data-centre', 'regions'] as const;
--- a/bench/membership/traffic.ts
+++ b/bench/membership/traffic.ts
@@ -1,6 +1,6 @@
 /** Rates of control messages of the relays and of the other nodes. */
-import { sumTraffic, type LargeMesh, type Traffic } from '../../test/fakes/largeMesh.js';
-import type { TestNode } from '../../test/fakes/nodes.js';
+import { sumTraffic, type LargeMesh, type Traffic } from '../../standins/memory/largeMesh.js';
+import type { TestNode } from '../../standins/memory/nodes.js';
 
 const TYPES = ['ping', 'ping.answer', 'members.', 'config.'];
 
--- a/test/fakes/clock.ts
+++ b/standins/memory/clock.ts
@@ -2,9 +2,18 @@
    The design page asks for the mock timers of `node:test`, which Node.js 20 calls experimental. */
 import { mock } from 'node:test';
 
-/** Replaces the clock and the timers by mocked ones that stand still. */
+/** Replaces `setTimeout` and `Date` by a clock that only `tick` advances. */
+export function startMockClock(nowMs: number) {
+  mock.timers.enable({ apis: ['setTimeout', 'Date'], now: nowMs });
+  return {
+    tick: (ms: number) => mock.timers.tick(ms),
+    stop: () => mock.timers.reset(),
+  };
+}
+
+/** Starts a mocked clock at a time that is the same in every test. */
 export function startClock(): void {
-  mock.timers.enable({ apis: ['setTimeout', 'Date'], now: 1_000_000 });
+  startMockClock(1_000_000);
 }
 
 /** Restores the real clock and timers. */
--- a/test/fakes/nodes.ts
+++ b/standins/memory/nodes.ts
@@ -1,4 +1,4 @@
-import { afterEach, beforeEach } from 'node:test';
+/** Nodes of the real membership and distribution on the in-memory network and platform. */
 import { err, ok } from 'neverthrow';
 import { buildError } from '../../src/errors.js';
 import { createConfigStore, type Compile } from '../../src/core/distribution/store.js';
@@ -10,7 +10,6 @@
 import { brandVersion } from '../../src/types/ids.js';
 import { computeDigest } from '../../src/utils/digest.js';
 import { SILENT_LOGGER } from '../../src/utils/logger.js';
-import { startClock, stopClock } from './clock.js';
 import { createMemoryNetwork, type MemoryNetwork } from './memoryNetwork.js';
 import { createMemoryPlatform, type MemoryPlatform } from './memoryPlatform.js';
 
@@ -147,28 +146,5 @@
   };
 }
 
-/** Returns a mesh that is fresh for each test of the file, on a mocked clock. */
-export function useTestMesh() {
-  const mesh = {
-    ...createTestMesh(),
-    nodes: [] as TestNode[],
-    /** Starts `count` nodes on the ports from `first`, which is their seed. */
-    startNodes: (dataCentre: string, first: number, count: number, seeds: number[] = []) => {
-      for (let port = first; port < first + count; port += 1) {
-        mesh.nodes.push(startTestNode(mesh, port, dataCentre, [first, ...seeds]));
-      }
-    },
-  };
-  beforeEach(() => {
-    startClock();
-    Object.assign(mesh, createTestMesh(), { nodes: [] });
-  });
-  afterEach(async () => {
-    await Promise.all(mesh.nodes.map((node) => node.stop()));
-    stopClock();
-  });
-  return mesh;
-}
-
 /** Returns the installed version of a node. */
 export const getVersion = ({ store }: TestNode) => Number(store.getTag().version);
--- a/test/calls/callFleet.ts
+++ b/test/calls/callFleet.ts
@@ -16,8 +16,8 @@
 import { CALL_HEADERS } from '../../src/types/outcome.js';
 import { SILENT_LOGGER } from '../../src/utils/logger.js';
 import { createFakePools } from '../fakes/callPools.js';
-import { settle } from '../fakes/clock.js';
-import { createRandom } from '../fakes/nodes.js';
+import { settle } from '../../standins/memory/clock.js';
+import { createRandom } from '../../standins/memory/nodes.js';
 import { createFakeClient, type FakeExchange } from '../upstream/fakeClient.js';
 import {
   buildAnnouncement,
--- a/test/calls/outlier.test.ts
+++ b/test/calls/outlier.test.ts
@@ -7,8 +7,8 @@
 import { SILENT_OBSERVER } from '../../src/core/calls/observer.js';
 import { createRetryBudget } from '../../src/core/calls/retryBudget.js';
 import { createFakePools, type ForwardReply } from '../fakes/callPools.js';
-import { settle } from '../fakes/clock.js';
-import { createRandom } from '../fakes/nodes.js';
+import { settle } from '../../standins/memory/clock.js';
+import { createRandom } from '../../standins/memory/nodes.js';
 import { buildCall, buildRoute as buildCallRoute } from '../upstream/support.js';
 import { answer, buildView, createDispatcher, createMembers } from './fakes.js';
 
--- a/test/calls/peerFaults.test.ts
+++ b/test/calls/peerFaults.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { BEHAVIOURS, buildBody, respond, type Behaviour } from '../fakes/faultyResponses.js';
+import { BEHAVIOURS, buildBody, respond, type Behaviour } from '../../standins/faultyResponses.js';
 import { send, startEntry } from './fakes.js';
 import { startRawPeer } from './rawPeer.js';
 
--- a/test/calls/sequences.test.ts
+++ b/test/calls/sequences.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import { mock, test } from 'node:test';
 import fc from 'fast-check';
-import { settle } from '../fakes/clock.js';
+import { settle } from '../../standins/memory/clock.js';
 import { createFleet, type Ending, type Fleet } from './callFleet.js';
 
 const RUNS = { seed: 20_261_204, numRuns: 300 };
--- a/test/config/acceptBundle.test.ts
+++ b/test/config/acceptBundle.test.ts
@@ -4,7 +4,7 @@
 import { buildBundle, NO_PARENT } from '../../src/core/config/buildBundle.js';
 import { HEAD_NAME, readHead } from '../../src/core/config/readHead.js';
 import { readOperation } from '../../src/core/config/readOperation.js';
-import { createMemoryPlatform, type MemoryPlatform } from '../fakes/memoryPlatform.js';
+import { createMemoryPlatform, type MemoryPlatform } from '../../standins/memory/memoryPlatform.js';
 import { acceptNext, buildContent } from './samples.js';
 
 const OPTIONS: AcceptOptions = { maxAttempts: 3, wait: async () => {} };
--- a/test/config/applyConfig.test.ts
+++ b/test/config/applyConfig.test.ts
@@ -9,7 +9,7 @@
 import { listHistory } from '../../src/core/config/listHistory.js';
 import { KEPT_VERSIONS } from '../../src/core/config/pruneBundles.js';
 import { readAccepted } from '../../src/core/config/readAccepted.js';
-import { createMemoryPlatform, type MemoryPlatform } from '../fakes/memoryPlatform.js';
+import { createMemoryPlatform, type MemoryPlatform } from '../../standins/memory/memoryPlatform.js';
 import { acceptNext, BASE_TEXT, buildContent, createDir } from './samples.js';
 
 const OPTIONS = { maxAttempts: 3, wait: async () => {} };
--- a/test/config/commands.test.ts
+++ b/test/config/commands.test.ts
@@ -6,7 +6,7 @@
 import { Config } from '@oclif/core';
 import { buildBundle, NO_PARENT } from '../../src/core/config/buildBundle.js';
 import { formatBundleName, HEAD_NAME } from '../../src/core/config/readHead.js';
-import { createMemoryPlatform, type MemoryPlatform } from '../fakes/memoryPlatform.js';
+import { createMemoryPlatform, type MemoryPlatform } from '../../standins/memory/memoryPlatform.js';
 import { runProgram } from './runProgram.js';
 import { BASE_TEXT, buildContent, createDir, writeFiles } from './samples.js';
 
--- a/test/config/pruneLost.test.ts
+++ b/test/config/pruneLost.test.ts
@@ -5,7 +5,7 @@
 import { listHistory } from '../../src/core/config/listHistory.js';
 import { pruneLost } from '../../src/core/config/pruneLost.js';
 import { formatBundleName, HEAD_NAME, readHead } from '../../src/core/config/readHead.js';
-import { createMemoryPlatform, type MemoryPlatform } from '../fakes/memoryPlatform.js';
+import { createMemoryPlatform, type MemoryPlatform } from '../../standins/memory/memoryPlatform.js';
 import { acceptNext, buildContent } from './samples.js';
 
 const OPTIONS = { maxAttempts: 3, wait: async () => {} };
--- a/test/distribution/damagedObjects.test.ts
+++ b/test/distribution/damagedObjects.test.ts
@@ -1,9 +1,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { advance } from '../fakes/clock.js';
+import { advance } from '../../standins/memory/clock.js';
 import { applyDamages, damages } from '../fakes/mutations.js';
-import { acceptBundle, buildBundle, getVersion, toHead, useTestMesh } from '../fakes/nodes.js';
+import { acceptBundle, buildBundle, getVersion, toHead } from '../../standins/memory/nodes.js';
+import { useTestMesh } from '../fakes/useTestMesh.js';
 import { assertAll } from '../fakes/results.js';
 
 const mesh = useTestMesh();
--- a/test/distribution/fetch.test.ts
+++ b/test/distribution/fetch.test.ts
@@ -2,16 +2,16 @@
 import { beforeEach, test } from 'node:test';
 import { diffBundles } from '../../src/core/distribution/delta.js';
 import type { Bundle, ConfigFetchAnswer } from '../../src/generated/types.js';
-import { advance } from '../fakes/clock.js';
-import type { Fate, Passage } from '../fakes/memoryNetwork.js';
+import { advance } from '../../standins/memory/clock.js';
+import type { Fate, Passage } from '../../standins/memory/memoryNetwork.js';
 import {
   acceptBundle,
   buildBundle,
   getVersion,
   toSender,
-  useTestMesh,
   type TestNode,
-} from '../fakes/nodes.js';
+} from '../../standins/memory/nodes.js';
+import { useTestMesh } from '../fakes/useTestMesh.js';
 import { assertAll } from '../fakes/results.js';
 
 const mesh = useTestMesh();
--- a/test/distribution/floor.test.ts
+++ b/test/distribution/floor.test.ts
@@ -3,15 +3,15 @@
 import { computeMajorityFloor, type FloorAnswer } from '../../src/core/distribution/floor.js';
 import { toTag } from '../../src/core/distribution/verify.js';
 import type { MemberChange } from '../../src/generated/types.js';
-import { advance } from '../fakes/clock.js';
+import { advance } from '../../standins/memory/clock.js';
 import {
   acceptBundle,
   buildBundle,
   buildRecord,
   startTestNode,
-  useTestMesh,
   type TestNode,
-} from '../fakes/nodes.js';
+} from '../../standins/memory/nodes.js';
+import { useTestMesh } from '../fakes/useTestMesh.js';
 import { assertAll } from '../fakes/results.js';
 
 const alive = (port: number, dataCentre = 'dc-a'): MemberChange => ({
--- a/test/distribution/readiness.test.ts
+++ b/test/distribution/readiness.test.ts
@@ -6,7 +6,7 @@
 import type { RoutingState } from '../../src/types/routing.js';
 import { brandVersion } from '../../src/types/ids.js';
 import { SILENT_LOGGER } from '../../src/utils/logger.js';
-import { buildBundle } from '../fakes/nodes.js';
+import { buildBundle } from '../../standins/memory/nodes.js';
 
 function createStore() {
   return createConfigStore({
--- a/test/distribution/refusals.test.ts
+++ b/test/distribution/refusals.test.ts
@@ -4,16 +4,16 @@
 import type { Compile } from '../../src/core/distribution/store.js';
 import { buildError } from '../../src/errors.js';
 import type { MemberRecord } from '../../src/generated/types.js';
-import { advance } from '../fakes/clock.js';
+import { advance } from '../../standins/memory/clock.js';
 import {
   acceptBundle,
   buildBundle,
   compileAny,
   getVersion,
   startTestNode,
-  useTestMesh,
   type TestNode,
-} from '../fakes/nodes.js';
+} from '../../standins/memory/nodes.js';
+import { useTestMesh } from '../fakes/useTestMesh.js';
 import { assertAll } from '../fakes/results.js';
 
 const mesh = useTestMesh();
--- a/test/distribution/spread.test.ts
+++ b/test/distribution/spread.test.ts
@@ -1,6 +1,7 @@
 import { test } from 'node:test';
-import { advance } from '../fakes/clock.js';
-import { acceptBundle, buildBundle, getVersion, useTestMesh } from '../fakes/nodes.js';
+import { advance } from '../../standins/memory/clock.js';
+import { acceptBundle, buildBundle, getVersion } from '../../standins/memory/nodes.js';
+import { useTestMesh } from '../fakes/useTestMesh.js';
 import { assertAll } from '../fakes/results.js';
 
 const mesh = useTestMesh();
--- a/test/distribution/store.test.ts
+++ b/test/distribution/store.test.ts
@@ -5,7 +5,7 @@
 import type { Bundle } from '../../src/generated/types.js';
 import type { DataCentre } from '../../src/types/ids.js';
 import { SILENT_LOGGER } from '../../src/utils/logger.js';
-import { buildBundle, compileAny } from '../fakes/nodes.js';
+import { buildBundle, compileAny } from '../../standins/memory/nodes.js';
 
 function createStore() {
   const site = 'dc-a' as DataCentre;
--- a/test/distribution/versions.test.ts
+++ b/test/distribution/versions.test.ts
@@ -4,7 +4,7 @@
 import { ok } from 'neverthrow';
 import type { ConfigFetchAnswer } from '../../src/generated/types.js';
 import { diffBundles } from '../../src/core/distribution/delta.js';
-import { advance, startClock, stopClock } from '../fakes/clock.js';
+import { advance, startClock, stopClock } from '../../standins/memory/clock.js';
 import {
   acceptBundle,
   buildBundle,
@@ -12,7 +12,7 @@
   createTestMesh,
   startTestNode,
   toSender,
-} from '../fakes/nodes.js';
+} from '../../standins/memory/nodes.js';
 
 const SENDER = { ...buildRecord(101, 'dc-a', 2000), state: 'serving' as const };
 const FROM = toSender(SENDER);
--- a/test/distribution/watch.test.ts
+++ b/test/distribution/watch.test.ts
@@ -1,13 +1,13 @@
 import assert from 'node:assert/strict';
 import { beforeEach, test } from 'node:test';
-import { advance } from '../fakes/clock.js';
+import { advance } from '../../standins/memory/clock.js';
 import {
   acceptBundle,
   buildBundle,
   getVersion,
   startTestNode,
-  useTestMesh,
-} from '../fakes/nodes.js';
+} from '../../standins/memory/nodes.js';
+import { useTestMesh } from '../fakes/useTestMesh.js';
 import { assertAll } from '../fakes/results.js';
 
 const mesh = useTestMesh();
--- a/test/membership/antiEntropy.test.ts
+++ b/test/membership/antiEntropy.test.ts
@@ -7,9 +7,10 @@
 import { createTable, NO_TAG } from '../../src/core/membership/table.js';
 import type { MembersBucketsAnswer, MemberRecord } from '../../src/generated/types.js';
 import { SILENT_LOGGER } from '../../src/utils/logger.js';
-import { settle } from '../fakes/clock.js';
-import { sumTraffic, toBytes } from '../fakes/largeMesh.js';
-import { buildRecord, buildSettings, createRandom, toSender, useTestMesh } from '../fakes/nodes.js';
+import { settle } from '../../standins/memory/clock.js';
+import { sumTraffic, toBytes } from '../../standins/memory/largeMesh.js';
+import { buildRecord, buildSettings, createRandom, toSender } from '../../standins/memory/nodes.js';
+import { useTestMesh } from '../fakes/useTestMesh.js';
 import { unwrap } from '../fakes/results.js';
 
 const START_MS = 1_764_000_000_000;
--- a/test/membership/failures.test.ts
+++ b/test/membership/failures.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { DataCentre, NodeId, ServiceName } from '../../src/types/ids.js';
-import { advance, settle } from '../fakes/clock.js';
+import { advance, settle } from '../../standins/memory/clock.js';
 import { chooseIncarnation } from '../../src/core/membership/chooseIncarnation.js';
 import { getStartMs } from '../../src/core/membership/incarnation.js';
 import { SILENT_LOGGER } from '../../src/utils/logger.js';
@@ -9,9 +9,9 @@
   buildSettings,
   startTestNode,
   toSender,
-  useTestMesh,
   type TestNode,
-} from '../fakes/nodes.js';
+} from '../../standins/memory/nodes.js';
+import { useTestMesh } from '../fakes/useTestMesh.js';
 import { assertAll } from '../fakes/results.js';
 
 const mesh = useTestMesh();
--- a/test/membership/merge.test.ts
+++ b/test/membership/merge.test.ts
@@ -6,7 +6,7 @@
 import { mergeChanges } from '../../src/core/membership/merge.js';
 import { createTable, toChange } from '../../src/core/membership/table.js';
 import type { MemberChange } from '../../src/generated/types.js';
-import { buildRecord } from '../fakes/nodes.js';
+import { buildRecord } from '../../standins/memory/nodes.js';
 
 const RUNS = { seed: 20_240_611, numRuns: 500 };
 
--- a/test/membership/messages.test.ts
+++ b/test/membership/messages.test.ts
@@ -8,14 +8,14 @@
   Ping,
 } from '../../src/generated/types.js';
 import type { NodeId } from '../../src/types/ids.js';
-import { advance } from '../fakes/clock.js';
+import { advance } from '../../standins/memory/clock.js';
 import {
   buildRecord,
   startTestNode,
   toSender,
-  useTestMesh,
   type TestNode,
-} from '../fakes/nodes.js';
+} from '../../standins/memory/nodes.js';
+import { useTestMesh } from '../fakes/useTestMesh.js';
 import { unwrap, unwrapError } from '../fakes/results.js';
 
 const ADDRESS = { host: '127.0.0.1', port: 100 };
--- a/test/membership/recovery.test.ts
+++ b/test/membership/recovery.test.ts
@@ -1,13 +1,18 @@
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, test } from 'node:test';
-import { advance, startClock, stopClock } from '../fakes/clock.js';
+import { advance, startClock, stopClock } from '../../standins/memory/clock.js';
 import {
   measureDataCentre,
   measureRack,
   measureRegions,
   measureRestart,
-} from '../fakes/largeFaults.js';
-import { startLargeMesh, startTraffic, sumTraffic, type LargeMesh } from '../fakes/largeMesh.js';
+} from '../../standins/memory/largeFaults.js';
+import {
+  startLargeMesh,
+  startTraffic,
+  sumTraffic,
+  type LargeMesh,
+} from '../../standins/memory/largeMesh.js';
 
 let mesh: LargeMesh;
 
--- a/test/membership/spread.test.ts
+++ b/test/membership/spread.test.ts
@@ -2,14 +2,14 @@
 import { test } from 'node:test';
 import type { MemberChange, Ping } from '../../src/generated/types.js';
 import type { DataCentre, NodeId } from '../../src/types/ids.js';
-import { advance } from '../fakes/clock.js';
+import { advance } from '../../standins/memory/clock.js';
 import {
   acceptBundle,
   buildBundle,
   startTestNode,
-  useTestMesh,
   type TestNode,
-} from '../fakes/nodes.js';
+} from '../../standins/memory/nodes.js';
+import { useTestMesh } from '../fakes/useTestMesh.js';
 import { assertAll, unwrap } from '../fakes/results.js';
 
 const mesh = useTestMesh();
--- a/test/peer/fuzz.test.ts
+++ b/test/peer/fuzz.test.ts
@@ -5,7 +5,7 @@
 import { diffBundles } from '../../src/core/distribution/delta.js';
 import { toChange } from '../../src/core/membership/table.js';
 import { validateMembersPush } from '../../src/generated/validators.js';
-import { advance, settle } from '../fakes/clock.js';
+import { advance, settle } from '../../standins/memory/clock.js';
 import { applyDamages, damages, type Damage } from '../fakes/mutations.js';
 import {
   acceptBundle,
@@ -14,9 +14,9 @@
   getVersion,
   startTestNode,
   toSender,
-  useTestMesh,
   type TestNode,
-} from '../fakes/nodes.js';
+} from '../../standins/memory/nodes.js';
+import { useTestMesh } from '../fakes/useTestMesh.js';
 
 const ADDRESS = { host: '127.0.0.1', port: 100 };
 const RUNS = { seed: 20_261_204, numRuns: 400 };
--- a/test/upstream/announce.test.ts
+++ b/test/upstream/announce.test.ts
@@ -13,8 +13,8 @@
 import { SILENT_LOGGER } from '../../src/utils/logger.js';
 import { validateMembersPush } from '../../src/generated/validators.js';
 import { applyDamages, damages } from '../fakes/mutations.js';
-import { buildRecord, toSender } from '../fakes/nodes.js';
-import { startMockClock } from './mockClock.js';
+import { buildRecord, toSender } from '../../standins/memory/nodes.js';
+import { startMockClock } from '../../standins/memory/clock.js';
 import { buildAnnouncement, createInstanceSide } from './support.js';
 
 const TAG: VersionTag = { version: brandVersion(7), digest: brandText<Digest>('a'.repeat(64)) };
--- a/test/upstream/drain.test.ts
+++ b/test/upstream/drain.test.ts
@@ -1,9 +1,8 @@
 import assert from 'node:assert/strict';
 import { test, type TestContext } from 'node:test';
 import type { Announcement } from '../../src/generated/types.js';
-import { settle } from '../fakes/clock.js';
+import { settle, startMockClock } from '../../standins/memory/clock.js';
 import { createFakeClient } from './fakeClient.js';
-import { startMockClock } from './mockClock.js';
 import { buildAnnouncement, buildCall, createInstanceSide, SERVICE } from './support.js';
 
 const DRAIN_MS = 3000;
--- a/test/upstream/keySequences.test.ts
+++ b/test/upstream/keySequences.test.ts
@@ -10,7 +10,7 @@
 import { brandText, type NodeId } from '../../src/types/ids.js';
 import type { MemberView } from '../../src/types/interfaces.js';
 import { SILENT_LOGGER } from '../../src/utils/logger.js';
-import { settle } from '../fakes/clock.js';
+import { settle } from '../../standins/memory/clock.js';
 import { createFakeClient } from './fakeClient.js';
 import {
   buildAnnouncement,
--- a/test/upstream/once.test.ts
+++ b/test/upstream/once.test.ts
@@ -4,7 +4,7 @@
 import { createRequestMemory, type MemoryKey } from '../../src/core/upstream/requestMemory.js';
 import type { AttemptResult, Call } from '../../src/types/calls.js';
 import { brandText, type NodeId, type RequestId } from '../../src/types/ids.js';
-import { startMockClock } from './mockClock.js';
+import { startMockClock } from '../../standins/memory/clock.js';
 import {
   buildAnnouncement,
   buildCall,
--- a/test/upstream/renewals.test.ts
+++ b/test/upstream/renewals.test.ts
@@ -4,8 +4,7 @@
 import type { KeyPartition } from '../../src/generated/types.js';
 import type { MemberView } from '../../src/types/interfaces.js';
 import { SILENT_LOGGER } from '../../src/utils/logger.js';
-import { settle } from '../fakes/clock.js';
-import { startMockClock } from './mockClock.js';
+import { settle, startMockClock } from '../../standins/memory/clock.js';
 import {
   buildKey,
   buildMember,
--- a/test/upstream/upstreamFaults.test.ts
+++ b/test/upstream/upstreamFaults.test.ts
@@ -4,7 +4,7 @@
 import { test, type TestContext } from 'node:test';
 import fc from 'fast-check';
 import type { AttemptResult } from '../../src/types/calls.js';
-import { BEHAVIOURS, buildBody, respond, type Behaviour } from '../fakes/faultyResponses.js';
+import { BEHAVIOURS, buildBody, respond, type Behaviour } from '../../standins/faultyResponses.js';
 import { buildAnnouncement, buildCall, createInstanceSide, readText, SERVICE } from './support.js';
 
 /** Starts an upstream that takes the next behaviour for each request and notes which it got. */
