Let relays repeat changes three times

Cause: in a minute with one restart in each of 10 data centres relays of 540 nodes spent 3630 B/s, 1.3 KB/s of it on repetitions of 22 or more changes inside the data centre, as every node does, besides their exchanges elsewhere. Change: a relay repeats a change three times, not seven at 54 members. Others pass it on with all repetitions. Ruled out: keeping records of joining processes at home made no difference, since the record that follows takes their place before they are sent.

--- a/src/core/membership/gossip.ts
+++ b/src/core/membership/gossip.ts
@@ -10,6 +10,11 @@
  * lost rack after 17 s and not 13 s (one run each).
  */
 const REPEAT_FACTOR = 3;
+/**
+ * Repetitions of a relay, which is the busiest node and hears of changes elsewhere first: three
+ * members that pass a change on are enough to start with.
+ */
+const RELAY_REPEATS = 3;
 
 /** Changes that are still to be repeated on pings and acks. */
 export interface GossipQueue {
@@ -35,13 +40,23 @@
 }
 
 /** Creates the queue of changes for the members of one data centre. */
-export function createGossipQueue(table: Table, dataCentre: string): GossipQueue {
+export function createGossipQueue(
+  table: Table,
+  dataCentre: string,
+  isRelay: () => boolean,
+): GossipQueue {
   const sent = new Map<string, number>();
+
+  const getLimit = () => {
+    const repeats = computeRepeats(table.listPresent(dataCentre).length);
+    return isRelay() ? Math.min(RELAY_REPEATS, repeats) : repeats;
+  };
+
   return {
     add: (nodeId) => sent.set(nodeId, 0),
     take: (excluded) => {
       if (sent.size === 0) return [];
-      const limit = computeRepeats(table.listPresent(dataCentre).length);
+      const limit = getLimit();
       const order = [...sent].sort((a, b) => a[1] - b[1]);
       const changes: MemberChange[] = [];
       let bytes = 0;
@@ -62,7 +77,7 @@
       return changes;
     },
     restore: (changes) => {
-      const limit = computeRepeats(table.listPresent(dataCentre).length);
+      const limit = getLimit();
       for (const { record } of changes) {
         // A change that was dropped after its last repetition gets that repetition again.
         const times = sent.get(record.nodeId) ?? limit;
