Cancel calls without an AbortController for each call

Cause: timestamps in both nodes at 50 calls/s show 0.7 ms of code between the events of a call, at code that is cold in the caches. A CPU profile shows the abort signal with its event target as the largest part that belongs to this project; the copy of the headers with `delete` makes a dictionary object. Change: CallerSignal, a plain list of listeners with the part of the AbortSignal interface that a call uses; the headers of a forwarded call are copied without `delete`; the bodies of responses are a subclass of Readable instead of a Readable with options.

--- a/src/core/calls/forward.ts
+++ b/src/core/calls/forward.ts
@@ -24,8 +24,11 @@
   member: MemberRecord,
   budgetMs: number,
 ): Record<string, string | string[] | undefined> {
-  const headers: Record<string, string | string[] | undefined> = { ...call.headers };
-  delete headers['content-length'];
+  const headers: Record<string, string | string[] | undefined> = {};
+  // A copy without a `delete`, which would turn the object into a slow dictionary.
+  for (const name of Object.keys(call.headers)) {
+    if (name !== 'content-length') headers[name] = call.headers[name];
+  }
   headers[CALL_HEADERS.target] = `${member.nodeId}/${member.incarnation}`;
   headers[CALL_HEADERS.request] = call.requestId;
   headers[CALL_HEADERS.route] = call.route.name;
--- a/src/core/calls/forwardHandler.ts
+++ b/src/core/calls/forwardHandler.ts
@@ -1,10 +1,11 @@
 /** Follows one forwarded request on its connection and decides what can be proven about it. */
 import type { IncomingHttpHeaders } from 'node:http';
-import { Readable } from 'node:stream';
+import { getDefaultHighWaterMark, type Readable } from 'node:stream';
 import type { Dispatcher } from 'undici';
 import type { AttemptResult } from '../../types/calls.js';
 import { CALL_HEADERS } from '../../types/outcome.js';
 import { parseFailure, parseLoad } from './answer.js';
+import { ExchangeBody } from './exchangeBody.js';
 import { buildNotRun, buildUnknown, type FailedResult } from './refusal.js';
 
 type Controller = Dispatcher.DispatchController;
@@ -68,12 +69,9 @@
       }
       return;
     }
-    const body = new Readable({
-      read: () => controller.resume(),
-      destroy: (error, done) => {
-        if (!this.isEnded) controller.abort(error ?? new Error('the response was not wanted'));
-        done(error);
-      },
+    const body = new ExchangeBody(controller, getDefaultHighWaterMark(false), (error) => {
+      if (this.isEnded) return;
+      controller.abort(error ?? new Error('the response was not wanted'));
     });
     // The body may fail before its reader listens; the reader then finds it destroyed.
     body.on('error', () => {});
--- a/src/core/calls/serveCall.ts
+++ b/src/core/calls/serveCall.ts
@@ -9,6 +9,7 @@
 import type { CompiledRoute, RoutingState } from '../../types/routing.js';
 import { formatLoad, relayAnswer, toOutcome, writeFailure } from './answer.js';
 import { parseCallKey } from './callKey.js';
+import { CallerSignal } from './callerSignal.js';
 import { runCall, type EntryParts } from './entry.js';
 import { buildUnknown, refuse, type FailedResult, type Refusal } from './refusal.js';
 import { readBody, type BodyBudget } from './requestBody.js';
@@ -101,10 +102,10 @@
   requestId: RequestId,
   body: Buffer,
 ): Call {
-  const abort = new AbortController();
-  if (response.destroyed) abort.abort();
+  const signal = new CallerSignal();
+  if (response.destroyed) signal.abort();
   response.once('close', () => {
-    if (!response.writableFinished) abort.abort();
+    if (!response.writableFinished) signal.abort();
   });
   return {
     requestId,
@@ -116,7 +117,7 @@
     key: head.key,
     deadlineMs: head.deadlineMs,
     depth: head.depth,
-    signal: abort.signal,
+    signal,
   };
 }
 
--- a/src/core/upstream/exchange.ts
+++ b/src/core/upstream/exchange.ts
@@ -1,7 +1,8 @@
 /** One HTTP exchange with an upstream, followed until it has really ended. */
 import type { IncomingHttpHeaders } from 'node:http';
-import { Readable } from 'node:stream';
+import type { Readable } from 'node:stream';
 import type { Dispatcher } from 'undici';
+import { ExchangeBody } from '../calls/exchangeBody.js';
 
 /** Small answers are read to this size without waiting for the reader. */
 const READ_AHEAD_BYTES = 64 * 1024;
@@ -63,18 +64,12 @@
   const kept: Buffer[] = [];
   let size = 0;
   let isOpen = true;
-  const body = new Readable({
-    highWaterMark: READ_AHEAD_BYTES,
-    read: () => controller.resume(),
-    destroy(error, done) {
-      if (isOpen) {
-        // The rest is read and dropped: the slot stays taken until the upstream has finished.
-        isOpen = false;
-        controller.resume();
-        onBodyLeft();
-      }
-      done(error);
-    },
+  const body = new ExchangeBody(controller, READ_AHEAD_BYTES, () => {
+    if (!isOpen) return;
+    // The rest is read and dropped: the slot stays taken until the upstream has finished.
+    isOpen = false;
+    controller.resume();
+    onBodyLeft();
   });
   // A reader that has not attached its own listener yet must not end the process.
   body.on('error', () => {});
--- a/src/types/calls.ts
+++ b/src/types/calls.ts
@@ -16,6 +16,13 @@
     }
   | { readonly kind: 'uuid'; readonly text: string; readonly issuedAtMs: number };
 
+/** The part of an `AbortSignal` that a call uses. */
+export interface CallSignal {
+  readonly aborted: boolean;
+  addEventListener(type: 'abort', listener: () => void, options?: { readonly once: true }): void;
+  removeEventListener(type: 'abort', listener: () => void): void;
+}
+
 /** One call, read completely from the caller before any instance sees it. */
 export interface Call {
   readonly requestId: RequestId;
@@ -32,7 +39,7 @@
   /** Number of calls above this one in the chain. */
   readonly depth: number;
   /** Aborted when the caller goes away. */
-  readonly signal: AbortSignal;
+  readonly signal: CallSignal;
 }
 
 /** Load of the instances of one service on one node. */
--- a/src/utils/backoff.ts
+++ b/src/utils/backoff.ts
@@ -1,4 +1,5 @@
 /** Exponential backoff with full jitter, so that many clients do not retry at the same moment. */
+import type { CallSignal } from '../types/calls.js';
 
 /** Bounds of a backoff, in milliseconds. */
 export interface BackoffBounds {
@@ -17,7 +18,7 @@
 }
 
 /** Waits; resolves early, without an error, when the signal is aborted. */
-export function waitMs(delayMs: number, signal?: AbortSignal): Promise<void> {
+export function waitMs(delayMs: number, signal?: CallSignal): Promise<void> {
   return new Promise((resolve) => {
     if (signal?.aborted) {
       resolve();
--- /dev/null
+++ b/test/calls/callerSignal.test.ts
@@ -0,0 +1,19 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { CallerSignal } from '../../src/core/calls/callerSignal.js';
+
+// Guards against a cancellation of a part that has already ended, and against a second one.
+test('an abort calls each listener that is still there once', () => {
+  const signal = new CallerSignal();
+  const called: string[] = [];
+  const later = () => called.push('later');
+  signal.addEventListener('abort', () => {
+    called.push('first');
+    signal.removeEventListener('abort', later);
+  });
+  signal.addEventListener('abort', later);
+  signal.abort();
+  signal.addEventListener('abort', later);
+  signal.abort();
+  assert.deepEqual([called, signal.aborted], [['first'], true]);
+});
