Keep the daemon alive without a reader of its logs, and log its crashes

Cause: a write to a closed pipe is an error event of the output stream, which nothing handled: a daemon ended with the process that read its logs. A fault that nothing handled printed a bare stack in no event and exited with 1, the code of a failed start. Change: errors of both output streams are ignored; an unhandled fault is logged as 'crashed' with its stack and exits with 5. Ruled out: going on after such a fault, whose state is unknown. Conclusion: the loss of a log reader costs log lines only.

--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -4,10 +4,17 @@
 import { loadSettings } from './core/settings.js';
 import { startNode } from './core/wiring.js';
 import { toStepError } from './errors.js';
-import { createLogger } from './utils/logger.js';
+import { createLogger, type Logger } from './utils/logger.js';
 
 /** Exit codes of the daemon. */
-const EXIT = { stopped: 0, startFailed: 1, faultySettings: 2, callsCut: 3, secondSignal: 4 };
+const EXIT = {
+  stopped: 0,
+  startFailed: 1,
+  faultySettings: 2,
+  callsCut: 3,
+  secondSignal: 4,
+  crashed: 5,
+};
 
 const USAGE = 'usage: lycheelaned --settings FILE';
 
@@ -19,7 +26,20 @@
   }
 }
 
+/** Keeps the process alive when the reader of its logs goes away; its events are lost then. */
+function ignoreBrokenOutput(): void {
+  for (const stream of [process.stdout, process.stderr]) stream.on('error', () => {});
+}
+
+/** Logs a fault that nothing handled, in the form of all other events, and ends the process. */
+function handleCrash(logger: Logger, thrown: unknown): void {
+  const { step, peer, message, stack } = toStepError(thrown, 'process', 'self');
+  logger.error('crashed', { step, peer, reason: message, stack });
+  process.exit(EXIT.crashed);
+}
+
 async function main(): Promise<void> {
+  ignoreBrokenOutput();
   const path = readSettingsPath();
   if (path === undefined) {
     process.stderr.write(`${USAGE}\n`);
@@ -33,6 +53,8 @@
   const settings = loaded.value;
   const { nodeId, dataCentre } = settings;
   const logger = createLogger(settings.logLevel, { node: nodeId, dataCentre });
+  // Also receives rejections that nothing handles.
+  process.on('uncaughtException', (thrown) => handleCrash(logger, thrown));
   const started = await startNode(settings, logger);
   if (started.isErr()) {
     const { step, peer, message } = started.error;
