--- a/src/cli/commands/config/apply.ts
+++ b/src/cli/commands/config/apply.ts
@@ -51,12 +51,12 @@
       },
     );
     if (lastError) this.logToStderr(`node ${node}: ${lastError.message}`);
-    if (report) await this.warnOfUnusedOverlays(flags.dir, report);
+    if (report) await this.printUnusedOverlays(flags.dir, report);
     return finishCommand(this.printReport(outcome.version, report), { ...outcome, report });
   }
 
   /** A misspelt overlay is no fault of the files, and does nothing. */
-  private async warnOfUnusedOverlays(dir: string, { dataCentres }: ForceReport): Promise<void> {
+  private async printUnusedOverlays(dir: string, { dataCentres }: ForceReport): Promise<void> {
     const working = await readWorkingFiles(dir);
     if (working.isErr()) return;
     const known = dataCentres.map(({ name }) => name);
--- a/src/core/wiring.ts
+++ b/src/core/wiring.ts
@@ -138,7 +138,7 @@
 }
 
 /** Returns a started part; `startNode` turns the thrown error into its result. */
-function unwrapStarted<Part>(started: Result<Part, StepError>): Part {
+function requireStarted<Part>(started: Result<Part, StepError>): Part {
   if (started.isErr()) throw started.error;
   return started.value;
 }
@@ -156,7 +156,7 @@
 ): Promise<MeshPorts> {
   const { settings, logger, counters, store, deferred } = shared;
   const { host } = settings;
-  const peerServer = unwrapStarted(
+  const peerServer = requireStarted(
     await startPeerServer({ host, port: settings.peerPort, logger, counters }),
   );
   const callPort = await startCallPort({
@@ -225,7 +225,7 @@
     store,
     logger,
   });
-  return unwrapStarted(started);
+  return requireStarted(started);
 }
 
 function openOperatorPort(
