--- a/src/core/membership/join.ts
+++ b/src/core/membership/join.ts
@@ -65,7 +65,7 @@
 
   /**
    * Contacts addresses in random order until one of a data centre that is enough gives its table.
-   * Tables of others are asked for only without it: each is 178 KB at 540 members.
+   * Tables of others are asked for only without it: each is 184 KB at 540 members.
    */
   const contactAny = async (
     addresses: readonly PeerAddress[],
