Do not take an owner for gone whose new process is not known yet

Cause: the trace of keyed calls lost at planned restarts. A process that starts again claims key partitions at once; a node that still knew its earlier process compared incarnations for equality, took the owner for gone and gave up all keys of the interval as 'unknown process-replaced' until the new record arrived. Change: only a later incarnation, or the same one dead or left, means gone; an earlier one than the owner's means that news is missing. Claims and given-up keys use the same check. Ruled out: a slower claim after a start, which leaves keys without an owner.

--- a/src/core/upstream/keyPartitions.ts
+++ b/src/core/upstream/keyPartitions.ts
@@ -15,7 +15,6 @@
   isFirstRanked,
   isOwnerGone,
   isOwnerLeaving,
-  isOwnerRunning,
   isReadyFor,
   type Members,
 } from './partitionClaim.js';
@@ -233,8 +232,7 @@
       const read = await partition.lease.read();
       const view = partition.lease.getView();
       if (read.isErr() || typeof view === 'string') return;
-      const isEnded = !isOwnerRunning(members, view) && !isOwnerLeaving(members, view);
-      if (isEnded) next.endedOwner = view.incarnation;
+      if (isOwnerGone(members, view)) next.endedOwner = view.incarnation;
     };
     const timeout = new AbortController();
     await Promise.race([readOwner(), waitMs(READ_WAIT_MS, timeout.signal)]);
--- a/src/core/upstream/partitionClaim.ts
+++ b/src/core/upstream/partitionClaim.ts
@@ -3,6 +3,7 @@
 import { brandText, type NodeId, type ServiceName } from '../../types/ids.js';
 import type { MemberTable } from '../../types/interfaces.js';
 import { rankMembers } from '../../utils/rendezvous.js';
+import { compareIncarnations } from '../membership/incarnation.js';
 
 /** Read access to the members. */
 export type Members = Pick<MemberTable, 'getSelf' | 'getMember' | 'listByService'>;
@@ -35,11 +36,10 @@
   const member = members.getMember(brandText<NodeId>(owner.nodeId));
   // An unknown member may be one that this node has not heard of yet.
   if (!member) return false;
-  return (
-    member.verdict === 'dead' ||
-    member.record.incarnation !== owner.incarnation ||
-    member.record.state === 'left'
-  );
+  const order = compareIncarnations(member.record.incarnation, owner.incarnation);
+  // So may a process that claimed right after its start.
+  if (order !== 0) return order > 0;
+  return member.verdict === 'dead' || member.record.state === 'left';
 }
 
 /** True when this node has the highest rank for a partition among the ready members. */
--- a/test/upstream/keyPartitions.test.ts
+++ b/test/upstream/keyPartitions.test.ts
@@ -194,6 +194,18 @@
   assert.equal(await summarizeKey(crashed.add('b'), crashed.clock.nowMs, 0), 'unknown');
 });
 
+// Guards G8: keys given up because the owner started again and its new record has not arrived yet.
+test('an owner that started after the known process is not taken for gone', async () => {
+  const { run, add, setState, clock } = startNodes();
+  await run(1, [add('a', '5-a')]);
+  add('a', '1-a');
+  setState('a', 'left');
+  const other = add('b');
+  await run(2, [other]);
+  assert.equal(await summarizeKey(other, clock.nowMs, 0), 'key-unowned');
+  assert.deepEqual(other.listHeld(), [], 'a claim would waste the keys of a living owner');
+});
+
 // Guards against a truncation that takes effect late and shortens an interval taken up again.
 test('a truncation under way makes the object at its version void for its owner', async () => {
   const platform = createFakePlatform();
