Share the look at an owner's state and the settings of daemon tests

Cause: the last read of the change found two twins: isOwnerRunning and isOwnerLeaving differed in one word, and two daemon tests wrote the same settings. Change: hasOwnerState and test/daemon/settingsFile serve both. Conclusion: no change of behaviour.

--- a/src/core/upstream/partitionClaim.ts
+++ b/src/core/upstream/partitionClaim.ts
@@ -16,18 +16,24 @@
   );
 }
 
-/** True when the recorded owner is known to run, so that callers can be sent to it. */
-export function isOwnerRunning(members: Members, owner: KeyPartition): boolean {
+function hasOwnerState(
+  members: Members,
+  owner: KeyPartition,
+  state: MemberRecord['state'],
+): boolean {
   const member = members.getMember(brandText<NodeId>(owner.nodeId));
   if (!member || member.verdict === 'dead') return false;
-  return member.record.incarnation === owner.incarnation && member.record.state === 'serving';
+  return member.record.incarnation === owner.incarnation && member.record.state === state;
+}
+
+/** True when the recorded owner is known to run, so that callers can be sent to it. */
+export function isOwnerRunning(members: Members, owner: KeyPartition): boolean {
+  return hasOwnerState(members, owner, 'serving');
 }
 
 /** True when the recorded owner is leaving: it hands its partitions over and still answers. */
 export function isOwnerLeaving(members: Members, owner: KeyPartition): boolean {
-  const member = members.getMember(brandText<NodeId>(owner.nodeId));
-  if (!member || member.verdict === 'dead') return false;
-  return member.record.incarnation === owner.incarnation && member.record.state === 'leaving';
+  return hasOwnerState(members, owner, 'leaving');
 }
 
 /** True when the recorded owner's process is known to have ended. */
--- a/test/daemon/brokenOutput.test.ts
+++ b/test/daemon/brokenOutput.test.ts
@@ -1,28 +1,18 @@
 import assert from 'node:assert/strict';
 import { spawn } from 'node:child_process';
 import { once } from 'node:events';
-import { mkdtemp, rm, writeFile } from 'node:fs/promises';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
 import { test } from 'node:test';
 import { fileURLToPath } from 'node:url';
 import { request } from 'undici';
+import { HOST, writeSettings } from './settingsFile.js';
 
 const DAEMON = fileURLToPath(new URL('../../src/daemon.js', import.meta.url));
-const HOST = '127.0.0.1';
 
 // Guards against a daemon that ends because the process that reads its logs has ended.
 test('a daemon goes on when nobody reads its output any more', async (t) => {
-  const folder = await mkdtemp(join(tmpdir(), 'lycheelane-'));
-  const path = join(folder, 'n1.json');
-  const ports = { callPort: 0, peerPort: 0, announcePort: 0, operatorPort: 0 };
-  const place = { nodeId: 'n1', dataCentre: 'dc', region: 'region', host: HOST };
-  await writeFile(path, JSON.stringify({ ...place, ...ports, platformUrl: `http://${HOST}:1` }));
+  const path = await writeSettings(t);
   const daemon = spawn(process.execPath, [DAEMON, '--settings', path]);
-  t.after(async () => {
-    daemon.kill('SIGKILL');
-    await rm(folder, { recursive: true });
-  });
+  t.after(() => daemon.kill('SIGKILL'));
   const [line] = (await once(daemon.stdout, 'data')) as [Buffer];
   const started = JSON.parse(line.toString()) as { announcePort: number; operatorPort: number };
   daemon.stdout.destroy();
--- a/test/daemon/occupiedPorts.test.ts
+++ b/test/daemon/occupiedPorts.test.ts
@@ -1,15 +1,12 @@
 import assert from 'node:assert/strict';
 import { execFile } from 'node:child_process';
 import { once } from 'node:events';
-import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { createServer, type AddressInfo } from 'node:net';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
 import { test } from 'node:test';
 import { fileURLToPath } from 'node:url';
+import { HOST, writeSettings } from './settingsFile.js';
 
 const DAEMON = fileURLToPath(new URL('../../src/daemon.js', import.meta.url));
-const HOST = '127.0.0.1';
 const TABLE = [
   { name: 'callPort', step: 'calls.listen' },
   { name: 'peerPort', step: 'peer.listen' },
@@ -32,17 +29,9 @@
   test(`a daemon whose ${name} is taken ends with the address and the cause`, async (t) => {
     const occupier = createServer().listen(0, HOST);
     await once(occupier, 'listening');
-    const folder = await mkdtemp(join(tmpdir(), 'lycheelane-'));
-    t.after(async () => {
-      occupier.close();
-      await rm(folder, { recursive: true });
-    });
+    t.after(() => occupier.close());
     const { port } = occupier.address() as AddressInfo;
-    const free = { callPort: 0, peerPort: 0, announcePort: 0, operatorPort: 0 };
-    const place = { nodeId: 'n1', dataCentre: 'dc', region: 'region', host: HOST };
-    const settings = { ...place, ...free, [name]: port, platformUrl: `http://${HOST}:1` };
-    const path = join(folder, 'n1.json');
-    await writeFile(path, JSON.stringify(settings));
+    const path = await writeSettings(t, { [name]: port });
     const { code, output } = await runDaemon(path);
     assert.equal(code, 1);
     const line = output.split('\n').find((each) => each.includes('start-failed')) ?? output;
