--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import { configs, extensions, plugins } from 'eslint-config-airbnb-extended';
 
 export default [
-  { ignores: ['dist/**', 'src/generated/**', 'node_modules/**'] },
+  { ignores: ['dist/**', 'target/**', 'src/generated/**', 'node_modules/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- /dev/null
+++ b/src/mesh/admission.ts
@@ -0,0 +1,155 @@
+/**
+ * Decides which requests an instance runs, in which order, and which are refused at once. It has
+ * no network and no clock. It answers the load of one instance that gets more requests than it
+ * has slots: beyond its slots an instance queues without order, and some then never respond.
+ */
+import type { RefusalReason } from './model.js';
+
+/** What admission knows of a request. Instants and times are in milliseconds. */
+export interface AdmissionItem {
+  /** 0 is the most important. */
+  readonly rank: number;
+  /** Expected run time at this instance. */
+  readonly workMs: number;
+  readonly objectiveAtMs: number;
+  readonly deadlineAtMs: number;
+}
+
+/** Decision about a request that has just come. */
+export type Offer =
+  | { readonly kind: 'start' }
+  | { readonly kind: 'queued' }
+  | {
+      readonly kind: 'refused';
+      readonly reason: RefusalReason;
+      readonly retryAfterMs: number;
+    };
+
+/** Share of its remaining time that a request which misses its objective may wait. */
+const LATE_WAIT_SHARE = 0.3;
+
+/** Largest number of waiting requests for each slot; a guard for memory. */
+const MAX_QUEUED_PER_SLOT = 20;
+
+interface Queued<Item> {
+  readonly item: Item;
+  readonly isLate: boolean;
+  readonly order: number;
+}
+
+/** Slots of one instance and the requests that wait for them. */
+export class AdmissionQueue<Item extends AdmissionItem> {
+  private queue: Queued<Item>[] = [];
+
+  private running = 0;
+
+  private orders = 0;
+
+  constructor(private slots: number) {}
+
+  /** Sets the number of requests that the instance runs at the same time. */
+  setSlots(slots: number): void {
+    this.slots = Math.max(1, slots);
+  }
+
+  countRunning(): number {
+    return this.running;
+  }
+
+  countQueued(): number {
+    return this.queue.length;
+  }
+
+  /** Decides about a request. A started one must be ended by `finish`. */
+  offer(item: Item, nowMs: number): Offer {
+    if (item.deadlineAtMs <= nowMs) {
+      return { kind: 'refused', reason: 'deadline', retryAfterMs: 0 };
+    }
+    if (this.running < this.slots && this.queue.length === 0) {
+      this.running += 1;
+      return { kind: 'start' };
+    }
+    const onTime: Queued<Item> = { item, isLate: false, order: this.orders };
+    const onTimeWaitMs = this.estimateWaitMs(onTime);
+    const isOnTime = nowMs + onTimeWaitMs + item.workMs <= item.objectiveAtMs;
+    const entry = isOnTime ? onTime : { ...onTime, isLate: true };
+    const waitMs = isOnTime ? onTimeWaitMs : this.estimateWaitMs(entry);
+    const leftMs = item.deadlineAtMs - nowMs;
+    const isFull = this.queue.length >= this.slots * MAX_QUEUED_PER_SLOT;
+    const isTooLate = waitMs + item.workMs > leftMs;
+    const isHeldTooLong = !isOnTime && waitMs > leftMs * LATE_WAIT_SHARE;
+    if (isFull || isTooLate || isHeldTooLong) {
+      return { kind: 'refused', reason: 'overloaded', retryAfterMs: waitMs };
+    }
+    this.orders += 1;
+    this.insert(entry);
+    return { kind: 'queued' };
+  }
+
+  /** Frees the slot of a started request. */
+  finish(): void {
+    this.running -= 1;
+  }
+
+  /** Takes the next request to start, if a slot is free; it must be ended by `finish`. */
+  takeNext(): Item | undefined {
+    if (this.running >= this.slots) return undefined;
+    const next = this.queue.shift();
+    if (!next) return undefined;
+    this.running += 1;
+    return next.item;
+  }
+
+  /** Takes the requests that can no longer end before their deadline. */
+  takeExpired(nowMs: number): Item[] {
+    const expired: Item[] = [];
+    const kept: Queued<Item>[] = [];
+    for (const entry of this.queue) {
+      const isExpired = nowMs + entry.item.workMs / 2 >= entry.item.deadlineAtMs;
+      if (isExpired) expired.push(entry.item);
+      else kept.push(entry);
+    }
+    this.queue = kept;
+    return expired;
+  }
+
+  /** Takes all waiting requests. */
+  takeAll(): Item[] {
+    const items = this.queue.map(({ item }) => item);
+    this.queue = [];
+    return items;
+  }
+
+  /** Removes a waiting request; false when it does not wait. */
+  remove(item: Item): boolean {
+    const index = this.queue.findIndex((entry) => entry.item === item);
+    if (index < 0) return false;
+    this.queue.splice(index, 1);
+    return true;
+  }
+
+  /** Returns how long a new request of a rank would wait. */
+  estimateWaitMs(entry: Queued<Item>): number {
+    let aheadMs = 0;
+    for (const queued of this.queue) {
+      if (compareQueued(queued, entry) > 0) break;
+      aheadMs += queued.item.workMs;
+    }
+    return (aheadMs + entry.item.workMs) / this.slots;
+  }
+
+  private insert(entry: Queued<Item>): void {
+    let index = this.queue.length;
+    while (index > 0 && compareQueued(this.queue[index - 1]!, entry) > 0) index -= 1;
+    this.queue.splice(index, 0, entry);
+  }
+}
+
+/** Orders by rank, then requests that can meet their objective first, then by arrival. */
+function compareQueued(one: Queued<AdmissionItem>, other: Queued<AdmissionItem>): number {
+  return (
+    one.item.rank - other.item.rank ||
+    Number(one.isLate) - Number(other.isLate) ||
+    one.order - other.order
+  );
+}
--- /dev/null
+++ b/src/mesh/announcements.ts
@@ -0,0 +1,114 @@
+/** Serves the heartbeats of the instance beside the node. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { PeerAddress } from '../types/interfaces.js';
+import type { InstanceId, ServiceName } from '../types/ids.js';
+import type { EventLog } from './eventLog.js';
+import type { LocalInstance } from './localInstance.js';
+import type { Heartbeat } from './model.js';
+import { readBody } from './readBody.js';
+
+/** Largest message of an instance, in bytes. */
+const MAX_MESSAGE_BYTES = 64 * 1024;
+
+/**
+ * Longest wait for the store before a leaving instance gets its response. The node beside it is
+ * the only way to the instance, so that it gets no new request either way.
+ */
+const PUBLISH_WAIT_MS = 600;
+
+/** What an instance says of itself. */
+export type Announcement =
+  | { readonly kind: 'heartbeat'; readonly heartbeat: Heartbeat }
+  | {
+      readonly kind: 'deregister';
+      readonly instanceId: InstanceId;
+      readonly startedAtMs: number;
+    }
+  | { readonly kind: 'invalid'; readonly reason: string };
+
+/** What the port needs. */
+export interface AnnouncementOptions {
+  readonly instance: LocalInstance;
+  readonly log: EventLog;
+  /** Decodes the platform's form of a message. */
+  readonly decode: (path: string, body: Buffer) => Announcement;
+  readonly getExpected: () => { readonly address: PeerAddress; readonly service: ServiceName };
+  /** Called at each change; resolves when the store holds it. */
+  readonly onChange: () => Promise<void>;
+}
+
+/** Creates the server of the port; the caller binds it. */
+export function createAnnouncementPort(options: AnnouncementOptions): Server {
+  const { instance, log, decode, getExpected, onChange } = options;
+
+  const publish = async (): Promise<void> => {
+    let timer: NodeJS.Timeout | undefined;
+    const limit = new Promise<void>((resolve) => {
+      timer = setTimeout(resolve, PUBLISH_WAIT_MS);
+    });
+    await Promise.race([onChange(), limit]);
+    clearTimeout(timer);
+  };
+
+  const apply = async (announcement: Announcement): Promise<number> => {
+    switch (announcement.kind) {
+      case 'invalid':
+        log.write('warn', 'announcement-invalid', { reason: announcement.reason });
+        return 400;
+      case 'deregister': {
+        const { instanceId, startedAtMs } = announcement;
+        const isApplied = instance.deregister(instanceId, startedAtMs);
+        log.write('info', 'instance-deregistered', { instance: instanceId, isApplied });
+        if (isApplied) await publish();
+        return 200;
+      }
+      case 'heartbeat': {
+        const { heartbeat } = announcement;
+        const { address, service } = getExpected();
+        const isOther =
+          heartbeat.address.host !== address.host ||
+          heartbeat.address.port !== address.port ||
+          heartbeat.service !== service;
+        if (isOther) {
+          log.write('warn', 'announcement-foreign', { instance: heartbeat.instanceId });
+          return 400;
+        }
+        const outcome = instance.applyHeartbeat(heartbeat, performance.now());
+        if (outcome === 'stale') {
+          log.write('info', 'announcement-stale', {
+            instance: heartbeat.instanceId,
+            sequence: heartbeat.sequence,
+          });
+        }
+        if (outcome !== 'changed') return 200;
+        log.write('info', 'instance-changed', {
+          instance: heartbeat.instanceId,
+          state: heartbeat.state,
+          slots: heartbeat.slots,
+          sequence: heartbeat.sequence,
+          startedAtMs: heartbeat.startedAtMs,
+        });
+        if (heartbeat.state === 'draining') await publish();
+        else void onChange();
+        return 200;
+      }
+      default:
+        throw new Error(`unknown announcement ${JSON.stringify(announcement satisfies never)}`);
+    }
+  };
+
+  const serve = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const body = await readBody(message, MAX_MESSAGE_BYTES);
+    if (typeof body === 'string') {
+      response.writeHead(body === 'too-large' ? 413 : 400).end();
+      return;
+    }
+    const status = await apply(decode(message.url ?? '/', body));
+    response.writeHead(status, { 'Content-Type': 'application/json' });
+    response.end('{}');
+  };
+
+  return createServer({ keepAlive: true, noDelay: true }, (message, response) => {
+    void serve(message, response);
+  });
+}
--- /dev/null
+++ b/src/mesh/directory.ts
@@ -0,0 +1,192 @@
+/** The other nodes of the mesh, as the store lists them and as calls find them. */
+import type { InstanceId, NodeId, ServiceName } from '../types/ids.js';
+import type { EventLog } from './eventLog.js';
+import type { InstanceLoad, NodeRecord } from './model.js';
+import { PeerCalls } from './peerCalls.js';
+import type { Candidate } from './placing.js';
+
+/** First time for which a node that did not respond is avoided; it doubles with each failure. */
+const FIRST_AVOID_MS = 400;
+
+/** Longest time for which a node is avoided before it is tried again. */
+const MAX_AVOID_MS = 3000;
+
+/** Time after a refusal for which an instance that leaves or starts is avoided. */
+const ABSENCE_MS = 300;
+
+/**
+ * Time for which a node whose record was removed is still used, if it responds. Records that
+ * were lost while the store was away come back within it.
+ */
+const UNLISTED_MS = 4000;
+
+/** Age of a load report after which it is not believed any more. */
+const LOAD_AGE_MS = 3000;
+
+/** One node of the mesh. */
+export class PeerNode {
+  outstanding = 0;
+
+  outstandingAtLoad = 0;
+
+  private load: InstanceLoad | undefined;
+
+  private loadAtMs = -Infinity;
+
+  private failures = 0;
+
+  private avoidUntilMs = -Infinity;
+
+  private absentUntilMs = -Infinity;
+
+  unlistedAtMs: number | undefined;
+
+  constructor(
+    public record: NodeRecord,
+    readonly calls: PeerCalls,
+  ) {}
+
+  /** Records the load that the node reported. */
+  recordLoad(load: InstanceLoad | undefined, nowMs: number): void {
+    this.failures = 0;
+    this.avoidUntilMs = -Infinity;
+    if (!load) return;
+    this.load = load;
+    this.loadAtMs = nowMs;
+    this.outstandingAtLoad = this.outstanding;
+  }
+
+  /** Records that the node did not respond. */
+  recordSilence(nowMs: number): void {
+    this.avoidUntilMs = nowMs + Math.min(MAX_AVOID_MS, FIRST_AVOID_MS * 2 ** this.failures);
+    this.failures += 1;
+  }
+
+  /** Records that the instance of the node takes no requests. */
+  recordAbsence(nowMs: number): void {
+    this.absentUntilMs = nowMs + ABSENCE_MS;
+  }
+
+  isUnreachable(nowMs: number): boolean {
+    return nowMs < this.avoidUntilMs;
+  }
+
+  isAbsent(nowMs: number): boolean {
+    return nowMs < this.absentUntilMs;
+  }
+
+  getLoad(nowMs: number): InstanceLoad | undefined {
+    const { load } = this;
+    if (!load || nowMs - this.loadAtMs < LOAD_AGE_MS) return load;
+    // The queue of an old report is over; the speed of the instance is still the best guess.
+    return { ...load, inFlight: 0, failures: load.failures / 2 };
+  }
+}
+
+/** A node that may get a call, as placing sees it. */
+export interface PeerCandidate extends Candidate {
+  readonly peer: PeerNode;
+}
+
+/** All known nodes. */
+export class Directory {
+  private readonly nodes = new Map<NodeId, PeerNode>();
+
+  constructor(
+    private readonly ownId: NodeId,
+    private readonly log: EventLog,
+  ) {}
+
+  /** Applies the record of a node. */
+  update(record: NodeRecord): void {
+    const known = this.nodes.get(record.nodeId);
+    if (!known || isMoved(known.record, record)) {
+      known?.calls.close();
+      this.nodes.set(record.nodeId, new PeerNode(record, new PeerCalls(record.address)));
+    } else {
+      const isNewInstance =
+        known.record.instanceId !== record.instanceId ||
+        known.record.incarnation !== record.incarnation;
+      known.record = record;
+      known.unlistedAtMs = undefined;
+      if (isNewInstance) known.recordLoad(undefined, performance.now());
+    }
+    this.log.write('info', 'node-listed', {
+      peer: record.nodeId,
+      service: record.service,
+      instance: record.instanceId,
+      state: record.state,
+    });
+  }
+
+  /** The record of a node is gone from the store. */
+  markUnlisted(nodeId: NodeId, nowMs: number): void {
+    const known = this.nodes.get(nodeId);
+    if (!known || known.unlistedAtMs !== undefined) return;
+    known.unlistedAtMs = nowMs;
+    this.log.write('info', 'node-unlisted', { peer: nodeId });
+  }
+
+  /** Marks all nodes that a complete list does not name. */
+  markMissing(listed: ReadonlySet<NodeId>, nowMs: number): void {
+    for (const nodeId of this.nodes.keys()) {
+      if (!listed.has(nodeId)) this.markUnlisted(nodeId, nowMs);
+    }
+  }
+
+  /** Returns the nodes whose instances may get a call, without those already tried. */
+  listCandidates(
+    service: ServiceName,
+    ownDataCentre: string,
+    tried: ReadonlySet<InstanceId>,
+    nowMs: number,
+  ): PeerCandidate[] {
+    const candidates: PeerCandidate[] = [];
+    for (const peer of this.listUsable(service, nowMs)) {
+      if (tried.has(peer.record.instanceId) || peer.isAbsent(nowMs)) continue;
+      candidates.push({
+        peer,
+        isSameDataCentre: peer.record.dataCentre === ownDataCentre,
+        slots: Math.max(1, peer.record.slots),
+        outstanding: peer.outstanding,
+        outstandingAtLoad: peer.outstandingAtLoad,
+        load: peer.getLoad(nowMs),
+        isUnreachable: peer.isUnreachable(nowMs),
+      });
+    }
+    return candidates;
+  }
+
+  getNode(nodeId: NodeId): PeerNode | undefined {
+    return this.nodes.get(nodeId);
+  }
+
+  countNodes(): number {
+    return Math.max(1, this.nodes.size);
+  }
+
+  isOwn(peer: PeerNode): boolean {
+    return peer.record.nodeId === this.ownId;
+  }
+
+  close(): void {
+    for (const node of this.nodes.values()) node.calls.close();
+  }
+
+  private listUsable(service: ServiceName, nowMs: number): PeerNode[] {
+    const usable: PeerNode[] = [];
+    for (const [nodeId, peer] of this.nodes) {
+      if (peer.unlistedAtMs !== undefined && nowMs - peer.unlistedAtMs > UNLISTED_MS) {
+        peer.calls.close();
+        this.nodes.delete(nodeId);
+        continue;
+      }
+      if (peer.record.service === service && peer.record.state === 'ready') usable.push(peer);
+    }
+    return usable;
+  }
+}
+
+function isMoved(before: NodeRecord, after: NodeRecord): boolean {
+  return before.address.host !== after.address.host || before.address.port !== after.address.port;
+}
--- /dev/null
+++ b/src/mesh/localInstance.ts
@@ -0,0 +1,124 @@
+/** What a node knows of the instance beside it, from the heartbeats that it gets. */
+import type { InstanceId, ServiceName } from '../types/ids.js';
+import type { Heartbeat } from './model.js';
+
+/** State of the instance. A leaving instance gets no new request. */
+export type InstanceState =
+  | { readonly kind: 'unknown' }
+  | { readonly kind: 'ready'; readonly heartbeat: Heartbeat }
+  | { readonly kind: 'leaving'; readonly heartbeat: Heartbeat }
+  | { readonly kind: 'gone'; readonly instanceId: InstanceId };
+
+/** Outcome of a heartbeat. */
+export type HeartbeatOutcome = 'changed' | 'unchanged' | 'stale';
+
+/** An instance that has left, remembered so that late heartbeats do not bring it back. */
+export interface LeftInstance {
+  readonly instanceId: InstanceId;
+  readonly startedAtMs: number;
+  readonly sequence: number;
+}
+
+/** Follows the instance beside the node. */
+export class LocalInstance {
+  private state: InstanceState = { kind: 'unknown' };
+
+  private latest: LeftInstance | undefined;
+
+  private left: LeftInstance | undefined;
+
+  /** Instant of the latest heartbeat that counted. */
+  heardAtMs = -Infinity;
+
+  getState(): InstanceState {
+    return this.state;
+  }
+
+  getService(): ServiceName | undefined {
+    const { state } = this;
+    return state.kind === 'ready' || state.kind === 'leaving' ? state.heartbeat.service : undefined;
+  }
+
+  /** Remembers from the store that an instance left before this process started. */
+  restoreLeft(left: LeftInstance): void {
+    this.left = left;
+    const { state } = this;
+    if (state.kind === 'ready' && this.hasLeft(state.heartbeat)) {
+      this.state = { kind: 'leaving', heartbeat: state.heartbeat };
+    }
+  }
+
+  /** Applies a heartbeat, unless a newer one or a newer instance is known. */
+  applyHeartbeat(heartbeat: Heartbeat, nowMs: number): HeartbeatOutcome {
+    if (this.isStale(heartbeat)) return 'stale';
+    const before = this.state;
+    const isLeaving = heartbeat.state === 'draining' || this.hasLeft(heartbeat);
+    this.heardAtMs = nowMs;
+    this.latest = heartbeat;
+    this.state = { kind: isLeaving ? 'leaving' : 'ready', heartbeat };
+    if (isLeaving) this.left = heartbeat;
+    const isSame =
+      isHeard(before) &&
+      before.kind === this.state.kind &&
+      hasSameTerms(before.heartbeat, heartbeat);
+    return isSame ? 'unchanged' : 'changed';
+  }
+
+  /** The instance says that it leaves; false when a newer instance is known. */
+  deregister(instanceId: InstanceId, startedAtMs: number): boolean {
+    const { latest } = this;
+    if (latest && latest.instanceId !== instanceId && latest.startedAtMs > startedAtMs) {
+      return false;
+    }
+    if (latest?.instanceId === instanceId && startedAtMs > 0 && startedAtMs < latest.startedAtMs) {
+      return false;
+    }
+    const isKnown = latest?.instanceId === instanceId;
+    this.left = {
+      instanceId,
+      startedAtMs: Math.max(startedAtMs, isKnown ? latest.startedAtMs : 0),
+      sequence: Number.MAX_SAFE_INTEGER,
+    };
+    this.latest = this.left;
+    this.state = { kind: 'gone', instanceId };
+    return true;
+  }
+
+  /** The address is served by another instance. */
+  recordMismatch(instanceId: InstanceId): void {
+    const { state } = this;
+    if (state.kind !== 'ready' || state.heartbeat.instanceId !== instanceId) return;
+    this.state = { kind: 'unknown' };
+  }
+
+  getLeft(): LeftInstance | undefined {
+    return this.left;
+  }
+
+  private isStale({ instanceId, startedAtMs, sequence }: Heartbeat): boolean {
+    const { latest } = this;
+    if (!latest) return false;
+    if (startedAtMs !== latest.startedAtMs) return startedAtMs < latest.startedAtMs;
+    return instanceId === latest.instanceId && sequence <= latest.sequence;
+  }
+
+  private hasLeft({ instanceId, startedAtMs }: Heartbeat): boolean {
+    const { left } = this;
+    if (!left || left.instanceId !== instanceId) return false;
+    return startedAtMs <= left.startedAtMs;
+  }
+}
+
+type HeardState = Extract<InstanceState, { heartbeat: Heartbeat }>;
+
+function isHeard(state: InstanceState): state is HeardState {
+  return state.kind === 'ready' || state.kind === 'leaving';
+}
+
+function hasSameTerms(before: Heartbeat, after: Heartbeat): boolean {
+  return (
+    before.instanceId === after.instanceId &&
+    before.startedAtMs === after.startedAtMs &&
+    before.slots === after.slots
+  );
+}
--- /dev/null
+++ b/src/mesh/localRunner.ts
@@ -0,0 +1,243 @@
+/** Runs requests on the instance beside the node: admission, the exchange, and what it says. */
+import type { InstanceId } from '../types/ids.js';
+import type { PeerAddress } from '../types/interfaces.js';
+import { AdmissionQueue, type AdmissionItem } from './admission.js';
+import type { EventLog } from './eventLog.js';
+import type { HeaderNames } from './headers.js';
+import { buildRefusal, InstanceClient } from './instanceClient.js';
+import type { LocalInstance } from './localInstance.js';
+import type {
+  CallTerms,
+  HttpRequest,
+  InstanceLoad,
+  RefusalReason,
+  RunReport,
+  RunResult,
+} from './model.js';
+import { RunTimes } from './runTimes.js';
+import type { Cancellation } from './signal.js';
+
+/** How often waiting requests are checked against their deadlines, in milliseconds. */
+const EXPIRY_CHECK_MS = 40;
+
+/** Time after a failed connection for which new requests are refused, in milliseconds. */
+const UNREACHABLE_MS = 250;
+
+/** Retry time while the instance leaves, starts or does not accept connections, in milliseconds. */
+const ABSENCE_RETRY_MS = 300;
+
+interface Waiting extends AdmissionItem {
+  readonly start: () => void;
+  readonly refuse: (reason: RefusalReason, retryAfterMs: number) => void;
+}
+
+/** What the runner needs. */
+export interface RunnerOptions {
+  readonly instance: LocalInstance;
+  readonly getAddress: () => PeerAddress;
+  readonly names: HeaderNames;
+  readonly log: EventLog;
+  /** Called when another instance was found at the address. */
+  readonly onMismatch: (instanceId: InstanceId) => void;
+}
+
+/** Runs requests on the local instance. */
+export class LocalRunner {
+  private readonly queue = new AdmissionQueue<Waiting>(1);
+
+  private readonly times = new RunTimes();
+
+  private client: InstanceClient;
+
+  private clientAddress: PeerAddress;
+
+  private unreachableUntilMs = -Infinity;
+
+  private isStopping = false;
+
+  private expiryTimer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly options: RunnerOptions) {
+    this.clientAddress = options.getAddress();
+    this.client = new InstanceClient(this.clientAddress, options.names);
+  }
+
+  /** Runs a request, after a wait for a slot if need be. Never throws. */
+  async run(
+    request: HttpRequest,
+    terms: CallTerms,
+    cancellation: Cancellation,
+  ): Promise<RunReport> {
+    const refusal = this.checkServing(terms.instanceId);
+    const result = refusal ?? (await this.admit(request, terms, cancellation));
+    return { result, load: this.getLoad() };
+  }
+
+  /** Returns the load of the instance, or undefined while it takes no requests. */
+  getLoad(): InstanceLoad | undefined {
+    const state = this.options.instance.getState();
+    if (state.kind !== 'ready') return undefined;
+    return {
+      slots: state.heartbeat.slots,
+      inFlight: this.queue.countRunning() + this.queue.countQueued(),
+      meanMs: this.times.getMeanMs(),
+      failures: this.times.getFailures(),
+    };
+  }
+
+  countRunning(): number {
+    return this.queue.countRunning();
+  }
+
+  /** Refuses new and waiting requests from now on. */
+  stopTaking(): void {
+    this.isStopping = true;
+    this.refuseWaiting('leaving');
+  }
+
+  /** Applies a change of the instance: its slots, or that it leaves. */
+  handleInstanceChange(): void {
+    const state = this.options.instance.getState();
+    if (state.kind === 'ready') {
+      this.queue.setSlots(state.heartbeat.slots);
+      this.unreachableUntilMs = -Infinity;
+      this.startNext();
+    } else {
+      this.refuseWaiting('leaving');
+    }
+    const address = this.options.getAddress();
+    const { host, port } = this.clientAddress;
+    if (address.host === host && address.port === port) return;
+    this.client.close();
+    this.clientAddress = address;
+    this.client = new InstanceClient(address, this.options.names);
+  }
+
+  close(): void {
+    clearTimeout(this.expiryTimer);
+    this.client.close();
+  }
+
+  private checkServing(instanceId: InstanceId): RunResult | undefined {
+    const state = this.options.instance.getState();
+    if (this.isStopping) return buildRefusal('leaving', false, ABSENCE_RETRY_MS);
+    switch (state.kind) {
+      case 'unknown':
+        return buildRefusal('no-instance', false, ABSENCE_RETRY_MS);
+      case 'leaving':
+      case 'gone':
+        return buildRefusal('leaving', false, ABSENCE_RETRY_MS);
+      case 'ready':
+        if (state.heartbeat.instanceId !== instanceId) {
+          return buildRefusal('mismatch', false, ABSENCE_RETRY_MS);
+        }
+        if (performance.now() < this.unreachableUntilMs) {
+          return buildRefusal('unreachable', false, ABSENCE_RETRY_MS);
+        }
+        return undefined;
+      default:
+        throw new Error(`unknown state ${JSON.stringify(state satisfies never)}`);
+    }
+  }
+
+  private admit(
+    request: HttpRequest,
+    terms: CallTerms,
+    cancellation: Cancellation,
+  ): Promise<RunResult> {
+    return new Promise((resolve) => {
+      const item: Waiting = {
+        rank: terms.rank,
+        workMs: this.times.getMeanMs(terms.route),
+        objectiveAtMs: terms.objectiveAtMs,
+        deadlineAtMs: terms.deadlineAtMs,
+        start: () => {
+          void this.start(request, terms, cancellation).then(resolve);
+        },
+        refuse: (reason, retryAfterMs) => resolve(buildRefusal(reason, false, retryAfterMs)),
+      };
+      const offer = this.queue.offer(item, performance.now());
+      switch (offer.kind) {
+        case 'start':
+          item.start();
+          break;
+        case 'refused':
+          item.refuse(offer.reason, offer.retryAfterMs);
+          break;
+        case 'queued':
+          this.scheduleExpiry();
+          cancellation.onCancel(() => {
+            if (this.queue.remove(item)) item.refuse('cancelled', 0);
+          });
+          break;
+        default:
+          throw new Error(`unknown offer ${JSON.stringify(offer satisfies never)}`);
+      }
+    });
+  }
+
+  /** Runs a request that has a slot. The instance may have changed while it waited. */
+  private async start(
+    request: HttpRequest,
+    terms: CallTerms,
+    cancellation: Cancellation,
+  ): Promise<RunResult> {
+    const startedAtMs = performance.now();
+    const refusal = this.checkServing(terms.instanceId);
+    const result = refusal ?? (await this.client.run(request, terms, cancellation));
+    this.queue.finish();
+    if (!refusal) this.record(terms, result, performance.now() - startedAtMs, cancellation);
+    this.startNext();
+    return result;
+  }
+
+  private record(
+    terms: CallTerms,
+    result: RunResult,
+    runMs: number,
+    cancellation: Cancellation,
+  ): void {
+    switch (result.kind) {
+      case 'answered':
+        this.times.record(terms.route, runMs, result.response.status >= 500);
+        break;
+      case 'unknown':
+        if (!cancellation.isCancelled()) this.times.record(terms.route, runMs, true);
+        break;
+      case 'notRun':
+        this.recordRefusal(terms, result.reason);
+        break;
+      default:
+        throw new Error(`unknown result ${JSON.stringify(result satisfies never)}`);
+    }
+  }
+
+  private recordRefusal(terms: CallTerms, reason: RefusalReason): void {
+    if (reason === 'shed') this.times.record(terms.route, 0, true);
+    if (reason === 'mismatch') this.options.onMismatch(terms.instanceId);
+    if (reason !== 'unreachable') return;
+    this.unreachableUntilMs = performance.now() + UNREACHABLE_MS;
+    this.options.log.write('warn', 'instance-unreachable', {
+      step: 'instance.connect',
+      peer: terms.instanceId,
+    });
+    this.refuseWaiting('unreachable');
+  }
+
+  private startNext(): void {
+    for (let item = this.queue.takeNext(); item; item = this.queue.takeNext()) item.start();
+  }
+
+  private refuseWaiting(reason: RefusalReason): void {
+    for (const item of this.queue.takeAll()) item.refuse(reason, ABSENCE_RETRY_MS);
+  }
+
+  private scheduleExpiry(): void {
+    if (this.expiryTimer) return;
+    this.expiryTimer = setTimeout(() => {
+      this.expiryTimer = undefined;
+      for (const item of this.queue.takeExpired(performance.now())) item.refuse('deadline', 0);
+      if (this.queue.countQueued() > 0) this.scheduleExpiry();
+    }, EXPIRY_CHECK_MS);
+  }
+}
--- /dev/null
+++ b/src/mesh/meshMetrics.ts
@@ -0,0 +1,57 @@
+/** Counters and latency histograms of a node in the text format of Prometheus. */
+import { build, type Histogram } from 'hdr-histogram-js';
+
+/** Longest latency that is told apart, in milliseconds. */
+const MAX_LATENCY_MS = 60_000;
+
+const QUANTILES = [50, 90, 99, 99.9];
+
+/** Counts events and records latencies. */
+export class MeshMetrics {
+  private readonly counters = new Map<string, number>();
+
+  private readonly histograms = new Map<string, Histogram>();
+
+  private readonly gauges = new Map<string, () => number>();
+
+  /** Adds one to a counter; `labels` is the text between the braces. */
+  count(name: string, labels = ''): void {
+    const key = `${name}{${labels}}`;
+    this.counters.set(key, (this.counters.get(key) ?? 0) + 1);
+  }
+
+  /** Registers a value that is read when the metrics are. */
+  registerGauge(name: string, read: () => number): void {
+    this.gauges.set(name, read);
+  }
+
+  /** Records a latency in milliseconds. */
+  recordLatency(name: string, latencyMs: number): void {
+    let histogram = this.histograms.get(name);
+    if (!histogram) {
+      histogram = build({
+        lowestDiscernibleValue: 1,
+        highestTrackableValue: MAX_LATENCY_MS,
+        numberOfSignificantValueDigits: 2,
+        bitBucketSize: 32,
+      });
+      this.histograms.set(name, histogram);
+    }
+    histogram.recordValue(Math.min(MAX_LATENCY_MS, Math.max(1, Math.round(latencyMs))));
+  }
+
+  /** Renders all values as text. */
+  render(): string {
+    const lines: string[] = [];
+    for (const [key, value] of this.counters) lines.push(`lycheelane_${key} ${value}`);
+    for (const [name, read] of this.gauges) lines.push(`lycheelane_${name} ${read()}`);
+    for (const [name, histogram] of this.histograms) {
+      for (const quantile of QUANTILES) {
+        const value = histogram.getValueAtPercentile(quantile);
+        lines.push(`lycheelane_${name}_ms{quantile="${quantile / 100}"} ${value}`);
+      }
+      lines.push(`lycheelane_${name}_ms_count ${histogram.totalCount}`);
+    }
+    return `${lines.join('\n')}\n`;
+  }
+}
--- /dev/null
+++ b/src/mesh/peerCalls.ts
@@ -0,0 +1,159 @@
+/**
+ * Sends calls to the nodes beside the instances. A call whose connection breaks or stays silent is
+ * taken up on a new connection under the same identifier, so that its response is not lost.
+ */
+import type { PeerAddress } from '../types/interfaces.js';
+import { filterHeaders, getHeader } from './headers.js';
+import { buildRefusal } from './instanceClient.js';
+import type { Link } from './link.js';
+import { LinkPool } from './linkPool.js';
+import type { CallTerms, HttpRequest, RunReport } from './model.js';
+import { decodeResult, encodeTerms, RESULT_HEADER, TERMS_HEADER } from './peerMessages.js';
+import type { Cancellation } from './signal.js';
+
+/** Several round trips between data centres of one region. */
+const CONNECT_TIMEOUT_MS = 250;
+
+/** Idle time after which a connection is not used again; it may have been lost silently. */
+const MAX_IDLE_MS = 8000;
+
+/** Silence after which a call is looked up on a second connection. */
+const SILENCE_MS = 700;
+
+/** Time after the deadline of a call for which its result is awaited. */
+const DEADLINE_SLACK_MS = 150;
+
+const EMPTY = Buffer.alloc(0);
+
+/** What a send found out, with the process that gave the result. */
+export interface PeerReport extends RunReport {
+  /** False when the node did not respond at all. */
+  readonly hasResponded: boolean;
+}
+
+interface SendState {
+  readonly request: HttpRequest;
+  readonly terms: CallTerms;
+  readonly processId: string;
+  readonly cancellation: Cancellation;
+  readonly links: Set<Link>;
+  isSettled: boolean;
+}
+
+const REMOVED: ReadonlySet<string> = new Set([RESULT_HEADER]);
+
+/** Calls to one node. */
+export class PeerCalls {
+  private readonly pool: LinkPool;
+
+  constructor(address: PeerAddress) {
+    this.pool = new LinkPool(address);
+  }
+
+  /** Sends a call to the process `processId`. Never throws. */
+  send(
+    request: HttpRequest,
+    terms: CallTerms,
+    processId: string,
+    cancellation: Cancellation,
+  ): Promise<PeerReport> {
+    return new Promise((resolve) => {
+      const state: SendState = {
+        request,
+        terms,
+        processId,
+        cancellation,
+        links: new Set(),
+        isSettled: false,
+      };
+      const settle = (report: PeerReport) => {
+        if (state.isSettled) return;
+        state.isSettled = true;
+        clearTimeout(deadlineTimer);
+        clearTimeout(silenceTimer);
+        for (const link of state.links) link.abort('settled');
+        resolve(report);
+      };
+      const leftMs = terms.deadlineAtMs - performance.now();
+      const deadlineTimer = setTimeout(
+        () => settle(buildLost('deadline')),
+        Math.max(0, leftMs) + DEADLINE_SLACK_MS,
+      );
+      const silenceTimer = setTimeout(() => {
+        void this.resume(state).then((report) => report && settle(report));
+      }, SILENCE_MS);
+      cancellation.onCancel(() => settle(buildLost('cancelled')));
+      void this.sendFirst(state).then(settle);
+    });
+  }
+
+  /** Opens a connection to see whether the node responds; resolves to true when it does. */
+  async probe(): Promise<boolean> {
+    const link = await this.pool.connect(CONNECT_TIMEOUT_MS);
+    if (typeof link === 'string') return false;
+    this.pool.release(link);
+    return true;
+  }
+
+  close(): void {
+    this.pool.close();
+  }
+
+  private async sendFirst(state: SendState): Promise<PeerReport> {
+    const link = this.pool.takeIdle(MAX_IDLE_MS) ?? (await this.pool.connect(CONNECT_TIMEOUT_MS));
+    if (typeof link === 'string') {
+      return {
+        result: buildRefusal('unreachable', false),
+        load: undefined,
+        hasResponded: false,
+      };
+    }
+    if (state.isSettled) {
+      this.pool.release(link);
+      return buildLost('cancelled');
+    }
+    const first = await this.exchange(state, link, undefined);
+    if (first || state.isSettled) return first ?? buildLost('settled');
+    return (await this.resume(state)) ?? buildLost('connection lost');
+  }
+
+  /** Takes a call up on a new connection; undefined when the node cannot be reached. */
+  private async resume(state: SendState): Promise<PeerReport | undefined> {
+    const link = await this.pool.connect(CONNECT_TIMEOUT_MS);
+    if (typeof link === 'string') return undefined;
+    if (state.isSettled) {
+      this.pool.release(link);
+      return undefined;
+    }
+    return this.exchange(state, link, state.processId);
+  }
+
+  private async exchange(
+    state: SendState,
+    link: Link,
+    resume: string | undefined,
+  ): Promise<PeerReport | undefined> {
+    const { request, terms } = state;
+    state.links.add(link);
+    const encoded = encodeTerms(terms, resume, performance.now());
+    const headers = [...request.headers, TERMS_HEADER, encoded];
+    const body = resume === undefined ? request.body : EMPTY;
+    const ended = await link.exchange({ ...request, headers, body }, isAnyResponse);
+    state.links.delete(link);
+    if (ended.kind === 'broken') return undefined;
+    this.pool.release(link);
+    const { response } = ended;
+    const passed = { ...response, headers: filterHeaders(response.headers, REMOVED) };
+    const decoded = decodeResult(getHeader(response.headers, RESULT_HEADER), passed);
+    if (!decoded) return buildLost('unreadable result of a node');
+    return { result: decoded.result, load: decoded.load, hasResponded: true };
+  }
+}
+
+function isAnyResponse(): boolean {
+  return true;
+}
+
+function buildLost(reason: string): PeerReport {
+  return { result: { kind: 'unknown', reason }, load: undefined, hasResponded: false };
+}
--- /dev/null
+++ b/src/utils/formatEvent.ts
@@ -0,0 +1,20 @@
+/** Text form of log events: one line of key=value pairs. */
+
+/** Values that a log line may carry. */
+export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
+
+const PLAIN_VALUE = /^[\w.:/@+-]+$/;
+
+function formatValue(value: string | number | boolean): string {
+  const text = String(value);
+  return PLAIN_VALUE.test(text) ? text : JSON.stringify(text);
+}
+
+/** Formats one event as key=value pairs; values with spaces or quotes are JSON strings. */
+export function formatEvent(level: string, event: string, fields: LogFields): string {
+  const pairs = [`time=${new Date().toISOString()}`, `level=${level}`, `event=${event}`];
+  for (const [key, value] of Object.entries(fields)) {
+    if (value !== undefined) pairs.push(`${key}=${formatValue(value)}`);
+  }
+  return pairs.join(' ');
+}
--- a/src/utils/logger.ts
+++ b/src/utils/logger.ts
@@ -1,8 +1,8 @@
 /** Structured logs: one line of key=value pairs for each event, written to standard error. */
 import winston from 'winston';
+import { formatEvent, type LogFields } from './formatEvent.js';
 
-/** Values that a log line may carry. */
-export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
+export { formatEvent, type LogFields };
 
 /** Log levels, most severe first. */
 export type LogLevel = 'error' | 'warn' | 'info' | 'debug';
@@ -15,22 +15,6 @@
   debug(event: string, fields?: LogFields): void;
 }
 
-const PLAIN_VALUE = /^[\w.:/@+-]+$/;
-
-function formatValue(value: string | number | boolean): string {
-  const text = String(value);
-  return PLAIN_VALUE.test(text) ? text : JSON.stringify(text);
-}
-
-/** Formats one event as key=value pairs; values with spaces or quotes are JSON strings. */
-export function formatEvent(level: string, event: string, fields: LogFields): string {
-  const pairs = [`time=${new Date().toISOString()}`, `level=${level}`, `event=${event}`];
-  for (const [key, value] of Object.entries(fields)) {
-    if (value !== undefined) pairs.push(`${key}=${formatValue(value)}`);
-  }
-  return pairs.join(' ');
-}
-
 /** Creates a logger whose lines all carry `common`. */
 export function createLogger(level: LogLevel, common: LogFields = {}): Logger {
   const output = winston.createLogger({
