Keep a late cancellation from the next request of a link; shorten the watch after a failure

Change: a cancellation ends with its exchange; the first watch after a failure is short; a stopping node refuses new requests with a retry time in place of closing its port. Ruled out: the route's timeout and the caller's deadline, both over a second away. Tests: instanceClient, the stand-ins of the platform's store and instances, the fleet tests.

--- a/src/mesh/admission.ts
+++ b/src/mesh/admission.ts
@@ -33,8 +33,11 @@
 
 interface Queued<Item> {
   readonly item: Item;
-  readonly isLate: boolean;
+  /** True when the request cannot meet its objective any more. */
+  isLate: boolean;
   readonly order: number;
+  /** Instant from which it is refused once it is late. */
+  readonly lateLimitMs: number;
 }
 
 /** Slots of one instance and the requests that wait for them. */
@@ -69,15 +72,18 @@
       this.running += 1;
       return { kind: 'start' };
     }
-    const onTime: Queued<Item> = { item, isLate: false, order: this.orders };
-    const onTimeWaitMs = this.estimateWaitMs(onTime);
-    const isOnTime = nowMs + onTimeWaitMs + item.workMs <= item.objectiveAtMs;
-    const entry = isOnTime ? onTime : { ...onTime, isLate: true };
-    const waitMs = isOnTime ? onTimeWaitMs : this.estimateWaitMs(entry);
     const leftMs = item.deadlineAtMs - nowMs;
+    const entry: Queued<Item> = {
+      item,
+      isLate: false,
+      order: this.orders,
+      lateLimitMs: nowMs + leftMs * LATE_WAIT_SHARE,
+    };
+    entry.isLate = nowMs + this.estimateWaitMs(entry) + item.workMs > item.objectiveAtMs;
+    const waitMs = this.estimateWaitMs(entry);
     const isFull = this.queue.length >= this.slots * MAX_QUEUED_PER_SLOT;
     const isTooLate = waitMs + item.workMs > leftMs;
-    const isHeldTooLong = !isOnTime && waitMs > leftMs * LATE_WAIT_SHARE;
+    const isHeldTooLong = entry.isLate && nowMs + waitMs > entry.lateLimitMs;
     if (isFull || isTooLate || isHeldTooLong) {
       return { kind: 'refused', reason: 'overloaded', retryAfterMs: waitMs };
     }
@@ -92,21 +98,24 @@
   }
 
   /** Takes the next request to start, if a slot is free; it must be ended by `finish`. */
-  takeNext(): Item | undefined {
+  takeNext(nowMs: number): Item | undefined {
     if (this.running >= this.slots) return undefined;
+    this.updateLate(nowMs);
     const next = this.queue.shift();
     if (!next) return undefined;
     this.running += 1;
     return next.item;
   }
 
-  /** Takes the requests that can no longer end before their deadline. */
+  /** Takes the requests that can no longer end before their deadline, or are late for long. */
   takeExpired(nowMs: number): Item[] {
+    this.updateLate(nowMs);
     const expired: Item[] = [];
     const kept: Queued<Item>[] = [];
     for (const entry of this.queue) {
       const isExpired = nowMs + entry.item.workMs / 2 >= entry.item.deadlineAtMs;
-      if (isExpired) expired.push(entry.item);
+      const isHeldTooLong = entry.isLate && nowMs > entry.lateLimitMs;
+      if (isExpired || isHeldTooLong) expired.push(entry.item);
       else kept.push(entry);
     }
     this.queue = kept;
@@ -138,6 +147,17 @@
     return (aheadMs + entry.item.workMs) / this.slots;
   }
 
+  /** Moves the requests that have become late behind those that can still be in time. */
+  private updateLate(nowMs: number): void {
+    let hasChanged = false;
+    for (const entry of this.queue) {
+      if (entry.isLate || nowMs + entry.item.workMs <= entry.item.objectiveAtMs) continue;
+      entry.isLate = true;
+      hasChanged = true;
+    }
+    if (hasChanged) this.queue.sort(compareQueued);
+  }
+
   private insert(entry: Queued<Item>): void {
     let index = this.queue.length;
     while (index > 0 && compareQueued(this.queue[index - 1]!, entry) > 0) index -= 1;
@@ -145,11 +165,11 @@
   }
 }
 
-/** Orders by rank, then requests that can meet their objective first, then by arrival. */
+/** Orders requests that can meet their objective first, then by rank, then by arrival. */
 function compareQueued(one: Queued<AdmissionItem>, other: Queued<AdmissionItem>): number {
   return (
-    one.item.rank - other.item.rank ||
     Number(one.isLate) - Number(other.isLate) ||
+    one.item.rank - other.item.rank ||
     one.order - other.order
   );
 }
--- a/src/mesh/callPort.ts
+++ b/src/mesh/callPort.ts
@@ -16,7 +16,7 @@
 /** Bounds of the retry time that callers are told, in milliseconds. */
 const RETRY_BOUNDS_MS = { min: 50, max: 2000 };
 
-/** Wait for the first configuration after a start, told to callers, in milliseconds. */
+/** Retry time while this process starts or ends, in milliseconds. */
 const STARTING_RETRY_MS = 500;
 
 /** What the port needs. */
@@ -36,6 +36,8 @@
   countOpen(): number;
   /** From now on each response closes its connection. */
   closeAfterResponses(): void;
+  /** From now on new requests are refused. */
+  refuseNew(): void;
   applyLimits(limits: CallerLimits): void;
 }
 
@@ -44,6 +46,7 @@
   const { router, names, log, metrics } = options;
   let open = 0;
   let isClosing = false;
+  let isRefusing = false;
   const removedFromRequests: ReadonlySet<string> = new Set(
     [names.deadline, names.targetInstance, names.callerService].map((name) => name.toLowerCase()),
   );
@@ -91,7 +94,7 @@
       message.resume();
       refuse(response, status, isClosing, requestId, names, retryAfterMs);
     };
-    if (!config) {
+    if (!config || isRefusing) {
       writeOwn(503, STARTING_RETRY_MS);
       return;
     }
@@ -157,6 +160,9 @@
     closeAfterResponses() {
       isClosing = true;
     },
+    refuseNew() {
+      isRefusing = true;
+    },
     applyLimits(limits) {
       server.keepAliveTimeout = limits.idleTimeoutMs;
       server.headersTimeout = limits.headerTimeoutMs;
--- a/src/mesh/callRouter.ts
+++ b/src/mesh/callRouter.ts
@@ -139,7 +139,8 @@
     const { directory, getSettings } = this.options;
     const { dataCentre } = getSettings();
     const candidates = directory.listCandidates(service, dataCentre, tried, performance.now());
-    return chooseInstance(candidates, work.route.isRepeatable && isFirst);
+    const { objectiveMs, isRepeatable } = work.route;
+    return chooseInstance(candidates, objectiveMs, isRepeatable && isFirst);
   }
 
   private takeRepeat({ route }: CallWork, service: ServiceName): boolean {
--- a/src/mesh/instanceClient.ts
+++ b/src/mesh/instanceClient.ts
@@ -75,9 +75,11 @@
   ): Promise<RunResult> {
     const { names } = this;
     const timer = setTimeout(() => link.abort('timeout'), leftMs + DEADLINE_SLACK_MS);
+    // The link outlives the exchange: a later cancellation must not reach its next request.
+    let isUnderWay = true;
     cancellation.onCancel(() => {
       // The caller of a request that may not be repeated does not end its run.
-      if (terms.isRepeatable) link.abort('cancelled');
+      if (isUnderWay && terms.isRepeatable) link.abort('cancelled');
     });
     const headers = [
       ...request.headers,
@@ -90,6 +92,7 @@
       this.isOwnResponse(own, terms.requestId),
     );
     clearTimeout(timer);
+    isUnderWay = false;
     if (ended.kind === 'response') return this.judge(ended.response);
     if (!ended.wasSent) return buildRefusal('unreachable', false);
     if (!cancellation.isCancelled()) this.distrustedUntilMs = performance.now() + DISTRUST_MS;
--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -135,6 +135,9 @@
   private handleHead(info: ResponseHead): boolean {
     const { pending } = this;
     if (!pending) throw new Error('response without a request');
+    const length = getHeader(info.headers, 'content-length');
+    // The library waits for ever for a length that is no number.
+    if (length !== undefined && !/^\d+$/.test(length)) throw new Error('invalid length');
     const isInterim = info.statusCode < 200;
     const isForeign = !isInterim && !pending.isOwn(info.headers);
     this.incoming = {
--- a/src/mesh/localRunner.ts
+++ b/src/mesh/localRunner.ts
@@ -225,7 +225,11 @@
   }
 
   private startNext(): void {
-    for (let item = this.queue.takeNext(); item; item = this.queue.takeNext()) item.start();
+    for (;;) {
+      const item = this.queue.takeNext(performance.now());
+      if (!item) return;
+      item.start();
+    }
   }
 
   private refuseWaiting(reason: RefusalReason): void {
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -45,6 +45,8 @@
 export interface MeshNode {
   /** Leaves without cutting requests; resolves when all have ended or the limit is near. */
   stop(): Promise<void>;
+  /** Closes everything at once. */
+  close(): Promise<void>;
   /** Applies changed settings. */
   reload(): void;
 }
@@ -52,8 +54,8 @@
 /** Time after the start of a stop for which other nodes may still send requests. */
 const PEER_GRACE_MS = 2500;
 
-/** Time after the start of a stop for which new connections are accepted. */
-const ACCEPT_GRACE_MS = 3200;
+/** Time after the start of a stop for which new requests are taken. */
+const TAKE_GRACE_MS = 3200;
 
 /** Share of the stop limit after which the process ends, whatever is still under way. */
 const STOP_SHARE = 0.88;
@@ -260,6 +262,14 @@
   void watchKind({ ...common, kind: NODE_KIND, listener: nodeListener });
   log.write('info', 'started', { service: settings.service, process: processId });
 
+  const servers = [callPort.server, peerPort, readyPort, announcementPort, metricsPort];
+  const closeParts = () => {
+    publisher.stop();
+    runner.close();
+    directory.close();
+    store.close();
+  };
+
   const stop = async (): Promise<void> => {
     const startedAtMs = performance.now();
     const limitMs = getSettings().stopLimitMs * STOP_SHARE;
@@ -269,20 +279,25 @@
     void publisher.sync();
     await waitFor(PEER_GRACE_MS);
     runner.stopTaking();
-    await waitFor(ACCEPT_GRACE_MS - PEER_GRACE_MS);
-    callPort.server.close();
-    callPort.server.closeIdleConnections();
+    await waitFor(TAKE_GRACE_MS - PEER_GRACE_MS);
+    // The port stays open: callers that have nowhere else to go are told when to come back.
+    callPort.refuseNew();
     const isBusy = () => callPort.countOpen() + runner.countRunning() > 0;
     while (isBusy() && performance.now() - startedAtMs < limitMs) await waitFor(STOP_CHECK_MS);
     log.write('info', 'stopped', { open: callPort.countOpen(), running: runner.countRunning() });
-    publisher.stop();
-    runner.close();
-    directory.close();
-    store.close();
+    closeParts();
   };
 
   return {
     stop,
+    async close() {
+      isStopping = true;
+      closeParts();
+      for (const server of servers) {
+        server.closeAllConnections();
+        server.close();
+      }
+    },
     reload() {
       runner.handleInstanceChange();
       log.write('info', 'settings-reloaded', { service: getSettings().service });
--- a/src/mesh/placing.ts
+++ b/src/mesh/placing.ts
@@ -20,8 +20,11 @@
   readonly isUnreachable: boolean;
 }
 
-/** Wait that is preferred to another data centre, in milliseconds. */
-const DATA_CENTRE_COST_MS = 120;
+/**
+ * Share of the latency objective that a request waits rather than go to another data centre. Below
+ * it the request is in time either way, and bytes between data centres are dear.
+ */
+const DISTANCE_SHARE = 0.5;
 
 /** Cost of a certain failure, in milliseconds; a failed request is worse than a late one. */
 const FAILURE_COST_MS = 2500;
@@ -39,7 +42,7 @@
 const SPREAD = 0.15;
 
 /** Returns the expected cost of a request at an instance in milliseconds. */
-export function estimateCostMs(candidate: Candidate): number {
+export function estimateCostMs(candidate: Candidate, objectiveMs: number): number {
   const { load, outstanding, outstandingAtLoad, slots } = candidate;
   const meanMs = load?.meanMs ?? UNKNOWN_MEAN_MS;
   const addedSince = Math.max(0, outstanding - outstandingAtLoad);
@@ -48,7 +51,7 @@
   // A fuller instance is preferred less already before its slots are used up.
   const waitMs = excess > 0 ? (excess * meanMs) / slots : (0.3 * meanMs * inFlight) / slots;
   const failureMs = (load?.failures ?? 0) * FAILURE_COST_MS;
-  const distanceMs = candidate.isSameDataCentre ? 0 : DATA_CENTRE_COST_MS;
+  const distanceMs = candidate.isSameDataCentre ? 0 : objectiveMs * DISTANCE_SHARE;
   const absenceMs = candidate.isUnreachable ? UNREACHABLE_COST_MS : 0;
   return meanMs + waitMs + failureMs + distanceMs + absenceMs;
 }
@@ -56,6 +59,7 @@
 /** Returns the cheapest candidate, or now and then a random one. */
 export function chooseInstance<Item extends Candidate>(
   candidates: readonly Item[],
+  objectiveMs: number,
   canExplore: boolean,
   random: () => number = Math.random,
 ): Item | undefined {
@@ -67,7 +71,7 @@
   let best: Item | undefined;
   let bestMs = Infinity;
   for (const candidate of candidates) {
-    const costMs = estimateCostMs(candidate) * (1 + random() * SPREAD);
+    const costMs = estimateCostMs(candidate, objectiveMs) * (1 + random() * SPREAD);
     if (costMs < bestMs) {
       best = candidate;
       bestMs = costMs;
--- a/src/mesh/watchKind.ts
+++ b/src/mesh/watchKind.ts
@@ -1,5 +1,5 @@
 /** Follows the objects of one kind: a list, then watches, and a new list when history is gone. */
-import { computeDelayMs, waitMs } from '../utils/backoff.js';
+import { computeDelayMs, waitMs as wait } from '../utils/backoff.js';
 import type { EventLog } from './eventLog.js';
 import type { MeshStore, StoreEvent, StoreList } from './store.js';
 
@@ -9,6 +9,9 @@
  */
 const WATCH_MS = 3300;
 
+/** Wait of the first watch after a failure: a store that is back answers it soon. */
+const FIRST_WATCH_MS = 300;
+
 /** Backoff after a failed call; a store that comes back is noticed within its bound. */
 const BACKOFF = { baseMs: 150, maxMs: 900 };
 
@@ -35,7 +38,7 @@
   const recordFailure = async (step: string, reason: string): Promise<void> => {
     if (failures === 0) log.write('warn', 'store-lost', { step, peer: kind, reason });
     failures += 1;
-    await waitMs(computeDelayMs(BACKOFF, failures));
+    await wait(computeDelayMs(BACKOFF, failures));
   };
   const recordSuccess = () => {
     if (failures > 0) log.write('info', 'store-regained', { peer: kind, failures });
@@ -52,7 +55,8 @@
       listener.applyList(listed.value);
       revision = listed.value.revision;
     }
-    const watched = await store.watch(kind, revision, WATCH_MS);
+    const waitMs = failures === 0 ? WATCH_MS : FIRST_WATCH_MS;
+    const watched = await store.watch(kind, revision, waitMs);
     if (watched.isErr()) {
       if (watched.error.kind === 'stale') {
         log.write('info', 'history-gone', { peer: kind, revision });
--- /dev/null
+++ b/test/mesh/fleet.test.ts
@@ -0,0 +1,251 @@
+/** The whole path in one process: callers, nodes, instances and the store, with faults. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { connect } from 'node:net';
+import { MeshFleet, type FleetRoute } from '../../standins/mesh/meshFleet.js';
+
+const ROUTES: readonly FleetRoute[] = [
+  { prefix: '/read/', kind: 'safe' },
+  { prefix: '/book/', kind: 'unsafe', priority: 0 },
+  { prefix: '/short/', kind: 'unsafe', timeoutMs: 200 },
+];
+
+async function withFleet(run: (fleet: MeshFleet) => Promise<void>): Promise<void> {
+  const fleet = new MeshFleet();
+  await fleet.start(ROUTES);
+  try {
+    await run(fleet);
+  } finally {
+    await fleet.close();
+  }
+}
+
+function wait(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
+test('a request reaches an instance on another host unchanged and its response comes back', async () => {
+  await withFleet(async (fleet) => {
+    const entry = await fleet.addHost('guide');
+    const target = await fleet.addHost('pads');
+    await fleet.waitListed('/read/', ['i-1']);
+    const response = await fleet.send(entry, {
+      path: '/book/7?x=1&y=%20',
+      id: 'r-1',
+      method: 'POST',
+      body: 'pad 7',
+      headers: { 'X-Lycheelane-Caller-Service': 'forged', 'X-Lycheelane-Target-Instance': 'x' },
+    });
+    assert.equal(response.status, 200);
+    assert.equal(response.body, 'i-1 ran r-1');
+    assert.equal(response.headers['x-lycheelane-response-signature'], 'signed-i-1');
+    assert.equal(response.headers['mesh-result'], undefined);
+    const run = target.instance.runs.at(-1);
+    assert.equal(run?.path, '/book/7?x=1&y=%20');
+    assert.equal(run?.method, 'POST');
+    assert.equal(run?.body, 'pad 7');
+    assert.equal(run?.callerService, 'guide');
+    assert.ok(run && run.deadlineMs <= 1500 && run.deadlineMs > 1000);
+  });
+});
+
+test('an unknown path gets 404, too long a body 413, and the instance sees neither', async () => {
+  await withFleet(async (fleet) => {
+    const host = await fleet.addHost('pads');
+    await fleet.waitListed('/read/', ['i-0']);
+    const before = host.instance.runs.length;
+    assert.equal((await fleet.send(host, { path: '/none/', id: '1' })).status, 404);
+    const long = { path: '/book/', id: '2', method: 'POST', body: 'x'.repeat(70_000) };
+    assert.equal((await fleet.send(host, long)).status, 413);
+    assert.equal(host.instance.runs.length, before);
+  });
+});
+
+test('pipelined requests are answered in their order', async () => {
+  await withFleet(async (fleet) => {
+    const host = await fleet.addHost('pads');
+    await fleet.waitListed('/read/', ['i-0']);
+    host.instance.workMs = 20;
+    const socket = connect(host.settings.ports.calls.port, '127.0.0.1');
+    const ids = ['p-1', 'p-2', 'p-3'];
+    const lines = ids.map(
+      (id) =>
+        `GET /read/ HTTP/1.1\r\nHost: mesh.example\r\nX-Lycheelane-Request-Attempt-Id: ${id}\r\n\r\n`,
+    );
+    socket.write(lines.join(''));
+    let text = '';
+    socket.on('data', (chunk) => {
+      text += String(chunk);
+    });
+    while (!text.includes('ran p-3')) await wait(10);
+    socket.destroy();
+    const order = [...text.matchAll(/ran (p-\d)/g)].map((match) => match[1]);
+    assert.deepEqual(order, ids);
+  });
+});
+
+test('an instance never gets more requests at once than it has slots', async () => {
+  await withFleet(async (fleet) => {
+    const host = await fleet.addHost('pads', 'a', { slots: 3 });
+    await fleet.waitListed('/read/', ['i-0']);
+    host.instance.workMs = 30;
+    const sent = Array.from({ length: 40 }, (_, index) =>
+      fleet.send(host, { path: '/read/', id: `s-${index}` }),
+    );
+    const statuses = (await Promise.all(sent)).map(({ status }) => status);
+    assert.ok(host.instance.mostAtWork <= 3, `${host.instance.mostAtWork} at once`);
+    assert.ok(statuses.filter((status) => status === 200).length >= 20);
+    assert.ok(statuses.every((status) => status === 200 || status === 503));
+  });
+});
+
+interface FaultCase {
+  readonly name: string;
+  readonly fault: 'lose-answer' | 'shed' | 'fail' | 'garbage';
+  readonly path: string;
+  readonly status: number;
+  /** Runs of one request over all instances. */
+  readonly runs: number;
+}
+
+const FAULT_CASES: readonly FaultCase[] = [
+  {
+    name: 'a lost response of a safe request',
+    fault: 'lose-answer',
+    path: '/read/',
+    status: 200,
+    runs: 2,
+  },
+  {
+    name: 'a lost response of an unsafe request',
+    fault: 'lose-answer',
+    path: '/book/',
+    status: 502,
+    runs: 1,
+  },
+  { name: 'garbage for a safe request', fault: 'garbage', path: '/read/', status: 200, runs: 2 },
+  { name: 'garbage for an unsafe request', fault: 'garbage', path: '/book/', status: 502, runs: 1 },
+  { name: 'a refusal of an unsafe request', fault: 'shed', path: '/book/', status: 200, runs: 1 },
+  { name: 'a failure of a safe request', fault: 'fail', path: '/read/', status: 200, runs: 2 },
+  { name: 'a failure of an unsafe request', fault: 'fail', path: '/book/', status: 500, runs: 1 },
+];
+for (const { name, fault, path, status, runs } of FAULT_CASES) {
+  test(`${name} ends as ${status} after ${runs} run(s)`, async () => {
+    await withFleet(async (fleet) => {
+      const faulty = await fleet.addHost('pads', 'a');
+      const sound = await fleet.addHost('pads', 'b');
+      await fleet.waitRecords();
+      faulty.instance.fault =
+        fault === 'fail'
+          ? { kind: 'fail', status: 500 }
+          : fault === 'garbage'
+            ? { kind: 'bytes', text: 'HTTP/9 junk\r\n\r\n', isLast: true }
+            : { kind: fault };
+      const response = await fleet.send(faulty, { path, id: 'x-1', method: 'POST', body: 'b' });
+      assert.equal(response.status, status);
+      const ran = [faulty, sound].flatMap(({ instance }) =>
+        instance.runs.filter(({ requestId }) => requestId === 'x-1'),
+      );
+      assert.equal(ran.length, runs);
+    });
+  });
+}
+
+test('a leaving instance gets no request after its node acknowledged, also after a restart', async () => {
+  await withFleet(async (fleet) => {
+    const entry = await fleet.addHost('guide');
+    const leaving = await fleet.addHost('pads');
+    await fleet.waitListed('/read/', ['i-1']);
+    leaving.state = 'draining';
+    assert.equal(await fleet.beat(leaving), 200);
+    const before = leaving.instance.runs.length;
+    const refused = await fleet.send(entry, { path: '/book/', id: 'l-1' });
+    assert.equal(refused.status, 503);
+    assert.ok(Number(refused.headers['retry-after']) > 0);
+    await leaving.node.close();
+    leaving.node = await fleet.startNode(leaving.settings);
+    // A heartbeat from before comes late to the new process.
+    await wait(100);
+    await fleet.beat(leaving, { State: 'ready', Sequence: 1 });
+    assert.equal((await fleet.send(entry, { path: '/book/', id: 'l-2' })).status, 503);
+    assert.equal(leaving.instance.runs.length, before);
+  });
+});
+
+test('a caller that leaves ends the run of a safe request, and not that of an unsafe one', async () => {
+  await withFleet(async (fleet) => {
+    const entry = await fleet.addHost('guide');
+    const target = await fleet.addHost('pads');
+    await fleet.waitListed('/read/', ['i-1']);
+    target.instance.workMs = 900;
+    for (const path of ['/read/', '/book/']) {
+      const socket = connect(entry.settings.ports.calls.port, '127.0.0.1');
+      socket.write(
+        `GET ${path} HTTP/1.1\r\nHost: mesh.example\r\nX-Lycheelane-Request-Attempt-Id: g${path}\r\n\r\n`,
+      );
+      await wait(120);
+      socket.destroy();
+    }
+    await wait(500);
+    assert.equal(target.instance.cancelled, 1);
+  });
+});
+
+test('a request ends at the timeout of its route', async () => {
+  await withFleet(async (fleet) => {
+    const host = await fleet.addHost('pads');
+    await fleet.waitListed('/read/', ['i-0']);
+    host.instance.fault = { kind: 'hang' };
+    const startedAtMs = performance.now();
+    const response = await fleet.send(host, { path: '/short/', id: 't-1' });
+    const passedMs = performance.now() - startedAtMs;
+    assert.equal(response.status, 504);
+    assert.ok(passedMs >= 190 && passedMs < 450, `${passedMs} ms`);
+  });
+});
+
+test('a version is in force soon after it was written, and an older one never', async () => {
+  await withFleet(async (fleet) => {
+    const host = await fleet.addHost('pads');
+    await fleet.waitListed('/read/', ['i-0']);
+    fleet.configure(9, [...ROUTES, { prefix: '/new/' }]);
+    await wait(200);
+    assert.equal((await fleet.send(host, { path: '/new/', id: 'c-1' })).status, 200);
+    fleet.configure(5, ROUTES);
+    await wait(200);
+    assert.equal((await fleet.send(host, { path: '/new/', id: 'c-2' })).status, 200);
+  });
+});
+
+test('a record that was taken from the store comes back, and traffic goes on meanwhile', async () => {
+  await withFleet(async (fleet) => {
+    const entry = await fleet.addHost('guide');
+    const target = await fleet.addHost('pads');
+    await fleet.waitListed('/read/', ['i-1']);
+    fleet.store.fault = { kind: 'refuse', status: 503 };
+    fleet.store.revoke('lycheelane-nodes', String(target.settings.nodeId));
+    fleet.store.compact();
+    await wait(300);
+    assert.equal((await fleet.send(entry, { path: '/book/', id: 'v-1' })).status, 200);
+    fleet.store.fault = { kind: 'none' };
+    await wait(2000);
+    assert.ok(fleet.store.get('lycheelane-nodes', String(target.settings.nodeId)));
+  });
+});
+
+test('a stopped node cuts no request and is not ready from then on', async () => {
+  await withFleet(async (fleet) => {
+    const entry = await fleet.addHost('guide');
+    const target = await fleet.addHost('pads');
+    await fleet.waitListed('/read/', ['i-1']);
+    target.instance.workMs = 700;
+    const sent = fleet.send(entry, { path: '/book/', id: 'z-1' });
+    await wait(100);
+    const stopped = [entry.node.stop(), target.node.stop()];
+    assert.equal((await sent).status, 200);
+    await Promise.all(stopped);
+    await assert.rejects(fleet.send(entry, { path: '/book/', id: 'z-2' }));
+  });
+});
--- /dev/null
+++ b/test/mesh/link.test.ts
@@ -0,0 +1,197 @@
+/** The client connection against instances that spoil, double, cut and delay their responses. */
+import assert from 'node:assert/strict';
+import { createServer, type Server, type Socket } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import { test } from 'node:test';
+import { Link, openSocket, type LinkResult } from '../../src/mesh/link.js';
+import { getHeader } from '../../src/mesh/headers.js';
+
+const REQUEST = { method: 'GET', path: '/x', headers: ['Host', 'h'], body: Buffer.alloc(0) };
+
+function buildResponse(id: string, body: string): string {
+  return `HTTP/1.1 200 OK\r\nId: ${id}\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+}
+
+async function withServer(
+  onSocket: (socket: Socket) => void,
+  run: (link: Link) => Promise<void>,
+): Promise<void> {
+  const sockets = new Set<Socket>();
+  const server: Server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on('error', () => {});
+    onSocket(socket);
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const socket = await openSocket({ host: '127.0.0.1', port }, 1000);
+  assert.ok(typeof socket !== 'string');
+  const link = new Link(socket, () => {});
+  try {
+    await run(link);
+  } finally {
+    link.abort('test ended');
+    for (const open of sockets) open.destroy();
+    server.close();
+  }
+}
+
+function exchange(link: Link, id = '1'): Promise<LinkResult> {
+  return link.exchange(REQUEST, (headers) => getHeader(headers, 'id') === id);
+}
+
+interface Case {
+  readonly name: string;
+  readonly bytes: string;
+  readonly end?: 'fin' | 'reset';
+  /** Expected body, or undefined when the exchange breaks. */
+  readonly body: string | undefined;
+  readonly canReuse: boolean;
+}
+
+const HEAD = 'HTTP/1.1 200 OK\r\nId: 1\r\n';
+
+const CASES: readonly Case[] = [
+  { name: 'a plain response', bytes: buildResponse('1', 'own'), body: 'own', canReuse: true },
+  {
+    name: 'chunks',
+    bytes: `${HEAD}Transfer-Encoding: chunked\r\n\r\n3\r\nown\r\n0\r\n\r\n`,
+    body: 'own',
+    canReuse: true,
+  },
+  {
+    name: 'a body that ends with the connection',
+    bytes: `${HEAD}\r\nown`,
+    end: 'fin',
+    body: 'own',
+    canReuse: false,
+  },
+  {
+    name: 'a body without a length whose connection is reset',
+    bytes: `${HEAD}\r\now`,
+    end: 'reset',
+    body: undefined,
+    canReuse: false,
+  },
+  {
+    name: 'a body cut short',
+    bytes: `${HEAD}Content-Length: 9\r\n\r\nown`,
+    end: 'fin',
+    body: undefined,
+    canReuse: false,
+  },
+  {
+    name: 'chunks cut short',
+    bytes: `${HEAD}Transfer-Encoding: chunked\r\n\r\n3\r\nown\r\n`,
+    end: 'fin',
+    body: undefined,
+    canReuse: false,
+  },
+  {
+    name: 'a chunk size that is no number',
+    bytes: `${HEAD}Transfer-Encoding: chunked\r\n\r\n3\r\nown\r\nzz\r\n\r\n`,
+    body: undefined,
+    canReuse: false,
+  },
+  {
+    name: 'bytes that are no response',
+    bytes: '\u0000\u0001junk\r\n\r\n',
+    body: undefined,
+    canReuse: false,
+  },
+  {
+    name: 'two lengths',
+    bytes: `${HEAD}Content-Length: 3\r\nContent-Length: 4\r\n\r\nown`,
+    body: undefined,
+    canReuse: false,
+  },
+  {
+    name: 'a length that is no number',
+    bytes: `${HEAD}Content-Length: many\r\n\r\nown`,
+    body: undefined,
+    canReuse: false,
+  },
+  {
+    name: 'a response to another request before the own one',
+    bytes: buildResponse('0', 'foreign') + buildResponse('1', 'own'),
+    body: 'own',
+    canReuse: false,
+  },
+  {
+    name: 'a second response after the own one',
+    bytes: buildResponse('1', 'own') + buildResponse('1', 'again'),
+    body: 'own',
+    canReuse: false,
+  },
+  {
+    name: 'an interim response',
+    bytes: `HTTP/1.1 103 Early Hints\r\n\r\n${buildResponse('1', 'own')}`,
+    body: 'own',
+    canReuse: true,
+  },
+  {
+    name: 'Connection: close',
+    bytes: `${HEAD}Connection: close\r\nContent-Length: 3\r\n\r\nown`,
+    body: 'own',
+    canReuse: false,
+  },
+  { name: 'a reset without a response', bytes: '', end: 'reset', body: undefined, canReuse: false },
+];
+for (const { name, bytes, end, body, canReuse } of CASES) {
+  test(`a link reads ${name}`, async () => {
+    const onSocket = (socket: Socket) => {
+      socket.once('data', () => {
+        if (bytes !== '') socket.write(bytes, 'latin1');
+        setTimeout(() => {
+          if (end === 'fin') socket.end();
+          if (end === 'reset') socket.resetAndDestroy();
+        }, 20);
+      });
+    };
+    await withServer(onSocket, async (link) => {
+      const result = await exchange(link);
+      assert.equal(result.kind === 'response' ? result.response.body.toString() : undefined, body);
+      if (result.kind === 'broken') assert.equal(result.wasSent, true);
+      assert.equal(link.canReuse(), canReuse);
+    });
+  });
+}
+
+test('a link discards the late second response of an earlier request', async () => {
+  let count = 0;
+  const onSocket = (socket: Socket) => {
+    socket.on('data', () => {
+      count += 1;
+      if (count === 1) socket.write(buildResponse('1', 'first'));
+      else socket.write(buildResponse('1', 'first again') + buildResponse('2', 'second'));
+    });
+  };
+  await withServer(onSocket, async (link) => {
+    await exchange(link, '1');
+    const second = await exchange(link, '2');
+    assert.equal(second.kind === 'response' && second.response.body.toString(), 'second');
+    assert.equal(link.canReuse(), false);
+  });
+});
+
+test('bytes on an idle link close it, and nothing is sent on it', async () => {
+  let received = 0;
+  const onSocket = (socket: Socket) => {
+    socket.on('data', () => {
+      received += 1;
+      socket.write(buildResponse('1', 'own'));
+      setTimeout(() => socket.write(buildResponse('1', 'extra')), 20);
+    });
+  };
+  await withServer(onSocket, async (link) => {
+    await exchange(link);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 80);
+    });
+    const second = await exchange(link, '2');
+    assert.deepEqual(second, { kind: 'broken', reason: 'connection closed', wasSent: false });
+    assert.equal(received, 1);
+  });
+});
--- /dev/null
+++ b/test/platform/storeClient.test.ts
@@ -0,0 +1,108 @@
+/** The store's protocol and each fault that it names, against the stand-in. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { MeshStore } from '../../src/mesh/store.js';
+import { createStoreClient } from '../../platform/storeClient.js';
+import { StoreServer, type StoreFault } from '../../standins/mesh/storeServer.js';
+
+async function withStore(
+  run: (store: MeshStore, server: StoreServer) => Promise<void>,
+): Promise<void> {
+  const server = new StoreServer();
+  const port = await server.listen();
+  const store = createStoreClient(() => ({ host: '127.0.0.1', port }));
+  try {
+    await run(store, server);
+  } finally {
+    store.close();
+    await server.close();
+  }
+}
+
+test('objects are created, read, replaced on a condition, and removed', async () => {
+  await withStore(async (store) => {
+    const created = (await store.create('nodes', 'a b', { x: 1 }))._unsafeUnwrap();
+    assert.deepEqual(created.value, { x: 1 });
+    const again = await store.create('nodes', 'a b', { x: 2 });
+    assert.equal(again._unsafeUnwrapErr().kind, 'conflict');
+    const replaced = await store.replace('nodes', 'a b', { x: 3 }, created.revision);
+    assert.ok(replaced._unsafeUnwrap().revision > created.revision);
+    const late = await store.replace('nodes', 'a b', { x: 4 }, created.revision);
+    assert.equal(late._unsafeUnwrapErr().kind, 'conflict');
+    const read = (await store.read('nodes', 'a b'))._unsafeUnwrap();
+    assert.deepEqual(read.value, { x: 3 });
+    const early = await store.remove('nodes', 'a b', created.revision);
+    assert.equal(early._unsafeUnwrapErr().kind, 'conflict');
+    assert.ok((await store.remove('nodes', 'a b', read.revision)).isOk());
+    assert.equal((await store.read('nodes', 'a b'))._unsafeUnwrapErr().kind, 'not-found');
+  });
+});
+
+test('a list is read over all its pages', async () => {
+  await withStore(async (store, server) => {
+    const names = Array.from({ length: 25 }, (_, index) => `n-${String(index).padStart(2, '0')}`);
+    for (const name of names) server.put('nodes', name, {});
+    Object.assign(server, { pageSize: 10 });
+    const listed = (await store.list('nodes'))._unsafeUnwrap();
+    assert.deepEqual(
+      listed.objects.map(({ name }) => name),
+      names,
+    );
+  });
+});
+
+test('a watch tells of changes and removals since a revision, and waits for them', async () => {
+  await withStore(async (store, server) => {
+    const from = server.put('nodes', 'a', { x: 1 });
+    const waiting = store.watch('nodes', from, 1000);
+    setTimeout(() => {
+      server.put('other', 'z', {});
+      server.put('nodes', 'b', { x: 2 });
+    }, 30);
+    const { events, revision } = (await waiting)._unsafeUnwrap();
+    assert.equal(events.length, 1);
+    assert.equal(events[0]?.kind === 'stored' && events[0].object.name, 'b');
+    server.revoke('nodes', 'b');
+    const removed = (await store.watch('nodes', revision, 1000))._unsafeUnwrap();
+    assert.equal(removed.events[0]?.kind === 'removed' && removed.events[0].name, 'b');
+  });
+});
+
+test('a watch without changes ends with its wait', async () => {
+  await withStore(async (store, server) => {
+    const from = server.put('nodes', 'a', {});
+    const { events } = (await store.watch('nodes', from, 50))._unsafeUnwrap();
+    assert.deepEqual(events, []);
+  });
+});
+
+test('a watch whose history is gone says so', async () => {
+  await withStore(async (store, server) => {
+    const from = server.put('nodes', 'a', {});
+    server.put('nodes', 'b', {});
+    server.compact();
+    assert.equal((await store.watch('nodes', from, 50))._unsafeUnwrapErr().kind, 'stale');
+  });
+});
+
+const FAULTS: readonly { readonly fault: StoreFault; readonly kind: string }[] = [
+  { fault: { kind: 'refuse', status: 429 }, kind: 'busy' },
+  { fault: { kind: 'refuse', status: 503 }, kind: 'busy' },
+  { fault: { kind: 'reset' }, kind: 'answer-lost' },
+  { fault: { kind: 'silent' }, kind: 'answer-lost' },
+  { fault: { kind: 'lose-answers' }, kind: 'answer-lost' },
+];
+for (const { fault, kind } of FAULTS) {
+  test(`a write to a store with the fault ${JSON.stringify(fault)} fails as ${kind}`, async () => {
+    await withStore(async (store, server) => {
+      Object.assign(server, { fault });
+      const failed = await store.create('nodes', 'a', {});
+      const error = failed._unsafeUnwrapErr();
+      assert.equal(error.kind, kind);
+      assert.equal(error.step, 'store.create');
+      Object.assign(server, { fault: { kind: 'none' } });
+      const read = await store.read('nodes', 'a');
+      assert.equal(read.isOk(), fault.kind === 'lose-answers');
+    });
+  });
+}
