--- a/src/mesh/callRouter.ts
+++ b/src/mesh/callRouter.ts
@@ -137,10 +137,14 @@
     isFirst: boolean,
   ): PeerCandidate | undefined {
     const { directory, getSettings } = this.options;
-    const { dataCentre } = getSettings();
-    const candidates = directory.listCandidates(service, dataCentre, tried, performance.now());
-    const { objectiveMs, isRepeatable } = work.route;
-    return chooseInstance(candidates, objectiveMs, isRepeatable && isFirst);
+    const { dataCentre, distance } = getSettings();
+    const { objectiveMs, rank, isRepeatable } = work.route;
+    return chooseInstance(
+      directory.listCandidates(service, dataCentre, performance.now()),
+      { objectiveMs, rank, canExplore: isRepeatable && isFirst },
+      distance,
+      ({ peer }) => tried.has(peer.record.instanceId),
+    );
   }
 
   private takeRepeat({ route }: CallWork, service: ServiceName): boolean {
--- a/src/mesh/directory.ts
+++ b/src/mesh/directory.ts
@@ -1,5 +1,5 @@
 /** The other nodes of the mesh, as the store lists them and as calls find them. */
-import type { InstanceId, NodeId, ServiceName } from '../types/ids.js';
+import type { NodeId, ServiceName } from '../types/ids.js';
 import type { EventLog } from './eventLog.js';
 import type { InstanceLoad, NodeRecord } from './model.js';
 import { PeerCalls } from './peerCalls.js';
@@ -134,16 +134,11 @@
     }
   }
 
-  /** Returns the nodes whose instances may get a call, without those already tried. */
-  listCandidates(
-    service: ServiceName,
-    ownDataCentre: string,
-    tried: ReadonlySet<InstanceId>,
-    nowMs: number,
-  ): PeerCandidate[] {
+  /** Returns the nodes whose instances may get a call. */
+  listCandidates(service: ServiceName, ownDataCentre: string, nowMs: number): PeerCandidate[] {
     const candidates: PeerCandidate[] = [];
     for (const peer of this.listUsable(service, nowMs)) {
-      if (tried.has(peer.record.instanceId) || peer.isAbsent(nowMs)) continue;
+      if (peer.isAbsent(nowMs)) continue;
       candidates.push({
         peer,
         isSameDataCentre: peer.record.dataCentre === ownDataCentre,
--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -178,6 +178,13 @@
   }
 
   private handleEnd(): void {
+    // A reset that comes together with the last bytes is reported as an end, too. The peer's
+    // address is known only while the connection is not reset, unless it was asked for before.
+    const wasReset = this.socket.remoteAddress === undefined;
+    if (wasReset) {
+      this.fail('connection reset');
+      return;
+    }
     if (this.incoming && this.pending) {
       const fault = runParser(() => this.parser.finish());
       if (fault) this.fail('response cut short');
--- a/src/mesh/model.ts
+++ b/src/mesh/model.ts
@@ -1,5 +1,7 @@
 /** Types of the mesh: settings, configuration, nodes of other hosts and calls. */
 import type { PeerAddress } from '../types/interfaces.js';
+import type { DistancePolicy } from './placing.js';
+import type { RepeatLimit } from './repeats.js';
 import type {
   ConfigVersion,
   DataCentre,
@@ -31,11 +33,9 @@
   /** Time between SIGTERM and SIGKILL. */
   readonly stopLimitMs: number;
   /** Limit of repeated arrivals at a service, over all nodes. */
-  readonly repeats: {
-    readonly ratio: number;
-    readonly windowMs: number;
-    readonly extra: number;
-  };
+  readonly repeats: RepeatLimit;
+  /** When a request may go to another data centre. */
+  readonly distance: DistancePolicy;
 }
 
 /** One destination of a route with its share of the requests. */
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -154,7 +154,7 @@
     log,
     metrics,
   });
-  const peerPort = createPeerPort({ runner, processId });
+  const peerPort = createPeerPort({ runner, processId, names });
   const announcementPort = createAnnouncementPort({
     instance,
     log,
--- a/src/mesh/peerMessages.ts
+++ b/src/mesh/peerMessages.ts
@@ -15,22 +15,27 @@
 /** Response header with the result. */
 export const RESULT_HEADER = 'mesh-result';
 
-/** Terms as they travel: times are left over, not instants. */
-interface TermsMessage {
-  readonly call: string;
-  readonly request: string;
-  readonly route: string;
-  readonly service: string;
-  readonly instance: string;
-  readonly repeatable: boolean;
-  readonly rank: number;
-  readonly leftMs: number;
-  readonly objectiveLeftMs: number;
-  /** Process that got the call first; set when it is sent again on a new connection. */
-  readonly resume?: string;
-}
+/**
+ * Terms as they travel, without names to keep them short: call, route, service, instance,
+ * 1 for a repeatable one, rank, milliseconds to the deadline, milliseconds to the objective, and
+ * the process that got the call first when it is sent again on a new connection.
+ */
+type TermsMessage = readonly [
+  call: string,
+  route: string,
+  service: string,
+  instance: string,
+  repeatable: 0 | 1,
+  rank: number,
+  leftMs: number,
+  objectiveLeftMs: number,
+  resume?: string,
+];
+
+/** Load as it travels: slots, requests in flight, mean run time, failures in thousandths. */
+type LoadMessage = readonly [slots: number, inFlight: number, meanMs: number, failures: number];
 
-type ResultMessage = { readonly process: string; readonly load?: InstanceLoad } & (
+type ResultMessage = { readonly load?: LoadMessage } & (
   | { readonly kind: 'answered' }
   | {
       readonly kind: 'notRun';
@@ -50,23 +55,25 @@
 
 /** Encodes terms for a header. */
 export function encodeTerms(terms: CallTerms, resume: string | undefined, nowMs: number): string {
-  const message: TermsMessage = {
-    call: terms.callId,
-    request: terms.requestId,
-    route: terms.route,
-    service: terms.service,
-    instance: terms.instanceId,
-    repeatable: terms.isRepeatable,
-    rank: terms.rank,
-    leftMs: Math.floor(terms.deadlineAtMs - nowMs),
-    objectiveLeftMs: Math.floor(terms.objectiveAtMs - nowMs),
-    resume,
-  };
-  return JSON.stringify(message);
+  const message: TermsMessage = [
+    terms.callId,
+    terms.route,
+    terms.service,
+    terms.instanceId,
+    terms.isRepeatable ? 1 : 0,
+    terms.rank,
+    Math.floor(terms.deadlineAtMs - nowMs),
+    Math.floor(terms.objectiveAtMs - nowMs),
+  ];
+  return JSON.stringify(resume === undefined ? message : [...message, resume]);
 }
 
 /** Decodes the terms of a call; undefined for anything that no node sends. */
-export function decodeTerms(text: string | undefined, nowMs: number): ReceivedTerms | undefined {
+export function decodeTerms(
+  text: string | undefined,
+  requestId: string,
+  nowMs: number,
+): ReceivedTerms | undefined {
   if (text === undefined) return undefined;
   let message: TermsMessage;
   try {
@@ -74,24 +81,26 @@
   } catch {
     return undefined;
   }
-  if (typeof message?.call !== 'string' || typeof message.leftMs !== 'number') return undefined;
+  if (!Array.isArray(message) || message.length < 8) return undefined;
+  const [call, route, service, instance, repeatable, rank, leftMs, objectiveLeftMs, resume] =
+    message;
   const terms: CallTerms = {
-    callId: message.call,
-    requestId: message.request,
-    route: brandText(message.route),
-    service: brandText(message.service),
-    instanceId: brandText(message.instance),
-    isRepeatable: message.repeatable,
-    rank: message.rank,
-    deadlineAtMs: nowMs + message.leftMs,
-    objectiveAtMs: nowMs + message.objectiveLeftMs,
+    callId: call,
+    requestId,
+    route: brandText(route),
+    service: brandText(service),
+    instanceId: brandText(instance),
+    isRepeatable: repeatable === 1,
+    rank,
+    deadlineAtMs: nowMs + leftMs,
+    objectiveAtMs: nowMs + objectiveLeftMs,
   };
-  return { terms, resume: message.resume };
+  return { terms, resume };
 }
 
 /** Encodes a result for a header; the response itself travels as the HTTP response. */
-export function encodeResult({ result, load }: RunReport, processId: string): string {
-  const common = { process: processId, load };
+export function encodeResult({ result, load }: RunReport): string {
+  const common = { load: load && encodeLoad(load) };
   const message: ResultMessage =
     result.kind === 'answered' ? { ...common, kind: 'answered' } : { ...common, ...result };
   return JSON.stringify(message);
@@ -101,7 +110,7 @@
 export function decodeResult(
   text: string | undefined,
   response: HttpResponse,
-): (RunReport & { readonly process: string }) | undefined {
+): RunReport | undefined {
   if (text === undefined) return undefined;
   let message: ResultMessage;
   try {
@@ -109,8 +118,16 @@
   } catch {
     return undefined;
   }
-  const { process, load } = message;
-  return { result: toRunResult(message, response), load, process };
+  const { load } = message;
+  return { result: toRunResult(message, response), load: load && decodeLoad(load) };
+}
+
+function encodeLoad({ slots, inFlight, meanMs, failures }: InstanceLoad): LoadMessage {
+  return [slots, inFlight, Math.round(meanMs), Math.round(failures * 1000)];
+}
+
+function decodeLoad([slots, inFlight, meanMs, failures]: LoadMessage): InstanceLoad {
+  return { slots, inFlight, meanMs, failures: failures / 1000 };
 }
 
 function toRunResult(message: ResultMessage, response: HttpResponse): RunResult {
--- a/src/mesh/peerPort.ts
+++ b/src/mesh/peerPort.ts
@@ -3,7 +3,7 @@
  * identifier, after its connection broke, joins the run that is under way instead of running twice.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { filterHeaders, getHeader } from './headers.js';
+import { filterHeaders, getHeader, type HeaderNames } from './headers.js';
 import { buildRefusal } from './instanceClient.js';
 import { readBody } from './readBody.js';
 import type { LocalRunner } from './localRunner.js';
@@ -40,12 +40,13 @@
 export interface PeerPortOptions {
   readonly runner: LocalRunner;
   readonly processId: string;
+  readonly names: HeaderNames;
 }
 
 const REMOVED: ReadonlySet<string> = new Set([TERMS_HEADER]);
 
 /** Creates the server of the port; the caller binds it. */
-export function createPeerPort({ runner, processId }: PeerPortOptions): Server {
+export function createPeerPort({ runner, processId, names }: PeerPortOptions): Server {
   const runs = new Map<string, Run>();
 
   const addRun = (
@@ -90,7 +91,11 @@
 
   const serve = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
     const receivedAtMs = performance.now();
-    const received = decodeTerms(getHeader(message.rawHeaders, TERMS_HEADER), receivedAtMs);
+    const received = decodeTerms(
+      getHeader(message.rawHeaders, TERMS_HEADER),
+      getHeader(message.rawHeaders, names.requestId) ?? '',
+      receivedAtMs,
+    );
     if (!received) {
       response.writeHead(400).end();
       return;
@@ -119,7 +124,7 @@
     });
     const report = await run.report;
     if (hasLeft) return;
-    writeReport(response, report, processId);
+    writeReport(response, report);
     response.once('finish', () => {
       hasLeft = true;
       run.isDelivered = true;
@@ -135,9 +140,9 @@
   return server;
 }
 
-function writeReport(response: ServerResponse, report: RunReport, processId: string): void {
+function writeReport(response: ServerResponse, report: RunReport): void {
   const { result } = report;
-  const encoded = encodeResult(report, processId);
+  const encoded = encodeResult(report);
   if (result.kind !== 'answered') {
     const status = result.kind === 'notRun' ? 503 : 502;
     response.writeHead(status, { [RESULT_HEADER]: encoded, 'Content-Length': 0 }).end();
--- a/src/mesh/placing.ts
+++ b/src/mesh/placing.ts
@@ -20,11 +20,24 @@
   readonly isUnreachable: boolean;
 }
 
-/**
- * Share of the latency objective that a request waits rather than go to another data centre. Below
- * it the request is in time either way, and bytes between data centres are dear.
- */
-const DISTANCE_SHARE = 0.5;
+/** What traffic between data centres is worth to the operators of a region. */
+export interface DistancePolicy {
+  /** Share of the latency objective that a request waits rather than go to another data centre. */
+  readonly waitShare: number;
+  /**
+   * Largest rank of the requests that go to another data centre when their own is full. Others go
+   * there only while their own has no instance that responds.
+   */
+  readonly spillRank: number;
+}
+
+/** What placing knows of a request. */
+export interface PlacedRequest {
+  readonly objectiveMs: number;
+  readonly rank: number;
+  /** True when a random instance may be chosen now and then. */
+  readonly canExplore: boolean;
+}
 
 /** Cost of a certain failure, in milliseconds; a failed request is worse than a late one. */
 const FAILURE_COST_MS = 2500;
@@ -42,7 +55,7 @@
 const SPREAD = 0.15;
 
 /** Returns the expected cost of a request at an instance in milliseconds. */
-export function estimateCostMs(candidate: Candidate, objectiveMs: number): number {
+export function estimateCostMs(candidate: Candidate, distanceMs: number): number {
   const { load, outstanding, outstandingAtLoad, slots } = candidate;
   const meanMs = load?.meanMs ?? UNKNOWN_MEAN_MS;
   const addedSince = Math.max(0, outstanding - outstandingAtLoad);
@@ -51,27 +64,43 @@
   // A fuller instance is preferred less already before its slots are used up.
   const waitMs = excess > 0 ? (excess * meanMs) / slots : (0.3 * meanMs * inFlight) / slots;
   const failureMs = (load?.failures ?? 0) * FAILURE_COST_MS;
-  const distanceMs = candidate.isSameDataCentre ? 0 : objectiveMs * DISTANCE_SHARE;
   const absenceMs = candidate.isUnreachable ? UNREACHABLE_COST_MS : 0;
-  return meanMs + waitMs + failureMs + distanceMs + absenceMs;
+  return meanMs + waitMs + failureMs + absenceMs + (candidate.isSameDataCentre ? 0 : distanceMs);
 }
 
-/** Returns the cheapest candidate, or now and then a random one. */
+/** Returns the candidates that the policy allows. */
+export function listAllowed<Item extends Candidate>(
+  candidates: readonly Item[],
+  { rank }: PlacedRequest,
+  { spillRank }: DistancePolicy,
+): readonly Item[] {
+  if (rank <= spillRank) return candidates;
+  const near = candidates.filter((candidate) => candidate.isSameDataCentre);
+  return near.some((candidate) => !candidate.isUnreachable) ? near : candidates;
+}
+
+/**
+ * Returns the cheapest candidate, or now and then a random one. Candidates are all instances of
+ * the service; those for which `wasTried` holds have refused the request or failed at it.
+ */
 export function chooseInstance<Item extends Candidate>(
   candidates: readonly Item[],
-  objectiveMs: number,
-  canExplore: boolean,
+  request: PlacedRequest,
+  policy: DistancePolicy,
+  wasTried: (candidate: Item) => boolean,
   random: () => number = Math.random,
 ): Item | undefined {
-  if (candidates.length === 0) return undefined;
-  if (canExplore && random() < EXPLORE_SHARE) {
-    const chosen = candidates[Math.floor(random() * candidates.length)]!;
+  const allowed = listAllowed(candidates, request, policy).filter((item) => !wasTried(item));
+  if (allowed.length === 0) return undefined;
+  if (request.canExplore && random() < EXPLORE_SHARE) {
+    const chosen = allowed[Math.floor(random() * allowed.length)]!;
     if (!chosen.isUnreachable) return chosen;
   }
+  const distanceMs = request.objectiveMs * policy.waitShare;
   let best: Item | undefined;
   let bestMs = Infinity;
-  for (const candidate of candidates) {
-    const costMs = estimateCostMs(candidate, objectiveMs) * (1 + random() * SPREAD);
+  for (const candidate of allowed) {
+    const costMs = estimateCostMs(candidate, distanceMs) * (1 + random() * SPREAD);
     if (costMs < bestMs) {
       best = candidate;
       bestMs = costMs;
--- a/standins/mesh/meshFleet.ts
+++ b/standins/mesh/meshFleet.ts
@@ -183,6 +183,7 @@
       heartbeatMs: HEARTBEAT_MS,
       stopLimitMs: 6000,
       repeats: { ratio: 0.2, windowMs: 10_000, extra: 60 },
+      distance: { waitShare: 0.5, spillRank: 99 },
     };
     const host: FleetHost = {
       settings,
--- a/test/mesh/fleet.test.ts
+++ b/test/mesh/fleet.test.ts
@@ -246,6 +246,8 @@
     const stopped = [entry.node.stop(), target.node.stop()];
     assert.equal((await sent).status, 200);
     await Promise.all(stopped);
-    await assert.rejects(fleet.send(entry, { path: '/book/', id: 'z-2' }));
+    const refused = await fleet.send(entry, { path: '/book/', id: 'z-2' });
+    assert.equal(refused.status, 503);
+    assert.ok(Number(refused.headers['retry-after']) > 0);
   });
 });
--- a/test/mesh/link.test.ts
+++ b/test/mesh/link.test.ts
@@ -159,6 +159,26 @@
   });
 }
 
+test('a body without a length is not complete when a reset comes right behind its bytes', async () => {
+  for (let round = 0; round < 20; round += 1) {
+    const onSocket = (socket: Socket) => {
+      socket.once('data', () => {
+        socket.write(`${HEAD}\r\now`, () => socket.resetAndDestroy());
+      });
+    };
+    await withServer(onSocket, async (link) => {
+      const pending = exchange(link);
+      // Keeps the loop busy, so that the bytes and the reset are found together.
+      const untilMs = performance.now() + 3;
+      await new Promise((resolve) => {
+        setTimeout(resolve, 1);
+      });
+      while (performance.now() < untilMs);
+      assert.equal((await pending).kind, 'broken');
+    });
+  }
+});
+
 test('a link discards the late second response of an earlier request', async () => {
   let count = 0;
   const onSocket = (socket: Socket) => {
--- a/test/mesh/peerCalls.test.ts
+++ b/test/mesh/peerCalls.test.ts
@@ -8,6 +8,7 @@
 import { PeerCalls } from '../../src/mesh/peerCalls.js';
 import { createPeerPort } from '../../src/mesh/peerPort.js';
 import { Cancellation } from '../../src/mesh/signal.js';
+import { HEADER_NAMES } from '../../platform/names.js';
 import { brandText } from '../../src/types/ids.js';
 import { closeServer, openServer } from '../../standins/http.js';
 
@@ -92,6 +93,7 @@
     const server = createPeerPort({
       runner: runner as unknown as LocalRunner,
       processId: 'p-1',
+      names: HEADER_NAMES,
     });
     const port = await openServer(server, '127.0.0.1', 0);
     const proxy = await openProxy(port, fault);
--- a/test/mesh/placing.test.ts
+++ b/test/mesh/placing.test.ts
@@ -1,13 +1,15 @@
 /** Placing: which instance gets a request. Load: instances of different speed, health, distance. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { chooseInstance, type Candidate } from '../../src/mesh/placing.js';
+import { chooseInstance, type Candidate, type DistancePolicy } from '../../src/mesh/placing.js';
 
 interface Named extends Candidate {
   readonly name: string;
 }
 
-const OBJECTIVE_MS = 500;
+const REQUEST = { objectiveMs: 500, rank: 2, canExplore: false };
+const POLICY: DistancePolicy = { waitShare: 0.5, spillRank: 99 };
+const NONE = () => false;
 
 function buildCandidate(name: string, change: Partial<Candidate> = {}): Named {
   return {
@@ -58,7 +60,7 @@
   test(`placing prefers ${name}`, () => {
     const candidates = [buildCandidate('worse', worse), buildCandidate('better', better)];
     for (let step = 0; step < 20; step += 1) {
-      const chosen = chooseInstance(candidates, OBJECTIVE_MS, false, () => step / 20);
+      const chosen = chooseInstance(candidates, REQUEST, POLICY, NONE, () => step / 20);
       assert.equal(chosen?.name, 'better');
     }
   });
@@ -72,7 +74,7 @@
   ];
   const counts = new Map<string, number>();
   for (let count = 0; count < 20_000; count += 1) {
-    const name = chooseInstance(candidates, OBJECTIVE_MS, true)!.name;
+    const name = chooseInstance(candidates, { ...REQUEST, canExplore: true }, POLICY, NONE)!.name;
     counts.set(name, (counts.get(name) ?? 0) + 1);
   }
   assert.ok((counts.get('far') ?? 0) > 0);
@@ -81,5 +83,44 @@
 });
 
 test('placing has nothing to choose from an empty list', () => {
-  assert.equal(chooseInstance([], OBJECTIVE_MS, true), undefined);
+  assert.equal(chooseInstance([], REQUEST, POLICY, NONE), undefined);
 });
+
+interface SpillCase {
+  readonly name: string;
+  readonly rank: number;
+  readonly near: Partial<Candidate>;
+  readonly wasNearTried: boolean;
+  readonly chosen: string | undefined;
+}
+
+const SPILL_CASES: readonly SpillCase[] = [
+  { name: 'urgent, own one tried', rank: 1, near: {}, wasNearTried: true, chosen: 'far' },
+  { name: 'not urgent, own one tried', rank: 2, near: {}, wasNearTried: true, chosen: undefined },
+  {
+    name: 'not urgent, own one silent',
+    rank: 2,
+    near: { isUnreachable: true },
+    wasNearTried: false,
+    chosen: 'far',
+  },
+  {
+    name: 'urgent, own one busy',
+    rank: 0,
+    near: { load: { ...LOAD, inFlight: 20 } },
+    wasNearTried: false,
+    chosen: 'near',
+  },
+];
+for (const { name, rank, near, wasNearTried, chosen } of SPILL_CASES) {
+  test(`where distance is dear, a request goes to ${chosen}: ${name}`, () => {
+    const candidates = [
+      buildCandidate('near', near),
+      buildCandidate('far', { isSameDataCentre: false }),
+    ];
+    const policy = { waitShare: 4, spillRank: 1 };
+    const wasTried = (candidate: Named) => wasNearTried && candidate.name === 'near';
+    const request = { ...REQUEST, rank };
+    assert.equal(chooseInstance(candidates, request, policy, wasTried)?.name, chosen);
+  });
+}
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -89,8 +89,10 @@
   });
 }
 
+const getDistance = () => ({ waitShare: 1, spillRank: 1 });
+
 test('settings name the field that is wrong', () => {
-  const failed = decodeSettings('{"ListenAddrs":{},"PolicyParams":{}}');
+  const failed = decodeSettings('{"ListenAddrs":{},"PolicyParams":{}}', getDistance);
   assert.match(failed._unsafeUnwrapErr().message, /NodeName must be a text, found nothing/);
-  assert.equal(decodeSettings('{').isErr(), true);
+  assert.equal(decodeSettings('{', getDistance).isErr(), true);
 });
