--- a/src/mesh/admission.ts
+++ b/src/mesh/admission.ts
@@ -40,6 +40,15 @@
   readonly lateLimitMs: number;
 }
 
+/** Orders requests that can meet their objective first, then by rank, then by arrival. */
+function compareQueued(one: Queued<AdmissionItem>, other: Queued<AdmissionItem>): number {
+  return (
+    Number(one.isLate) - Number(other.isLate) ||
+    one.item.rank - other.item.rank ||
+    one.order - other.order
+  );
+}
+
 /** Slots of one instance and the requests that wait for them. */
 export class AdmissionQueue<Item extends AdmissionItem> {
   private queue: Queued<Item>[] = [];
@@ -164,12 +173,3 @@
     this.queue.splice(index, 0, entry);
   }
 }
-
-/** Orders requests that can meet their objective first, then by rank, then by arrival. */
-function compareQueued(one: Queued<AdmissionItem>, other: Queued<AdmissionItem>): number {
-  return (
-    Number(one.isLate) - Number(other.isLate) ||
-    one.item.rank - other.item.rank ||
-    one.order - other.order
-  );
-}
--- a/src/mesh/callPort.ts
+++ b/src/mesh/callPort.ts
@@ -1,7 +1,8 @@
 /** Serves the requests of the callers on this host and of the local instance. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { isAtDeadline, type CallEnd, type CallRouter, type CallWork } from './callRouter.js';
+import { isAtDeadline, type CallRouter } from './callRouter.js';
+import type { CallEnd, CallWork } from './callWork.js';
 import type { EventLog } from './eventLog.js';
 import { filterHeaders, getHeader, type HeaderNames } from './headers.js';
 import type { MeshMetrics } from './meshMetrics.js';
@@ -10,7 +11,7 @@
 import { Cancellation } from './signal.js';
 import { matchRoute } from './targets.js';
 
-/** Largest head of a request that the HTTP library reads, in bytes; the configured limit is lower. */
+/** Largest head that the HTTP library reads, in bytes; the configured limit is lower. */
 const MAX_HEAD_BYTES = 128 * 1024;
 
 /** Bounds of the retry time that callers are told, in milliseconds. */
@@ -41,6 +42,41 @@
   applyLimits(limits: CallerLimits): void;
 }
 
+function countBytes(headers: readonly string[]): number {
+  let bytes = 0;
+  for (const text of headers) bytes += text.length + 2;
+  return bytes;
+}
+
+function writeResponse(response: ServerResponse, answer: HttpResponse, isClosing: boolean): void {
+  const headers = filterHeaders(answer.headers, new Set());
+  if (isClosing) headers.push('Connection', 'close');
+  const hasBody = answer.status !== 204 && answer.status !== 304;
+  if (hasBody) headers.push('Content-Length', String(answer.body.length));
+  response.writeHead(answer.status, headers);
+  response.end(answer.body);
+}
+
+/** Answers with a status of this node's own. A retry time goes only with "not run". */
+function refuse(
+  response: ServerResponse,
+  status: number,
+  isClosing: boolean,
+  requestId: string,
+  names: HeaderNames,
+  retryAfterMs?: number,
+): void {
+  const headers: string[] = ['Content-Length', '0'];
+  if (requestId !== '') headers.push(names.requestId, requestId);
+  if (retryAfterMs !== undefined) {
+    const boundedMs = Math.min(RETRY_BOUNDS_MS.max, Math.max(RETRY_BOUNDS_MS.min, retryAfterMs));
+    headers.push('Retry-After', (boundedMs / 1000).toFixed(3));
+  }
+  if (isClosing || status === 413 || status === 431) headers.push('Connection', 'close');
+  response.writeHead(status, headers);
+  response.end();
+}
+
 /** Creates the port; the caller binds its server. */
 export function createCallPort(options: CallPortOptions): CallPort {
   const { router, names, log, metrics } = options;
@@ -169,38 +205,3 @@
     },
   };
 }
-
-function countBytes(headers: readonly string[]): number {
-  let bytes = 0;
-  for (const text of headers) bytes += text.length + 2;
-  return bytes;
-}
-
-function writeResponse(response: ServerResponse, answer: HttpResponse, isClosing: boolean): void {
-  const headers = filterHeaders(answer.headers, new Set());
-  if (isClosing) headers.push('Connection', 'close');
-  const hasBody = answer.status !== 204 && answer.status !== 304;
-  if (hasBody) headers.push('Content-Length', String(answer.body.length));
-  response.writeHead(answer.status, headers);
-  response.end(answer.body);
-}
-
-/** Answers with a status of this node's own. A retry time goes only with "not run". */
-function refuse(
-  response: ServerResponse,
-  status: number,
-  isClosing: boolean,
-  requestId: string,
-  names: HeaderNames,
-  retryAfterMs?: number,
-): void {
-  const headers: string[] = ['Content-Length', '0'];
-  if (requestId !== '') headers.push(names.requestId, requestId);
-  if (retryAfterMs !== undefined) {
-    const boundedMs = Math.min(RETRY_BOUNDS_MS.max, Math.max(RETRY_BOUNDS_MS.min, retryAfterMs));
-    headers.push('Retry-After', (boundedMs / 1000).toFixed(3));
-  }
-  if (isClosing || status === 413 || status === 431) headers.push('Connection', 'close');
-  response.writeHead(status, headers);
-  response.end();
-}
--- a/src/mesh/callRouter.ts
+++ b/src/mesh/callRouter.ts
@@ -1,21 +1,14 @@
 /** Takes the request of a caller to an instance, to another one if need be, and to its end. */
-import type { InstanceId, ServiceName } from '../types/ids.js';
+import type { ServiceName } from '../types/ids.js';
+import { AttemptProgress } from './attemptProgress.js';
+import type { CallEnd, CallWork } from './callWork.js';
 import type { Directory, PeerCandidate } from './directory.js';
 import type { EventLog } from './eventLog.js';
 import type { LocalRunner } from './localRunner.js';
 import type { MeshMetrics } from './meshMetrics.js';
-import type {
-  CallTerms,
-  HttpRequest,
-  HttpResponse,
-  MeshRoute,
-  MeshSettings,
-  RunReport,
-  RunResult,
-} from './model.js';
+import type { CallTerms, MeshSettings, RefusalReason, RunReport, RunResult } from './model.js';
 import { chooseInstance } from './placing.js';
 import type { RepeatBudget } from './repeats.js';
-import type { Cancellation } from './signal.js';
 import type { TargetChooser } from './targets.js';
 
 /** Largest number of instances that are asked; most refusals cost one round trip. */
@@ -24,31 +17,9 @@
 /** Time before the end of a request in which no further instance is asked, in milliseconds. */
 const LAST_SEND_MS = 15;
 
-/** Retry time when nothing is known about the load, in milliseconds. */
-const DEFAULT_RETRY_MS = 300;
-
 /** Time after the deadline for which a node that does not respond is awaited, in milliseconds. */
 const DEADLINE_SLACK_MS = 170;
 
-/** A request of a caller on its way. Instants are on the `performance.now` scale. */
-export interface CallWork {
-  readonly route: MeshRoute;
-  readonly request: HttpRequest;
-  readonly requestId: string;
-  readonly startedAtMs: number;
-  readonly deadlineAtMs: number;
-  readonly objectiveAtMs: number;
-  readonly cancellation: Cancellation;
-}
-
-/** How the request of a caller ends. */
-export type CallEnd =
-  | { readonly kind: 'answered'; readonly response: HttpResponse }
-  /** No instance ran it, and none will. */
-  | { readonly kind: 'notRun'; readonly reason: string; readonly retryAfterMs: number }
-  /** It may have run; its response is lost. */
-  | { readonly kind: 'unknown'; readonly reason: string };
-
 /** What the router needs. */
 export interface CallRouterOptions {
   readonly getSettings: () => MeshSettings;
@@ -61,21 +32,16 @@
   readonly processId: string;
 }
 
-/** What the attempts of one request have come to. */
-interface Progress {
-  readonly service: ServiceName;
-  readonly tried: Set<InstanceId>;
-  /** Sends that reached an instance. */
-  arrivals: number;
-  refusal: Extract<CallEnd, { kind: 'notRun' }>;
-  lost: CallEnd | undefined;
-}
-
 /** True when the time of a request is over but for what a send would need. */
 export function isAtDeadline(work: CallWork): boolean {
   return performance.now() >= work.deadlineAtMs - LAST_SEND_MS;
 }
 
+/** True for refusals that say that the instance is not there for now. */
+function isAbsence(reason: RefusalReason): boolean {
+  return reason !== 'overloaded' && reason !== 'deadline' && reason !== 'cancelled';
+}
+
 /** Runs the requests of callers. */
 export class CallRouter {
   private sends = 0;
@@ -110,30 +76,28 @@
     const service = targets.choose(work.route);
     if (service === undefined) return { kind: 'notRun', reason: 'no-target', retryAfterMs: 0 };
     repeats.recordRequest(service, work.startedAtMs);
-    const progress: Progress = {
-      service,
-      tried: new Set(),
-      arrivals: 0,
-      refusal: { kind: 'notRun', reason: 'no-instance', retryAfterMs: DEFAULT_RETRY_MS },
-      lost: undefined,
-    };
+    const progress = new AttemptProgress(work.route);
     for (let asked = 0; asked < MAX_ASKED; asked += 1) {
       if (work.cancellation.isCancelled() || isAtDeadline(work)) break;
-      const chosen = this.choose(work, progress, asked === 0);
+      const chosen = this.choose(work, service, progress, asked === 0);
       if (!chosen) break;
-      if (progress.arrivals > 0 && !this.takeRepeat(work, service)) break;
-      progress.tried.add(chosen.peer.record.instanceId);
+      if (progress.countArrivals() > 0 && !this.takeRepeat(work, service)) break;
+      progress.recordTry(chosen.peer.record.instanceId);
       const { result } = await this.send(chosen, work, service);
-      const end = this.apply(result, chosen, work, progress);
+      if (result.kind === 'notRun' && isAbsence(result.reason)) {
+        chosen.peer.recordAbsence(performance.now());
+      }
+      const end = progress.apply(result);
       if (end) return end;
       this.logFailure(result, chosen, work);
     }
-    return progress.lost ?? progress.refusal;
+    return progress.getEnd();
   }
 
   private choose(
     work: CallWork,
-    { service, tried }: Progress,
+    service: ServiceName,
+    progress: AttemptProgress,
     isFirst: boolean,
   ): PeerCandidate | undefined {
     const { directory, getSettings } = this.options;
@@ -143,7 +107,7 @@
       directory.listCandidates(service, dataCentre, performance.now()),
       { objectiveMs, rank, canExplore: isRepeatable && isFirst },
       distance,
-      ({ peer }) => tried.has(peer.record.instanceId),
+      ({ peer }) => progress.wasTried(peer.record.instanceId),
     );
   }
 
@@ -173,7 +137,7 @@
       objectiveAtMs: work.objectiveAtMs,
     };
     const { request, cancellation } = work;
-    peer.outstanding += 1;
+    peer.recordSend();
     try {
       if (directory.isOwn(peer)) {
         const report = await runner.run(request, terms, cancellation);
@@ -185,47 +149,8 @@
       else if (!cancellation.isCancelled()) peer.recordSilence(performance.now());
       return report;
     } finally {
-      peer.outstanding -= 1;
-    }
-  }
-
-  /** Applies the result of a send; returns the end of the request when it is decided. */
-  private apply(
-    result: RunResult,
-    chosen: PeerCandidate,
-    { route }: CallWork,
-    progress: Progress,
-  ): CallEnd | undefined {
-    switch (result.kind) {
-      case 'answered':
-        progress.arrivals += 1;
-        progress.lost = result;
-        return mayRepeat(result.response.status >= 500, route, progress) ? undefined : result;
-      case 'unknown':
-        progress.arrivals += 1;
-        progress.lost ??= result;
-        return mayRepeat(true, route, progress) ? undefined : progress.lost;
-      case 'notRun':
-        if (result.hasArrived) progress.arrivals += 1;
-        this.applyRefusal(result, chosen, progress);
-        return undefined;
-      default:
-        throw new Error(`unknown result ${JSON.stringify(result satisfies never)}`);
-    }
-  }
-
-  private applyRefusal(
-    { reason, retryAfterMs }: Extract<RunResult, { kind: 'notRun' }>,
-    { peer }: PeerCandidate,
-    progress: Progress,
-  ): void {
-    const { refusal } = progress;
-    const isFull = reason === 'overloaded';
-    if (!isFull && reason !== 'deadline' && reason !== 'cancelled') {
-      peer.recordAbsence(performance.now());
+      peer.recordEnd();
     }
-    const isSooner = refusal.reason !== 'overloaded' || retryAfterMs < refusal.retryAfterMs;
-    if (isSooner) progress.refusal = { kind: 'notRun', reason, retryAfterMs };
   }
 
   private logFailure(result: RunResult, { peer }: PeerCandidate, work: CallWork): void {
@@ -241,8 +166,3 @@
     });
   }
 }
-
-/** True when a request that may have run can go to another instance. */
-function mayRepeat(hasFailed: boolean, route: MeshRoute, { arrivals }: Progress): boolean {
-  return hasFailed && route.isRepeatable && arrivals < route.maxAttempts;
-}
--- a/src/mesh/directory.ts
+++ b/src/mesh/directory.ts
@@ -1,86 +1,19 @@
 /** The other nodes of the mesh, as the store lists them and as calls find them. */
 import type { NodeId, ServiceName } from '../types/ids.js';
 import type { EventLog } from './eventLog.js';
-import type { InstanceLoad, NodeRecord } from './model.js';
+import type { NodeRecord } from './model.js';
 import { PeerCalls } from './peerCalls.js';
+import { PeerNode } from './peerNode.js';
 import type { Candidate } from './placing.js';
 
-/** First time for which a node that did not respond is avoided; it doubles with each failure. */
-const FIRST_AVOID_MS = 400;
-
-/** Longest time for which a node is avoided before it is tried again. */
-const MAX_AVOID_MS = 3000;
-
-/** Time after a refusal for which an instance that leaves or starts is avoided. */
-const ABSENCE_MS = 300;
-
 /**
  * Time for which a node whose record was removed is still used, if it responds. Records that
  * were lost while the store was away come back within it.
  */
 const UNLISTED_MS = 4000;
 
-/** Age of a load report after which it is not believed any more. */
-const LOAD_AGE_MS = 3000;
-
-/** One node of the mesh. */
-export class PeerNode {
-  outstanding = 0;
-
-  outstandingAtLoad = 0;
-
-  private load: InstanceLoad | undefined;
-
-  private loadAtMs = -Infinity;
-
-  private failures = 0;
-
-  private avoidUntilMs = -Infinity;
-
-  private absentUntilMs = -Infinity;
-
-  unlistedAtMs: number | undefined;
-
-  constructor(
-    public record: NodeRecord,
-    readonly calls: PeerCalls,
-  ) {}
-
-  /** Records the load that the node reported. */
-  recordLoad(load: InstanceLoad | undefined, nowMs: number): void {
-    this.failures = 0;
-    this.avoidUntilMs = -Infinity;
-    if (!load) return;
-    this.load = load;
-    this.loadAtMs = nowMs;
-    this.outstandingAtLoad = this.outstanding;
-  }
-
-  /** Records that the node did not respond. */
-  recordSilence(nowMs: number): void {
-    this.avoidUntilMs = nowMs + Math.min(MAX_AVOID_MS, FIRST_AVOID_MS * 2 ** this.failures);
-    this.failures += 1;
-  }
-
-  /** Records that the instance of the node takes no requests. */
-  recordAbsence(nowMs: number): void {
-    this.absentUntilMs = nowMs + ABSENCE_MS;
-  }
-
-  isUnreachable(nowMs: number): boolean {
-    return nowMs < this.avoidUntilMs;
-  }
-
-  isAbsent(nowMs: number): boolean {
-    return nowMs < this.absentUntilMs;
-  }
-
-  getLoad(nowMs: number): InstanceLoad | undefined {
-    const { load } = this;
-    if (!load || nowMs - this.loadAtMs < LOAD_AGE_MS) return load;
-    // The queue of an old report is over; the speed of the instance is still the best guess.
-    return { ...load, inFlight: 0, failures: load.failures / 2 };
-  }
+function isMoved(before: NodeRecord, after: NodeRecord): boolean {
+  return before.address.host !== after.address.host || before.address.port !== after.address.port;
 }
 
 /** A node that may get a call, as placing sees it. */
@@ -143,8 +76,7 @@
         peer,
         isSameDataCentre: peer.record.dataCentre === ownDataCentre,
         slots: Math.max(1, peer.record.slots),
-        outstanding: peer.outstanding,
-        outstandingAtLoad: peer.outstandingAtLoad,
+        ...peer.getOutstanding(),
         load: peer.getLoad(nowMs),
         isUnreachable: peer.isUnreachable(nowMs),
       });
@@ -181,7 +113,3 @@
     return usable;
   }
 }
-
-function isMoved(before: NodeRecord, after: NodeRecord): boolean {
-  return before.address.host !== after.address.host || before.address.port !== after.address.port;
-}
--- a/src/mesh/instanceClient.ts
+++ b/src/mesh/instanceClient.ts
@@ -24,6 +24,15 @@
 /** Time after a spoilt response for which requests get connections of their own. */
 const DISTRUST_MS = 5000;
 
+/** Builds the result of a request that the instance did not run. */
+export function buildRefusal(
+  reason: Extract<RunResult, { kind: 'notRun' }>['reason'],
+  hasArrived: boolean,
+  retryAfterMs = 0,
+): RunResult {
+  return { kind: 'notRun', reason, retryAfterMs, hasArrived };
+}
+
 /** A client of one instance address. */
 export class InstanceClient {
   private readonly pool: LinkPool;
@@ -115,12 +124,3 @@
     return { kind: 'answered', response };
   }
 }
-
-/** Builds the result of a request that the instance did not run. */
-export function buildRefusal(
-  reason: Extract<RunResult, { kind: 'notRun' }>['reason'],
-  hasArrived: boolean,
-  retryAfterMs = 0,
-): RunResult {
-  return { kind: 'notRun', reason, retryAfterMs, hasArrived };
-}
--- a/src/mesh/localInstance.ts
+++ b/src/mesh/localInstance.ts
@@ -19,6 +19,20 @@
   readonly sequence: number;
 }
 
+type HeardState = Extract<InstanceState, { heartbeat: Heartbeat }>;
+
+function isHeard(state: InstanceState): state is HeardState {
+  return state.kind === 'ready' || state.kind === 'leaving';
+}
+
+function hasSameTerms(before: Heartbeat, after: Heartbeat): boolean {
+  return (
+    before.instanceId === after.instanceId &&
+    before.startedAtMs === after.startedAtMs &&
+    before.slots === after.slots
+  );
+}
+
 /** Follows the instance beside the node. */
 export class LocalInstance {
   private state: InstanceState = { kind: 'unknown' };
@@ -108,17 +122,3 @@
     return startedAtMs <= left.startedAtMs;
   }
 }
-
-type HeardState = Extract<InstanceState, { heartbeat: Heartbeat }>;
-
-function isHeard(state: InstanceState): state is HeardState {
-  return state.kind === 'ready' || state.kind === 'leaving';
-}
-
-function hasSameTerms(before: Heartbeat, after: Heartbeat): boolean {
-  return (
-    before.instanceId === after.instanceId &&
-    before.startedAtMs === after.startedAtMs &&
-    before.slots === after.slots
-  );
-}
--- a/src/mesh/nodeRecord.ts
+++ b/src/mesh/nodeRecord.ts
@@ -12,17 +12,6 @@
   readonly left?: LeftInstance;
 }
 
-/** Converts a stored value; undefined for anything that no node writes. */
-export function decodePublishedNode(value: unknown): PublishedNode | undefined {
-  if (typeof value !== 'object' || value === null) return undefined;
-  const { record, left } = value as { record?: Partial<NodeRecord>; left?: LeftInstance };
-  if (!record || !hasTexts(record) || !hasNumbers(record)) return undefined;
-  const { address, state } = record;
-  if (typeof address?.host !== 'string' || !Number.isInteger(address.port)) return undefined;
-  if (state !== 'ready' && state !== 'leaving') return undefined;
-  return { record: record as NodeRecord, left: isLeft(left) ? left : undefined };
-}
-
 function hasTexts(record: Partial<NodeRecord>): boolean {
   const texts = [
     record.nodeId,
@@ -47,5 +36,16 @@
   );
 }
 
+/** Converts a stored value; undefined for anything that no node writes. */
+export function decodePublishedNode(value: unknown): PublishedNode | undefined {
+  if (typeof value !== 'object' || value === null) return undefined;
+  const { record, left } = value as { record?: Partial<NodeRecord>; left?: LeftInstance };
+  if (!record || !hasTexts(record) || !hasNumbers(record)) return undefined;
+  const { address, state } = record;
+  if (typeof address?.host !== 'string' || !Number.isInteger(address.port)) return undefined;
+  if (state !== 'ready' && state !== 'leaving') return undefined;
+  return { record: record as NodeRecord, left: isLeft(left) ? left : undefined };
+}
+
 /** Returns an instance identifier that matches nothing. */
 export const NO_INSTANCE = brandText<NodeRecord['instanceId']>('');
--- a/src/mesh/peerCalls.ts
+++ b/src/mesh/peerCalls.ts
@@ -42,6 +42,14 @@
 
 const REMOVED: ReadonlySet<string> = new Set([RESULT_HEADER]);
 
+function isAnyResponse(): boolean {
+  return true;
+}
+
+function buildLost(reason: string): PeerReport {
+  return { result: { kind: 'unknown', reason }, load: undefined, hasResponded: false };
+}
+
 /** Calls to one node. */
 export class PeerCalls {
   private readonly pool: LinkPool;
@@ -66,22 +74,21 @@
         links: new Set(),
         isSettled: false,
       };
+      const timers: NodeJS.Timeout[] = [];
       const settle = (report: PeerReport) => {
         if (state.isSettled) return;
         state.isSettled = true;
-        clearTimeout(deadlineTimer);
-        clearTimeout(silenceTimer);
+        for (const timer of timers) clearTimeout(timer);
         for (const link of state.links) link.abort('settled');
         resolve(report);
       };
       const leftMs = terms.deadlineAtMs - performance.now();
-      const deadlineTimer = setTimeout(
-        () => settle(buildLost('deadline')),
-        Math.max(0, leftMs) + DEADLINE_SLACK_MS,
-      );
-      const silenceTimer = setTimeout(() => {
+      const endMs = Math.max(0, leftMs) + DEADLINE_SLACK_MS;
+      timers.push(setTimeout(() => settle(buildLost('deadline')), endMs));
+      const lookUp = () => {
         void this.resume(state).then((report) => report && settle(report));
-      }, SILENCE_MS);
+      };
+      timers.push(setTimeout(lookUp, SILENCE_MS));
       cancellation.onCancel(() => settle(buildLost('cancelled')));
       void this.sendFirst(state).then(settle);
     });
@@ -149,11 +156,3 @@
     return { result: decoded.result, load: decoded.load, hasResponded: true };
   }
 }
-
-function isAnyResponse(): boolean {
-  return true;
-}
-
-function buildLost(reason: string): PeerReport {
-  return { result: { kind: 'unknown', reason }, load: undefined, hasResponded: false };
-}
--- a/src/mesh/peerMessages.ts
+++ b/src/mesh/peerMessages.ts
@@ -98,6 +98,29 @@
   return { terms, resume };
 }
 
+function encodeLoad({ slots, inFlight, meanMs, failures }: InstanceLoad): LoadMessage {
+  return [slots, inFlight, Math.round(meanMs), Math.round(failures * 1000)];
+}
+
+function decodeLoad([slots, inFlight, meanMs, failures]: LoadMessage): InstanceLoad {
+  return { slots, inFlight, meanMs, failures: failures / 1000 };
+}
+
+function toRunResult(message: ResultMessage, response: HttpResponse): RunResult {
+  switch (message.kind) {
+    case 'answered':
+      return { kind: 'answered', response };
+    case 'notRun': {
+      const { kind, reason, retryAfterMs, hasArrived } = message;
+      return { kind, reason, retryAfterMs, hasArrived };
+    }
+    case 'unknown':
+      return { kind: 'unknown', reason: message.reason };
+    default:
+      return { kind: 'unknown', reason: 'unreadable result of a node' };
+  }
+}
+
 /** Encodes a result for a header; the response itself travels as the HTTP response. */
 export function encodeResult({ result, load }: RunReport): string {
   const common = { load: load && encodeLoad(load) };
@@ -121,26 +144,3 @@
   const { load } = message;
   return { result: toRunResult(message, response), load: load && decodeLoad(load) };
 }
-
-function encodeLoad({ slots, inFlight, meanMs, failures }: InstanceLoad): LoadMessage {
-  return [slots, inFlight, Math.round(meanMs), Math.round(failures * 1000)];
-}
-
-function decodeLoad([slots, inFlight, meanMs, failures]: LoadMessage): InstanceLoad {
-  return { slots, inFlight, meanMs, failures: failures / 1000 };
-}
-
-function toRunResult(message: ResultMessage, response: HttpResponse): RunResult {
-  switch (message.kind) {
-    case 'answered':
-      return { kind: 'answered', response };
-    case 'notRun': {
-      const { kind, reason, retryAfterMs, hasArrived } = message;
-      return { kind, reason, retryAfterMs, hasArrived };
-    }
-    case 'unknown':
-      return { kind: 'unknown', reason: message.reason };
-    default:
-      return { kind: 'unknown', reason: 'unreadable result of a node' };
-  }
-}
--- a/src/mesh/peerPort.ts
+++ b/src/mesh/peerPort.ts
@@ -45,6 +45,21 @@
 
 const REMOVED: ReadonlySet<string> = new Set([TERMS_HEADER]);
 
+function writeReport(response: ServerResponse, report: RunReport): void {
+  const { result } = report;
+  const encoded = encodeResult(report);
+  if (result.kind !== 'answered') {
+    const status = result.kind === 'notRun' ? 503 : 502;
+    response.writeHead(status, { [RESULT_HEADER]: encoded, 'Content-Length': 0 }).end();
+    return;
+  }
+  const { status, headers, body } = result.response;
+  const passed = filterHeaders(headers, new Set());
+  passed.push(RESULT_HEADER, encoded, 'Content-Length', String(body.length));
+  response.writeHead(status, passed);
+  response.end(body);
+}
+
 /** Creates the server of the port; the caller binds it. */
 export function createPeerPort({ runner, processId, names }: PeerPortOptions): Server {
   const runs = new Map<string, Run>();
@@ -66,7 +81,8 @@
     return run;
   };
 
-  const leaveRun = (run: Run) => {
+  const leaveRun = (left: Run) => {
+    const run = left;
     run.listeners -= 1;
     if (run.isDelivered) return;
     setTimeout(() => {
@@ -139,18 +155,3 @@
   server.headersTimeout = 0;
   return server;
 }
-
-function writeReport(response: ServerResponse, report: RunReport): void {
-  const { result } = report;
-  const encoded = encodeResult(report);
-  if (result.kind !== 'answered') {
-    const status = result.kind === 'notRun' ? 503 : 502;
-    response.writeHead(status, { [RESULT_HEADER]: encoded, 'Content-Length': 0 }).end();
-    return;
-  }
-  const { status, headers, body } = result.response;
-  const passed = filterHeaders(headers, new Set());
-  passed.push(RESULT_HEADER, encoded, 'Content-Length', String(body.length));
-  response.writeHead(status, passed);
-  response.end(body);
-}
--- a/src/mesh/regions.ts
+++ b/src/mesh/regions.ts
@@ -1,5 +1,5 @@
 /** The operators' own settings: what differs between regions, as JSON with comments. */
-import { readFileSync } from 'node:fs';
+import { readFile } from 'node:fs/promises';
 import { parse, type ParseError } from 'jsonc-parser';
 import { err, ok, type Result } from 'neverthrow';
 import { buildError, toStepError, type StepError } from '../errors.js';
@@ -18,13 +18,14 @@
 function checkPolicy(value: unknown, path: string): Partial<DistancePolicy> {
   if (typeof value !== 'object' || value === null) throw new Error(`${path} must be an object`);
   for (const [key, entry] of Object.entries(value)) {
-    if (!KEYS.includes(key))
+    if (!KEYS.includes(key)) {
       throw new Error(`${path}.${key} is unknown; known: ${KEYS.join(', ')}`);
+    }
     if (typeof entry !== 'number' || !(entry >= 0)) {
       throw new Error(`${path}.${key} must be a number from 0, found ${JSON.stringify(entry)}`);
     }
   }
-  return value as Partial<DistancePolicy>;
+  return value;
 }
 
 /** Decodes the text of the file. */
@@ -50,9 +51,9 @@
 }
 
 /** Reads the file. */
-export function readRegions(path: string): Result<Regions, StepError> {
+export async function readRegions(path: string): Promise<Result<Regions, StepError>> {
   try {
-    return decodeRegions(readFileSync(path, 'utf8'), path);
+    return decodeRegions(await readFile(path, 'utf8'), path);
   } catch (thrown) {
     return err(toStepError(thrown, STEP, path));
   }
--- a/src/mesh/responseParser.ts
+++ b/src/mesh/responseParser.ts
@@ -21,6 +21,6 @@
 
 /** Creates a parser for the responses of one connection. */
 export function createResponseParser(): HTTPParserJS {
-  const parser = new HTTPParser(HTTPParser.RESPONSE) as HTTPParserJS;
+  const parser = new HTTPParser(HTTPParser.RESPONSE);
   return Object.assign(parser, { BODY_CHUNKHEAD: readChunkHead });
 }
--- a/standins/mesh/meshFleet.ts
+++ b/standins/mesh/meshFleet.ts
@@ -134,6 +134,89 @@
   });
 }
 
+function startNode(settings: MeshSettings, log: EventLog): Promise<MeshNode> {
+  return startMeshNode({
+    adapter: {
+      names: HEADER_NAMES,
+      store: createStoreClient(() => settings.store),
+      configKind: CONFIG_KIND,
+      configName: CONFIG_NAME,
+      decodeConfig: decodeConfiguration,
+      decodeAnnouncement,
+    },
+    getSettings: () => settings,
+    log,
+    metricsAddress: { host: HOST, port: 0 },
+    metricsPath: '/metrics',
+  });
+}
+
+/** Starts the node of a host again, as after a crash. */
+export async function restartNode(host: FleetHost): Promise<void> {
+  const current = host;
+  current.node = await startNode(host.settings, SILENT_LOG);
+}
+
+/** Changes what the instance of a host says of itself, or how it behaves. */
+export function changeHost(
+  host: FleetHost,
+  change: Partial<Pick<FleetHost, 'state' | 'isBeating' | 'slots'>>,
+): void {
+  Object.assign(host, change);
+}
+
+/** Sends a request to the call port of a host. */
+export function sendTo(host: FleetHost, request: FleetRequest): Promise<FleetResponse> {
+  return sendHttp(host.settings.ports.calls.port, request);
+}
+
+async function announce(host: FleetHost, path: string, body: string): Promise<number> {
+  const { port } = host.settings.ports.announcements;
+  try {
+    const response = await sendHttp(port, { path, id: '', method: 'POST', body });
+    return response.status;
+  } catch {
+    // The node is down; the next heartbeat finds the new one.
+    return 0;
+  }
+}
+
+/** Sends one heartbeat and returns the status of the response. */
+export async function sendHeartbeat(
+  host: FleetHost,
+  change: Readonly<Record<string, unknown>> = {},
+): Promise<number> {
+  const current = host;
+  current.sequence += 1;
+  const { settings, instance } = host;
+  const body = JSON.stringify({
+    Service: settings.service,
+    Address: `${HOST}:${settings.instanceAddress.port}`,
+    Zone: settings.dataCentre,
+    Version: 'v1',
+    Capacity: host.slots,
+    State: host.state,
+    WarmupLeft: '0ms',
+    Sequence: host.sequence,
+    born: host.bornMs,
+    ...change,
+  });
+  return announce(host, `/instances/${instance.instanceId}/heartbeat`, body);
+}
+
+/** Says that the instance of a host leaves. */
+export function deregister(host: FleetHost): Promise<number> {
+  const path = `/instances/${host.instance.instanceId}/deregister`;
+  return announce(host, path, JSON.stringify({ born: host.bornMs }));
+}
+
+/** Waits in real time. */
+export function wait(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
 /** A mesh of hosts around one store. */
 export class MeshFleet {
   readonly store = new StoreServer();
@@ -149,7 +232,7 @@
     this.storePort = await this.store.listen();
     this.store.put(CONFIG_KIND, CONFIG_NAME, buildConfiguration(1, routes));
     this.beatTimer = setInterval(() => {
-      for (const host of this.hosts) if (host.isBeating) void this.beat(host);
+      for (const host of this.hosts) if (host.isBeating) void sendHeartbeat(host);
     }, HEARTBEAT_MS);
   }
 
@@ -187,7 +270,7 @@
     };
     const host: FleetHost = {
       settings,
-      node: await this.startNode(settings, log),
+      node: await startNode(settings, log),
       instance,
       isBeating: true,
       state: 'ready',
@@ -196,60 +279,16 @@
       bornMs: 1000,
     };
     this.hosts.push(host);
-    await this.beat(host);
+    await sendHeartbeat(host);
     return host;
   }
 
-  /** Starts the node of a host, as after a crash. */
-  async startNode(settings: MeshSettings, log: EventLog = SILENT_LOG): Promise<MeshNode> {
-    return startMeshNode({
-      adapter: {
-        names: HEADER_NAMES,
-        store: createStoreClient(() => settings.store),
-        configKind: CONFIG_KIND,
-        configName: CONFIG_NAME,
-        decodeConfig: decodeConfiguration,
-        decodeAnnouncement,
-      },
-      getSettings: () => settings,
-      log,
-      metricsAddress: { host: HOST, port: 0 },
-      metricsPath: '/metrics',
-    });
-  }
-
-  /** Sends one heartbeat and returns the status of the response. */
-  async beat(host: FleetHost, change: Readonly<Record<string, unknown>> = {}): Promise<number> {
-    const current = host;
-    current.sequence += 1;
-    const { settings, instance } = host;
-    const body = JSON.stringify({
-      Service: settings.service,
-      Address: `${HOST}:${settings.instanceAddress.port}`,
-      Zone: settings.dataCentre,
-      Version: 'v1',
-      Capacity: host.slots,
-      State: host.state,
-      WarmupLeft: '0ms',
-      Sequence: host.sequence,
-      born: host.bornMs,
-      ...change,
-    });
-    return this.announce(host, `/instances/${instance.instanceId}/heartbeat`, body);
-  }
-
-  /** Says that the instance of a host leaves. */
-  deregister(host: FleetHost): Promise<number> {
-    const path = `/instances/${host.instance.instanceId}/deregister`;
-    return this.announce(host, path, JSON.stringify({ born: host.bornMs }));
-  }
-
   /** Waits until the store lists the instances of all hosts and every node has heard of them. */
   async waitRecords(): Promise<void> {
     const isListed = ({ settings }: FleetHost) =>
       this.store.get('lycheelane-nodes', String(settings.nodeId)) !== undefined;
-    while (!this.hosts.every(isListed)) await this.wait(20);
-    await this.wait(200);
+    while (!this.hosts.every(isListed)) await wait(20);
+    await wait(200);
   }
 
   /** Waits until every host knows the instances of a service. */
@@ -261,17 +300,12 @@
         const response = await sendHttp(host.settings.ports.calls.port, sent);
         const ran = /^(\S+) ran/.exec(response.body)?.[1];
         if (ran !== undefined && ids.includes(ran)) seen.add(ran);
-        else await this.wait(20);
+        else await wait(20);
       }
       if (seen.size < ids.length) throw new Error(`not all of ${ids.join()} are in use`);
     }
   }
 
-  /** Sends a request to the call port of a host. */
-  send(host: FleetHost, request: FleetRequest): Promise<FleetResponse> {
-    return sendHttp(host.settings.ports.calls.port, request);
-  }
-
   /** Stops everything at once. */
   async close(): Promise<void> {
     clearInterval(this.beatTimer);
@@ -281,20 +315,4 @@
     }
     await this.store.close();
   }
-
-  private wait(ms: number): Promise<void> {
-    return new Promise((resolve) => {
-      setTimeout(resolve, ms);
-    });
-  }
-
-  private async announce(host: FleetHost, path: string, body: string): Promise<number> {
-    const { port } = host.settings.ports.announcements;
-    try {
-      const response = await sendHttp(port, { path, id: '', method: 'POST', body });
-      return response.status;
-    } catch {
-      return 0;
-    }
-  }
 }
--- a/standins/mesh/storeServer.ts
+++ b/standins/mesh/storeServer.ts
@@ -48,7 +48,7 @@
 
 /** A store that keeps everything in memory. */
 export class StoreServer {
-  fault: StoreFault = { kind: 'none' };
+  private fault: StoreFault = { kind: 'none' };
 
   /** Number of objects on a page of a list. */
   pageSize = 500;
@@ -80,6 +80,10 @@
     await closeServer(this.server);
   }
 
+  setFault(fault: StoreFault): void {
+    this.fault = fault;
+  }
+
   /** Writes an object as the operator would. */
   put(kind: string, name: string, spec: unknown): number {
     return this.store(kind, name, spec).revision;
--- a/test/mesh/fleet.test.ts
+++ b/test/mesh/fleet.test.ts
@@ -2,7 +2,16 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { connect } from 'node:net';
-import { MeshFleet, type FleetRoute } from '../../standins/mesh/meshFleet.js';
+import {
+  changeHost,
+  MeshFleet,
+  restartNode,
+  sendHeartbeat,
+  sendTo,
+  wait,
+  type FleetRoute,
+} from '../../standins/mesh/meshFleet.js';
+import type { InstanceFault } from '../../standins/mesh/instanceServer.js';
 
 const ROUTES: readonly FleetRoute[] = [
   { prefix: '/read/', kind: 'safe' },
@@ -20,18 +29,12 @@
   }
 }
 
-function wait(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
-test('a request reaches an instance on another host unchanged and its response comes back', async () => {
+test('a request reaches an instance on another host unchanged', async () => {
   await withFleet(async (fleet) => {
     const entry = await fleet.addHost('guide');
     const target = await fleet.addHost('pads');
     await fleet.waitListed('/read/', ['i-1']);
-    const response = await fleet.send(entry, {
+    const response = await sendTo(entry, {
       path: '/book/7?x=1&y=%20',
       id: 'r-1',
       method: 'POST',
@@ -51,14 +54,14 @@
   });
 });
 
-test('an unknown path gets 404, too long a body 413, and the instance sees neither', async () => {
+test('an unknown path gets 404 and too long a body 413, unseen by the instance', async () => {
   await withFleet(async (fleet) => {
     const host = await fleet.addHost('pads');
     await fleet.waitListed('/read/', ['i-0']);
     const before = host.instance.runs.length;
-    assert.equal((await fleet.send(host, { path: '/none/', id: '1' })).status, 404);
+    assert.equal((await sendTo(host, { path: '/none/', id: '1' })).status, 404);
     const long = { path: '/book/', id: '2', method: 'POST', body: 'x'.repeat(70_000) };
-    assert.equal((await fleet.send(host, long)).status, 413);
+    assert.equal((await sendTo(host, long)).status, 413);
     assert.equal(host.instance.runs.length, before);
   });
 });
@@ -72,7 +75,8 @@
     const ids = ['p-1', 'p-2', 'p-3'];
     const lines = ids.map(
       (id) =>
-        `GET /read/ HTTP/1.1\r\nHost: mesh.example\r\nX-Lycheelane-Request-Attempt-Id: ${id}\r\n\r\n`,
+        'GET /read/ HTTP/1.1\r\nHost: mesh.example\r\n' +
+        `X-Lycheelane-Request-Attempt-Id: ${id}\r\n\r\n`,
     );
     socket.write(lines.join(''));
     let text = '';
@@ -92,7 +96,7 @@
     await fleet.waitListed('/read/', ['i-0']);
     host.instance.workMs = 30;
     const sent = Array.from({ length: 40 }, (_, index) =>
-      fleet.send(host, { path: '/read/', id: `s-${index}` }),
+      sendTo(host, { path: '/read/', id: `s-${index}` }),
     );
     const statuses = (await Promise.all(sent)).map(({ status }) => status);
     assert.ok(host.instance.mostAtWork <= 3, `${host.instance.mostAtWork} at once`);
@@ -110,6 +114,13 @@
   readonly runs: number;
 }
 
+const FAULTS: Readonly<Record<FaultCase['fault'], InstanceFault>> = {
+  'lose-answer': { kind: 'lose-answer' },
+  shed: { kind: 'shed' },
+  fail: { kind: 'fail', status: 500 },
+  garbage: { kind: 'bytes', text: 'HTTP/9 junk\r\n\r\n', isLast: true },
+};
+
 const FAULT_CASES: readonly FaultCase[] = [
   {
     name: 'a lost response of a safe request',
@@ -137,13 +148,8 @@
       const faulty = await fleet.addHost('pads', 'a');
       const sound = await fleet.addHost('pads', 'b');
       await fleet.waitRecords();
-      faulty.instance.fault =
-        fault === 'fail'
-          ? { kind: 'fail', status: 500 }
-          : fault === 'garbage'
-            ? { kind: 'bytes', text: 'HTTP/9 junk\r\n\r\n', isLast: true }
-            : { kind: fault };
-      const response = await fleet.send(faulty, { path, id: 'x-1', method: 'POST', body: 'b' });
+      faulty.instance.fault = FAULTS[fault];
+      const response = await sendTo(faulty, { path, id: 'x-1', method: 'POST', body: 'b' });
       assert.equal(response.status, status);
       const ran = [faulty, sound].flatMap(({ instance }) =>
         instance.runs.filter(({ requestId }) => requestId === 'x-1'),
@@ -153,28 +159,28 @@
   });
 }
 
-test('a leaving instance gets no request after its node acknowledged, also after a restart', async () => {
+test('a leaving instance gets no request, also after its node has restarted', async () => {
   await withFleet(async (fleet) => {
     const entry = await fleet.addHost('guide');
     const leaving = await fleet.addHost('pads');
     await fleet.waitListed('/read/', ['i-1']);
-    leaving.state = 'draining';
-    assert.equal(await fleet.beat(leaving), 200);
+    changeHost(leaving, { state: 'draining' });
+    assert.equal(await sendHeartbeat(leaving), 200);
     const before = leaving.instance.runs.length;
-    const refused = await fleet.send(entry, { path: '/book/', id: 'l-1' });
+    const refused = await sendTo(entry, { path: '/book/', id: 'l-1' });
     assert.equal(refused.status, 503);
     assert.ok(Number(refused.headers['retry-after']) > 0);
     await leaving.node.close();
-    leaving.node = await fleet.startNode(leaving.settings);
+    await restartNode(leaving);
     // A heartbeat from before comes late to the new process.
     await wait(100);
-    await fleet.beat(leaving, { State: 'ready', Sequence: 1 });
-    assert.equal((await fleet.send(entry, { path: '/book/', id: 'l-2' })).status, 503);
+    await sendHeartbeat(leaving, { State: 'ready', Sequence: 1 });
+    assert.equal((await sendTo(entry, { path: '/book/', id: 'l-2' })).status, 503);
     assert.equal(leaving.instance.runs.length, before);
   });
 });
 
-test('a caller that leaves ends the run of a safe request, and not that of an unsafe one', async () => {
+test('a caller that leaves ends the run of a safe request only', async () => {
   await withFleet(async (fleet) => {
     const entry = await fleet.addHost('guide');
     const target = await fleet.addHost('pads');
@@ -183,7 +189,8 @@
     for (const path of ['/read/', '/book/']) {
       const socket = connect(entry.settings.ports.calls.port, '127.0.0.1');
       socket.write(
-        `GET ${path} HTTP/1.1\r\nHost: mesh.example\r\nX-Lycheelane-Request-Attempt-Id: g${path}\r\n\r\n`,
+        `GET ${path} HTTP/1.1\r\nHost: mesh.example\r\n` +
+          `X-Lycheelane-Request-Attempt-Id: g${path}\r\n\r\n`,
       );
       await wait(120);
       socket.destroy();
@@ -199,7 +206,7 @@
     await fleet.waitListed('/read/', ['i-0']);
     host.instance.fault = { kind: 'hang' };
     const startedAtMs = performance.now();
-    const response = await fleet.send(host, { path: '/short/', id: 't-1' });
+    const response = await sendTo(host, { path: '/short/', id: 't-1' });
     const passedMs = performance.now() - startedAtMs;
     assert.equal(response.status, 504);
     assert.ok(passedMs >= 190 && passedMs < 450, `${passedMs} ms`);
@@ -212,24 +219,24 @@
     await fleet.waitListed('/read/', ['i-0']);
     fleet.configure(9, [...ROUTES, { prefix: '/new/' }]);
     await wait(200);
-    assert.equal((await fleet.send(host, { path: '/new/', id: 'c-1' })).status, 200);
+    assert.equal((await sendTo(host, { path: '/new/', id: 'c-1' })).status, 200);
     fleet.configure(5, ROUTES);
     await wait(200);
-    assert.equal((await fleet.send(host, { path: '/new/', id: 'c-2' })).status, 200);
+    assert.equal((await sendTo(host, { path: '/new/', id: 'c-2' })).status, 200);
   });
 });
 
-test('a record that was taken from the store comes back, and traffic goes on meanwhile', async () => {
+test('a lost record comes back, and traffic goes on meanwhile', async () => {
   await withFleet(async (fleet) => {
     const entry = await fleet.addHost('guide');
     const target = await fleet.addHost('pads');
     await fleet.waitListed('/read/', ['i-1']);
-    fleet.store.fault = { kind: 'refuse', status: 503 };
+    fleet.store.setFault({ kind: 'refuse', status: 503 });
     fleet.store.revoke('lycheelane-nodes', String(target.settings.nodeId));
     fleet.store.compact();
     await wait(300);
-    assert.equal((await fleet.send(entry, { path: '/book/', id: 'v-1' })).status, 200);
-    fleet.store.fault = { kind: 'none' };
+    assert.equal((await sendTo(entry, { path: '/book/', id: 'v-1' })).status, 200);
+    fleet.store.setFault({ kind: 'none' });
     await wait(2000);
     assert.ok(fleet.store.get('lycheelane-nodes', String(target.settings.nodeId)));
   });
@@ -241,12 +248,12 @@
     const target = await fleet.addHost('pads');
     await fleet.waitListed('/read/', ['i-1']);
     target.instance.workMs = 700;
-    const sent = fleet.send(entry, { path: '/book/', id: 'z-1' });
+    const sent = sendTo(entry, { path: '/book/', id: 'z-1' });
     await wait(100);
     const stopped = [entry.node.stop(), target.node.stop()];
     assert.equal((await sent).status, 200);
     await Promise.all(stopped);
-    const refused = await fleet.send(entry, { path: '/book/', id: 'z-2' });
+    const refused = await sendTo(entry, { path: '/book/', id: 'z-2' });
     assert.equal(refused.status, 503);
     assert.ok(Number(refused.headers['retry-after']) > 0);
   });
--- a/test/mesh/instanceClient.test.ts
+++ b/test/mesh/instanceClient.test.ts
@@ -27,7 +27,7 @@
   return { method: 'GET', path: '/x', headers, body: Buffer.alloc(0) };
 }
 
-test('a caller that leaves after its response does not end the next request of the link', async () => {
+test('a late cancellation does not end the next request of the link', async () => {
   const instance = new InstanceServer('i-1');
   const port = await instance.listen();
   const client = new InstanceClient({ host: '127.0.0.1', port }, HEADER_NAMES);
--- a/test/mesh/link.test.ts
+++ b/test/mesh/link.test.ts
@@ -1,7 +1,7 @@
 /** The client connection against instances that spoil, double, cut and delay their responses. */
 import assert from 'node:assert/strict';
-import { createServer, type Server, type Socket } from 'node:net';
-import type { AddressInfo } from 'node:net';
+import { createServer } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
 import { test } from 'node:test';
 import { Link, openSocket, type LinkResult } from '../../src/mesh/link.js';
 import { getHeader } from '../../src/mesh/headers.js';
@@ -159,7 +159,7 @@
   });
 }
 
-test('a body without a length is not complete when a reset comes right behind its bytes', async () => {
+test('a body without a length is not complete with a reset right behind it', async () => {
   for (let round = 0; round < 20; round += 1) {
     const onSocket = (socket: Socket) => {
       socket.once('data', () => {
--- a/test/mesh/peerCalls.test.ts
+++ b/test/mesh/peerCalls.test.ts
@@ -1,7 +1,7 @@
 /** Calls between nodes over connections that break: one run, and its response is not lost. */
 import assert from 'node:assert/strict';
-import { connect, createServer, type Socket } from 'node:net';
-import type { AddressInfo } from 'node:net';
+import { connect, createServer } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import { test } from 'node:test';
 import type { LocalRunner } from '../../src/mesh/localRunner.js';
 import type { CallTerms, RunReport } from '../../src/mesh/model.js';
--- a/test/mesh/placing.test.ts
+++ b/test/mesh/placing.test.ts
@@ -74,7 +74,7 @@
   ];
   const counts = new Map<string, number>();
   for (let count = 0; count < 20_000; count += 1) {
-    const name = chooseInstance(candidates, { ...REQUEST, canExplore: true }, POLICY, NONE)!.name;
+    const { name } = chooseInstance(candidates, { ...REQUEST, canExplore: true }, POLICY, NONE)!;
     counts.set(name, (counts.get(name) ?? 0) + 1);
   }
   assert.ok((counts.get('far') ?? 0) > 0);
--- a/test/platform/storeClient.test.ts
+++ b/test/platform/storeClient.test.ts
@@ -95,12 +95,12 @@
 for (const { fault, kind } of FAULTS) {
   test(`a write to a store with the fault ${JSON.stringify(fault)} fails as ${kind}`, async () => {
     await withStore(async (store, server) => {
-      Object.assign(server, { fault });
+      server.setFault(fault);
       const failed = await store.create('nodes', 'a', {});
       const error = failed._unsafeUnwrapErr();
       assert.equal(error.kind, kind);
       assert.equal(error.step, 'store.create');
-      Object.assign(server, { fault: { kind: 'none' } });
+      server.setFault({ kind: 'none' });
       const read = await store.read('nodes', 'a');
       assert.equal(read.isOk(), fault.kind === 'lose-answers');
     });
