Find silent nodes while a call is under way

Cause: a call to a node that is frozen or cut off waited for its whole deadline, and new calls went there meanwhile; links that go silent together were used one after the other. Change: a call that is looked up on a second connection gets an interim response from a live node; without one the node is avoided at once and a repeatable call goes to another instance. A timeout drops the other idle links of its pool. Test: peerCalls (frozen node).

--- a/src/mesh/callRouter.ts
+++ b/src/mesh/callRouter.ts
@@ -144,7 +144,13 @@
         peer.recordLoad(report.load, performance.now());
         return report;
       }
-      const report = await peer.calls.send(request, terms, peer.record.incarnation, cancellation);
+      const report = await peer.calls.send(
+        request,
+        terms,
+        peer.record.incarnation,
+        cancellation,
+        () => peer.recordSilence(performance.now()),
+      );
       if (report.hasResponded) peer.recordLoad(report.load, performance.now());
       else if (!cancellation.isCancelled()) peer.recordSilence(performance.now());
       return report;
--- a/src/mesh/instanceClient.ts
+++ b/src/mesh/instanceClient.ts
@@ -24,6 +24,8 @@
 /** Time after a spoilt response for which requests get connections of their own. */
 const DISTRUST_MS = 5000;
 
+const TIMEOUT = 'timeout';
+
 /** Builds the result of a request that the instance did not run. */
 export function buildRefusal(
   reason: Extract<RunResult, { kind: 'notRun' }>['reason'],
@@ -83,7 +85,7 @@
     cancellation: Cancellation,
   ): Promise<RunResult> {
     const { names } = this;
-    const timer = setTimeout(() => link.abort('timeout'), leftMs + DEADLINE_SLACK_MS);
+    const timer = setTimeout(() => link.abort(TIMEOUT), leftMs + DEADLINE_SLACK_MS);
     // The link outlives the exchange: a later cancellation must not reach its next request.
     let isUnderWay = true;
     cancellation.onCancel(() => {
@@ -105,6 +107,8 @@
     if (ended.kind === 'response') return this.judge(ended.response);
     if (!ended.wasSent) return buildRefusal('unreachable', false);
     if (!cancellation.isCancelled()) this.distrustedUntilMs = performance.now() + DISTRUST_MS;
+    // Connections go silent together; the others would hang as this one did.
+    if (ended.reason === TIMEOUT) this.pool.close();
     return { kind: 'unknown', reason: ended.reason };
   }
 
--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -20,6 +20,7 @@
 
 interface Pending {
   readonly isHead: boolean;
+  readonly onInterim: (() => void) | undefined;
   readonly isOwn: (headers: readonly string[]) => boolean;
   readonly resolve: (result: LinkResult) => void;
 }
@@ -98,16 +99,20 @@
     return this.isReusable && !this.isClosed && this.socket.writableLength === 0;
   }
 
-  /** Sends a request and reads its response. `isOwn` tells it from responses to other requests. */
+  /**
+   * Sends a request and reads its response. `isOwn` tells it from responses to other requests;
+   * `onInterim` is called for each interim response.
+   */
   exchange(
     request: HttpRequest,
     isOwn: (headers: readonly string[]) => boolean,
+    onInterim?: () => void,
   ): Promise<LinkResult> {
     if (this.isClosed || this.pending) {
       return Promise.resolve({ kind: 'broken', reason: 'connection closed', wasSent: false });
     }
     return new Promise((resolve) => {
-      this.pending = { isHead: request.method === 'HEAD', isOwn, resolve };
+      this.pending = { isHead: request.method === 'HEAD', onInterim, isOwn, resolve };
       this.socket.write(encodeRequest(request));
     });
   }
@@ -139,6 +144,7 @@
     // The library waits for ever for a length that is no number.
     if (length !== undefined && !/^\d+$/.test(length)) throw new Error('invalid length');
     const isInterim = info.statusCode < 200;
+    if (isInterim) pending.onInterim?.();
     const isForeign = !isInterim && !pending.isOwn(info.headers);
     this.incoming = {
       status: info.statusCode,
--- a/src/mesh/peerCalls.ts
+++ b/src/mesh/peerCalls.ts
@@ -3,6 +3,7 @@
  * taken up on a new connection under the same identifier, so that its response is not lost.
  */
 import type { PeerAddress } from '../types/interfaces.js';
+import { waitMs } from '../utils/backoff.js';
 import { filterHeaders, getHeader } from './headers.js';
 import { buildRefusal } from './instanceClient.js';
 import type { Link } from './link.js';
@@ -18,7 +19,10 @@
 const MAX_IDLE_MS = 8000;
 
 /** Silence after which a call is looked up on a second connection. */
-const SILENCE_MS = 700;
+const SILENCE_MS = 500;
+
+/** Time within which a node that is looked up says that it is alive. */
+const ALIVE_MS = 250;
 
 /** Time after the deadline of a call for which its result is awaited. */
 const DEADLINE_SLACK_MS = 150;
@@ -32,6 +36,8 @@
 }
 
 interface SendState {
+  /** Called when the node turns out not to respond, while the call is under way. */
+  readonly onSilent: () => void;
   readonly request: HttpRequest;
   readonly terms: CallTerms;
   readonly processId: string;
@@ -64,9 +70,11 @@
     terms: CallTerms,
     processId: string,
     cancellation: Cancellation,
+    onSilent: () => void,
   ): Promise<PeerReport> {
     return new Promise((resolve) => {
       const state: SendState = {
+        onSilent,
         request,
         terms,
         processId,
@@ -86,7 +94,7 @@
       const endMs = Math.max(0, leftMs) + DEADLINE_SLACK_MS;
       timers.push(setTimeout(() => settle(buildLost('deadline')), endMs));
       const lookUp = () => {
-        void this.resume(state).then((report) => report && settle(report));
+        void this.lookUp(state).then((report) => report && settle(report));
       };
       timers.push(setTimeout(lookUp, SILENCE_MS));
       cancellation.onCancel(() => settle(buildLost('cancelled')));
@@ -94,14 +102,6 @@
     });
   }
 
-  /** Opens a connection to see whether the node responds; resolves to true when it does. */
-  async probe(): Promise<boolean> {
-    const link = await this.pool.connect(CONNECT_TIMEOUT_MS);
-    if (typeof link === 'string') return false;
-    this.pool.release(link);
-    return true;
-  }
-
   close(): void {
     this.pool.close();
   }
@@ -124,28 +124,46 @@
     return (await this.resume(state)) ?? buildLost('connection lost');
   }
 
+  /**
+   * Looks for a call that stays silent. Its node may be busy with it, or gone: then a call that
+   * may be repeated ends here, so that another instance gets it.
+   */
+  private async lookUp(state: SendState): Promise<PeerReport | undefined> {
+    let isAlive = false;
+    const resumed = this.resume(state, () => {
+      isAlive = true;
+      // The first connection may have gone silent, and others with it.
+      this.pool.close();
+    });
+    await waitMs(CONNECT_TIMEOUT_MS + ALIVE_MS);
+    if (isAlive || state.isSettled) return resumed;
+    state.onSilent();
+    return state.terms.isRepeatable ? buildLost('silent') : resumed;
+  }
+
   /** Takes a call up on a new connection; undefined when the node cannot be reached. */
-  private async resume(state: SendState): Promise<PeerReport | undefined> {
+  private async resume(state: SendState, onInterim?: () => void): Promise<PeerReport | undefined> {
     const link = await this.pool.connect(CONNECT_TIMEOUT_MS);
     if (typeof link === 'string') return undefined;
     if (state.isSettled) {
       this.pool.release(link);
       return undefined;
     }
-    return this.exchange(state, link, state.processId);
+    return this.exchange(state, link, state.processId, onInterim);
   }
 
   private async exchange(
     state: SendState,
     link: Link,
     resume: string | undefined,
+    onInterim?: () => void,
   ): Promise<PeerReport | undefined> {
     const { request, terms } = state;
     state.links.add(link);
     const encoded = encodeTerms(terms, resume, performance.now());
     const headers = [...request.headers, TERMS_HEADER, encoded];
     const body = resume === undefined ? request.body : EMPTY;
-    const ended = await link.exchange({ ...request, headers, body }, isAnyResponse);
+    const ended = await link.exchange({ ...request, headers, body }, isAnyResponse, onInterim);
     state.links.delete(link);
     if (ended.kind === 'broken') return undefined;
     this.pool.release(link);
--- a/src/mesh/peerPort.ts
+++ b/src/mesh/peerPort.ts
@@ -130,6 +130,8 @@
       },
       received,
     );
+    // Tells a node that looks a call up that this process is alive; the run may take long.
+    if (received.resume !== undefined) response.writeProcessing();
     run.listeners += 1;
     let hasLeft = false;
     response.once('close', () => {
--- a/test/mesh/peerCalls.test.ts
+++ b/test/mesh/peerCalls.test.ts
@@ -98,7 +98,13 @@
     const port = await openServer(server, '127.0.0.1', 0);
     const proxy = await openProxy(port, fault);
     const calls = new PeerCalls({ host: '127.0.0.1', port: proxy.port });
-    const { result } = await calls.send(REQUEST, buildTerms('c-1'), processId, new Cancellation());
+    const { result } = await calls.send(
+      REQUEST,
+      buildTerms('c-1'),
+      processId,
+      new Cancellation(),
+      () => {},
+    );
     assert.equal(result.kind, kind);
     if (result.kind === 'answered') assert.equal(result.response.body.toString(), 'done');
     assert.equal(count, runs);
@@ -111,7 +117,35 @@
 test('a node that cannot be reached has not run the call', async () => {
   const calls = new PeerCalls({ host: '127.0.0.1', port: 1 });
   const terms = buildTerms('c-1');
-  const { result, hasResponded } = await calls.send(REQUEST, terms, 'p', new Cancellation());
+  const { result, hasResponded } = await calls.send(
+    REQUEST,
+    terms,
+    'p',
+    new Cancellation(),
+    () => {},
+  );
   assert.equal(result.kind === 'notRun' && result.reason, 'unreachable');
   assert.equal(hasResponded, false);
 });
+
+test('a repeatable call to a frozen node ends early, and the node is avoided', async () => {
+  const frozen = createServer((socket) => {
+    socket.on('error', () => {});
+  });
+  await new Promise<void>((resolve) => {
+    frozen.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = frozen.address() as AddressInfo;
+  const calls = new PeerCalls({ host: '127.0.0.1', port });
+  const terms = { ...buildTerms('c-1', 5000), isRepeatable: true };
+  const startedAtMs = performance.now();
+  let silences = 0;
+  const { result } = await calls.send(REQUEST, terms, 'p', new Cancellation(), () => {
+    silences += 1;
+  });
+  assert.equal(result.kind, 'unknown');
+  assert.ok(performance.now() - startedAtMs < 1500);
+  assert.equal(silences, 1);
+  calls.close();
+  frozen.close();
+});
