--- a/src/mesh/admission.ts
+++ b/src/mesh/admission.ts
@@ -31,6 +31,12 @@
 /** Largest number of waiting requests for each slot; a guard for memory. */
 const MAX_QUEUED_PER_SLOT = 20;
 
+/**
+ * Starts of more important requests after which a waiting one of a lower rank is due. Without it
+ * a rank gets nothing as long as those above it fill the instance.
+ */
+const STARTS_PER_TURN = 7;
+
 interface Queued<Item> {
   readonly item: Item;
   /** True when the request cannot meet its objective any more. */
@@ -55,6 +61,9 @@
 
   private running = 0;
 
+  /** Starts of other ranks since the latest one of a rank that waits. */
+  private readonly passed = new Map<number, number>();
+
   private orders = 0;
 
   constructor(private slots: number) {}
@@ -78,7 +87,7 @@
       return { kind: 'refused', reason: 'deadline', retryAfterMs: 0 };
     }
     if (this.running < this.slots && this.queue.length === 0) {
-      this.running += 1;
+      this.recordStart(item.rank);
       return { kind: 'start' };
     }
     const leftMs = item.deadlineAtMs - nowMs;
@@ -110,9 +119,9 @@
   takeNext(nowMs: number): Item | undefined {
     if (this.running >= this.slots) return undefined;
     this.updateLate(nowMs);
-    const next = this.queue.shift();
+    const [next] = this.queue.splice(this.findDue(), 1);
     if (!next) return undefined;
-    this.running += 1;
+    this.recordStart(next.item.rank);
     return next.item;
   }
 
@@ -146,14 +155,43 @@
     return true;
   }
 
-  /** Returns how long a new request of a rank would wait. */
-  estimateWaitMs(entry: Queued<Item>): number {
+  /** Returns how long a request would wait: for those ahead of it, or for the turn of its rank. */
+  private estimateWaitMs(entry: Queued<Item>): number {
     let aheadMs = 0;
+    let sameRank = 0;
     for (const queued of this.queue) {
-      if (compareQueued(queued, entry) > 0) break;
-      aheadMs += queued.item.workMs;
+      if (queued.item.rank === entry.item.rank) sameRank += 1;
+      if (compareQueued(queued, entry) <= 0) aheadMs += queued.item.workMs;
+    }
+    const { rank, workMs } = entry.item;
+    const orderMs = (aheadMs + workMs) / this.slots;
+    const starts = (sameRank + 1) * (STARTS_PER_TURN + 1) - (this.passed.get(rank) ?? 0);
+    return Math.min(orderMs, (Math.max(1, starts) * this.getMeanWorkMs(workMs)) / this.slots);
+  }
+
+  private getMeanWorkMs(ownMs: number): number {
+    let sumMs = ownMs;
+    for (const { item } of this.queue) sumMs += item.workMs;
+    return sumMs / (this.queue.length + 1);
+  }
+
+  /** Returns the index of the next request: the first one, or one whose turn is overdue. */
+  private findDue(): number {
+    const due = this.queue.findIndex(
+      ({ item }) => (this.passed.get(item.rank) ?? 0) >= STARTS_PER_TURN,
+    );
+    return Math.max(0, due);
+  }
+
+  private recordStart(rank: number): void {
+    this.running += 1;
+    for (const { item } of this.queue) {
+      if (!this.passed.has(item.rank)) this.passed.set(item.rank, 0);
+    }
+    for (const [other, count] of this.passed) {
+      const isWaiting = this.queue.some(({ item }) => item.rank === other);
+      this.passed.set(other, isWaiting && other !== rank ? count + 1 : 0);
     }
-    return (aheadMs + entry.item.workMs) / this.slots;
   }
 
   /** Moves the requests that have become late behind those that can still be in time. */
--- a/test/mesh/admission.test.ts
+++ b/test/mesh/admission.test.ts
@@ -116,5 +116,7 @@
   assert.ok(first + second + third >= 0.85 * 800, `on time ${onTime.join()}`);
   assert.ok(first >= second && second >= third, `by rank ${onTime.join()}`);
   assert.ok(first >= 0.95 * 533, `rank 0: ${first}`);
+  // No kind may be served less than a quarter as often as all together.
+  assert.ok(third >= 0.25 * 0.5 * 533, `rank 2: ${third}`);
   assert.ok(mostWaitMs <= 1500);
 });
