--- a/src/mesh/admission.ts
+++ b/src/mesh/admission.ts
@@ -32,10 +32,14 @@
 const MAX_QUEUED_PER_SLOT = 20;
 
 /**
- * Starts of more important requests after which a waiting one of a lower rank is due. Without it
- * a rank gets nothing as long as those above it fill the instance.
+ * Least shares of the instance's time for the ranks that wait below the most important one, in
+ * order. Without them a rank gets nothing as long as those above it fill the instance, and the
+ * requests of other services that depend on its calls run in vain.
  */
-const STARTS_PER_TURN = 7;
+const LEAST_SHARES: readonly number[] = [0.3, 0.1, 0.05];
+
+/** Weight that the time given to a rank keeps at each further start. */
+const SHARE_DECAY = 0.97;
 
 interface Queued<Item> {
   readonly item: Item;
@@ -55,14 +59,19 @@
   );
 }
 
+/** Returns the least share of a rank by the number of waiting ranks between it and the first. */
+function getLeastShare(index: number): number {
+  return LEAST_SHARES[Math.min(index, LEAST_SHARES.length - 1)]!;
+}
+
 /** Slots of one instance and the requests that wait for them. */
 export class AdmissionQueue<Item extends AdmissionItem> {
   private queue: Queued<Item>[] = [];
 
   private running = 0;
 
-  /** Starts of other ranks since the latest one of a rank that waits. */
-  private readonly passed = new Map<number, number>();
+  /** Recent run time by rank, as expected at the starts. */
+  private readonly given = new Map<number, number>();
 
   private orders = 0;
 
@@ -87,7 +96,7 @@
       return { kind: 'refused', reason: 'deadline', retryAfterMs: 0 };
     }
     if (this.running < this.slots && this.queue.length === 0) {
-      this.recordStart(item.rank);
+      this.recordStart(item);
       return { kind: 'start' };
     }
     const leftMs = item.deadlineAtMs - nowMs;
@@ -121,7 +130,7 @@
     this.updateLate(nowMs);
     const [next] = this.queue.splice(this.findDue(), 1);
     if (!next) return undefined;
-    this.recordStart(next.item.rank);
+    this.recordStart(next.item);
     return next.item;
   }
 
@@ -155,43 +164,39 @@
     return true;
   }
 
-  /** Returns how long a request would wait: for those ahead of it, or for the turn of its rank. */
+  /** Returns how long a request would wait: for those ahead of it, or for the share of its rank. */
   private estimateWaitMs(entry: Queued<Item>): number {
-    let aheadMs = 0;
-    let sameRank = 0;
+    const { rank, workMs } = entry.item;
+    let aheadMs = workMs;
+    let sameRankMs = workMs;
+    const above = new Set<number>();
     for (const queued of this.queue) {
-      if (queued.item.rank === entry.item.rank) sameRank += 1;
-      if (compareQueued(queued, entry) <= 0) aheadMs += queued.item.workMs;
+      const { item } = queued;
+      if (item.rank < rank) above.add(item.rank);
+      if (item.rank === rank) sameRankMs += item.workMs;
+      if (compareQueued(queued, entry) <= 0) aheadMs += item.workMs;
     }
-    const { rank, workMs } = entry.item;
-    const orderMs = (aheadMs + workMs) / this.slots;
-    const starts = (sameRank + 1) * (STARTS_PER_TURN + 1) - (this.passed.get(rank) ?? 0);
-    return Math.min(orderMs, (Math.max(1, starts) * this.getMeanWorkMs(workMs)) / this.slots);
+    const share = above.size === 0 ? 1 : getLeastShare(above.size - 1);
+    return Math.min(aheadMs, sameRankMs / share) / this.slots;
   }
 
-  private getMeanWorkMs(ownMs: number): number {
-    let sumMs = ownMs;
-    for (const { item } of this.queue) sumMs += item.workMs;
-    return sumMs / (this.queue.length + 1);
-  }
-
-  /** Returns the index of the next request: the first one, or one whose turn is overdue. */
+  /** Returns the index of the next request: the first one, or one whose rank got too little. */
   private findDue(): number {
-    const due = this.queue.findIndex(
-      ({ item }) => (this.passed.get(item.rank) ?? 0) >= STARTS_PER_TURN,
-    );
-    return Math.max(0, due);
+    const ranks = [...new Set(this.queue.map(({ item }) => item.rank))].sort((a, b) => a - b);
+    let totalMs = 0;
+    for (const ms of this.given.values()) totalMs += ms;
+    for (const [index, rank] of ranks.slice(1).entries()) {
+      const givenMs = this.given.get(rank) ?? 0;
+      if (givenMs >= totalMs * getLeastShare(index)) continue;
+      return this.queue.findIndex(({ item }) => item.rank === rank);
+    }
+    return 0;
   }
 
-  private recordStart(rank: number): void {
+  private recordStart({ rank, workMs }: Item): void {
     this.running += 1;
-    for (const { item } of this.queue) {
-      if (!this.passed.has(item.rank)) this.passed.set(item.rank, 0);
-    }
-    for (const [other, count] of this.passed) {
-      const isWaiting = this.queue.some(({ item }) => item.rank === other);
-      this.passed.set(other, isWaiting && other !== rank ? count + 1 : 0);
-    }
+    for (const [known, ms] of this.given) this.given.set(known, ms * SHARE_DECAY);
+    this.given.set(rank, (this.given.get(rank) ?? 0) + workMs);
   }
 
   /** Moves the requests that have become late behind those that can still be in time. */
