--- a/src/mesh/attemptProgress.ts
+++ b/src/mesh/attemptProgress.ts
@@ -6,6 +6,8 @@
 /** Retry time when nothing is known about the load, in milliseconds. */
 const DEFAULT_RETRY_MS = 300;
 
+type Refusal = Extract<RunResult, { kind: 'notRun' }>;
+
 /** Follows the attempts of one request. */
 export class AttemptProgress {
   private readonly tried = new Set<InstanceId>();
@@ -56,12 +58,17 @@
     }
   }
 
+  /** No instance was asked since they refused others a moment ago. */
+  recordFull(): void {
+    this.applyRefusal({ reason: 'overloaded', retryAfterMs: DEFAULT_RETRY_MS });
+  }
+
   /** Returns the end when no further attempt is made: "not run" only when none may have run. */
   getEnd(): CallEnd {
     return this.lost ?? this.refusal;
   }
 
-  private applyRefusal({ reason, retryAfterMs }: Extract<RunResult, { kind: 'notRun' }>): void {
+  private applyRefusal({ reason, retryAfterMs }: Pick<Refusal, 'reason' | 'retryAfterMs'>): void {
     const { refusal } = this;
     // The soonest time of those that are full: the others said nothing about their load.
     if (refusal.reason === 'overloaded' && retryAfterMs >= refusal.retryAfterMs) return;
--- a/src/mesh/callRouter.ts
+++ b/src/mesh/callRouter.ts
@@ -84,9 +84,7 @@
       if (progress.countArrivals() > 0 && !this.takeRepeat(work, service)) break;
       progress.recordTry(chosen.peer.record.instanceId);
       const { result } = await this.send(chosen, work, service);
-      if (result.kind === 'notRun' && isAbsence(result.reason)) {
-        chosen.peer.recordAbsence(performance.now());
-      }
+      if (result.kind === 'notRun') this.recordRefusal(result, chosen, work);
       const end = progress.apply(result);
       if (end) return end;
       this.logFailure(result, chosen, work);
@@ -103,12 +101,15 @@
     const { directory, getSettings } = this.options;
     const { dataCentre, distance } = getSettings();
     const { objectiveMs, rank, isRepeatable } = work.route;
-    return chooseInstance(
-      directory.listCandidates(service, dataCentre, performance.now()),
+    const candidates = directory.listCandidates(service, dataCentre, rank, performance.now());
+    const chosen = chooseInstance(
+      candidates,
       { objectiveMs, rank, canExplore: isRepeatable && isFirst },
       distance,
       ({ peer }) => progress.wasTried(peer.record.instanceId),
     );
+    if (!chosen && candidates.some(({ isFull }) => isFull)) progress.recordFull();
+    return chosen;
   }
 
   private takeRepeat({ route }: CallWork, service: ServiceName): boolean {
@@ -159,6 +160,17 @@
     }
   }
 
+  private recordRefusal(
+    { reason, retryAfterMs }: Extract<RunResult, { kind: 'notRun' }>,
+    { peer }: PeerCandidate,
+    { route }: CallWork,
+  ): void {
+    const nowMs = performance.now();
+    if (isAbsence(reason)) peer.recordAbsence(nowMs);
+    if (reason === 'overloaded') peer.recordFull(route.rank, retryAfterMs, nowMs);
+    this.options.metrics.count('attempts_refused', `reason="${reason}"`);
+  }
+
   private logFailure(result: RunResult, { peer }: PeerCandidate, work: CallWork): void {
     const { nodeId, instanceId } = peer.record;
     this.options.log.write('info', 'attempt-failed', {
--- a/src/mesh/directory.ts
+++ b/src/mesh/directory.ts
@@ -68,7 +68,12 @@
   }
 
   /** Returns the nodes whose instances may get a call. */
-  listCandidates(service: ServiceName, ownDataCentre: string, nowMs: number): PeerCandidate[] {
+  listCandidates(
+    service: ServiceName,
+    ownDataCentre: string,
+    rank: number,
+    nowMs: number,
+  ): PeerCandidate[] {
     const candidates: PeerCandidate[] = [];
     for (const peer of this.listUsable(service, nowMs)) {
       if (peer.isAbsent(nowMs)) continue;
@@ -79,6 +84,8 @@
         ...peer.getOutstanding(),
         load: peer.getLoad(nowMs),
         isUnreachable: peer.isUnreachable(nowMs),
+        // The instance of this host is asked itself; that costs nothing.
+        isFull: !this.isOwn(peer) && peer.isFull(rank, nowMs),
       });
     }
     return candidates;
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -1,6 +1,7 @@
 /** Constructs the parts of a mesh node and connects them. */
 import { randomUUID } from 'node:crypto';
 import { createServer, type Server } from 'node:http';
+import { toStepError } from '../errors.js';
 import { brandText, type NodeId } from '../types/ids.js';
 import type { PeerAddress } from '../types/interfaces.js';
 import { createAnnouncementPort, type Announcement } from './announcements.js';
@@ -254,8 +255,11 @@
     listen(peerPort, ports.peers),
     listen(readyPort, ports.ready),
     listen(announcementPort, ports.announcements),
-    listen(metricsPort, options.metricsAddress),
   ]);
+  listen(metricsPort, options.metricsAddress).catch((thrown: unknown) => {
+    const { step, peer, message } = toStepError(thrown, 'metrics.listen', 'self');
+    log.write('warn', 'metrics-unavailable', { step, peer, reason: message });
+  });
   const isStopped = () => isStopping;
   const common = { store, log, isStopped };
   void watchKind({ ...common, kind: adapter.configKind, listener: configListener });
--- a/src/mesh/peerNode.ts
+++ b/src/mesh/peerNode.ts
@@ -11,6 +11,9 @@
 /** Time after a refusal for which an instance that leaves or starts is avoided. */
 const ABSENCE_MS = 300;
 
+/** Bounds of the time for which an instance that refused a request counts as full. */
+const FULL_MS = { min: 20, max: 150 };
+
 /** Age of a load report after which it is not believed any more. */
 const LOAD_AGE_MS = 3000;
 
@@ -30,6 +33,9 @@
 
   private absentUntilMs = -Infinity;
 
+  /** Time up to which the instance is full, by the rank of the request that it refused. */
+  private readonly fullUntilMs = new Map<number, number>();
+
   unlistedAtMs: number | undefined;
 
   constructor(
@@ -74,6 +80,20 @@
     this.absentUntilMs = nowMs + ABSENCE_MS;
   }
 
+  /** Records that the instance refused a request of a rank, with the wait that it told. */
+  recordFull(rank: number, waitMs: number, nowMs: number): void {
+    const fullMs = Math.min(FULL_MS.max, Math.max(FULL_MS.min, waitMs));
+    this.fullUntilMs.set(rank, nowMs + fullMs);
+  }
+
+  /** True while the instance would refuse a request: it refused one that is as urgent. */
+  isFull(rank: number, nowMs: number): boolean {
+    for (const [refused, untilMs] of this.fullUntilMs) {
+      if (refused <= rank && nowMs < untilMs) return true;
+    }
+    return false;
+  }
+
   isUnreachable(nowMs: number): boolean {
     return nowMs < this.avoidUntilMs;
   }
--- a/src/mesh/placing.ts
+++ b/src/mesh/placing.ts
@@ -18,6 +18,8 @@
   readonly load: InstanceLoad | undefined;
   /** True while its node does not respond to this one. */
   readonly isUnreachable: boolean;
+  /** True while it would refuse the request. */
+  readonly isFull: boolean;
 }
 
 /** What traffic between data centres is worth to the operators of a region. */
@@ -90,7 +92,9 @@
   wasTried: (candidate: Item) => boolean,
   random: () => number = Math.random,
 ): Item | undefined {
-  const allowed = listAllowed(candidates, request, policy).filter((item) => !wasTried(item));
+  const allowed = listAllowed(candidates, request, policy).filter(
+    (item) => !item.isFull && !wasTried(item),
+  );
   if (allowed.length === 0) return undefined;
   if (request.canExplore && random() < EXPLORE_SHARE) {
     const chosen = allowed[Math.floor(random() * allowed.length)]!;
--- a/standins/mesh/meshFleet.ts
+++ b/standins/mesh/meshFleet.ts
@@ -90,7 +90,8 @@
   readonly headers?: Readonly<Record<string, string>>;
 }
 
-async function findPorts(count: number): Promise<number[]> {
+/** Finds ports that are free now. */
+export async function findPorts(count: number): Promise<number[]> {
   const servers = Array.from({ length: count }, () => createServer());
   const ports: number[] = [];
   for (const server of servers) ports.push(await openServer(server, HOST, 0));
--- a/test/mesh/placing.test.ts
+++ b/test/mesh/placing.test.ts
@@ -20,6 +20,7 @@
     outstandingAtLoad: 0,
     load: { slots: 4, inFlight: 0, meanMs: 100, failures: 0 },
     isUnreachable: false,
+    isFull: false,
     ...change,
   };
 }
@@ -82,6 +83,15 @@
   assert.ok((counts.get('near') ?? 0) > 19_000);
 });
 
+test('placing skips instances that are full, and finds none when all are', () => {
+  const full = buildCandidate('full', { isFull: true });
+  const far = buildCandidate('far', { isSameDataCentre: false });
+  assert.equal(chooseInstance([full, far], REQUEST, POLICY, NONE)?.name, 'far');
+  assert.equal(chooseInstance([full], REQUEST, POLICY, NONE), undefined);
+  const near = { waitShare: 4, spillRank: 1 };
+  assert.equal(chooseInstance([full, far], REQUEST, near, NONE), undefined);
+});
+
 test('placing has nothing to choose from an empty list', () => {
   assert.equal(chooseInstance([], REQUEST, POLICY, NONE), undefined);
 });
