--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -4,6 +4,10 @@
 import { toStepError } from '../errors.js';
 import { brandText, type NodeId } from '../types/ids.js';
 import type { PeerAddress } from '../types/interfaces.js';
+import { waitMs } from '../utils/backoff.js';
+import type { LogFields } from '../utils/formatEvent.js';
+import { listen } from '../utils/listen.js';
+import { unwrap } from '../utils/unwrap.js';
 import { createAnnouncementPort, type Announcement } from './announcements.js';
 import { createCallPort } from './callPort.js';
 import { CallRouter } from './callRouter.js';
@@ -64,22 +68,6 @@
 /** How often a stopping node looks for requests under way, in milliseconds. */
 const STOP_CHECK_MS = 50;
 
-function listen(server: Server, { host, port }: PeerAddress): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen({ host, port, backlog: 1024 }, () => {
-      server.off('error', reject);
-      resolve();
-    });
-  });
-}
-
-function waitFor(delayMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-}
-
 /** Starts a node. Throws when a port cannot be bound. */
 export async function startMeshNode(options: NodeOptions): Promise<MeshNode> {
   const { adapter, getSettings, log } = options;
@@ -250,13 +238,18 @@
   };
 
   const { ports } = settings;
+  const logger = {
+    warn: (event: string, fields?: LogFields) => log.write('warn', event, fields),
+  };
+  const open = async (server: Server, address: PeerAddress, step: string) =>
+    unwrap(await listen(server, { ...address, step, logger }));
   await Promise.all([
-    listen(callPort.server, ports.calls),
-    listen(peerPort, ports.peers),
-    listen(readyPort, ports.ready),
-    listen(announcementPort, ports.announcements),
+    open(callPort.server, ports.calls, 'calls.listen'),
+    open(peerPort, ports.peers, 'peers.listen'),
+    open(readyPort, ports.ready, 'ready.listen'),
+    open(announcementPort, ports.announcements, 'announcements.listen'),
   ]);
-  listen(metricsPort, options.metricsAddress).catch((thrown: unknown) => {
+  open(metricsPort, options.metricsAddress, 'metrics.listen').catch((thrown: unknown) => {
     const { step, peer, message } = toStepError(thrown, 'metrics.listen', 'self');
     log.write('warn', 'metrics-unavailable', { step, peer, reason: message });
   });
@@ -281,13 +274,13 @@
     log.write('info', 'stopping', { limitMs, open: callPort.countOpen() });
     callPort.closeAfterResponses();
     void publisher.sync();
-    await waitFor(PEER_GRACE_MS);
+    await waitMs(PEER_GRACE_MS);
     runner.stopTaking();
-    await waitFor(TAKE_GRACE_MS - PEER_GRACE_MS);
+    await waitMs(TAKE_GRACE_MS - PEER_GRACE_MS);
     // The port stays open: callers that have nowhere else to go are told when to come back.
     callPort.refuseNew();
     const isBusy = () => callPort.countOpen() + runner.countRunning() > 0;
-    while (isBusy() && performance.now() - startedAtMs < limitMs) await waitFor(STOP_CHECK_MS);
+    while (isBusy() && performance.now() - startedAtMs < limitMs) await waitMs(STOP_CHECK_MS);
     log.write('info', 'stopped', { open: callPort.countOpen(), running: runner.countRunning() });
     closeParts();
   };
--- a/src/utils/listen.ts
+++ b/src/utils/listen.ts
@@ -11,7 +11,7 @@
   /** 0 picks a free port. */
   readonly port: number;
   readonly step: string;
-  readonly logger: Logger;
+  readonly logger: Pick<Logger, 'warn'>;
 }
 
 /**
--- a/standins/mesh/meshFleet.ts
+++ b/standins/mesh/meshFleet.ts
@@ -1,9 +1,7 @@
 /** A small mesh in one process: a store, instances, and nodes with the platform's adapter. */
 import { createServer, request as sendRequest } from 'node:http';
-import { decodeAnnouncement } from '../../platform/announcement.js';
-import { decodeConfiguration } from '../../platform/configuration.js';
-import { CONFIG_KIND, CONFIG_NAME, HEADER_NAMES } from '../../platform/names.js';
-import { createStoreClient } from '../../platform/storeClient.js';
+import { createAdapter } from '../../platform/adapter.js';
+import { CONFIG_KIND, CONFIG_NAME } from '../../platform/names.js';
 import { SILENT_LOG, type EventLog } from '../../src/mesh/eventLog.js';
 import type { MeshSettings } from '../../src/mesh/model.js';
 import { startMeshNode, type MeshNode } from '../../src/mesh/node.js';
@@ -137,14 +135,7 @@
 
 function startNode(settings: MeshSettings, log: EventLog): Promise<MeshNode> {
   return startMeshNode({
-    adapter: {
-      names: HEADER_NAMES,
-      store: createStoreClient(() => settings.store),
-      configKind: CONFIG_KIND,
-      configName: CONFIG_NAME,
-      decodeConfig: decodeConfiguration,
-      decodeAnnouncement,
-    },
+    adapter: createAdapter(() => settings.store),
     getSettings: () => settings,
     log,
     metricsAddress: { host: HOST, port: 0 },
--- /dev/null
+++ b/standins/mesh/nodeProcess.ts
@@ -0,0 +1,85 @@
+/** A node as a process of its own, with the platform's settings file. */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
+import { writeFile } from 'node:fs/promises';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+
+const PROGRAM = fileURLToPath(new URL('../../platform/main.js', import.meta.url));
+const REGIONS = '{ "base": { "waitShare": 0.5, "spillRank": 9 } /* all regions */ }';
+
+/** What the settings of a node are made from; all addresses are on one host. */
+export interface NodeProcessOptions {
+  readonly folder: string;
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly service: string;
+  readonly instancePort: number;
+  readonly storePort: number;
+  /** Ports for calls, peers, readiness and announcements. */
+  readonly ports: readonly number[];
+}
+
+/** A running process. */
+export interface NodeProcess {
+  readonly process: ChildProcess;
+  /** Resolves to the exit code and the signal. */
+  readonly exited: Promise<unknown[]>;
+  /** Returns what it has written so far. */
+  getOutput(): string;
+}
+
+/** Builds the platform's settings of a node. */
+export function buildSettings(options: NodeProcessOptions): Record<string, unknown> {
+  const [calls, peers, ready, announcements] = options.ports;
+  const at = (port: number | undefined) => `127.0.0.1:${port}`;
+  return {
+    NodeName: options.name,
+    Zone: options.dataCentre,
+    Region: 'r',
+    Service: options.service,
+    AppAddr: at(options.instancePort),
+    ListenAddrs: {
+      Outbound: at(calls),
+      Inbound: at(peers),
+      Ready: at(ready),
+      Control: at(announcements),
+    },
+    HeartbeatInterval: '870ms',
+    PolicyParams: { Grace: '6s', BudgetRatio: 0.2, BudgetWindow: '10s', BudgetExtra: 60 },
+    Provider: { Address: at(options.storePort) },
+    UnknownField: true,
+  };
+}
+
+/** Returns the paths of the settings of a node. */
+export function getPaths({ folder, name }: Pick<NodeProcessOptions, 'folder' | 'name'>) {
+  return { boot: join(folder, `${name}.json`), regions: join(folder, `${name}.jsonc`) };
+}
+
+/** Writes the settings files of a node. */
+export async function writeSettings(options: NodeProcessOptions): Promise<void> {
+  const { boot, regions } = getPaths(options);
+  await writeFile(boot, JSON.stringify(buildSettings(options)));
+  await writeFile(regions, REGIONS);
+}
+
+/** Starts a node whose settings files were written. */
+export function startNodeProcess(
+  options: Pick<NodeProcessOptions, 'folder' | 'name'>,
+): NodeProcess {
+  const { boot, regions } = getPaths(options);
+  const child = spawn(process.execPath, [PROGRAM, regions], {
+    env: { PATH: process.env.PATH, LYCHEELANE_NODE_FILE: boot },
+    stdio: ['ignore', 'pipe', 'pipe'],
+  });
+  const chunks: Buffer[] = [];
+  for (const stream of [child.stdout, child.stderr]) {
+    stream.on('data', (chunk: Buffer) => chunks.push(chunk));
+  }
+  return {
+    process: child,
+    exited: once(child, 'exit'),
+    getOutput: () => Buffer.concat(chunks).toString(),
+  };
+}
--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -1,12 +1,9 @@
 /** The node as a process: settings file, signals, exit codes and log lines. */
 import assert from 'node:assert/strict';
-import { spawn, type ChildProcess } from 'node:child_process';
-import { once } from 'node:events';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { test } from 'node:test';
-import { fileURLToPath } from 'node:url';
 import { CONFIG_KIND, CONFIG_NAME } from '../../platform/names.js';
 import { InstanceServer } from '../../standins/mesh/instanceServer.js';
 import {
@@ -16,30 +13,15 @@
   wait,
   type FleetResponse,
 } from '../../standins/mesh/meshFleet.js';
+import {
+  buildSettings,
+  getPaths,
+  startNodeProcess,
+  writeSettings,
+  type NodeProcessOptions,
+} from '../../standins/mesh/nodeProcess.js';
 import { StoreServer } from '../../standins/mesh/storeServer.js';
 
-const PROGRAM = fileURLToPath(new URL('../../platform/main.js', import.meta.url));
-const REGIONS = '{ "base": { "waitShare": 0.5, "spillRank": 9 } /* all regions */ }';
-
-interface Started {
-  readonly process: ChildProcess;
-  readonly exited: Promise<unknown[]>;
-  readonly getOutput: () => string;
-}
-
-function startProcess(folder: string): Started {
-  const child = spawn(process.execPath, [PROGRAM, join(folder, 'regions.jsonc')], {
-    env: { PATH: process.env.PATH, LYCHEELANE_NODE_FILE: join(folder, 'boot.json') },
-    stdio: ['ignore', 'pipe', 'pipe'],
-  });
-  const chunks: Buffer[] = [];
-  for (const stream of [child.stdout, child.stderr]) {
-    stream.on('data', (chunk: Buffer) => chunks.push(chunk));
-  }
-  const getOutput = () => Buffer.concat(chunks).toString();
-  return { process: child, exited: once(child, 'exit'), getOutput };
-}
-
 async function waitUntil(check: () => Promise<boolean>): Promise<void> {
   for (let tries = 0; tries < 300; tries += 1) {
     if (await check()) return;
@@ -53,54 +35,40 @@
 }
 
 interface Setup {
-  readonly folder: string;
+  readonly options: NodeProcessOptions;
   readonly store: StoreServer;
   readonly instance: InstanceServer;
-  readonly settings: Readonly<Record<string, unknown>>;
-  readonly ports: readonly number[];
 }
 
 async function withSetup(run: (setup: Setup) => Promise<void>): Promise<void> {
-  const folder = await mkdtemp(join(tmpdir(), 'lycheelane-'));
   const store = new StoreServer();
   const instance = new InstanceServer('i-1');
-  const storePort = await store.listen();
-  const instancePort = await instance.listen();
-  const ports = await findPorts(4);
-  const at = (port: number | undefined) => `127.0.0.1:${port}`;
-  const settings = {
-    NodeName: 'sidecar-a-1',
-    Zone: 'a',
-    Region: 'r',
-    Service: 'pads',
-    AppAddr: at(instancePort),
-    ListenAddrs: {
-      Outbound: at(ports[0]),
-      Inbound: at(ports[1]),
-      Ready: at(ports[2]),
-      Control: at(ports[3]),
-    },
-    HeartbeatInterval: '870ms',
-    PolicyParams: { Grace: '6s', BudgetRatio: 0.2, BudgetWindow: '10s', BudgetExtra: 60 },
-    Provider: { Address: at(storePort) },
-    UnknownField: true,
+  const options: NodeProcessOptions = {
+    folder: await mkdtemp(join(tmpdir(), 'lycheelane-')),
+    name: 'sidecar-a-1',
+    dataCentre: 'a',
+    service: 'pads',
+    storePort: await store.listen(),
+    instancePort: await instance.listen(),
+    ports: await findPorts(4),
   };
-  await writeFile(join(folder, 'boot.json'), JSON.stringify(settings));
-  await writeFile(join(folder, 'regions.jsonc'), REGIONS);
+  await writeSettings(options);
   store.put(CONFIG_KIND, CONFIG_NAME, buildConfiguration(1, [{ prefix: '/read/' }]));
   try {
-    await run({ folder, store, instance, settings, ports });
+    await run({ options, store, instance });
   } finally {
     await instance.close();
     await store.close();
-    await rm(folder, { recursive: true });
+    await rm(options.folder, { recursive: true });
   }
 }
 
 test('a process serves, reloads its settings and stops on SIGTERM', async () => {
-  await withSetup(async ({ folder, settings, ports, instance }) => {
-    const [calls = 0, , ready = 0, control = 0] = ports;
-    const started = startProcess(folder);
+  await withSetup(async ({ options, instance }) => {
+    const [calls = 0, , ready = 0, control = 0] = options.ports;
+    const settings = buildSettings(options);
+    const { boot } = getPaths(options);
+    const started = startNodeProcess(options);
     await waitUntil(async () => (await ask(ready, '/readyz'))?.status === 200);
     const body = JSON.stringify({
       Service: 'pads',
@@ -115,10 +83,10 @@
     assert.equal((await ask(calls, '/read/'))?.status, 200);
     assert.equal(instance.runs[0]?.callerService, 'pads');
 
-    await writeFile(join(folder, 'boot.json'), JSON.stringify({ ...settings, Zone: 'b' }));
+    await writeFile(boot, JSON.stringify({ ...settings, Zone: 'b' }));
     started.process.kill('SIGHUP');
     await waitUntil(async () => started.getOutput().includes('event=settings-reloaded'));
-    await writeFile(join(folder, 'boot.json'), '{');
+    await writeFile(boot, '{');
     await waitUntil(async () => started.getOutput().includes('event=settings-refused'));
     assert.equal((await ask(calls, '/read/'))?.status, 200);
 
@@ -137,28 +105,29 @@
 });
 
 test('a process with faulty settings names the field and ends with code 2', async () => {
-  await withSetup(async ({ folder, settings }) => {
-    await writeFile(join(folder, 'boot.json'), JSON.stringify({ ...settings, Zone: 4 }));
-    const started = startProcess(folder);
+  await withSetup(async ({ options }) => {
+    const settings = buildSettings(options);
+    await writeFile(getPaths(options).boot, JSON.stringify({ ...settings, Zone: 4 }));
+    const started = startNodeProcess(options);
     assert.deepEqual(await started.exited, [2, null]);
     assert.match(started.getOutput(), /Zone must be a text, found 4/);
   });
 });
 
 test('a process with faulty settings of its own names the key and ends with code 2', async () => {
-  await withSetup(async ({ folder }) => {
-    await writeFile(join(folder, 'regions.jsonc'), '{ "base": { "waitShar": 1 } }');
-    const started = startProcess(folder);
+  await withSetup(async ({ options }) => {
+    await writeFile(getPaths(options).regions, '{ "base": { "waitShar": 1 } }');
+    const started = startNodeProcess(options);
     assert.deepEqual(await started.exited, [2, null]);
     assert.match(started.getOutput(), /base\.waitShar is unknown; known: waitShare, spillRank/);
   });
 });
 
 test('a process that starts without the store answers 503 and serves on its return', async () => {
-  await withSetup(async ({ folder, store, ports }) => {
-    const [calls = 0, , ready = 0] = ports;
+  await withSetup(async ({ options, store }) => {
+    const [calls = 0, , ready = 0] = options.ports;
     store.setFault({ kind: 'refuse', status: 503 });
-    const started = startProcess(folder);
+    const started = startNodeProcess(options);
     await waitUntil(async () => (await ask(calls, '/read/'))?.status === 503);
     assert.equal((await ask(ready, '/readyz'))?.status, 503);
     store.setFault({ kind: 'none' });
