--- a/src/mesh/admission.ts
+++ b/src/mesh/admission.ts
@@ -31,6 +31,16 @@
 /** Largest number of waiting requests for each slot; a guard for memory. */
 const MAX_QUEUED_PER_SLOT = 20;
 
+/**
+ * Least shares of the instance's time for the ranks that wait below the most important one, in
+ * order. Without them a rank gets nothing as long as those above it fill the instance, and the
+ * requests of other services that depend on its calls run in vain.
+ */
+const LEAST_SHARES: readonly number[] = [0.3, 0.1, 0.05];
+
+/** Weight that the time given to a rank keeps at each further start. */
+const SHARE_DECAY = 0.97;
+
 interface Queued<Item> {
   readonly item: Item;
   /** True when the request cannot meet its objective any more. */
@@ -49,12 +59,20 @@
   );
 }
 
+/** Returns the least share of a rank by the number of waiting ranks between it and the first. */
+function getLeastShare(index: number): number {
+  return LEAST_SHARES[Math.min(index, LEAST_SHARES.length - 1)]!;
+}
+
 /** Slots of one instance and the requests that wait for them. */
 export class AdmissionQueue<Item extends AdmissionItem> {
   private queue: Queued<Item>[] = [];
 
   private running = 0;
 
+  /** Recent run time by rank, as expected at the starts. */
+  private readonly given = new Map<number, number>();
+
   private orders = 0;
 
   constructor(private slots: number) {}
@@ -78,7 +96,7 @@
       return { kind: 'refused', reason: 'deadline', retryAfterMs: 0 };
     }
     if (this.running < this.slots && this.queue.length === 0) {
-      this.running += 1;
+      this.recordStart(item);
       return { kind: 'start' };
     }
     const leftMs = item.deadlineAtMs - nowMs;
@@ -110,9 +128,9 @@
   takeNext(nowMs: number): Item | undefined {
     if (this.running >= this.slots) return undefined;
     this.updateLate(nowMs);
-    const next = this.queue.shift();
+    const [next] = this.queue.splice(this.findDue(), 1);
     if (!next) return undefined;
-    this.running += 1;
+    this.recordStart(next.item);
     return next.item;
   }
 
@@ -146,14 +164,39 @@
     return true;
   }
 
-  /** Returns how long a new request of a rank would wait. */
-  estimateWaitMs(entry: Queued<Item>): number {
-    let aheadMs = 0;
+  /** Returns how long a request would wait: for those ahead of it, or for the share of its rank. */
+  private estimateWaitMs(entry: Queued<Item>): number {
+    const { rank, workMs } = entry.item;
+    let aheadMs = workMs;
+    let sameRankMs = workMs;
+    const above = new Set<number>();
     for (const queued of this.queue) {
-      if (compareQueued(queued, entry) > 0) break;
-      aheadMs += queued.item.workMs;
+      const { item } = queued;
+      if (item.rank < rank) above.add(item.rank);
+      if (item.rank === rank) sameRankMs += item.workMs;
+      if (compareQueued(queued, entry) <= 0) aheadMs += item.workMs;
+    }
+    const share = above.size === 0 ? 1 : getLeastShare(above.size - 1);
+    return Math.min(aheadMs, sameRankMs / share) / this.slots;
+  }
+
+  /** Returns the index of the next request: the first one, or one whose rank got too little. */
+  private findDue(): number {
+    const ranks = [...new Set(this.queue.map(({ item }) => item.rank))].sort((a, b) => a - b);
+    let totalMs = 0;
+    for (const ms of this.given.values()) totalMs += ms;
+    for (const [index, rank] of ranks.slice(1).entries()) {
+      const givenMs = this.given.get(rank) ?? 0;
+      if (givenMs >= totalMs * getLeastShare(index)) continue;
+      return this.queue.findIndex(({ item }) => item.rank === rank);
     }
-    return (aheadMs + entry.item.workMs) / this.slots;
+    return 0;
+  }
+
+  private recordStart({ rank, workMs }: Item): void {
+    this.running += 1;
+    for (const [known, ms] of this.given) this.given.set(known, ms * SHARE_DECAY);
+    this.given.set(rank, (this.given.get(rank) ?? 0) + workMs);
   }
 
   /** Moves the requests that have become late behind those that can still be in time. */
