Keep an instance out that deregistered before its process was known

Change: without a start, any start up to the time of the deregistration counts as the one that ended; another instance is not kept out by it. Ruled out: the store's record (leaving at all nodes 0.05 s after the deregistration). Test: localInstance (failed first).

--- a/src/mesh/announcements.ts
+++ b/src/mesh/announcements.ts
@@ -57,7 +57,7 @@
         return 400;
       case 'deregister': {
         const { instanceId, startedAtMs } = announcement;
-        const isApplied = instance.deregister(instanceId, startedAtMs);
+        const isApplied = instance.deregister(instanceId, startedAtMs, Date.now());
         log.write('info', 'instance-deregistered', { instance: instanceId, isApplied });
         if (isApplied) await publish();
         return 200;
--- a/src/mesh/localInstance.ts
+++ b/src/mesh/localInstance.ts
@@ -78,8 +78,11 @@
     return isSame ? 'unchanged' : 'changed';
   }
 
-  /** The instance says that it leaves; false when a newer instance is known. */
-  deregister(instanceId: InstanceId, startedAtMs: number): boolean {
+  /**
+   * The instance says that it leaves, at the time of day `wallMs`; false when a newer instance is
+   * known. A start of 0 is not known.
+   */
+  deregister(instanceId: InstanceId, startedAtMs: number, wallMs: number): boolean {
     const { latest } = this;
     if (latest && latest.instanceId !== instanceId && latest.startedAtMs > startedAtMs) {
       return false;
@@ -87,13 +90,12 @@
     if (latest?.instanceId === instanceId && startedAtMs > 0 && startedAtMs < latest.startedAtMs) {
       return false;
     }
-    const isKnown = latest?.instanceId === instanceId;
-    this.left = {
-      instanceId,
-      startedAtMs: Math.max(startedAtMs, isKnown ? latest.startedAtMs : 0),
-      sequence: Number.MAX_SAFE_INTEGER,
-    };
-    this.latest = this.left;
+    const knownMs = latest?.instanceId === instanceId ? latest.startedAtMs : 0;
+    const toldMs = Math.max(startedAtMs, knownMs);
+    const sequence = Number.MAX_SAFE_INTEGER;
+    this.latest = { instanceId, startedAtMs: toldMs, sequence };
+    // When nothing tells the start, any start up to now is the one that has ended.
+    this.left = { instanceId, startedAtMs: toldMs === 0 ? wallMs : toldMs, sequence };
     this.state = { kind: 'gone', instanceId };
     return true;
   }
--- a/test/mesh/localInstance.test.ts
+++ b/test/mesh/localInstance.test.ts
@@ -74,7 +74,7 @@
 test('a heartbeat that comes after the deregistration does not bring the instance back', () => {
   const instance = new LocalInstance();
   instance.applyHeartbeat(buildHeartbeat(), 0);
-  assert.equal(instance.deregister(brandText('i-1'), 1000), true);
+  assert.equal(instance.deregister(brandText('i-1'), 1000, 5000), true);
   instance.applyHeartbeat(buildHeartbeat({ sequence: 7 }), 0);
   assert.notEqual(instance.getState().kind, 'ready');
   instance.applyHeartbeat(buildHeartbeat({ startedAtMs: 3000 }), 0);
@@ -84,8 +84,8 @@
 test('a late deregistration of the instance before does not end the new one', () => {
   const instance = new LocalInstance();
   instance.applyHeartbeat(buildHeartbeat({ startedAtMs: 3000 }), 0);
-  assert.equal(instance.deregister(brandText('i-1'), 1000), false);
-  assert.equal(instance.deregister(brandText('i-0'), 1000), false);
+  assert.equal(instance.deregister(brandText('i-1'), 1000, 5000), false);
+  assert.equal(instance.deregister(brandText('i-0'), 1000, 5000), false);
   assert.equal(instance.getState().kind, 'ready');
 });
 
@@ -96,3 +96,20 @@
   instance.restoreLeft({ ...left, sequence: 3 });
   assert.equal(instance.getState().kind, 'leaving');
 });
+
+test('a late heartbeat does not bring back an instance that left before it was known', () => {
+  const instance = new LocalInstance();
+  // The process has just started, and the deregistration does not tell the instance's start.
+  instance.deregister(brandText('i-1'), 0, 5000);
+  instance.applyHeartbeat(buildHeartbeat({ sequence: 23 }), 0);
+  assert.notEqual(instance.getState().kind, 'ready');
+  instance.applyHeartbeat(buildHeartbeat({ sequence: 1, startedAtMs: 6000 }), 0);
+  assert.equal(instance.getState().kind, 'ready');
+});
+
+test('a deregistration without a start does not keep out another instance', () => {
+  const instance = new LocalInstance();
+  instance.deregister(brandText('i-0'), 0, 5000);
+  instance.applyHeartbeat(buildHeartbeat({ startedAtMs: 4000 }), 0);
+  assert.equal(instance.getState().kind, 'ready');
+});
