--- a/src/mesh/directory.ts
+++ b/src/mesh/directory.ts
@@ -30,17 +30,18 @@
     private readonly log: EventLog,
   ) {}
 
-  /** Applies the record of a node. */
-  update(record: NodeRecord): void {
+  /** Applies the record of a node, with its revision when it was read in the store. */
+  update(record: NodeRecord, revision = 0): void {
     const known = this.nodes.get(record.nodeId);
     if (!known || isMoved(known.record, record)) {
       known?.calls.close();
-      this.nodes.set(record.nodeId, new PeerNode(record, new PeerCalls(record.address)));
+      this.nodes.set(record.nodeId, new PeerNode(record, revision, new PeerCalls(record.address)));
     } else {
       const isNewInstance =
         known.record.instanceId !== record.instanceId ||
         known.record.incarnation !== record.incarnation;
       known.record = record;
+      known.revision = revision;
       known.unlistedAtMs = undefined;
       if (isNewInstance) known.recordLoad(undefined, performance.now());
     }
@@ -91,8 +92,11 @@
     return candidates;
   }
 
-  getNode(nodeId: NodeId): PeerNode | undefined {
-    return this.nodes.get(nodeId);
+  /** Returns the other nodes that have not responded for a time. */
+  listSilent(silentMs: number, nowMs: number): PeerNode[] {
+    return [...this.nodes.values()].filter(
+      (node) => node.revision > 0 && !this.isOwn(node) && node.isSilentFor(silentMs, nowMs),
+    );
   }
 
   countNodes(): number {
--- a/src/mesh/model.ts
+++ b/src/mesh/model.ts
@@ -102,8 +102,6 @@
   readonly address: PeerAddress;
   readonly service: ServiceName;
   readonly instanceId: InstanceId;
-  readonly startedAtMs: number;
-  readonly sequence: number;
   readonly slots: number;
   readonly state: 'ready' | 'leaving';
 }
--- a/src/mesh/nodeRecord.ts
+++ b/src/mesh/nodeRecord.ts
@@ -1,7 +1,6 @@
 /** The object in which a node publishes itself and its instance. */
-import { brandText } from '../types/ids.js';
-import type { LeftInstance } from './localInstance.js';
-import type { NodeRecord } from './model.js';
+import type { LeftInstance, LocalInstance } from './localInstance.js';
+import type { MeshSettings, NodeRecord } from './model.js';
 
 /** Kind of the objects in the store. */
 export const NODE_KIND = 'lycheelane-nodes';
@@ -23,10 +22,6 @@
   return texts.every((text) => typeof text === 'string');
 }
 
-function hasNumbers({ startedAtMs, sequence, slots }: Partial<NodeRecord>): boolean {
-  return [startedAtMs, sequence, slots].every((value) => Number.isFinite(value));
-}
-
 function isLeft(left: LeftInstance | undefined): boolean {
   return (
     typeof left === 'object' &&
@@ -40,12 +35,39 @@
 export function decodePublishedNode(value: unknown): PublishedNode | undefined {
   if (typeof value !== 'object' || value === null) return undefined;
   const { record, left } = value as { record?: Partial<NodeRecord>; left?: LeftInstance };
-  if (!record || !hasTexts(record) || !hasNumbers(record)) return undefined;
+  if (!record || !hasTexts(record) || !Number.isFinite(record.slots)) return undefined;
   const { address, state } = record;
   if (typeof address?.host !== 'string' || !Number.isInteger(address.port)) return undefined;
   if (state !== 'ready' && state !== 'leaving') return undefined;
   return { record: record as NodeRecord, left: isLeft(left) ? left : undefined };
 }
 
-/** Returns an instance identifier that matches nothing. */
-export const NO_INSTANCE = brandText<NodeRecord['instanceId']>('');
+/**
+ * Builds what this process should store: nothing before its instance was heard of, and nothing
+ * when both end for good.
+ */
+export function buildPublishedNode(
+  instance: LocalInstance,
+  { nodeId, dataCentre, ports, service }: MeshSettings,
+  incarnation: string,
+  isStopping: boolean,
+): PublishedNode | undefined {
+  const state = instance.getState();
+  const left = instance.getLeft();
+  if (state.kind === 'gone' && isStopping) return undefined;
+  const heartbeat =
+    state.kind === 'ready' || state.kind === 'leaving' ? state.heartbeat : undefined;
+  const instanceId = heartbeat?.instanceId ?? left?.instanceId;
+  if (instanceId === undefined) return undefined;
+  const record: NodeRecord = {
+    nodeId,
+    incarnation,
+    dataCentre,
+    address: ports.peers,
+    service: heartbeat?.service ?? service,
+    instanceId,
+    slots: heartbeat?.slots ?? 0,
+    state: state.kind === 'ready' && !isStopping ? 'ready' : 'leaving',
+  };
+  return left ? { record, left } : { record };
+}
--- a/src/mesh/peerNode.ts
+++ b/src/mesh/peerNode.ts
@@ -38,8 +38,15 @@
 
   unlistedAtMs: number | undefined;
 
+  /** Start of the silence of the node, while it does not respond. */
+  private silentSinceMs: number | undefined;
+
+  private lastSilenceMs = -Infinity;
+
   constructor(
     public record: NodeRecord,
+    /** Revision of the record in the store; 0 when it was not read there. */
+    public revision: number,
     readonly calls: PeerCalls,
   ) {}
 
@@ -62,6 +69,7 @@
   /** Records the load that the node reported. */
   recordLoad(load: InstanceLoad | undefined, nowMs: number): void {
     this.failures = 0;
+    this.silentSinceMs = undefined;
     this.avoidUntilMs = -Infinity;
     if (!load) return;
     this.load = load;
@@ -71,6 +79,8 @@
 
   /** Records that the node did not respond. */
   recordSilence(nowMs: number): void {
+    this.silentSinceMs ??= nowMs;
+    this.lastSilenceMs = nowMs;
     this.avoidUntilMs = nowMs + Math.min(MAX_AVOID_MS, FIRST_AVOID_MS * 2 ** this.failures);
     this.failures += 1;
   }
@@ -98,6 +108,12 @@
     return nowMs < this.avoidUntilMs;
   }
 
+  /** True when the node has not responded for a time, and was asked in its second half. */
+  isSilentFor(silentMs: number, nowMs: number): boolean {
+    if (this.silentSinceMs === undefined) return false;
+    return nowMs - this.silentSinceMs >= silentMs && nowMs - this.lastSilenceMs <= silentMs / 2;
+  }
+
   isAbsent(nowMs: number): boolean {
     return nowMs < this.absentUntilMs;
   }
