Send no 400 in place of the response to an earlier request

Cause: found by reading: bytes that are no request behind a pipelined one got a 400 while the first had no response yet, which its caller would have taken for its own. Change: such a connection is closed; a 400 is sent only when no request is open on it. Test: fleet (failed first).

--- a/src/mesh/callPort.ts
+++ b/src/mesh/callPort.ts
@@ -81,6 +81,8 @@
 export function createCallPort(options: CallPortOptions): CallPort {
   const { router, names, log, metrics } = options;
   let open = 0;
+  const openBySocket = new WeakMap<Socket, number>();
+  const countOpenOn = (socket: Socket) => openBySocket.get(socket) ?? 0;
   let isClosing = false;
   let isRefusing = false;
   const removedFromRequests: ReadonlySet<string> = new Set(
@@ -88,7 +90,6 @@
   );
 
   const writeEnd = (response: ServerResponse, work: CallWork, end: CallEnd) => {
-    const { log: output } = options;
     const passedMs = performance.now() - work.startedAtMs;
     const fields = {
       request: work.requestId,
@@ -100,7 +101,7 @@
       config: options.getConfig()?.version,
       cancelled: work.cancellation.isCancelled() || undefined,
     };
-    output.write('info', 'call-ended', fields);
+    log.write('info', 'call-ended', fields);
     metrics.count('calls', `outcome="${end.kind}"`);
     if (response.destroyed) return;
     switch (end.kind) {
@@ -172,9 +173,12 @@
   const server = createServer(
     { keepAlive: true, noDelay: true, maxHeaderSize: MAX_HEAD_BYTES },
     (message, response) => {
+      const { socket } = message;
       open += 1;
+      openBySocket.set(socket, countOpenOn(socket) + 1);
       response.once('close', () => {
         open -= 1;
+        openBySocket.set(socket, countOpenOn(socket) - 1);
       });
       void serve(message, response);
     },
@@ -182,7 +186,8 @@
   server.requestTimeout = 0;
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
     log.write('warn', 'malformed-request', { step: 'call.read', reason: error.code });
-    if (socket.writable) {
+    // Behind requests without a response it would be taken for the response to one of them.
+    if (socket.writable && countOpenOn(socket) === 0) {
       const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Too Large' : '400 Bad Request';
       socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
     } else {
--- a/test/mesh/fleet.test.ts
+++ b/test/mesh/fleet.test.ts
@@ -1,6 +1,7 @@
 /** The whole path in one process: callers, nodes, instances and the store, with faults. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { once } from 'node:events';
 import { connect } from 'node:net';
 import {
   changeHost,
@@ -90,6 +91,31 @@
   });
 });
 
+test('bytes that are no request get no response in place of an earlier request', async () => {
+  await withFleet(async (fleet) => {
+    const host = await fleet.addHost('pads');
+    await fleet.waitListed('/read/', ['i-0']);
+    host.instance.workMs = 100;
+    const socket = connect(host.settings.ports.calls.port, '127.0.0.1');
+    let text = '';
+    socket.on('data', (chunk) => {
+      text += String(chunk);
+    });
+    const closed = new Promise((resolve) => {
+      socket.once('close', resolve);
+    });
+    socket.on('error', () => {});
+    socket.write('GET /read/ HTTP/1.1\r\nHost: mesh.example\r\n\r\nnot a request\r\n\r\n');
+    await closed;
+    assert.doesNotMatch(text, /HTTP\/1.1 400/);
+    const alone = connect(host.settings.ports.calls.port, '127.0.0.1');
+    alone.write('not a request\r\n\r\n');
+    const [answer] = await once(alone, 'data');
+    assert.match(String(answer), /^HTTP\/1.1 400/);
+    alone.destroy();
+  });
+});
+
 test('an instance never gets more requests at once than it has slots', async () => {
   await withFleet(async (fleet) => {
     const host = await fleet.addHost('pads', 'a', { slots: 3 });
