Remember over a planned stop which instance has left

Change: the object stays; records that say for 60 s that their node leaves are removed by others. Test: fleet (failed first), reaper.

--- a/src/mesh/directory.ts
+++ b/src/mesh/directory.ts
@@ -32,18 +32,23 @@
 
   /** Applies the record of a node, with its revision when it was read in the store. */
   update(record: NodeRecord, revision = 0): void {
+    const nowMs = performance.now();
     const known = this.nodes.get(record.nodeId);
     if (!known || isMoved(known.record, record)) {
       known?.calls.close();
-      this.nodes.set(record.nodeId, new PeerNode(record, revision, new PeerCalls(record.address)));
+      this.nodes.set(
+        record.nodeId,
+        new PeerNode(record, nowMs, revision, new PeerCalls(record.address)),
+      );
     } else {
       const isNewInstance =
         known.record.instanceId !== record.instanceId ||
         known.record.incarnation !== record.incarnation;
       known.record = record;
       known.revision = revision;
+      known.updatedAtMs = nowMs;
       known.unlistedAtMs = undefined;
-      if (isNewInstance) known.recordLoad(undefined, performance.now());
+      if (isNewInstance) known.recordLoad(undefined, nowMs);
     }
     this.log.write('info', 'node-listed', {
       peer: record.nodeId,
@@ -92,10 +97,10 @@
     return candidates;
   }
 
-  /** Returns the other nodes that have not responded for a time. */
-  listSilent(silentMs: number, nowMs: number): PeerNode[] {
+  /** Returns the other nodes that have been gone for a time. */
+  listGone(silentMs: number, nowMs: number): PeerNode[] {
     return [...this.nodes.values()].filter(
-      (node) => node.revision > 0 && !this.isOwn(node) && node.isSilentFor(silentMs, nowMs),
+      (node) => node.revision > 0 && !this.isOwn(node) && node.isGoneFor(silentMs, nowMs),
     );
   }
 
--- a/src/mesh/nodeRecord.ts
+++ b/src/mesh/nodeRecord.ts
@@ -43,8 +43,8 @@
 }
 
 /**
- * Builds what this process should store: nothing before its instance was heard of, and nothing
- * when both end for good.
+ * Builds what this process should store: nothing before its instance was heard of. The instance
+ * that left stays on record when the process ends: the next one must know it.
  */
 export function buildPublishedNode(
   instance: LocalInstance,
@@ -54,7 +54,6 @@
 ): PublishedNode | undefined {
   const state = instance.getState();
   const left = instance.getLeft();
-  if (state.kind === 'gone' && isStopping) return undefined;
   const heartbeat =
     state.kind === 'ready' || state.kind === 'leaving' ? state.heartbeat : undefined;
   const instanceId = heartbeat?.instanceId ?? left?.instanceId;
--- a/src/mesh/peerNode.ts
+++ b/src/mesh/peerNode.ts
@@ -45,6 +45,8 @@
 
   constructor(
     public record: NodeRecord,
+    /** Instant at which the record came. */
+    public updatedAtMs: number,
     /** Revision of the record in the store; 0 when it was not read there. */
     public revision: number,
     readonly calls: PeerCalls,
@@ -108,8 +110,12 @@
     return nowMs < this.avoidUntilMs;
   }
 
-  /** True when the node has not responded for a time, and was asked in its second half. */
-  isSilentFor(silentMs: number, nowMs: number): boolean {
+  /**
+   * True when the node is gone: it has not responded for a time and was asked in its second half,
+   * or its record has said for that time that it leaves.
+   */
+  isGoneFor(silentMs: number, nowMs: number): boolean {
+    if (this.record.state === 'leaving') return nowMs - this.updatedAtMs >= silentMs;
     if (this.silentSinceMs === undefined) return false;
     return nowMs - this.silentSinceMs >= silentMs && nowMs - this.lastSilenceMs <= silentMs / 2;
   }
--- a/src/mesh/reaper.ts
+++ b/src/mesh/reaper.ts
@@ -7,10 +7,13 @@
 import { NODE_KIND } from './nodeRecord.js';
 import type { MeshStore } from './store.js';
 
-/** Silence after which a node is taken for gone; longer than a restart or a usual partition. */
+/**
+ * Silence, or time of leaving, after which a node is taken for gone; longer than a restart or a
+ * usual partition.
+ */
 export const GONE_MS = 60_000;
 
-/** How often silent nodes are looked for; drawn anew each time, so that nodes take turns. */
+/** How often gone nodes are looked for; drawn anew each time, so that nodes take turns. */
 const CHECK_MS = { min: 10_000, max: 30_000 };
 
 /** A running reaper. */
@@ -18,27 +21,27 @@
   stop(): void;
 }
 
-/** Removes the records of the nodes that are silent for long now. */
-export async function pruneSilentNodes(
+/** Removes the records of the nodes that are gone for long now. */
+export async function pruneGoneNodes(
   directory: Directory,
   store: Pick<MeshStore, 'remove'>,
   log: EventLog,
   nowMs: number,
 ): Promise<void> {
-  for (const { record, revision } of directory.listSilent(GONE_MS, nowMs)) {
+  for (const { record, revision } of directory.listGone(GONE_MS, nowMs)) {
     const removed = await store.remove(NODE_KIND, record.nodeId, revision);
     const reason = removed.isErr() ? removed.error.message : undefined;
     log.write('info', 'record-pruned', { peer: record.nodeId, isRemoved: removed.isOk(), reason });
   }
 }
 
-/** Looks for silent nodes now and then. */
+/** Looks for gone nodes now and then. */
 export function startReaper(directory: Directory, store: MeshStore, log: EventLog): Reaper {
   let timer: NodeJS.Timeout;
   const schedule = () => {
     const waitMs = CHECK_MS.min + Math.random() * (CHECK_MS.max - CHECK_MS.min);
     timer = setTimeout(() => {
-      void pruneSilentNodes(directory, store, log, performance.now()).finally(schedule);
+      void pruneGoneNodes(directory, store, log, performance.now()).finally(schedule);
     }, waitMs).unref();
   };
   schedule();
--- a/test/mesh/fleet.test.ts
+++ b/test/mesh/fleet.test.ts
@@ -5,6 +5,7 @@
 import { connect } from 'node:net';
 import {
   changeHost,
+  deregister,
   MeshFleet,
   restartNode,
   sendHeartbeat,
@@ -206,6 +207,23 @@
   });
 });
 
+test('a node that was stopped remembers after its restart which instance has left', async () => {
+  await withFleet(async (fleet) => {
+    const host = await fleet.addHost('pads');
+    await fleet.waitListed('/read/', ['i-0']);
+    changeHost(host, { isBeating: false });
+    assert.equal(await deregister(host), 200);
+    await host.node.stop();
+    await host.node.close();
+    const before = host.instance.runs.length;
+    await restartNode(host);
+    await wait(100);
+    await sendHeartbeat(host);
+    assert.equal((await sendTo(host, { path: '/book/', id: 'w-1' })).status, 503);
+    assert.equal(host.instance.runs.length, before);
+  });
+});
+
 test('a caller that leaves ends the run of a safe request only', async () => {
   await withFleet(async (fleet) => {
     const entry = await fleet.addHost('guide');
--- a/test/mesh/peerNode.test.ts
+++ b/test/mesh/peerNode.test.ts
@@ -6,7 +6,7 @@
 import { PeerNode } from '../../src/mesh/peerNode.js';
 
 function createNode(): PeerNode {
-  return new PeerNode({} as NodeRecord, 1, new PeerCalls({ host: '127.0.0.1', port: 1 }));
+  return new PeerNode({} as NodeRecord, 0, 1, new PeerCalls({ host: '127.0.0.1', port: 1 }));
 }
 
 test('an instance that refused a request is full for that rank and less urgent ones', () => {
--- a/test/mesh/reaper.test.ts
+++ b/test/mesh/reaper.test.ts
@@ -5,7 +5,7 @@
 import { Directory } from '../../src/mesh/directory.js';
 import { SILENT_LOG } from '../../src/mesh/eventLog.js';
 import type { NodeRecord } from '../../src/mesh/model.js';
-import { GONE_MS, pruneSilentNodes } from '../../src/mesh/reaper.js';
+import { GONE_MS, pruneGoneNodes } from '../../src/mesh/reaper.js';
 import { brandText } from '../../src/types/ids.js';
 
 function buildRecord(name: string): NodeRecord {
@@ -38,7 +38,7 @@
       return ok(undefined);
     },
   };
-  await pruneSilentNodes(directory, store, SILENT_LOG, GONE_MS + 1000);
+  await pruneGoneNodes(directory, store, SILENT_LOG, GONE_MS + 1000);
   return removed;
 }
 
@@ -51,3 +51,19 @@
   const removed = await prune({ own: [500, GONE_MS], idle: [500] });
   assert.deepEqual(removed, []);
 });
+
+test('the record of a node that said long ago that it leaves is removed', async () => {
+  const directory = new Directory(brandText('own'), SILENT_LOG);
+  directory.update({ ...buildRecord('left'), state: 'leaving' }, 7);
+  const removed: string[] = [];
+  const store = {
+    remove: async (kind: string, name: string, revision: number) => {
+      removed.push(`${kind}/${name}@${revision}`);
+      return ok(undefined);
+    },
+  };
+  await pruneGoneNodes(directory, store, SILENT_LOG, performance.now() + GONE_MS - 5000);
+  assert.deepEqual(removed, []);
+  await pruneGoneNodes(directory, store, SILENT_LOG, performance.now() + GONE_MS + 1);
+  assert.deepEqual(removed, ['lycheelane-nodes/left@7']);
+});
