Remove what nothing reads from the local instance

Cause: the last read of the change: LocalInstance.getService and heardAtMs have no reader, and with them the time that applyHeartbeat took; two places built an empty set for each response. Change: both members and the argument are gone; filterHeaders has the empty set as its default. Behaviour and assertions are unchanged.

--- a/src/mesh/announcements.ts
+++ b/src/mesh/announcements.ts
@@ -73,7 +73,7 @@
           log.write('warn', 'announcement-foreign', { instance: heartbeat.instanceId });
           return 400;
         }
-        const outcome = instance.applyHeartbeat(heartbeat, performance.now());
+        const outcome = instance.applyHeartbeat(heartbeat);
         if (outcome === 'stale') {
           log.write('info', 'announcement-stale', {
             instance: heartbeat.instanceId,
--- a/src/mesh/callPort.ts
+++ b/src/mesh/callPort.ts
@@ -49,7 +49,7 @@
 }
 
 function writeResponse(response: ServerResponse, answer: HttpResponse, isClosing: boolean): void {
-  const headers = filterHeaders(answer.headers, new Set());
+  const headers = filterHeaders(answer.headers);
   if (isClosing) headers.push('Connection', 'close');
   const hasBody = answer.status !== 204 && answer.status !== 304;
   if (hasBody) headers.push('Content-Length', String(answer.body.length));
--- a/src/mesh/headers.ts
+++ b/src/mesh/headers.ts
@@ -35,8 +35,13 @@
   return undefined;
 }
 
+const NO_NAMES: ReadonlySet<string> = new Set();
+
 /** Returns the headers without those of one connection and without `removed` (lower case). */
-export function filterHeaders(headers: readonly string[], removed: ReadonlySet<string>): string[] {
+export function filterHeaders(
+  headers: readonly string[],
+  removed: ReadonlySet<string> = NO_NAMES,
+): string[] {
   const named = new Set(
     (getHeader(headers, 'connection') ?? '').split(',').map((name) => name.trim().toLowerCase()),
   );
--- a/src/mesh/localInstance.ts
+++ b/src/mesh/localInstance.ts
@@ -1,5 +1,5 @@
 /** What a node knows of the instance beside it, from the heartbeats that it gets. */
-import type { InstanceId, ServiceName } from '../types/ids.js';
+import type { InstanceId } from '../types/ids.js';
 import type { Heartbeat } from './model.js';
 
 /** State of the instance. A leaving instance gets no new request. */
@@ -41,18 +41,10 @@
 
   private left: LeftInstance | undefined;
 
-  /** Instant of the latest heartbeat that counted. */
-  heardAtMs = -Infinity;
-
   getState(): InstanceState {
     return this.state;
   }
 
-  getService(): ServiceName | undefined {
-    const { state } = this;
-    return state.kind === 'ready' || state.kind === 'leaving' ? state.heartbeat.service : undefined;
-  }
-
   /** Remembers from the store that an instance left before this process started. */
   restoreLeft(left: LeftInstance): void {
     this.left = left;
@@ -63,11 +55,10 @@
   }
 
   /** Applies a heartbeat, unless a newer one or a newer instance is known. */
-  applyHeartbeat(heartbeat: Heartbeat, nowMs: number): HeartbeatOutcome {
+  applyHeartbeat(heartbeat: Heartbeat): HeartbeatOutcome {
     if (this.isStale(heartbeat)) return 'stale';
     const before = this.state;
     const isLeaving = heartbeat.state === 'draining' || this.hasLeft(heartbeat);
-    this.heardAtMs = nowMs;
     this.latest = heartbeat;
     this.state = { kind: isLeaving ? 'leaving' : 'ready', heartbeat };
     if (isLeaving) this.left = heartbeat;
--- a/src/mesh/peerPort.ts
+++ b/src/mesh/peerPort.ts
@@ -54,7 +54,7 @@
     return;
   }
   const { status, headers, body } = result.response;
-  const passed = filterHeaders(headers, new Set());
+  const passed = filterHeaders(headers);
   passed.push(RESULT_HEADER, encoded, 'Content-Length', String(body.length));
   response.writeHead(status, passed);
   response.end(body);
--- a/test/mesh/localInstance.test.ts
+++ b/test/mesh/localInstance.test.ts
@@ -64,7 +64,7 @@
 for (const { name, beats, kind, id = 'i-1' } of CASES) {
   test(`after ${name} the instance is ${kind}`, () => {
     const instance = new LocalInstance();
-    for (const beat of beats) instance.applyHeartbeat(buildHeartbeat(beat), 0);
+    for (const beat of beats) instance.applyHeartbeat(buildHeartbeat(beat));
     const state = instance.getState();
     assert.equal(state.kind, kind);
     if (state.kind === 'ready') assert.equal(state.heartbeat.instanceId, id);
@@ -73,17 +73,17 @@
 
 test('a heartbeat that comes after the deregistration does not bring the instance back', () => {
   const instance = new LocalInstance();
-  instance.applyHeartbeat(buildHeartbeat(), 0);
+  instance.applyHeartbeat(buildHeartbeat());
   assert.equal(instance.deregister(brandText('i-1'), 1000, 5000), true);
-  instance.applyHeartbeat(buildHeartbeat({ sequence: 7 }), 0);
+  instance.applyHeartbeat(buildHeartbeat({ sequence: 7 }));
   assert.notEqual(instance.getState().kind, 'ready');
-  instance.applyHeartbeat(buildHeartbeat({ startedAtMs: 3000 }), 0);
+  instance.applyHeartbeat(buildHeartbeat({ startedAtMs: 3000 }));
   assert.equal(instance.getState().kind, 'ready');
 });
 
 test('a late deregistration of the instance before does not end the new one', () => {
   const instance = new LocalInstance();
-  instance.applyHeartbeat(buildHeartbeat({ startedAtMs: 3000 }), 0);
+  instance.applyHeartbeat(buildHeartbeat({ startedAtMs: 3000 }));
   assert.equal(instance.deregister(brandText('i-1'), 1000, 5000), false);
   assert.equal(instance.deregister(brandText('i-0'), 1000, 5000), false);
   assert.equal(instance.getState().kind, 'ready');
@@ -91,7 +91,7 @@
 
 test('a process that starts again learns from the store that the instance left', () => {
   const instance = new LocalInstance();
-  instance.applyHeartbeat(buildHeartbeat({ sequence: 8 }), 0);
+  instance.applyHeartbeat(buildHeartbeat({ sequence: 8 }));
   const left = { instanceId: brandText<Heartbeat['instanceId']>('i-1'), startedAtMs: 1000 };
   instance.restoreLeft({ ...left, sequence: 3 });
   assert.equal(instance.getState().kind, 'leaving');
@@ -101,15 +101,15 @@
   const instance = new LocalInstance();
   // The process has just started, and the deregistration does not tell the instance's start.
   instance.deregister(brandText('i-1'), 0, 5000);
-  instance.applyHeartbeat(buildHeartbeat({ sequence: 23 }), 0);
+  instance.applyHeartbeat(buildHeartbeat({ sequence: 23 }));
   assert.notEqual(instance.getState().kind, 'ready');
-  instance.applyHeartbeat(buildHeartbeat({ sequence: 1, startedAtMs: 6000 }), 0);
+  instance.applyHeartbeat(buildHeartbeat({ sequence: 1, startedAtMs: 6000 }));
   assert.equal(instance.getState().kind, 'ready');
 });
 
 test('a deregistration without a start does not keep out another instance', () => {
   const instance = new LocalInstance();
   instance.deregister(brandText('i-0'), 0, 5000);
-  instance.applyHeartbeat(buildHeartbeat({ startedAtMs: 4000 }), 0);
+  instance.applyHeartbeat(buildHeartbeat({ startedAtMs: 4000 }));
   assert.equal(instance.getState().kind, 'ready');
 });
