Leave a node's own object alone until its instance is heard

Cause: Publisher took "nothing wanted yet" for "remove the object", so each node that started again removed its object and created it again at the first heartbeat: two writes and two events at every node for one restart, and a moment without any record of the instance that had left. Change: nothing wanted leaves the object as it is; the call that removed it is gone. An instance that proved to be another one (421) counts as gone, so that its object says 'leaving'. Also removed, since nothing read them: the heartbeat interval in the settings, the name of the header with the instance's own identifier, the service in the terms of a call. Tests: the new fleet test saw DELETE and POST where one PUT is due; the new record test saw no record after a mismatch.

--- a/src/mesh/announcements.ts
+++ b/src/mesh/announcements.ts
@@ -85,6 +85,7 @@
           instance: heartbeat.instanceId,
           state: heartbeat.state,
           slots: heartbeat.slots,
+          warmupMs: heartbeat.warmupMs,
           sequence: heartbeat.sequence,
           startedAtMs: heartbeat.startedAtMs,
         });
--- a/src/mesh/callRouter.ts
+++ b/src/mesh/callRouter.ts
@@ -83,7 +83,7 @@
       if (!chosen) break;
       if (progress.countArrivals() > 0 && !this.takeRepeat(work, service)) break;
       progress.recordTry(chosen.peer.record.instanceId);
-      const { result } = await this.send(chosen, work, service);
+      const { result } = await this.send(chosen, work);
       if (result.kind === 'notRun') this.recordRefusal(result, chosen, work);
       const end = progress.apply(result);
       if (end) return end;
@@ -119,18 +119,13 @@
     return isTaken;
   }
 
-  private async send(
-    { peer }: PeerCandidate,
-    work: CallWork,
-    service: ServiceName,
-  ): Promise<RunReport> {
+  private async send({ peer }: PeerCandidate, work: CallWork): Promise<RunReport> {
     const { directory, runner, processId } = this.options;
     this.sends += 1;
     const terms: CallTerms = {
       callId: `${processId}.${this.sends}`,
       requestId: work.requestId,
       route: work.route.name,
-      service,
       instanceId: peer.record.instanceId,
       isRepeatable: work.route.isRepeatable,
       rank: work.route.rank,
--- a/src/mesh/headers.ts
+++ b/src/mesh/headers.ts
@@ -8,7 +8,6 @@
   readonly targetInstance: string;
   readonly notExecuted: string;
   readonly callerService: string;
-  readonly instanceId: string;
 }
 
 /** Headers that concern one connection only (RFC 9110, section 7.6.1), and lengths. */
--- a/src/mesh/localInstance.ts
+++ b/src/mesh/localInstance.ts
@@ -95,7 +95,7 @@
   recordMismatch(instanceId: InstanceId): void {
     const { state } = this;
     if (state.kind !== 'ready' || state.heartbeat.instanceId !== instanceId) return;
-    this.state = { kind: 'unknown' };
+    this.state = { kind: 'gone', instanceId };
   }
 
   getLeft(): LeftInstance | undefined {
--- a/src/mesh/model.ts
+++ b/src/mesh/model.ts
@@ -29,7 +29,6 @@
     readonly announcements: PeerAddress;
   };
   readonly store: PeerAddress;
-  readonly heartbeatMs: number;
   /** Time between SIGTERM and SIGKILL. */
   readonly stopLimitMs: number;
   /** Limit of repeated arrivals at a service, over all nodes. */
@@ -139,7 +138,6 @@
   /** Identifier that the caller gave its request, for logs and to match responses. */
   readonly requestId: string;
   readonly route: RouteName;
-  readonly service: ServiceName;
   readonly instanceId: InstanceId;
   readonly isRepeatable: boolean;
   readonly rank: number;
--- a/src/mesh/nodeRecord.ts
+++ b/src/mesh/nodeRecord.ts
@@ -1,10 +1,16 @@
 /** The object in which a node publishes itself and its instance. */
-import type { LeftInstance, LocalInstance } from './localInstance.js';
+import type { InstanceId } from '../types/ids.js';
+import type { InstanceState, LeftInstance, LocalInstance } from './localInstance.js';
 import type { MeshSettings, NodeRecord } from './model.js';
 
 /** Kind of the objects in the store. */
 export const NODE_KIND = 'lycheelane-nodes';
 
+/** The settings that a node publishes. */
+export type PublishedSettings = Pick<MeshSettings, 'nodeId' | 'dataCentre' | 'service'> & {
+  readonly ports: Pick<MeshSettings['ports'], 'peers'>;
+};
+
 /** What a node stores: itself, and the last instance of its host that left. */
 export interface PublishedNode {
   readonly record: NodeRecord;
@@ -42,13 +48,27 @@
   return { record: record as NodeRecord, left: isLeft(left) ? left : undefined };
 }
 
+function getInstanceId(state: InstanceState): InstanceId | undefined {
+  switch (state.kind) {
+    case 'ready':
+    case 'leaving':
+      return state.heartbeat.instanceId;
+    case 'gone':
+      return state.instanceId;
+    case 'unknown':
+      return undefined;
+    default:
+      throw new Error(`unknown state ${JSON.stringify(state satisfies never)}`);
+  }
+}
+
 /**
  * Builds what this process should store: nothing before its instance was heard of. The instance
  * that left stays on record when the process ends: the next one must know it.
  */
 export function buildPublishedNode(
   instance: LocalInstance,
-  { nodeId, dataCentre, ports, service }: MeshSettings,
+  { nodeId, dataCentre, ports, service }: PublishedSettings,
   incarnation: string,
   isStopping: boolean,
 ): PublishedNode | undefined {
@@ -56,7 +76,7 @@
   const left = instance.getLeft();
   const heartbeat =
     state.kind === 'ready' || state.kind === 'leaving' ? state.heartbeat : undefined;
-  const instanceId = heartbeat?.instanceId ?? left?.instanceId;
+  const instanceId = getInstanceId(state) ?? left?.instanceId;
   if (instanceId === undefined) return undefined;
   const record: NodeRecord = {
     nodeId,
--- a/src/mesh/peerMessages.ts
+++ b/src/mesh/peerMessages.ts
@@ -16,14 +16,13 @@
 export const RESULT_HEADER = 'mesh-result';
 
 /**
- * Terms as they travel, without names to keep them short: call, route, service, instance,
+ * Terms as they travel, without names to keep them short: call, route, instance,
  * 1 for a repeatable one, rank, milliseconds to the deadline, milliseconds to the objective, and
  * the process that got the call first when it is sent again on a new connection.
  */
 type TermsMessage = readonly [
   call: string,
   route: string,
-  service: string,
   instance: string,
   repeatable: 0 | 1,
   rank: number,
@@ -58,7 +57,6 @@
   const message: TermsMessage = [
     terms.callId,
     terms.route,
-    terms.service,
     terms.instanceId,
     terms.isRepeatable ? 1 : 0,
     terms.rank,
@@ -81,14 +79,12 @@
   } catch {
     return undefined;
   }
-  if (!Array.isArray(message) || message.length < 8) return undefined;
-  const [call, route, service, instance, repeatable, rank, leftMs, objectiveLeftMs, resume] =
-    message;
+  if (!Array.isArray(message) || message.length < 7) return undefined;
+  const [call, route, instance, repeatable, rank, leftMs, objectiveLeftMs, resume] = message;
   const terms: CallTerms = {
     callId: call,
     requestId,
     route: brandText(route),
-    service: brandText(service),
     instanceId: brandText(instance),
     isRepeatable: repeatable === 1,
     rank,
--- a/src/mesh/publisher.ts
+++ b/src/mesh/publisher.ts
@@ -26,7 +26,7 @@
     private readonly name: string,
     private readonly store: MeshStore,
     private readonly log: EventLog,
-    /** Returns what should be stored, or undefined for no object. */
+    /** Returns what should be stored; undefined leaves the object as it is. */
     private readonly getWanted: () => PublishedNode | undefined,
   ) {}
 
@@ -53,9 +53,7 @@
 
   private isCurrent(): boolean {
     const wanted = this.getWanted();
-    return wanted === undefined
-      ? this.storedText === undefined
-      : this.storedText === JSON.stringify(wanted);
+    return wanted === undefined || this.storedText === JSON.stringify(wanted);
   }
 
   private async run(): Promise<void> {
@@ -80,7 +78,7 @@
   private async write(): Promise<boolean> {
     const { store, name, revision } = this;
     const wanted = this.getWanted();
-    if (wanted === undefined) return this.remove();
+    if (wanted === undefined) return true;
     const result =
       revision === undefined
         ? await store.create(NODE_KIND, name, wanted)
@@ -98,22 +96,6 @@
     return result.error.kind === 'not-found';
   }
 
-  private async remove(): Promise<boolean> {
-    const { store, name, revision } = this;
-    if (revision === undefined) {
-      this.storedText = undefined;
-      return true;
-    }
-    const result = await store.remove(NODE_KIND, name, revision);
-    if (result.isOk() || result.error.kind === 'not-found') {
-      this.revision = undefined;
-      this.storedText = undefined;
-      return true;
-    }
-    this.recordFailure(result.error.step, result.error.message);
-    return result.error.kind === 'conflict' && this.refresh();
-  }
-
   private async refresh(): Promise<boolean> {
     const read = await this.store.read(NODE_KIND, this.name);
     if (read.isOk()) {
--- a/standins/mesh/meshFleet.ts
+++ b/standins/mesh/meshFleet.ts
@@ -255,7 +255,6 @@
         announcements: announcements!,
       },
       store: { host: HOST, port: this.storePort },
-      heartbeatMs: HEARTBEAT_MS,
       stopLimitMs: 6000,
       repeats: { ratio: 0.2, windowMs: 10_000, extra: 60 },
       distance: { waitShare: 0.5, spillRank: 99 },
--- a/test/mesh/fleet.test.ts
+++ b/test/mesh/fleet.test.ts
@@ -224,6 +224,21 @@
   });
 });
 
+test('a node that starts again writes its object once, and never removes it', async () => {
+  await withFleet(async (fleet) => {
+    const host = await fleet.addHost('pads');
+    await fleet.waitListed('/read/', ['i-0']);
+    await host.node.close();
+    const before = fleet.store.calls.length;
+    await restartNode(host);
+    await fleet.waitListed('/read/', ['i-0']);
+    await wait(300);
+    const isWrite = (call: string) => !call.startsWith('GET ');
+    const writes = fleet.store.calls.slice(before).filter(isWrite);
+    assert.deepEqual(writes, ['PUT lycheelane-nodes']);
+  });
+});
+
 test('a caller that leaves ends the run of a safe request only', async () => {
   await withFleet(async (fleet) => {
     const entry = await fleet.addHost('guide');
--- a/test/mesh/instanceClient.test.ts
+++ b/test/mesh/instanceClient.test.ts
@@ -13,7 +13,6 @@
     callId: requestId,
     requestId,
     route: brandText('route'),
-    service: brandText('pads'),
     instanceId: brandText('i-1'),
     isRepeatable,
     rank: 0,
--- a/test/mesh/localInstance.test.ts
+++ b/test/mesh/localInstance.test.ts
@@ -3,6 +3,7 @@
 import { test } from 'node:test';
 import { LocalInstance } from '../../src/mesh/localInstance.js';
 import type { Heartbeat } from '../../src/mesh/model.js';
+import { buildPublishedNode, type PublishedSettings } from '../../src/mesh/nodeRecord.js';
 import { brandText } from '../../src/types/ids.js';
 
 function buildHeartbeat(change: Partial<Heartbeat> = {}): Heartbeat {
@@ -19,6 +20,13 @@
   };
 }
 
+const SETTINGS: PublishedSettings = {
+  nodeId: brandText('host-0'),
+  dataCentre: brandText('a'),
+  service: brandText('pads'),
+  ports: { peers: { host: '10.0.0.1', port: 7400 } },
+};
+
 interface Case {
   readonly name: string;
   readonly beats: readonly Partial<Heartbeat>[];
@@ -107,6 +115,15 @@
   assert.equal(instance.getState().kind, 'ready');
 });
 
+test('an instance that was found to be another one is published as leaving', () => {
+  const instance = new LocalInstance();
+  instance.applyHeartbeat(buildHeartbeat({}));
+  instance.recordMismatch(buildHeartbeat({}).instanceId);
+  const published = buildPublishedNode(instance, SETTINGS, 'p-1', false);
+  assert.equal(published?.record.state, 'leaving');
+  assert.equal(published?.record.instanceId, 'i-1');
+});
+
 test('a deregistration without a start does not keep out another instance', () => {
   const instance = new LocalInstance();
   instance.deregister(brandText('i-0'), 0, 5000);
--- a/test/mesh/peerCalls.test.ts
+++ b/test/mesh/peerCalls.test.ts
@@ -19,7 +19,6 @@
     callId,
     requestId: 'r',
     route: brandText('route'),
-    service: brandText('pads'),
     instanceId: brandText('i-1'),
     isRepeatable: false,
     rank: 0,
