Remove idempotency keys: key partitions, tokens and all that served them

Nobody on the users' platform sends such a key; an attempt has an identifier of its own and goes to one node. Change: the entry node's keyed calls, tokens with their reserved path, partitions, leases, claims, verdicts, their platform objects, headers (lycheelane-key, lycheelane-hint) and reasons (key-unowned, process-replaced, key-undecided) are gone; the memory of request identifiers stays. An idempotency-key passes to the upstream like any header. Paths below /.lycheelane/ are still refused, since an upstream takes cancellations there. The soak's check of cut requests lost its exception (process-replaced) and is stricter. Ruled out: mending it; the keys of a dead owner's interval cannot run by design (docs/design, before this commit), so every kill costs them.

--- a/bench/calls/memory.ts
+++ b/bench/calls/memory.ts
@@ -1,6 +1,7 @@
 /** Heap bytes for each remembered request. */
 import { setFlagsFromString } from 'node:v8';
 import { runInNewContext } from 'node:vm';
+import { brandText, type RequestId } from '../../src/types/ids.js';
 import { createRequestMemory, type StoredOutcome } from '../../src/core/upstream/requestMemory.js';
 import { waitMs } from '../../src/utils/backoff.js';
 import { createRandom } from '../../standins/random.js';
@@ -45,13 +46,14 @@
   const before = await measureUsed(collect);
   const memory = createRequestMemory({ maxKeys: MAX_KEYS, rememberMs: REMEMBER_MS });
   for (let index = 0; index < MAX_KEYS; index += 1) {
-    const text = `uuid:work:${buildText(random, 36)}`;
+    const requestId = brandText<RequestId>(buildText(random, 36));
     const fingerprint = buildText(random, 22);
-    const key = { text, timeMs: Date.now(), isRepeatable: true, fingerprint };
+    const key = { requestId, timeMs: Date.now(), fingerprint };
     memory.add(key)?.settle(buildOutcome(bodyBytes));
   }
   const used = (await measureUsed(collect)) - before;
-  const key = { text: 'one more', timeMs: Date.now(), isRepeatable: true, fingerprint: '' };
+  const requestId = brandText<RequestId>('one more');
+  const key = { requestId, timeMs: Date.now(), fingerprint: '' };
   const isRefused = memory.add(key) === undefined;
   return {
     'answer body bytes': bodyBytes,
--- a/demo/load.ts
+++ b/demo/load.ts
@@ -53,26 +53,17 @@
   return countResults(results);
 }
 
-/** Books with a token, sending each booking twice; returns the runs of each booking. */
+/** Makes bookings through different nodes and returns the runs of each. */
 export async function runBookings(mesh: Mesh, caller: Caller, count: number): Promise<number[]> {
   const call = STERNWACHT_CALLS.booking;
-  const bookings: string[][] = [];
+  const bookings: string[] = [];
   for (let booking = 0; booking < count; booking += 1) {
-    const entries = [0, 1].map((step) => mesh.hosts[(booking + step * 5) % mesh.hosts.length]);
-    const [first, second] = entries as [MeshHost, MeshHost];
-    const key = await caller.requestToken({ ...call, entryUrl: first.callUrl });
-    if (key === undefined) throw new Error(`${first.nodeId} gives no token`);
-    const sameKeyIds = [randomUUID(), randomUUID()];
-    const results = await Promise.all(
-      [first, second].map((entry, index) => {
-        const callId = sameKeyIds[index] ?? '';
-        return caller.send({ ...call, callId, key, sameKeyIds, entryUrl: entry.callUrl });
-      }),
-    );
-    const failed = results.find((result) => !isWhole(result));
-    if (failed !== undefined) throw new Error(`booking: ${JSON.stringify(failed)}`);
-    bookings.push(sameKeyIds);
+    const entry = mesh.hosts[booking % mesh.hosts.length] as MeshHost;
+    const callId = randomUUID();
+    const result = await caller.send({ ...call, callId, entryUrl: entry.callUrl });
+    if (!isWhole(result)) throw new Error(`booking: ${JSON.stringify(result)}`);
+    bookings.push(callId);
   }
   const runs = mesh.hosts.flatMap((host) => loadRuns(host.runLog));
-  return bookings.map((ids) => runs.filter((run) => ids.includes(run.callId)).length);
+  return bookings.map((id) => runs.filter(({ callId }) => callId === id).length);
 }
--- a/demo/main.ts
+++ b/demo/main.ts
@@ -88,7 +88,7 @@
   await report.runStep('200 browsing calls through every node', async () =>
     requireWhole(await runBrowsing(caller, mesh.hosts, (sent) => sent >= 200)),
   );
-  await report.runStep('20 bookings, each sent twice, run once', async () => {
+  await report.runStep('20 bookings run once each', async () => {
     const runs = await runBookings(mesh, caller, 20);
     if (runs.some((count) => count !== 1)) throw new Error(`runs: ${runs.join(' ')}`);
   });
--- a/scripts/generate.js
+++ b/scripts/generate.js
@@ -19,7 +19,6 @@
   validateSettings: 'settings',
   validateBundle: 'platform#/properties/bundle',
   validateHead: 'platform#/properties/head',
-  validateKeyPartition: 'platform#/properties/keyPartition',
   validateSeeds: 'platform#/properties/seeds',
   validateBundleIndex: 'platform#/properties/bundleIndex',
   validateNodesAnswer: 'operator#/properties/nodes',
--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -1,9 +1,8 @@
-/** Calls of the soak run: browsing, and `once` calls without key, with token or UUIDv7 key. */
+/** Calls of the soak run: browsing, and `once` calls. */
 import { randomUUID } from 'node:crypto';
 import { setMaxListeners } from 'node:events';
-import { v7 } from 'uuid';
 import { waitMs } from '../src/utils/backoff.js';
-import { createCaller, type CallPlan, type CallResult } from '../standins/caller.js';
+import { createCaller, type CallResult } from '../standins/caller.js';
 import type { Mesh, MeshHost } from '../standins/launcher.js';
 import { chooseOne } from '../standins/random.js';
 import { STERNWACHT_CALLS } from '../standins/sternwacht.js';
@@ -53,7 +52,6 @@
   const sendOne = async (
     template: Template,
     call: Omit<SentCall, 'entryId' | 'isCalm'>,
-    extra: Pick<CallPlan, 'key' | 'sameKeyIds'>,
   ): Promise<CallResult> => {
     const entry = chooseHost();
     const { round } = calm;
@@ -62,7 +60,7 @@
     checker.recordCall(sent);
     const length = Math.floor(random() * 20_000);
     const { callId } = call;
-    const plan = { ...template, ...extra, callId, length, entryUrl: entry.callUrl };
+    const plan = { ...template, callId, length, entryUrl: entry.callUrl };
     const startMs = performance.now();
     const result = await caller.send(plan);
     const tookMs = Math.round(performance.now() - startMs);
@@ -77,34 +75,20 @@
     return result;
   };
 
-  /** Sends an operation again after a failure, and now and then twice at the same time. */
+  /** Sends an operation again while it is proven not to have run. */
   const runOnce = async (template: Template): Promise<void> => {
-    const kind = chooseOne(['none', 'token', 'uuid'] as const, random);
     const operationId = randomUUID();
-    let key: string | undefined;
-    if (kind === 'uuid') key = v7();
-    if (kind === 'token') {
-      key = await caller.requestToken({ ...template, entryUrl: chooseHost().callUrl });
-    }
-    const sameKeyIds: string[] = [];
-    const send = () => {
-      const callId = randomUUID();
-      sameKeyIds.push(callId);
-      const extra = key === undefined ? {} : { key, sameKeyIds };
-      return sendOne(template, { callId, operationId, isOnce: true }, extra);
-    };
     for (let sends = 0; sends < MAX_SENDS; sends += 1) {
-      const isDoubled = key !== undefined && random() < 0.3;
-      const [first] = await Promise.all(isDoubled ? [send(), send()] : [send()]);
-      const mayRepeat = first?.kind === 'notRun' || first?.kind === 'unsent' || key !== undefined;
-      if (first?.kind === 'answered' || !mayRepeat) return;
+      const callId = randomUUID();
+      const { kind } = await sendOne(template, { callId, operationId, isOnce: true });
+      if (kind !== 'notRun' && kind !== 'unsent') return;
       await waitMs(THINK_MS);
     }
   };
 
   const runBrowsing = async (template: Template): Promise<void> => {
     const callId = randomUUID();
-    await sendOne(template, { callId, operationId: callId, isOnce: false }, {});
+    await sendOne(template, { callId, operationId: callId, isOnce: false });
   };
 
   const work = async () => {
--- a/soak/checker.ts
+++ b/soak/checker.ts
@@ -19,7 +19,7 @@
 /** One request as the soak run sent it. */
 export interface SentCall {
   readonly callId: string;
-  /** Same for all requests with one key; the call id for the others. */
+  /** Same for all sends of one operation. */
   readonly operationId: string;
   readonly isOnce: boolean;
   /** Node that took the call. */
@@ -91,9 +91,7 @@
         return;
       case 'unknown':
       case 'broken':
-        // A token of a process that has stopped, or a key of an owner that an earlier round killed:
-        // nobody else may run it (section 10 of the design).
-        if (call.isCalm && result.reason !== 'process-replaced') {
+        if (call.isCalm) {
           const what = `${name}: ${describeFailure(call, result)}, stopped ${call.stopped}`;
           this.#add('requests cut by a planned stop', what);
         }
--- a/src/core/calls/answer.ts
+++ b/src/core/calls/answer.ts
@@ -1,7 +1,6 @@
 /** Writes outcomes on the wire and reads them from the answers of other nodes. */
 import type { IncomingHttpHeaders, OutgoingHttpHeaders, ServerResponse } from 'node:http';
 import type { LoadReport } from '../../types/calls.js';
-import { brandText, type NodeId } from '../../types/ids.js';
 import { CALL_HEADERS, type Outcome, type UnknownReason } from '../../types/outcome.js';
 import {
   NOT_RUN_STATUS,
@@ -14,7 +13,6 @@
 import { listEndToEndHeaders } from './requestHead.js';
 
 const EXHAUSTED = 'exhausted';
-const KEY_CHECKED = 'checked';
 
 /** Why a response body did not reach the caller; undefined if it did. */
 type BodyEnd = { reason: UnknownReason; detail: string } | undefined;
@@ -61,15 +59,12 @@
     const known = isReason(UNKNOWN_STATUS, reason) ? reason : 'connection-lost';
     return { kind: 'unknown', reason: known, detail, retriesExhausted };
   }
-  const hint = headers[CALL_HEADERS.hint];
   return {
     kind: 'notRun',
     reason: isReason(NOT_RUN_STATUS, reason) ? reason : 'not-ready',
     detail,
     load: parseLoad(headers[CALL_HEADERS.load]),
-    hint: typeof hint === 'string' ? brandText<NodeId>(hint) : undefined,
     retriesExhausted,
-    isKeyChecked: headers[CALL_HEADERS.keyState] === KEY_CHECKED,
   };
 }
 
@@ -91,8 +86,6 @@
   if (requestId !== undefined) headers[CALL_HEADERS.request] = requestId;
   if (result.retriesExhausted) headers[CALL_HEADERS.retry] = EXHAUSTED;
   if (result.kind === 'notRun' && result.load) headers[CALL_HEADERS.load] = formatLoad(result.load);
-  if (result.kind === 'notRun' && result.isKeyChecked) headers[CALL_HEADERS.keyState] = KEY_CHECKED;
-  if (result.kind === 'notRun' && result.hint) headers[CALL_HEADERS.hint] = result.hint;
   // A caller that sends its body too slowly would hold the connection.
   if (!response.req.complete && result.reason === 'deadline') headers.connection = 'close';
   response.writeHead(status, headers);
--- a/src/core/calls/callHead.ts
+++ b/src/core/calls/callHead.ts
@@ -1,11 +1,9 @@
-/** The head of a request on the call port: which route, which key, how much time. */
+/** The head of a request on the call port: which route, how much time. */
 import type { IncomingMessage } from 'node:http';
 import { err, ok, type Result } from 'neverthrow';
-import type { Call } from '../../types/calls.js';
 import type { ConfigStore, MemberTable } from '../../types/interfaces.js';
 import { CALL_HEADERS } from '../../types/outcome.js';
 import type { CompiledRoute, RoutingState } from '../../types/routing.js';
-import { parseCallKey } from './callKey.js';
 import { refuse, type Refusal } from './refusal.js';
 import {
   findRoute,
@@ -18,6 +16,9 @@
 
 const MAX_HEADER_COUNT = 200;
 
+/** Prefix of the paths by which nodes speak to upstreams, such as to cancel a call. */
+const RESERVED_PREFIX = '/.lycheelane/';
+
 /** What the check of a head needs of its node. */
 export interface HeadParts {
   readonly config: ConfigStore;
@@ -30,7 +31,6 @@
   readonly routing: RoutingState;
   readonly route: CompiledRoute;
   readonly isForwarded: boolean;
-  readonly key: Call['key'];
   readonly depth: number;
   readonly deadlineMs: number;
 }
@@ -39,12 +39,9 @@
   return target.nodeId === self.nodeId && target.incarnation === self.incarnation;
 }
 
-/**
- * While the node stops it still serves calls that upstreams make for requests in flight. Calls with
- * a key are passed on too: only the owner of the key can tell what became of it.
- */
-function canServeWhileLeaving(isForwarded: boolean, key: Call['key'], depth: number): boolean {
-  return key.kind !== 'none' || (!isForwarded && depth > 0);
+/** While the node stops it still serves calls that upstreams make for requests in flight. */
+function canServeWhileLeaving(isForwarded: boolean, depth: number): boolean {
+  return !isForwarded && depth > 0;
 }
 
 /** Reads and checks the head of a request. Errors: the refusal to write. */
@@ -72,16 +69,16 @@
   if (!routing) return refuse('not-ready', 'no accepted configuration is installed');
   const path = parsePath(request.url ?? '');
   if (path.isErr()) return err(path.error);
+  if (path.value.startsWith(RESERVED_PREFIX)) {
+    return refuse('no-route', 'paths below /.lycheelane/ are reserved');
+  }
   const depth = parseDepth(headers);
   if (depth.isErr()) return err(depth.error);
   const route = findRoute(request, path.value, routing, isForwarded);
   if (route.isErr()) return err(route.error);
-  const { repeatability, timeoutMs } = route.value.config;
-  const key = parseCallKey(headers[CALL_HEADERS.key], repeatability === 'once');
-  if (key.isErr()) return err(key.error);
-  const budgetMs = parseBudgetMs(headers, timeoutMs);
+  const budgetMs = parseBudgetMs(headers, route.value.config.timeoutMs);
   if (budgetMs.isErr()) return err(budgetMs.error);
-  if (parts.isLeaving() && !canServeWhileLeaving(isForwarded, key.value, depth.value)) {
+  if (parts.isLeaving() && !canServeWhileLeaving(isForwarded, depth.value)) {
     return refuse('leaving', `${self.nodeId} is stopping`);
   }
   if (budgetMs.value === 0) return refuse('deadline', 'no time left');
@@ -89,7 +86,6 @@
     routing,
     route: route.value,
     isForwarded,
-    key: key.value,
     depth: depth.value,
     deadlineMs: startMs + budgetMs.value,
   });
--- a/src/core/calls/callPort.ts
+++ b/src/core/calls/callPort.ts
@@ -14,8 +14,6 @@
 import { createNodeStatsTable } from './nodeStats.js';
 import type { CallObserver } from './observer.js';
 import { createPeerPools, POOL_LIMITS, type PoolLimits } from './peerPools.js';
-import { createReadyWait } from './readyWait.js';
-import { RESERVED_PREFIX, serveReserved } from './reserved.js';
 import { createRetryBudget } from './retryBudget.js';
 import { serveCall, type ServeParts } from './serveCall.js';
 
@@ -95,7 +93,6 @@
     },
     getLocalLoad: (service) => dispatcher.getLoad(service),
     isLeaving: () => isLeaving,
-    waitUntilReady: createReadyWait(options.config),
   };
   members.onChange(({ record, verdict }) => {
     const isGone = verdict === 'dead' || record.state === 'left';
@@ -110,7 +107,7 @@
     connectionsCheckingInterval: TIMEOUT_CHECK_MS,
     keepAliveTimeout: KEEP_ALIVE_MS,
   });
-  // The parser drops headers beyond its limit, keys included; `serveCall` refuses such a request.
+  // The parser drops headers beyond its limit; `serveCall` refuses such a request.
   server.maxHeadersCount = 0;
   server.maxConnections = MAX_CONNECTIONS;
   const exchanges = createActiveExchanges();
@@ -125,11 +122,6 @@
       if (inFlight === 0) onIdle();
     };
     if (isLeaving) response.setHeader('connection', 'close');
-    if (request.url?.startsWith(RESERVED_PREFIX)) {
-      response.once('close', release);
-      serveReserved(request, response, parts);
-      return;
-    }
     serveCall(request, response, parts, inFlight > settings.maxInFlight)
       .catch((thrown: unknown) => {
         const peer = request.socket.remoteAddress ?? '';
@@ -174,8 +166,7 @@
       const closed = new Promise((resolve) => {
         server.close(resolve);
       });
-      // The request of a connection that was accepted last may still be on its way, and its call
-      // may then look for the owner of its key.
+      // The request of a connection that was accepted last may still be on its way.
       do {
         await waitForIdle(endMs - performance.now());
         await waitForConnections(Math.min(CLOSE_GRACE_MS, endMs - performance.now()));
--- a/src/core/calls/entry.ts
+++ b/src/core/calls/entry.ts
@@ -5,7 +5,6 @@
 import { runAttempt, type AttemptParts } from './attempt.js';
 import { listCandidates, type CandidateSources } from './candidates.js';
 import { chooseCandidate, type Choice, type RandomSource } from './choose.js';
-import { runOwnedCall, runTokenCall } from './keyedCall.js';
 import type { CallObserver } from './observer.js';
 import { buildNotRun, isStaleChoice, type FailedResult, type UnknownResult } from './refusal.js';
 import type { RetryBudget } from './retryBudget.js';
@@ -24,7 +23,6 @@
   'wrong-node': true,
   'bad-request': false,
   deadline: false,
-  'key-unowned': false,
   cancelled: false,
 };
 /** Whether a repeatable call is worth repeating after `unknown`. */
@@ -34,9 +32,7 @@
   'mismatched-answer': true,
   // The node answers so when the deadline has passed, up to the margin kept back at each hop.
   timeout: false,
-  'process-replaced': false,
   'already-handed-over': false,
-  'key-undecided': false,
   cancelled: false,
 };
 
@@ -65,7 +61,7 @@
   return call.route.config.repeatability === 'repeatable' && RETRY_AFTER_UNKNOWN[result.reason];
 }
 
-async function runFreeCall(call: Call, parts: EntryParts): Promise<AttemptResult> {
+async function runAttempts(call: Call, parts: EntryParts): Promise<AttemptResult> {
   const { route } = call;
   let tried: Set<string> | undefined;
   let last: FailedResult | undefined;
@@ -96,15 +92,8 @@
   return doubt ?? last ?? buildNotRun('no-instance', `no usable instance of ${route.service.name}`);
 }
 
-function runByKey(call: Call, parts: EntryParts): Promise<AttemptResult> {
-  const { key } = call;
-  if (key.kind === 'token') return runTokenCall(call, key, parts);
-  if (key.kind === 'uuid') return runOwnedCall(call, key, parts);
-  return runFreeCall(call, parts);
-}
-
 /** Runs a call to its final result; every failure states that the retries here are spent. */
 export async function runCall(call: Call, parts: EntryParts): Promise<AttemptResult> {
-  const result = await runByKey(call, parts);
+  const result = await runAttempts(call, parts);
   return result.kind === 'answered' ? result : { ...result, retriesExhausted: true };
 }
--- a/src/core/calls/refusal.ts
+++ b/src/core/calls/refusal.ts
@@ -1,7 +1,6 @@
 /** Results of attempts without a response, and refusals before any instance sees the call. */
 import { err, type Result } from 'neverthrow';
 import type { AttemptResult, LoadReport } from '../../types/calls.js';
-import type { NodeId } from '../../types/ids.js';
 import type { NotRunReason, UnknownReason } from '../../types/outcome.js';
 
 /** An attempt that certainly did not run. */
@@ -19,14 +18,9 @@
   readonly result: NotRunResult;
 }
 
-/** Builds a `notRun` result that leaves retries to the caller; `hint` names the node to try. */
-export function buildNotRun(
-  reason: NotRunReason,
-  detail: string,
-  load?: LoadReport,
-  hint?: NodeId,
-): NotRunResult {
-  return { kind: 'notRun', reason, detail, load, hint, retriesExhausted: false };
+/** Builds a `notRun` result that leaves retries to the caller. */
+export function buildNotRun(reason: NotRunReason, detail: string, load?: LoadReport): NotRunResult {
+  return { kind: 'notRun', reason, detail, load, retriesExhausted: false };
 }
 
 /** Builds an `unknown` result that leaves retries to the caller. */
@@ -52,7 +46,6 @@
   leaving: 503,
   'connect-failed': 503,
   'wrong-node': 503,
-  'key-unowned': 503,
   cancelled: 503,
 };
 
@@ -62,9 +55,7 @@
   timeout: 504,
   truncated: 502,
   'mismatched-answer': 502,
-  'process-replaced': 502,
   'already-handed-over': 502,
-  'key-undecided': 502,
   cancelled: 502,
 };
 
--- a/src/core/upstream/dispatcher.ts
+++ b/src/core/upstream/dispatcher.ts
@@ -1,7 +1,5 @@
 /** Runs calls on the upstream instances of this host. */
-import { toStepError } from '../../errors.js';
 import type { AttemptResult, Call, LocalDispatcher } from '../../types/calls.js';
-import type { NodeId } from '../../types/ids.js';
 import type { ConfigStore } from '../../types/interfaces.js';
 import type { Logger } from '../../utils/logger.js';
 import { buildNotRun, buildUnknown } from '../calls/refusal.js';
@@ -9,7 +7,6 @@
 import { createCallCounters, type CallCounts } from './callCounters.js';
 import { startCallRun, type CallRun } from './callRun.js';
 import type { InstanceEntry, InstanceTable } from './instanceTable.js';
-import type { KeyPartitions } from './keyPartitions.js';
 import { createOnceCalls } from './onceCalls.js';
 import { deriveMemoryKey, type RequestMemory, type Reservation } from './requestMemory.js';
 import { createUpstreamClient, type UpstreamClient } from './upstreamClient.js';
@@ -18,12 +15,9 @@
 
 /** What a dispatcher needs. */
 export interface LocalDispatcherOptions {
-  readonly nodeId: NodeId;
-  readonly incarnation: string;
   readonly table: InstanceTable;
   readonly store: Pick<ConfigStore, 'getRouting' | 'isReady'>;
   readonly memory: RequestMemory;
-  readonly partitions: Pick<KeyPartitions, 'checkKey' | 'takeKey' | 'isRetained' | 'stop'>;
   readonly logger: Logger;
   /** Connections to the upstreams; replaced in tests. */
   readonly client?: UpstreamClient | undefined;
@@ -38,7 +32,7 @@
 
 /** Creates the dispatcher of one node. */
 export function createLocalDispatcher(options: LocalDispatcherOptions): InstanceDispatcher {
-  const { table, store, memory, partitions, logger } = options;
+  const { table, store, memory, logger } = options;
   const admission = createAdmission({ table, store });
   const client = options.client ?? createUpstreamClient();
   const counters = createCallCounters();
@@ -50,14 +44,8 @@
   const getLoad = (call: Call) => admission.getLoad(call.route.service.name);
   const countAwaited = () => [...runs.keys()].filter((run) => run.isAwaited()).length;
 
-  /** A key that only this process may run is a call in flight, also when it arrives late. */
-  const isBoundHere = ({ key, route }: Call) =>
-    key.kind === 'uuid' && partitions.isRetained(route.service.name, key);
-
   const checkServing = (call: Call): AttemptResult | undefined => {
-    if (isDraining && !isBoundHere(call)) {
-      return buildNotRun('leaving', 'the node is stopping', getLoad(call));
-    }
+    if (isDraining) return buildNotRun('leaving', 'the node is stopping', getLoad(call));
     if (store.isReady()) return undefined;
     return buildNotRun('not-ready', 'the node has no accepted version', getLoad(call));
   };
@@ -83,20 +71,16 @@
     handleRunEnd();
   };
 
-  const run = async (
-    call: Call,
-    reservation: Reservation | undefined,
-    checkHandOver: () => AttemptResult | undefined,
-  ): Promise<AttemptResult> => {
+  const run = async (call: Call, reservation: Reservation | undefined): Promise<AttemptResult> => {
     const admitted = await admission.admit(call);
     if (admitted.kind === 'refused') {
       reservation?.settle({ kind: 'notRun' });
       return buildNotRun(admitted.reason, admitted.detail, getLoad(call));
     }
-    // Nothing is awaited between these checks and the hand-over: the wait in the queue may have
-    // outlasted the ownership of the key or the readiness of this node.
+    // Nothing is awaited between this check and the hand-over: the wait in the queue may have
+    // outlasted the readiness of this node.
     const { entry, connections } = admitted;
-    const refusal = checkServing(call) ?? checkHandOver();
+    const refusal = checkServing(call);
     if (refusal) {
       reservation?.settle({ kind: 'notRun' });
       admission.finish(entry, call.requestId, undefined);
@@ -118,10 +102,7 @@
   };
 
   const runOnce = createOnceCalls({
-    nodeId: options.nodeId,
-    incarnation: options.incarnation,
     memory,
-    partitions,
     counters,
     getLoad,
     checkServing,
@@ -131,7 +112,7 @@
   const dispatchCall = async (call: Call): Promise<AttemptResult> => {
     const key = deriveMemoryKey(call);
     if (key) return runOnce(call, key);
-    return checkServing(call) ?? run(call, undefined, () => undefined);
+    return checkServing(call) ?? run(call, undefined);
   };
 
   const dispatch = async (call: Call): Promise<AttemptResult> => {
@@ -203,24 +184,11 @@
   const drain = async (limitMs: number): Promise<{ readonly cut: number }> => {
     isDraining = true;
     admission.refuseQueued('leaving', 'the node is stopping');
-    // No key of another owner's time is dispatched from here on, so the partitions can be given
-    // away at once. A platform that does not answer must not hold up the stop beyond its limit.
-    const released = partitions.stop().catch((thrown: unknown) => {
-      const { step, peer, message } = toStepError(thrown, 'keys.release', 'platform');
-      logger.warn('partition-release-failed', { step, peer, reason: message });
-    });
-    const startedAtMs = performance.now();
     await waitUntilIdle(limitMs);
     const cut = countAwaited();
     for (const remaining of [...runs.keys()]) {
       if (remaining.isAwaited()) remaining.cut('the node is stopping', true);
     }
-    let timer: NodeJS.Timeout | undefined;
-    const limit = new Promise<void>((resolve) => {
-      timer = setTimeout(resolve, limitMs - (performance.now() - startedAtMs));
-    });
-    await Promise.race([released, limit]);
-    clearTimeout(timer);
     return { cut };
   };
 
--- a/src/core/upstream/requestMemory.ts
+++ b/src/core/upstream/requestMemory.ts
@@ -3,11 +3,11 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import { LRUCache } from 'lru-cache';
 import type { Call } from '../../types/calls.js';
-import { parseUuidTime } from '../../utils/uuidTime.js';
+import type { RequestId } from '../../types/ids.js';
 
 /** Expired entries are removed in steps of this size. */
 const BUCKET_MS = 10_000;
-/** Stored answers of all keys together; a node has 128 MB in all. */
+/** Stored answers of all requests together; a node has 128 MB in all. */
 const MAX_STORED_BYTES = 8 * 1024 * 1024;
 /** Largest answer that is stored. */
 export const MAX_STORED_ANSWER_BYTES = 32 * 1024;
@@ -16,12 +16,10 @@
 
 /** Identity of a call in the memory. */
 export interface MemoryKey {
-  readonly text: string;
-  /** Time in the key; the time of arrival when it has none; undefined if it never expires. */
-  readonly timeMs: number | undefined;
-  /** True when the caller can send the key again at any time. */
-  readonly isRepeatable: boolean;
-  /** Digest of method, path and body: a key stands for one request. */
+  readonly requestId: RequestId;
+  /** Time of arrival. */
+  readonly timeMs: number;
+  /** Digest of method, path and body: an identifier stands for one request. */
   readonly fingerprint: string;
 }
 
@@ -36,7 +34,7 @@
   | { readonly kind: 'handedOver'; readonly detail: string }
   | { readonly kind: 'notRun' };
 
-/** A reserved key. The first arrival settles it once. */
+/** A reserved identifier. The first arrival settles it once. */
 export interface Reservation {
   readonly outcome: Promise<StoredOutcome>;
   /** Arrivals that wait for the outcome; the call is cancelled when none is left. */
@@ -46,27 +44,26 @@
   settle(outcome: StoredOutcome): void;
 }
 
-/** What the memory knows of a key. */
+/** What the memory knows of a request. */
 export type Remembered =
   | { readonly kind: 'new' }
   | { readonly kind: 'running'; readonly reservation: Reservation }
   | { readonly kind: 'done'; readonly outcome: StoredOutcome }
-  | { readonly kind: 'otherRequest' }
-  | { readonly kind: 'expired' };
+  | { readonly kind: 'otherRequest' };
 
-/** Memory of the keys and request ids that this process dispatched. */
+/** Memory of the request identifiers that this process dispatched. */
 export interface RequestMemory {
   find(key: MemoryKey): Remembered;
-  /** Reserves a new key before dispatch; undefined when the memory is full. */
+  /** Reserves a new request before dispatch; undefined when the memory is full. */
   add(key: MemoryKey): Reservation | undefined;
   count(): number;
 }
 
 /** Bounds of a request memory. */
 export interface RequestMemoryOptions {
-  /** Most keys kept; new ones are refused beyond that. */
+  /** Most requests kept; new ones are refused beyond that. */
   readonly maxKeys: number;
-  /** Age up to which a key is accepted, in milliseconds. */
+  /** Time for which a request is remembered, in milliseconds. */
   readonly rememberMs: number;
   readonly maxStoredBytes?: number;
 }
@@ -81,26 +78,7 @@
   if (call.route.config.repeatability === 'repeatable') return undefined;
   const hash = createHash('sha256').update(`${call.method} ${call.path}\n`).update(call.body);
   const fingerprint = hash.digest('base64url').slice(0, 22);
-  const { key } = call;
-  switch (key.kind) {
-    case 'none':
-      return {
-        text: `request:${call.requestId}`,
-        timeMs: Date.now(),
-        isRepeatable: false,
-        fingerprint,
-      };
-    case 'token': {
-      const timeMs = parseUuidTime(key.nonce);
-      return { text: `token:${key.nonce}`, timeMs, isRepeatable: true, fingerprint };
-    }
-    case 'uuid': {
-      const text = `uuid:${call.route.service.name}:${key.text.toLowerCase()}`;
-      return { text, timeMs: key.issuedAtMs, isRepeatable: true, fingerprint };
-    }
-    default:
-      return key satisfies never;
-  }
+  return { requestId: call.requestId, timeMs: Date.now(), fingerprint };
 }
 
 function countBytes(outcome: StoredOutcome): number {
@@ -127,33 +105,27 @@
 /** Creates an empty memory. */
 export function createRequestMemory(options: RequestMemoryOptions): RequestMemory {
   const { maxKeys, rememberMs } = options;
-  const entries = new Map<string, Entry>();
-  const buckets = new Map<number, Set<string>>();
-  const answers = new LRUCache<string, StoredOutcome>({
+  const entries = new Map<RequestId, Entry>();
+  const buckets = new Map<number, Set<RequestId>>();
+  const answers = new LRUCache<RequestId, StoredOutcome>({
     max: maxKeys,
     maxSize: options.maxStoredBytes ?? MAX_STORED_BYTES,
     sizeCalculation: countBytes,
     ttl: rememberMs,
   });
-  // Keys older than this are refused. It never falls, so a key whose entry was removed cannot
-  // be accepted again, even after the wall clock was set back.
-  let acceptFromMs = 0;
-
   const removeExpired = () => {
     const floorMs = Math.floor((Date.now() - rememberMs) / BUCKET_MS) * BUCKET_MS;
-    if (floorMs <= acceptFromMs) return;
-    acceptFromMs = floorMs;
-    for (const [bucketMs, texts] of buckets) {
+    for (const [bucketMs, requestIds] of buckets) {
       if (bucketMs >= floorMs) continue;
-      for (const text of texts) {
-        entries.delete(text);
-        answers.delete(text);
+      for (const requestId of requestIds) {
+        entries.delete(requestId);
+        answers.delete(requestId);
       }
       buckets.delete(bucketMs);
     }
   };
 
-  const getBucket = (timeMs: number): Set<string> => {
+  const getBucket = (timeMs: number): Set<RequestId> => {
     const bucketMs = Math.floor(timeMs / BUCKET_MS) * BUCKET_MS;
     let bucket = buckets.get(bucketMs);
     if (!bucket) {
@@ -166,7 +138,7 @@
   const findEntry = (key: MemoryKey, entry: Entry): Remembered => {
     if (entry.fingerprint !== key.fingerprint) return { kind: 'otherRequest' };
     if (entry.reservation) return { kind: 'running', reservation: entry.reservation };
-    const outcome = answers.get(key.text);
+    const outcome = answers.get(key.requestId);
     if (outcome) return { kind: 'done', outcome };
     const detail = 'the request was handed over before and its answer is not kept';
     return { kind: 'done', outcome: { kind: 'handedOver', detail } };
@@ -175,25 +147,23 @@
   return {
     find(key) {
       removeExpired();
-      const entry = entries.get(key.text);
-      if (entry) return findEntry(key, entry);
-      const isExpired = key.isRepeatable && key.timeMs !== undefined && key.timeMs < acceptFromMs;
-      return { kind: isExpired ? 'expired' : 'new' };
+      const entry = entries.get(key.requestId);
+      return entry ? findEntry(key, entry) : { kind: 'new' };
     },
     add(key) {
       if (entries.size >= maxKeys) return undefined;
       const entry: Entry = { fingerprint: key.fingerprint, reservation: undefined };
-      const bucket = key.timeMs === undefined ? undefined : getBucket(key.timeMs);
-      entries.set(key.text, entry);
-      bucket?.add(key.text);
+      const bucket = getBucket(key.timeMs);
+      entries.set(key.requestId, entry);
+      bucket.add(key.requestId);
       entry.reservation = createReservation((outcome) => {
         entry.reservation = undefined;
-        if (entries.get(key.text) !== entry) return;
+        if (entries.get(key.requestId) !== entry) return;
         if (outcome.kind === 'notRun') {
-          entries.delete(key.text);
-          bucket?.delete(key.text);
+          entries.delete(key.requestId);
+          bucket.delete(key.requestId);
         } else if (outcome.kind === 'answer') {
-          answers.set(key.text, outcome);
+          answers.set(key.requestId, outcome);
         }
       });
       return entry.reservation;
--- a/src/core/wiring.ts
+++ b/src/core/wiring.ts
@@ -8,7 +8,7 @@
 import { createOperatorHandlers, type OperatorSources } from '../plugins/operatorHandlers.js';
 import { startOperatorPort, type OperatorPort } from '../plugins/operatorPort.js';
 import { UsageSampler } from '../plugins/processUsage.js';
-import { brandText, type DataCentre, type NodeId } from '../types/ids.js';
+import { brandText, type DataCentre } from '../types/ids.js';
 import type { ControlCounters, PeerClient, PlatformClient } from '../types/interfaces.js';
 import type { Logger } from '../utils/logger.js';
 import { unwrap } from '../utils/unwrap.js';
@@ -27,7 +27,6 @@
 import { startAnnouncePort, type AnnouncePort } from './upstream/announcePort.js';
 import { createLocalDispatcher, type InstanceDispatcher } from './upstream/dispatcher.js';
 import { createInstanceTable, type InstanceTable } from './upstream/instanceTable.js';
-import { createKeyPartitions, type KeyPartitions } from './upstream/keyPartitions.js';
 import { createRequestMemory } from './upstream/requestMemory.js';
 
 /** Ports that a node has opened. */
@@ -83,12 +82,11 @@
 /** The parts that run calls on the upstreams of this host. */
 interface InstanceParts {
   readonly table: InstanceTable;
-  readonly partitions: KeyPartitions;
   readonly dispatcher: InstanceDispatcher;
 }
 
 function createInstanceParts(shared: SharedParts): InstanceParts {
-  const { settings, logger, incarnation, platform, store } = shared;
+  const { settings, logger, store } = shared;
   const { members } = shared.deferred;
   const table = createInstanceTable({
     members,
@@ -100,17 +98,13 @@
     maxKeys: settings.calls.rememberedRequests,
     rememberMs: settings.calls.rememberMs,
   });
-  const partitions = createKeyPartitions({ platform, members, incarnation, logger });
   const dispatcher = createLocalDispatcher({
-    nodeId: brandText<NodeId>(settings.nodeId),
-    incarnation,
     table,
     store,
     memory,
-    partitions,
     logger,
   });
-  return { table, partitions, dispatcher };
+  return { table, dispatcher };
 }
 
 /** The parts that observe calls. */
@@ -243,7 +237,7 @@
 async function startParts(settings: Settings, logger: Logger): Promise<RunningNode> {
   const shared = await createSharedParts(settings, logger);
   const { usage, counters, peers, platform, store } = shared;
-  const { table, partitions, dispatcher } = createInstanceParts(shared);
+  const { table, dispatcher } = createInstanceParts(shared);
   const { stats, metrics, observer } = createObserverParts(shared);
   const meshPorts = await openMeshPorts(shared, dispatcher, observer);
   const { peerServer, callPort } = meshPorts;
@@ -254,7 +248,6 @@
   const fleet = createFleetStatus({ membership, peers, store, stats });
   peerServer.addMethods(fleet.methods);
   const announcePort = await openAnnouncePort(shared, table);
-  partitions.start();
   let isStopping = false;
   store.onReady(() => {
     if (!isStopping) membership.updateSelf({ state: 'serving' });
@@ -269,7 +262,6 @@
     fleet,
     callPort,
     dispatcher,
-    partitions,
   });
 
   const stop = async () => {
@@ -281,7 +273,6 @@
       dispatcher.drain(stopLimitMs),
     ]);
     membership.updateSelf({ state: 'left' });
-    await partitions.stop();
     await Promise.all([distribution.stop(), membership.stop()]);
     await Promise.all([announcePort.close(), peerServer.close(), operatorPort.stop()]);
     await Promise.all([peers.close(), platform.close(), dispatcher.close()]);
--- a/src/plugins/operatorHandlers.ts
+++ b/src/plugins/operatorHandlers.ts
@@ -2,7 +2,6 @@
 import type { CallPort } from '../core/calls/callPort.js';
 import type { Membership } from '../core/membership/start.js';
 import type { InstanceDispatcher } from '../core/upstream/dispatcher.js';
-import type { KeyPartitions } from '../core/upstream/keyPartitions.js';
 import type { ConfigStore, ControlCounters } from '../types/interfaces.js';
 import { brandText, type RouteName } from '../types/ids.js';
 import { computeBurnRates, deriveAlert } from './burnRate.js';
@@ -23,11 +22,10 @@
   readonly fleet: FleetStatus;
   readonly callPort: Pick<CallPort, 'explainRoute' | 'port'>;
   readonly dispatcher: Pick<InstanceDispatcher, 'getCounts'>;
-  readonly partitions: Pick<KeyPartitions, 'listHeld'>;
 }
 
 function buildStatus(sources: OperatorSources): object {
-  const { store, membership, counters, usage, fleet, dispatcher, partitions } = sources;
+  const { store, membership, counters, usage, fleet, dispatcher } = sources;
   const { incarnation, host, callPort, peerPort, instances } = membership.getSelf();
   const members = membership.listMembers();
   const countVerdict = (verdict: string) =>
@@ -47,7 +45,6 @@
       dead: countVerdict('dead'),
     },
     dataCentres: membership.listDataCentres(),
-    keyPartitions: partitions.listHeld(),
     calls: dispatcher.getCounts(),
     control: counters.snapshot(),
     process: usage.get(),
--- a/src/types/calls.ts
+++ b/src/types/calls.ts
@@ -1,21 +1,10 @@
 /** Interfaces of the call path: the entry side chooses, the instance side runs the call. */
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Readable } from 'node:stream';
-import type { InstanceId, NodeId, RequestId, ServiceName } from './ids.js';
+import type { InstanceId, RequestId, ServiceName } from './ids.js';
 import type { NotRunReason, UnknownReason } from './outcome.js';
 import type { CompiledRoute } from './routing.js';
 
-/** How a call is identified for at-most-once purposes. */
-export type CallKey =
-  | { readonly kind: 'none' }
-  | {
-      readonly kind: 'token';
-      readonly nodeId: NodeId;
-      readonly incarnation: string;
-      readonly nonce: string;
-    }
-  | { readonly kind: 'uuid'; readonly text: string; readonly issuedAtMs: number };
-
 /** The part of an `AbortSignal` that a call uses. */
 export interface CallSignal {
   readonly aborted: boolean;
@@ -33,7 +22,6 @@
   /** End-to-end headers; hop-by-hop headers are removed. */
   readonly headers: IncomingHttpHeaders;
   readonly body: Buffer;
-  readonly key: CallKey;
   /** Deadline on the `performance.now` scale, in milliseconds. */
   readonly deadlineMs: number;
   /** Number of calls above this one in the chain. */
@@ -63,15 +51,8 @@
       readonly reason: NotRunReason;
       readonly detail: string;
       readonly load: LoadReport | undefined;
-      /** Node that should get the call instead, if known. */
-      readonly hint?: NodeId;
       /** True when an inner level already spent its retries. */
       readonly retriesExhausted: boolean;
-      /**
-       * True when the process that alone may dispatch the call's key vouches that no arrival of the
-       * key was run. Without it a refusal speaks only for this arrival.
-       */
-      readonly isKeyChecked?: boolean;
     }
   | {
       readonly kind: 'unknown';
--- a/src/types/outcome.ts
+++ b/src/types/outcome.ts
@@ -11,7 +11,6 @@
   | 'leaving'
   | 'connect-failed'
   | 'wrong-node'
-  | 'key-unowned'
   | 'cancelled';
 
 /** Reasons for which it is not known whether a request ran. */
@@ -20,9 +19,7 @@
   | 'timeout'
   | 'truncated'
   | 'mismatched-answer'
-  | 'process-replaced'
   | 'already-handed-over'
-  | 'key-undecided'
   | 'cancelled';
 
 /** What the system can truthfully say about one request. */
@@ -43,9 +40,5 @@
   load: 'lycheelane-load',
   retry: 'lycheelane-retry',
   depth: 'lycheelane-depth',
-  /** The node that should get the call instead, on an answer `wrong-node`. */
-  hint: 'lycheelane-hint',
   version: 'lycheelane-version',
-  key: 'idempotency-key',
-  keyState: 'lycheelane-key',
 } as const;
