Watch the store with fewer calls, and learn from calls of other nodes what was missed

Cause: each node renewed two watches every 3.3 s, because a connection that has gone silent hides changes until the renewal fails. Change: one node of each data centre (three at least) renews every 3.3 s, the others every 25 s. Every node tells with ten calls a second at most which change it saw last (header mesh-seen, in the response, too); a node that is behind for 0.4 s drops its wait and lists anew on a new connection. A watch that told of changes waits 0.3 s before the next. The store's client gives a call up after 1 s of silence, no longer after 1 s in all, and closes its idle connections then. Ruled out: one watcher for each data centre that hands everything on (a second way for versions to come into force, and its loss would have to be noticed by others); longer waits for all (silent connections of the whole fleet would hide a version for 25 s).

--- a/src/mesh/directory.ts
+++ b/src/mesh/directory.ts
@@ -5,6 +5,8 @@
 import { PeerCalls } from './peerCalls.js';
 import { PeerNode } from './peerNode.js';
 import type { Candidate } from './placing.js';
+import type { SeenRevisions } from './seenRevisions.js';
+import type { WatchingNode } from './watchWaits.js';
 
 /**
  * Time for which a node whose record was removed is still used, if it responds. Records that
@@ -28,6 +30,7 @@
   constructor(
     private readonly ownId: NodeId,
     private readonly log: EventLog,
+    private readonly seen: SeenRevisions,
   ) {}
 
   /** Applies the record of a node, with its revision when it was read in the store. */
@@ -38,7 +41,7 @@
       known?.calls.close();
       this.nodes.set(
         record.nodeId,
-        new PeerNode(record, nowMs, revision, new PeerCalls(record.address)),
+        new PeerNode(record, nowMs, revision, new PeerCalls(record.address, this.seen)),
       );
     } else {
       const isNewInstance =
@@ -104,6 +107,14 @@
     );
   }
 
+  /** Returns the nodes that serve and respond, this one included once it is listed. */
+  listResponding(nowMs: number): WatchingNode[] {
+    return [...this.nodes.values()]
+      .filter((node) => node.unlistedAtMs === undefined && !node.isUnreachable(nowMs))
+      .map(({ record }) => record)
+      .filter(({ state }) => state === 'ready');
+  }
+
   countNodes(): number {
     return Math.max(1, this.nodes.size);
   }
--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -64,6 +64,9 @@
 
 /** A connection to one address. */
 export class Link {
+  /** Instant of the latest bytes of the other side, on the `performance.now` scale. */
+  lastBytesAtMs = performance.now();
+
   /** End of the last exchange on the `performance.now` scale. */
   idleSinceMs = performance.now();
 
@@ -175,6 +178,7 @@
 
   private handleData(chunk: Buffer): void {
     if (this.isClosed) return;
+    this.lastBytesAtMs = performance.now();
     if (!this.pending) {
       this.fail('bytes without a request');
       return;
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -13,6 +13,7 @@
 import { Directory } from './directory.js';
 import type { EventLog } from './eventLog.js';
 import type { HeaderNames } from './headers.js';
+import { KindPosition } from './kindPosition.js';
 import { LocalInstance } from './localInstance.js';
 import { LocalRunner } from './localRunner.js';
 import { MeshMetrics } from './meshMetrics.js';
@@ -23,11 +24,13 @@
 import { Publisher } from './publisher.js';
 import { RepeatBudget } from './repeats.js';
 import { startReaper } from './reaper.js';
+import { SeenRevisions } from './seenRevisions.js';
 import { createMetricsPort, createReadyPort } from './statusPorts.js';
 import { stopNode } from './stopNode.js';
 import type { MeshStore } from './store.js';
 import { TargetChooser } from './targets.js';
 import { watchKind } from './watchKind.js';
+import { chooseWatchMs } from './watchWaits.js';
 
 /** What the platform's adapter supplies. */
 export interface NodeAdapter {
@@ -82,7 +85,9 @@
   const processId = randomUUID().slice(0, 8);
   const metrics = new MeshMetrics();
   const instance = new LocalInstance();
-  const directory = new Directory(nodeId, log);
+  const positions = { config: new KindPosition(), nodes: new KindPosition() };
+  const seen = new SeenRevisions([positions.config, positions.nodes]);
+  const directory = new Directory(nodeId, log, seen);
   const targets = new TargetChooser();
   let isStopping = false;
 
@@ -127,7 +132,7 @@
     targets.evictRoutes(installed);
     callPort.applyLimits(installed.limits);
   });
-  const peerPort = createPeerPort({ runner, processId, names });
+  const peerPort = createPeerPort({ runner, processId, names, seen });
   const announcementPort = createAnnouncementPort({
     instance,
     log,
@@ -162,14 +167,22 @@
     const { step, peer, message } = toStepError(thrown, 'metrics.listen', 'self');
     log.write('warn', 'metrics-unavailable', { step, peer, reason: message });
   });
-  const watched = { store, log, isStopped: () => isStopping };
-  void watchKind({ ...watched, kind: adapter.configKind, listener: config });
-  void watchKind({ ...watched, kind: NODE_KIND, listener: nodes });
+  const watched = {
+    store,
+    log,
+    getWaitMs: () => chooseWatchMs(nodeId, directory.listResponding(performance.now())),
+    isStopped: () => isStopping,
+  };
+  const { configKind } = adapter;
+  void watchKind({ ...watched, kind: configKind, listener: config, position: positions.config });
+  void watchKind({ ...watched, kind: NODE_KIND, listener: nodes, position: positions.nodes });
   const reaper = startReaper(directory, store, log);
   log.write('info', 'started', { service: settings.service, process: processId });
 
   const closeParts = () => {
     reaper.stop();
+    positions.config.endWait();
+    positions.nodes.endWait();
     publisher.stop();
     runner.close();
     directory.close();
--- a/src/mesh/peerCalls.ts
+++ b/src/mesh/peerCalls.ts
@@ -10,6 +10,7 @@
 import { LinkPool } from './linkPool.js';
 import type { CallTerms, HttpRequest, RunReport } from './model.js';
 import { decodeResult, encodeTerms, RESULT_HEADER, TERMS_HEADER } from './peerMessages.js';
+import { SEEN_HEADER, type SeenRevisions } from './seenRevisions.js';
 import type { Cancellation } from './signal.js';
 
 /** Several round trips between data centres of one region. */
@@ -46,7 +47,7 @@
   isSettled: boolean;
 }
 
-const REMOVED: ReadonlySet<string> = new Set([RESULT_HEADER]);
+const REMOVED: ReadonlySet<string> = new Set([RESULT_HEADER, SEEN_HEADER]);
 
 function isAnyResponse(): boolean {
   return true;
@@ -60,7 +61,10 @@
 export class PeerCalls {
   private readonly pool: LinkPool;
 
-  constructor(address: PeerAddress) {
+  constructor(
+    address: PeerAddress,
+    private readonly seen: SeenRevisions,
+  ) {
     this.pool = new LinkPool(address);
   }
 
@@ -162,12 +166,15 @@
     state.links.add(link);
     const encoded = encodeTerms(terms, resume, performance.now());
     const headers = [...request.headers, TERMS_HEADER, encoded];
+    const seen = this.seen.take(performance.now());
+    if (seen !== undefined) headers.push(SEEN_HEADER, seen);
     const body = resume === undefined ? request.body : EMPTY;
     const ended = await link.exchange({ ...request, headers, body }, isAnyResponse, onInterim);
     state.links.delete(link);
     if (ended.kind === 'broken') return undefined;
     this.pool.release(link);
     const { response } = ended;
+    this.seen.apply(getHeader(response.headers, SEEN_HEADER));
     const passed = { ...response, headers: filterHeaders(response.headers, REMOVED) };
     const decoded = decodeResult(getHeader(response.headers, RESULT_HEADER), passed);
     if (!decoded) return buildLost('unreadable result of a node');
--- a/src/mesh/peerPort.ts
+++ b/src/mesh/peerPort.ts
@@ -15,6 +15,7 @@
   TERMS_HEADER,
   type ReceivedTerms,
 } from './peerMessages.js';
+import { SEEN_HEADER, type SeenRevisions } from './seenRevisions.js';
 import { Cancellation } from './signal.js';
 
 /** How long a run goes on after the connection of its node broke, unless it is taken up again. */
@@ -41,27 +42,31 @@
   readonly runner: LocalRunner;
   readonly processId: string;
   readonly names: HeaderNames;
+  readonly seen: SeenRevisions;
 }
 
-const REMOVED: ReadonlySet<string> = new Set([TERMS_HEADER]);
+const REMOVED: ReadonlySet<string> = new Set([TERMS_HEADER, SEEN_HEADER]);
 
-function writeReport(response: ServerResponse, report: RunReport): void {
+function writeReport(response: ServerResponse, report: RunReport, seen: string | undefined): void {
   const { result } = report;
   const encoded = encodeResult(report);
   if (result.kind !== 'answered') {
     const status = result.kind === 'notRun' ? 503 : 502;
-    response.writeHead(status, { [RESULT_HEADER]: encoded, 'Content-Length': 0 }).end();
+    const headers = [RESULT_HEADER, encoded, 'Content-Length', '0'];
+    if (seen !== undefined) headers.push(SEEN_HEADER, seen);
+    response.writeHead(status, headers).end();
     return;
   }
   const { status, headers, body } = result.response;
   const passed = filterHeaders(headers);
   passed.push(RESULT_HEADER, encoded, 'Content-Length', String(body.length));
+  if (seen !== undefined) passed.push(SEEN_HEADER, seen);
   response.writeHead(status, passed);
   response.end(body);
 }
 
 /** Creates the server of the port; the caller binds it. */
-export function createPeerPort({ runner, processId, names }: PeerPortOptions): Server {
+export function createPeerPort({ runner, processId, names, seen }: PeerPortOptions): Server {
   const runs = new Map<string, Run>();
 
   const addRun = (
@@ -116,6 +121,8 @@
       response.writeHead(400).end();
       return;
     }
+    const told = getHeader(message.rawHeaders, SEEN_HEADER);
+    seen.apply(told);
     const body = await readBody(message, MAX_BODY_BYTES);
     if (typeof body === 'string') {
       response.destroy();
@@ -142,7 +149,7 @@
     });
     const report = await run.report;
     if (hasLeft) return;
-    writeReport(response, report);
+    writeReport(response, report, told === undefined ? undefined : seen.format());
     response.once('finish', () => {
       hasLeft = true;
       run.isDelivered = true;
--- a/src/mesh/store.ts
+++ b/src/mesh/store.ts
@@ -1,6 +1,7 @@
 /** What the mesh needs of the platform's store. `platform/` implements it. */
 import type { Result } from 'neverthrow';
 import type { StepError } from '../errors.js';
+import type { Cancellation } from './signal.js';
 
 /** A stored object with the revision of its last change. */
 export interface StoredObject {
@@ -35,8 +36,13 @@
   list(kind: string): Promise<Result<StoreList, StepError>>;
   /** Reads one object. */
   read(kind: string, name: string): Promise<Result<StoredObject, StepError>>;
-  /** Waits for changes after a revision, up to `waitMs`. */
-  watch(kind: string, revision: number, waitMs: number): Promise<Result<StoreChanges, StepError>>;
+  /** Waits for changes after a revision, up to `waitMs` or until the wait is cancelled. */
+  watch(
+    kind: string,
+    revision: number,
+    waitMs: number,
+    cancellation?: Cancellation,
+  ): Promise<Result<StoreChanges, StepError>>;
   create(kind: string, name: string, value: unknown): Promise<Result<StoredObject, StepError>>;
   /** Replaces the object if its revision is `revision`. */
   replace(
--- a/src/mesh/watchKind.ts
+++ b/src/mesh/watchKind.ts
@@ -1,13 +1,9 @@
 /** Follows the objects of one kind: a list, then watches, and a new list when history is gone. */
 import { computeDelayMs, waitMs as wait } from '../utils/backoff.js';
 import type { EventLog } from './eventLog.js';
-import type { MeshStore, StoreEvent, StoreList } from './store.js';
-
-/**
- * Wait of one watch. Together with the timeout of the client it bounds how long a connection that
- * went silent can hide a change.
- */
-const WATCH_MS = 3300;
+import type { KindPosition } from './kindPosition.js';
+import { Cancellation } from './signal.js';
+import type { MeshStore, StoreChanges, StoreEvent, StoreList } from './store.js';
 
 /** Wait of the first watch after a failure: a store that is back answers it soon. */
 const FIRST_WATCH_MS = 300;
@@ -15,6 +11,9 @@
 /** Backoff after a failed call; a store that comes back is noticed within its bound. */
 const BACKOFF = { baseMs: 150, maxMs: 900 };
 
+/** Time after a change before the next watch: changes that come close together share one call. */
+const GATHER_MS = 300;
+
 /** Receives what a watch finds. */
 export interface KindListener {
   applyList(list: StoreList): void;
@@ -23,16 +22,33 @@
 
 /** Options of a watch. */
 export interface WatchKindOptions {
-  readonly store: MeshStore;
+  readonly store: Pick<MeshStore, 'list' | 'watch'>;
   readonly kind: string;
   readonly listener: KindListener;
+  readonly position: KindPosition;
   readonly log: EventLog;
+  /** Returns how long the next watch waits, in milliseconds. */
+  readonly getWaitMs: () => number;
   readonly isStopped: () => boolean;
 }
 
+function applyList({ listener, position }: WatchKindOptions, list: StoreList): void {
+  listener.applyList(list);
+  for (const { revision } of list.objects) position.recordChange(revision);
+  position.recordCovered(list.revision);
+}
+
+function applyChanges({ listener, position }: WatchKindOptions, changes: StoreChanges): void {
+  for (const event of changes.events) {
+    listener.applyEvent(event);
+    position.recordChange(event.kind === 'stored' ? event.object.revision : event.revision);
+  }
+  position.recordCovered(changes.revision);
+}
+
 /** Follows a kind until it is stopped. Never throws. */
 export async function watchKind(options: WatchKindOptions): Promise<void> {
-  const { store, kind, listener, log, isStopped } = options;
+  const { store, kind, position, log, isStopped } = options;
   let revision: number | undefined;
   let failures = 0;
   const recordFailure = async (step: string, reason: string): Promise<void> => {
@@ -52,13 +68,20 @@
         continue;
       }
       recordSuccess();
-      listener.applyList(listed.value);
+      applyList(options, listed.value);
       revision = listed.value.revision;
     }
-    const waitMs = failures === 0 ? WATCH_MS : FIRST_WATCH_MS;
-    const watched = await store.watch(kind, revision, waitMs);
+    const interruption = new Cancellation();
+    position.setInterrupt(() => interruption.cancel());
+    const waitMs = failures === 0 ? options.getWaitMs() : FIRST_WATCH_MS;
+    const watched = await store.watch(kind, revision, waitMs, interruption);
+    position.setInterrupt(undefined);
+    if (isStopped()) return;
     if (watched.isErr()) {
-      if (watched.error.kind === 'stale') {
+      if (interruption.isCancelled()) {
+        log.write('warn', 'watch-behind', { step: 'store.watch', peer: kind, revision });
+        revision = undefined;
+      } else if (watched.error.kind === 'stale') {
         log.write('info', 'history-gone', { peer: kind, revision });
         revision = undefined;
       } else {
@@ -67,7 +90,8 @@
       continue;
     }
     recordSuccess();
-    for (const event of watched.value.events) listener.applyEvent(event);
+    applyChanges(options, watched.value);
     revision = Math.max(revision, watched.value.revision);
+    if (watched.value.events.length > 0) await wait(GATHER_MS);
   }
 }
--- /dev/null
+++ b/test/mesh/watches.test.ts
@@ -0,0 +1,138 @@
+/** Watches: who looks out, what a silent connection hides, and how many calls changes cost. */
+import assert from 'node:assert/strict';
+import { err, ok } from 'neverthrow';
+import { test } from 'node:test';
+import { buildError } from '../../src/errors.js';
+import { SILENT_LOG } from '../../src/mesh/eventLog.js';
+import { KindPosition } from '../../src/mesh/kindPosition.js';
+import { SeenRevisions } from '../../src/mesh/seenRevisions.js';
+import type { MeshStore, StoreChanges, StoreList } from '../../src/mesh/store.js';
+import { watchKind } from '../../src/mesh/watchKind.js';
+import { chooseWatchMs, listLookouts, type WatchingNode } from '../../src/mesh/watchWaits.js';
+import { brandText } from '../../src/types/ids.js';
+import { MeshFleet, sendTo, wait } from '../../standins/mesh/meshFleet.js';
+
+function buildNodes(counts: Readonly<Record<string, number>>): WatchingNode[] {
+  return Object.entries(counts).flatMap(([dataCentre, count]) =>
+    Array.from({ length: count }, (_, index) => ({
+      nodeId: brandText<WatchingNode['nodeId']>(`${dataCentre}-${index}`),
+      dataCentre: brandText<WatchingNode['dataCentre']>(dataCentre),
+    })),
+  );
+}
+
+test('one node of each data centre looks out, and three at least', () => {
+  assert.deepEqual([...listLookouts(buildNodes({ a: 4, b: 4, c: 4, d: 4 }))].sort(), [
+    'a-0',
+    'b-0',
+    'c-0',
+    'd-0',
+  ]);
+  assert.equal(listLookouts(buildNodes({ a: 9 })).size, 3);
+});
+
+test('a fleet of 85 nodes renews its watches less than five times a second', () => {
+  const nodes = buildNodes({ a: 22, b: 21, c: 21, d: 21 });
+  const perSecond = nodes
+    .map(({ nodeId }) => 1000 / chooseWatchMs(nodeId, nodes))
+    .reduce((sum, rate) => sum + rate, 0);
+  assert.ok(perSecond < 5, `${perSecond} calls/s`);
+  const few = buildNodes({ a: 2 });
+  assert.ok(few.every(({ nodeId }) => chooseWatchMs(nodeId, few) < 5000));
+});
+
+/** A store whose watches stay silent, or tell of a change each time. */
+function createStore(isSilent: boolean): Pick<MeshStore, 'list' | 'watch'> & {
+  lists: number;
+  watches: number;
+} {
+  return {
+    lists: 0,
+    watches: 0,
+    async list() {
+      this.lists += 1;
+      const revision = this.lists * 10;
+      const objects = [{ name: 'main', revision, value: this.lists }];
+      return ok<StoreList>({ objects, revision: revision + 2 });
+    },
+    async watch(_kind, revision, _waitMs, cancellation) {
+      this.watches += 1;
+      if (isSilent) {
+        await new Promise<void>((resolve) => {
+          cancellation?.onCancel(resolve);
+        });
+        return err(buildError('answer-lost', 'store.watch', 'store', 'cancelled'));
+      }
+      const object = { name: 'main', revision: revision + 1, value: 0 };
+      return ok<StoreChanges>({ events: [{ kind: 'stored', object }], revision: revision + 1 });
+    },
+  };
+}
+
+async function follow(isSilent: boolean, run: (position: KindPosition) => Promise<void>) {
+  const store = createStore(isSilent);
+  const position = new KindPosition();
+  let isStopped = false;
+  const values: unknown[] = [];
+  const ended = watchKind({
+    store,
+    kind: 'config',
+    listener: {
+      applyList: ({ objects }) => values.push(...objects.map(({ value }) => value)),
+      applyEvent: () => {},
+    },
+    position,
+    log: SILENT_LOG,
+    getWaitMs: () => 25_000,
+    isStopped: () => isStopped,
+  });
+  await wait(20);
+  await run(position);
+  isStopped = true;
+  position.endWait();
+  await ended;
+  return { store, values };
+}
+
+test('changes that come close together share a call', async () => {
+  const { store } = await follow(false, () => wait(1000));
+  assert.ok(store.watches <= 5, `${store.watches} watches in a second`);
+});
+
+test('a node that others are ahead of lists anew; one that is level does not', async () => {
+  const { store } = await follow(true, async (position) => {
+    const seen = new SeenRevisions([position]);
+    seen.apply('12');
+    seen.apply('no.number');
+    await wait(600);
+  });
+  assert.equal(store.lists, 1);
+  const { store: other } = await follow(true, async (position) => {
+    new SeenRevisions([position]).apply('13');
+    await wait(600);
+  });
+  assert.equal(other.lists, 2);
+});
+
+test('a version reaches a node whose connection to the store went silent', async () => {
+  const fleet = new MeshFleet();
+  const routes = [{ prefix: '/read/' }];
+  await fleet.start(routes);
+  try {
+    for (const service of ['pads', 'pads', 'pads', 'guide']) await fleet.addHost(service);
+    await fleet.waitRecords();
+    await wait(4000);
+    fleet.store.silenceWatches();
+    fleet.configure(9, [...routes, { prefix: '/new/' }]);
+    const last = fleet.hosts.at(-1)!;
+    let status = 0;
+    for (let tries = 0; tries < 90 && status !== 200; tries += 1) {
+      await wait(100);
+      await sendTo(last, { path: '/read/', id: `k-${tries}` });
+      status = (await sendTo(last, { path: '/new/', id: `n-${tries}` })).status;
+    }
+    assert.equal(status, 200);
+  } finally {
+    await fleet.close();
+  }
+});
--- a/test/platform/storeClient.test.ts
+++ b/test/platform/storeClient.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { MeshStore } from '../../src/mesh/store.js';
+import { Cancellation } from '../../src/mesh/signal.js';
 import { createStoreClient } from '../../platform/storeClient.js';
 import { StoreServer, type StoreFault } from '../../standins/mesh/storeServer.js';
 
@@ -85,6 +86,27 @@
   });
 });
 
+test('a list that takes long over a slow link is read whole', async () => {
+  await withStore(async (store, server) => {
+    server.put('nodes', 'a', { text: 'x'.repeat(1000) });
+    server.setFault({ kind: 'slow-link', pieces: 6, pieceMs: 300 });
+    const listed = (await store.list('nodes'))._unsafeUnwrap();
+    assert.deepEqual(listed.objects[0]?.value, { text: 'x'.repeat(1000) });
+  });
+});
+
+test('a watch ends when its wait is cancelled', async () => {
+  await withStore(async (store, server) => {
+    const from = server.put('nodes', 'a', {});
+    const cancellation = new Cancellation();
+    setTimeout(() => cancellation.cancel(), 100);
+    const startedAtMs = performance.now();
+    const watched = await store.watch('nodes', from, 20_000, cancellation);
+    assert.equal(watched._unsafeUnwrapErr().step, 'store.watch');
+    assert.ok(performance.now() - startedAtMs < 1000);
+  });
+});
+
 const FAULTS: readonly { readonly fault: StoreFault; readonly kind: string }[] = [
   { fault: { kind: 'refuse', status: 429 }, kind: 'busy' },
   { fault: { kind: 'refuse', status: 503 }, kind: 'busy' },
