Count the age of requests that come back, and let in only what will be in time

The objective counts from the caller's first try, but a request that came back was taken for a new one and went before those that could still be in time. Those let in on the bare mean run time became late in the queue. Change: RequestAges tells from the deadline that most callers of a route state how long ago a request was sent first; its objective moves back by that. Half as much again of wait and run is held in reserve before a request counts as in time.

--- a/src/mesh/admission.ts
+++ b/src/mesh/admission.ts
@@ -26,7 +26,13 @@
     };
 
 /** Share of its remaining time that a request which misses its objective may wait. */
-const LATE_WAIT_SHARE = 0.3;
+const LATE_WAIT_SHARE = 0.2;
+
+/**
+ * Factor by which waits and runs may exceed what is expected for a request to count as in time.
+ * Those that are let in on the bare mean become late in the queue, when their wait was in vain.
+ */
+const TIME_RESERVE = 1.5;
 
 /** Largest number of waiting requests for each slot; a guard for memory. */
 const MAX_QUEUED_PER_SLOT = 20;
@@ -106,7 +112,8 @@
       order: this.orders,
       lateLimitMs: nowMs + leftMs * LATE_WAIT_SHARE,
     };
-    entry.isLate = nowMs + this.estimateWaitMs(entry) + item.workMs > item.objectiveAtMs;
+    const cautiousMs = this.estimateWaitMs(entry, TIME_RESERVE) + item.workMs * TIME_RESERVE;
+    entry.isLate = nowMs + cautiousMs > item.objectiveAtMs;
     const waitMs = this.estimateWaitMs(entry);
     const isFull = this.queue.length >= this.slots * MAX_QUEUED_PER_SLOT;
     const isTooLate = waitMs + item.workMs > leftMs;
@@ -164,8 +171,11 @@
     return true;
   }
 
-  /** Returns how long a request would wait: for those ahead of it, or for the share of its rank. */
-  private estimateWaitMs(entry: Queued<Item>): number {
+  /**
+   * Returns how long a request would wait: for those ahead of it, which may take longer by a
+   * factor, or for the share of its rank.
+   */
+  private estimateWaitMs(entry: Queued<Item>, reserve = 1): number {
     const { rank, workMs } = entry.item;
     let aheadMs = workMs;
     let sameRankMs = workMs;
@@ -177,7 +187,7 @@
       if (compareQueued(queued, entry) <= 0) aheadMs += item.workMs;
     }
     const share = above.size === 0 ? 1 : getLeastShare(above.size - 1);
-    return Math.min(aheadMs, sameRankMs / share) / this.slots;
+    return Math.min(aheadMs * reserve, sameRankMs / share) / this.slots;
   }
 
   /** Returns the index of the next request: the first one, or one whose rank got too little. */
--- a/src/mesh/callPort.ts
+++ b/src/mesh/callPort.ts
@@ -6,10 +6,11 @@
 import type { EventLog } from './eventLog.js';
 import { filterHeaders, getHeader, type HeaderNames } from './headers.js';
 import type { MeshMetrics } from './meshMetrics.js';
-import type { CallerLimits, HttpResponse, MeshConfig, MeshSettings } from './model.js';
+import type { HttpResponse, MeshConfig, MeshSettings } from './model.js';
 import { readBody } from './readBody.js';
+import { RequestAges } from './requestAges.js';
 import { Cancellation } from './signal.js';
-import { matchRoute } from './targets.js';
+import { listRouteNames, matchRoute } from './targets.js';
 
 /** Largest head that the HTTP library reads, in bytes; the configured limit is lower. */
 const MAX_HEAD_BYTES = 128 * 1024;
@@ -41,7 +42,8 @@
   refuseNew(): void;
   /** Gives up the requests without a response, which get one at once, and returns their number. */
   cancelOpen(): number;
-  applyLimits(limits: CallerLimits): void;
+  /** Applies what a version says of callers and of routes. */
+  applyConfig(config: MeshConfig): void;
 }
 
 function countBytes(headers: readonly string[]): number {
@@ -83,6 +85,7 @@
 export function createCallPort(options: CallPortOptions): CallPort {
   const { router, names, log, metrics } = options;
   let open = 0;
+  const ages = new RequestAges();
   const cancellations = new Set<Cancellation>();
   const openBySocket = new WeakMap<Socket, number>();
   const countOpenOn = (socket: Socket) => openBySocket.get(socket) ?? 0;
@@ -160,14 +163,16 @@
     const headers = filterHeaders(rawHeaders, removedFromRequests);
     headers.push(names.callerService, options.getSettings().service);
     const given = Number(getHeader(rawHeaders, names.deadline));
-    const leftMs = Number.isFinite(given) && given > 0 ? given : route.timeoutMs;
+    const isStated = Number.isFinite(given) && given > 0;
+    const leftMs = isStated ? given : route.timeoutMs;
+    const ageMs = isStated ? ages.record(route.name, given) : 0;
     const work: CallWork = {
       route,
       request: { method: message.method ?? 'GET', path, headers, body },
       requestId,
       startedAtMs,
       deadlineAtMs: startedAtMs + Math.min(leftMs, route.timeoutMs),
-      objectiveAtMs: startedAtMs + route.objectiveMs,
+      objectiveAtMs: startedAtMs + route.objectiveMs - ageMs,
       cancellation,
     };
     cancellations.add(cancellation);
@@ -214,7 +219,9 @@
       for (const cancellation of cancellations) cancellation.cancel();
       return cancellations.size;
     },
-    applyLimits(limits) {
+    applyConfig(config) {
+      const { limits } = config;
+      ages.evictRoutes(listRouteNames(config));
       server.keepAliveTimeout = limits.idleTimeoutMs;
       server.headersTimeout = limits.headerTimeoutMs;
     },
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -130,7 +130,7 @@
   });
   config.onInstall((installed) => {
     targets.evictRoutes(installed);
-    callPort.applyLimits(installed.limits);
+    callPort.applyConfig(installed);
   });
   const peerPort = createPeerPort({ runner, processId, names, seen });
   const announcementPort = createAnnouncementPort({
--- a/src/mesh/targets.ts
+++ b/src/mesh/targets.ts
@@ -2,6 +2,11 @@
 import type { ServiceName } from '../types/ids.js';
 import type { MeshConfig, MeshRoute } from './model.js';
 
+/** Returns the names of all routes of a version. */
+export function listRouteNames(config: MeshConfig): ReadonlySet<string> {
+  return new Set([...config.routes.values()].flat().map((route) => route.name));
+}
+
 /** Smooth weighted round robin: each service gets its share within any few requests. */
 export class TargetChooser {
   private readonly credits = new Map<string, Map<ServiceName, number>>();
@@ -29,7 +34,7 @@
 
   /** Drops the credits of routes that are gone. */
   evictRoutes(config: MeshConfig): void {
-    const names = new Set([...config.routes.values()].flat().map((route) => route.name as string));
+    const names = listRouteNames(config);
     for (const name of [...this.credits.keys()]) {
       if (!names.has(name)) this.credits.delete(name);
     }
