Add a fault soak of nodes on the users' platform

Callers keep their connections. Not covered: links between nodes have no proxy (a node publishes the port it listens on); clocks.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -54,7 +54,7 @@
     rules: { '@typescript-eslint/no-floating-promises': 'off' },
   },
   {
-    files: ['src/daemon.ts', 'src/cli/main.ts', 'platform/main.ts'],
+    files: ['src/daemon.ts', 'src/cli/main.ts', 'platform/main.ts', 'soak/platform/main.ts'],
     // Executables: their exit codes are documented and a signal must end them at once.
     rules: { 'n/no-process-exit': 'off', 'n/hashbang': 'off' },
   },
--- a/standins/mesh/meshFleet.ts
+++ b/standins/mesh/meshFleet.ts
@@ -1,5 +1,5 @@
 /** A small mesh in one process: a store, instances, and nodes with the platform's adapter. */
-import { createServer, request as sendRequest } from 'node:http';
+import { createServer, request as sendRequest, type Agent } from 'node:http';
 import { createAdapter } from '../../platform/adapter.js';
 import { CONFIG_KIND, CONFIG_NAME } from '../../platform/names.js';
 import { SILENT_LOG, type EventLog } from '../../src/mesh/eventLog.js';
@@ -86,6 +86,8 @@
   readonly body?: string;
   readonly deadlineMs?: number;
   readonly headers?: Readonly<Record<string, string>>;
+  /** Connections to use; each request has one of its own by default. */
+  readonly agent?: Agent;
 }
 
 /** Finds ports that are free now. */
@@ -100,7 +102,7 @@
 /** Sends one HTTP request; rejects when the connection breaks. */
 export function sendHttp(
   port: number,
-  { path, id, method = 'GET', body = '', deadlineMs = 1500, headers = {} }: FleetRequest,
+  { path, id, method = 'GET', body = '', deadlineMs = 1500, headers = {}, agent }: FleetRequest,
 ): Promise<FleetResponse> {
   return new Promise((resolve, reject) => {
     const request = sendRequest(
@@ -109,7 +111,7 @@
         port,
         path,
         method,
-        agent: false,
+        agent: agent ?? false,
         headers: {
           Host: 'mesh.example',
           'X-Lycheelane-Request-Attempt-Id': id,
--- /dev/null
+++ b/test/soak/platformChecker.test.ts
@@ -0,0 +1,101 @@
+/** The checker of the platform's soak: each violation is seen, and what is allowed is not. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { PlatformChecker, type Violation } from '../../soak/platform/checker.js';
+import type { FleetResponse } from '../../standins/mesh/meshFleet.js';
+
+const REQUEST = { id: 'r', isSafe: false, host: 'h' };
+
+function buildResponse(status: number, body = 'i ran r', signer = 'signed-i'): FleetResponse {
+  return { status, body, headers: { 'x-lycheelane-response-signature': signer } };
+}
+
+interface Case {
+  readonly name: string;
+  readonly violation: Violation | undefined;
+  readonly feed: (checker: PlatformChecker) => void;
+}
+
+const CASES: readonly Case[] = [
+  {
+    name: 'a request that runs once and is answered',
+    violation: undefined,
+    feed: (checker) => {
+      checker.recordResponse(REQUEST, buildResponse(200), 10, true);
+      checker.recordRun('r');
+    },
+  },
+  {
+    name: 'two runs',
+    violation: 'unsafe request ran twice',
+    feed: (checker) => {
+      checker.recordRun('r');
+      checker.recordRun('r');
+    },
+  },
+  {
+    name: 'a refusal of what ran',
+    violation: 'request refused that ran',
+    feed: (checker) => {
+      checker.recordResponse(REQUEST, buildResponse(503), 10, false);
+      checker.recordRun('r');
+    },
+  },
+  {
+    name: 'a failure of what ran',
+    violation: undefined,
+    feed: (checker) => {
+      checker.recordResponse(REQUEST, buildResponse(502), 10, false);
+      checker.recordRun('r');
+    },
+  },
+  {
+    name: 'the response to another request',
+    violation: "success without the instance's whole response",
+    feed: (checker) => checker.recordResponse(REQUEST, buildResponse(200, 'i ran q'), 10, false),
+  },
+  {
+    name: 'a success without a signature',
+    violation: "success without the instance's whole response",
+    feed: (checker) => checker.recordResponse(REQUEST, buildResponse(200, 'i ran r', ''), 1, false),
+  },
+  {
+    name: 'a run that nobody asked for',
+    violation: 'request unknown to its caller ran',
+    feed: (checker) => checker.recordRun('forged'),
+  },
+  {
+    name: 'a cut after a planned stop had read the request',
+    violation: 'request cut by a planned stop',
+    feed: (checker) => checker.recordResponse(REQUEST, 'ECONNRESET', 500, true),
+  },
+  {
+    name: 'a cut of a request that ran',
+    violation: 'request cut by a planned stop',
+    feed: (checker) => {
+      checker.recordResponse(REQUEST, 'ECONNRESET', 5, true);
+      checker.recordRun('r');
+    },
+  },
+  {
+    name: 'a request that crosses the close of its connection',
+    violation: undefined,
+    feed: (checker) => checker.recordResponse(REQUEST, 'ECONNRESET', 5, true),
+  },
+  {
+    name: 'a cut beside a kill',
+    violation: undefined,
+    feed: (checker) => checker.recordResponse(REQUEST, 'ECONNRESET', 500, false),
+  },
+];
+
+for (const { name, violation, feed } of CASES) {
+  test(`${name} is ${violation ? `seen as "${violation}"` : 'no violation'}`, () => {
+    const checker = new PlatformChecker();
+    checker.recordSent(REQUEST);
+    feed(checker);
+    checker.finish();
+    assert.equal(checker.hasViolations(), violation !== undefined);
+    if (violation) assert.equal(checker.getCount(violation), 1);
+  });
+}
