--- a/test/mesh/targets.test.ts
+++ b/test/mesh/targets.test.ts
@@ -29,17 +29,15 @@
   });
 }
 
+/** Returns a route whose requests are divided among services by weight. */
+function buildSplit(weights: Readonly<Record<string, number>>): MeshRoute {
+  const backends = Object.entries(weights).map(([Service, Weight]) => ({ Service, Weight }));
+  const config = decode([{ prefix: '/s/', backends }]);
+  return matchRoute(config, 'mesh.example', '/s/') as MeshRoute;
+}
+
 test('each service gets its share of every few requests', () => {
-  const config = decode([
-    {
-      prefix: '/s/',
-      backends: [
-        { Service: 'x', Weight: 90 },
-        { Service: 'y', Weight: 10 },
-      ],
-    },
-  ]);
-  const route = matchRoute(config, 'mesh.example', '/s/') as MeshRoute;
+  const route = buildSplit({ x: 90, y: 10 });
   const chooser = new TargetChooser();
   for (let round = 0; round < 10; round += 1) {
     const chosen = Array.from({ length: 10 }, () => chooser.choose(route));
@@ -48,16 +46,7 @@
 });
 
 test('a service of weight zero gets nothing', () => {
-  const config = decode([
-    {
-      prefix: '/s/',
-      backends: [
-        { Service: 'x', Weight: 0 },
-        { Service: 'y', Weight: 1 },
-      ],
-    },
-  ]);
-  const route = matchRoute(config, 'mesh.example', '/s/') as MeshRoute;
+  const route = buildSplit({ x: 0, y: 1 });
   const chooser = new TargetChooser();
   for (let count = 0; count < 50; count += 1) assert.equal(chooser.choose(route), 'y');
 });
