Take the headers of nodes from nodes only

A caller's own mesh-terms came before the node's, so that the other node refused the call (502 for the caller), and a caller's mesh-seen with a high revision would have made every node list the store anew every 0.4 s. An instance's mesh-result could stand before the node's. Change: callers' and instances' headers of these names are dropped. A whole list ends the belief in revisions beyond it, whoever told of them. Ruled out: a secret in the headers; the ports of nodes are reached by nodes only.

--- a/src/mesh/callPort.ts
+++ b/src/mesh/callPort.ts
@@ -7,6 +7,7 @@
 import { filterHeaders, getHeader, type HeaderNames } from './headers.js';
 import type { MeshMetrics } from './meshMetrics.js';
 import type { HttpResponse, MeshConfig, MeshSettings } from './model.js';
+import { NODE_HEADERS } from './peerMessages.js';
 import { readBody } from './readBody.js';
 import { RequestAges } from './requestAges.js';
 import { Cancellation } from './signal.js';
@@ -91,9 +92,12 @@
   const countOpenOn = (socket: Socket) => openBySocket.get(socket) ?? 0;
   let isClosing = false;
   let isRefusing = false;
-  const removedFromRequests: ReadonlySet<string> = new Set(
-    [names.deadline, names.targetInstance, names.callerService].map((name) => name.toLowerCase()),
-  );
+  const removedFromRequests: ReadonlySet<string> = new Set([
+    ...[names.deadline, names.targetInstance, names.callerService].map((name) =>
+      name.toLowerCase(),
+    ),
+    ...NODE_HEADERS,
+  ]);
 
   const writeEnd = (response: ServerResponse, work: CallWork, end: CallEnd) => {
     const passedMs = performance.now() - work.startedAtMs;
--- a/src/mesh/kindPosition.ts
+++ b/src/mesh/kindPosition.ts
@@ -31,6 +31,12 @@
     this.covered = Math.max(this.covered, revision);
   }
 
+  /** Records a whole list: nothing beyond its revision has happened, whatever others said. */
+  recordListed(revision: number): void {
+    this.recordCovered(revision);
+    this.elsewhere = Math.min(this.elsewhere, this.covered);
+  }
+
   /** Sets what ends the call that waits for changes, while there is one. */
   setInterrupt(interrupt: (() => void) | undefined): void {
     this.interrupt = interrupt;
--- a/src/mesh/peerCalls.ts
+++ b/src/mesh/peerCalls.ts
@@ -9,8 +9,15 @@
 import type { Link } from './link.js';
 import { LinkPool } from './linkPool.js';
 import type { CallTerms, HttpRequest, RunReport } from './model.js';
-import { decodeResult, encodeTerms, RESULT_HEADER, TERMS_HEADER } from './peerMessages.js';
-import { SEEN_HEADER, type SeenRevisions } from './seenRevisions.js';
+import {
+  decodeResult,
+  encodeTerms,
+  NODE_HEADERS,
+  RESULT_HEADER,
+  SEEN_HEADER,
+  TERMS_HEADER,
+} from './peerMessages.js';
+import type { SeenRevisions } from './seenRevisions.js';
 import type { Cancellation } from './signal.js';
 
 /** Several round trips between data centres of one region. */
@@ -47,8 +54,6 @@
   isSettled: boolean;
 }
 
-const REMOVED: ReadonlySet<string> = new Set([RESULT_HEADER, SEEN_HEADER]);
-
 function isAnyResponse(): boolean {
   return true;
 }
@@ -175,7 +180,7 @@
     this.pool.release(link);
     const { response } = ended;
     this.seen.apply(getHeader(response.headers, SEEN_HEADER));
-    const passed = { ...response, headers: filterHeaders(response.headers, REMOVED) };
+    const passed = { ...response, headers: filterHeaders(response.headers, NODE_HEADERS) };
     const decoded = decodeResult(getHeader(response.headers, RESULT_HEADER), passed);
     if (!decoded) return buildLost('unreadable result of a node');
     return { result: decoded.result, load: decoded.load, hasResponded: true };
--- a/src/mesh/peerMessages.ts
+++ b/src/mesh/peerMessages.ts
@@ -15,6 +15,16 @@
 /** Response header with the result. */
 export const RESULT_HEADER = 'mesh-result';
 
+/** Header of calls and responses that tells how far a node has followed the store. */
+export const SEEN_HEADER = 'mesh-seen';
+
+/** Headers that only nodes may set; those of callers and of instances are dropped. */
+export const NODE_HEADERS: ReadonlySet<string> = new Set([
+  TERMS_HEADER,
+  RESULT_HEADER,
+  SEEN_HEADER,
+]);
+
 /**
  * Terms as they travel, without names to keep them short: call, route, instance,
  * 1 for a repeatable one, rank, milliseconds to the deadline, milliseconds to the objective, and
--- a/src/mesh/peerPort.ts
+++ b/src/mesh/peerPort.ts
@@ -11,11 +11,13 @@
 import {
   decodeTerms,
   encodeResult,
+  NODE_HEADERS,
   RESULT_HEADER,
+  SEEN_HEADER,
   TERMS_HEADER,
   type ReceivedTerms,
 } from './peerMessages.js';
-import { SEEN_HEADER, type SeenRevisions } from './seenRevisions.js';
+import type { SeenRevisions } from './seenRevisions.js';
 import { Cancellation } from './signal.js';
 
 /** How long a run goes on after the connection of its node broke, unless it is taken up again. */
@@ -45,8 +47,6 @@
   readonly seen: SeenRevisions;
 }
 
-const REMOVED: ReadonlySet<string> = new Set([TERMS_HEADER, SEEN_HEADER]);
-
 function writeReport(response: ServerResponse, report: RunReport, seen: string | undefined): void {
   const { result } = report;
   const encoded = encodeResult(report);
@@ -58,7 +58,7 @@
     return;
   }
   const { status, headers, body } = result.response;
-  const passed = filterHeaders(headers);
+  const passed = filterHeaders(headers, NODE_HEADERS);
   passed.push(RESULT_HEADER, encoded, 'Content-Length', String(body.length));
   if (seen !== undefined) passed.push(SEEN_HEADER, seen);
   response.writeHead(status, passed);
@@ -132,7 +132,7 @@
       {
         method: message.method ?? 'GET',
         path: message.url ?? '/',
-        headers: filterHeaders(message.rawHeaders, REMOVED),
+        headers: filterHeaders(message.rawHeaders, NODE_HEADERS),
         body,
       },
       received,
--- a/src/mesh/seenRevisions.ts
+++ b/src/mesh/seenRevisions.ts
@@ -4,9 +4,6 @@
  */
 import type { KindPosition } from './kindPosition.js';
 
-/** Header of calls between nodes and of their responses. */
-export const SEEN_HEADER = 'mesh-seen';
-
 /** Least time between two calls that carry the header, so that it costs few bytes. */
 const INTERVAL_MS = 100;
 
--- a/src/mesh/watchKind.ts
+++ b/src/mesh/watchKind.ts
@@ -35,7 +35,7 @@
 function applyList({ listener, position }: WatchKindOptions, list: StoreList): void {
   listener.applyList(list);
   for (const { revision } of list.objects) position.recordChange(revision);
-  position.recordCovered(list.revision);
+  position.recordListed(list.revision);
 }
 
 function applyChanges({ listener, position }: WatchKindOptions, changes: StoreChanges): void {
--- a/test/mesh/fleet.test.ts
+++ b/test/mesh/fleet.test.ts
@@ -69,6 +69,23 @@
   });
 });
 
+test('headers by which nodes speak to each other are not taken from callers', async () => {
+  await withFleet(async (fleet) => {
+    const entry = await fleet.addHost('guide');
+    await fleet.addHost('pads');
+    await fleet.waitListed('/read/', ['i-1']);
+    await wait(500);
+    const before = fleet.store.calls.length;
+    const headers = { 'mesh-seen': '99999999.99999999', 'mesh-terms': '[]', 'mesh-result': '{}' };
+    const response = await sendTo(entry, { path: '/read/', id: 'm-1', headers });
+    assert.equal(response.status, 200);
+    assert.equal(response.body, 'i-1 ran m-1');
+    await wait(700);
+    // A node that believed it would list the objects anew after 0.4 s.
+    assert.equal(fleet.store.calls.length, before);
+  });
+});
+
 test('pipelined requests are answered in their order', async () => {
   await withFleet(async (fleet) => {
     const host = await fleet.addHost('pads');
