Keep the fault table of the fleet tests from exploring

A repeatable request goes to a random instance once in a hundred times; half of those miss the faulty one, so each of the three safe cases failed once in 200 runs. Change: the draw is fixed for the request of these cases; the assertions are the same. Shown: with a draw that explores (0.005, then 0.9) exactly the three safe cases fail; with 0.5 all pass (23 of 23).

--- a/test/mesh/fleet.test.ts
+++ b/test/mesh/fleet.test.ts
@@ -188,12 +188,14 @@
   { name: 'a failure of an unsafe request', fault: 'fail', path: '/book/', status: 500, runs: 1 },
 ];
 for (const { name, fault, path, status, runs } of FAULT_CASES) {
-  test(`${name} ends as ${status} after ${runs} run(s)`, async () => {
+  test(`${name} ends as ${status} after ${runs} run(s)`, async (t) => {
     await withFleet(async (fleet) => {
       const faulty = await fleet.addHost('pads', 'a');
       const sound = await fleet.addHost('pads', 'b');
       await fleet.waitRecords();
       faulty.instance.fault = FAULTS[fault];
+      // One request in a hundred explores, and would miss the faulty instance.
+      t.mock.method(Math, 'random', () => 0.5);
       const response = await sendTo(faulty, { path, id: 'x-1', method: 'POST', body: 'b' });
       assert.equal(response.status, status);
       const ran = [faulty, sound].flatMap(({ instance }) =>
