Join what stood twice, found in the last read of the change

- Both soaks counted violations, kept examples and formatted counts by themselves: soak/violations serves both now.
- TargetChooser, RequestAges and CallStats removed the entries of gone routes in three loops: utils/evictMissing.
The names of the routes are listed once for each version, not twice.
- Publisher asked for what is wanted in its loop and again in its write; the loop hands it over.
- nodeRecord told the states with a heartbeat apart in two ways; it uses isHeard.
- A test spread an object for no reason; computeScore is used in its own file only; a comment named the objects of a mechanism that is gone.

--- a/soak/checker.ts
+++ b/soak/checker.ts
@@ -1,5 +1,6 @@
 /** Checks of the soak run: a pure record of what was seen, and the violations in it. */
 import type { CallResult } from '../standins/caller.js';
+import { ViolationCounts } from './violations.js';
 
 /** Kinds of violations; each must be zero. */
 export const VIOLATIONS = [
@@ -41,9 +42,6 @@
   readonly ready: boolean;
 }
 
-/** Examples kept for each violation. */
-const MAX_EXAMPLES = 10;
-
 function describeFailure(call: SentCall, result: CallResult): string {
   if (result.kind === 'answered') return `status ${result.status}`;
   const detail = 'detail' in result ? `: ${result.detail}` : '';
@@ -51,11 +49,7 @@
 }
 
 /** Records calls, runs, versions and routes, and counts violations. */
-export class SoakChecker {
-  readonly #counts = new Map<Violation, number>(VIOLATIONS.map((name) => [name, 0]));
-
-  readonly #examples = new Map<Violation, string[]>();
-
+export class SoakChecker extends ViolationCounts<Violation> {
   readonly #operations = new Map<string, { isOnce: boolean; runs: number; operationId: string }>();
 
   readonly #operationOf = new Map<string, string>();
@@ -81,7 +75,7 @@
     switch (result.kind) {
       case 'answered':
         if (result.check !== 'whole') {
-          this.#add('truncated or crossed answers', `${name}: ${result.check}`);
+          this.add('truncated or crossed answers', `${name}: ${result.check}`);
         }
         return;
       case 'notRun':
@@ -93,7 +87,7 @@
       case 'broken':
         if (call.isCalm) {
           const what = `${name}: ${describeFailure(call, result)}, stopped ${call.stopped}`;
-          this.#add('requests cut by a planned stop', what);
+          this.add('requests cut by a planned stop', what);
         }
         return;
       default:
@@ -104,13 +98,13 @@
   /** Records a run from the files of the upstreams, after the last call. */
   recordRun(callId: string): void {
     if (this.#toldNotRun.has(callId)) {
-      this.#add('false not-run answers', `call ${callId} was told not-run and ran`);
+      this.add('false not-run answers', `call ${callId} was told not-run and ran`);
     }
     const operation = this.#operations.get(this.#operationOf.get(callId) ?? '');
     if (operation === undefined) return;
     operation.runs += 1;
     if (operation.isOnce && operation.runs > 1) {
-      this.#add('runs over once', `operation ${operation.operationId}: run ${operation.runs}`);
+      this.add('runs over once', `operation ${operation.operationId}: run ${operation.runs}`);
     }
   }
 
@@ -123,13 +117,13 @@
     const process = `${nodeId} ${incarnation}`;
     const ofProcess = this.#versionOfProcess.get(process) ?? 0;
     if (version < ofProcess) {
-      this.#add('version regressions of a process', `${process}: ${ofProcess} to ${version}`);
+      this.add('version regressions of a process', `${process}: ${ofProcess} to ${version}`);
     }
     this.#versionOfProcess.set(process, Math.max(ofProcess, version));
     // A process that has just started has no version yet, but must not serve an older one.
     if (!seen.ready) return;
     if (version < servedBefore) {
-      this.#add('version regressions of a host', `${nodeId}: ${servedBefore} to ${version}`);
+      this.add('version regressions of a host', `${nodeId}: ${servedBefore} to ${version}`);
     }
     this.#versionOfHost.set(nodeId, Math.max(this.getHostVersion(nodeId), version));
   }
@@ -142,44 +136,25 @@
   /** Records the version of an answer; `before` is the host's version when the call began. */
   recordServedVersion(nodeId: string, before: number, version: number): void {
     if (version < before) {
-      this.#add('version regressions of a host', `${nodeId}: ${before} to ${version} in an answer`);
+      this.add('version regressions of a host', `${nodeId}: ${before} to ${version} in an answer`);
     }
     this.#versionOfHost.set(nodeId, Math.max(this.getHostVersion(nodeId), version));
   }
 
   /** Records a route of a node and whether the service that it names exists there. */
   recordRoute(nodeId: string, route: string, service: string, isKnown: boolean): void {
-    if (!isKnown) this.#add('dangling routes', `${nodeId}: ${route} to ${service}`);
+    if (!isKnown) this.add('dangling routes', `${nodeId}: ${route} to ${service}`);
   }
 
   /** Records a planned stop; an exit code other than 0 means that calls were cut. */
   recordPlannedStop(processId: string, exitCode: number | null): void {
     if (exitCode === 0) return;
-    this.#add('requests cut by a planned stop', `${processId} exited with ${exitCode}`);
+    this.add('requests cut by a planned stop', `${processId} exited with ${exitCode}`);
   }
 
   /** Records the version of a node after the faults have ended. */
   recordFinalVersion(nodeId: string, version: number, accepted: number): void {
     if (version === accepted) return;
-    this.#add('nodes behind at the end', `${nodeId}: ${version}, accepted ${accepted}`);
-  }
-
-  getCount(name: Violation): number {
-    return this.#counts.get(name) ?? 0;
-  }
-
-  getExamples(name: Violation): readonly string[] {
-    return this.#examples.get(name) ?? [];
-  }
-
-  hasViolations(): boolean {
-    return [...this.#counts.values()].some((count) => count > 0);
-  }
-
-  #add(name: Violation, example: string): void {
-    this.#counts.set(name, this.getCount(name) + 1);
-    const examples = this.#examples.get(name) ?? [];
-    if (examples.length < MAX_EXAMPLES) examples.push(example);
-    this.#examples.set(name, examples);
+    this.add('nodes behind at the end', `${nodeId}: ${version}, accepted ${accepted}`);
   }
 }
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -11,17 +11,11 @@
 import { SoakChecker, VIOLATIONS } from './checker.js';
 import { createConfigChanger } from './configChanges.js';
 import { createRounds } from './rounds.js';
+import { formatCounts } from './violations.js';
 import { createVersionReader, startNodeWatch } from './watchNodes.js';
 
 const CATCH_UP_MS = 15_000;
 
-function formatCounts(counts: ReadonlyMap<string | number, number>): string {
-  return [...counts]
-    .sort(([, one], [, other]) => other - one)
-    .map(([name, count]) => `${name}=${count}`)
-    .join(', ');
-}
-
 async function checkFinalVersions(mesh: Mesh, checker: SoakChecker): Promise<void> {
   const accepted = await createVersionReader(mesh).readHeadVersion();
   const endMs = performance.now() + CATCH_UP_MS;
@@ -35,14 +29,6 @@
   }
 }
 
-function printTable(checker: SoakChecker): void {
-  console.log('violation                             count');
-  for (const name of VIOLATIONS) {
-    console.log(`${name.padEnd(36)}${String(checker.getCount(name)).padStart(7)}`);
-    for (const example of checker.getExamples(name)) console.log(`    ${example}`);
-  }
-}
-
 async function runSoak(mesh: Mesh, minutes: number, seed: number): Promise<boolean> {
   const endMs = performance.now() + minutes * 60_000;
   const checker = new SoakChecker();
@@ -79,7 +65,8 @@
   console.log(`faults: ${formatCounts(rounds.counts)}`);
   console.log(`config changes by exit code: ${formatCounts(changer.counts)}`);
   console.log(`samples: ${watch.counts.versions} versions, ${watch.counts.routes} routes`);
-  printTable(checker);
+  console.log('violation and count');
+  console.log(checker.format(VIOLATIONS));
   if (failure !== undefined) console.log(`the run ended early: ${String(failure)}`);
   return failure === undefined && !checker.hasViolations();
 }
--- a/soak/platform/checker.ts
+++ b/soak/platform/checker.ts
@@ -1,5 +1,6 @@
 /** Checks of the soak on the platform's protocol: what callers and instances have seen. */
 import type { FleetResponse } from '../../standins/mesh/meshFleet.js';
+import { ViolationCounts } from '../violations.js';
 
 /** Kinds of violations; each must be zero. */
 export const VIOLATIONS = [
@@ -24,8 +25,6 @@
 /** Statuses that promise that a request has not run and never will. */
 const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
-const MAX_EXAMPLES = 5;
-
 /** One request as a caller sent it. */
 export interface SentRequest {
   readonly id: string;
@@ -42,13 +41,9 @@
 }
 
 /** Counts violations and keeps examples of each. */
-export class PlatformChecker {
+export class PlatformChecker extends ViolationCounts<Violation> {
   readonly results = new Map<string, number>();
 
-  private readonly counts = new Map<Violation, number>();
-
-  private readonly examples = new Map<Violation, string[]>();
-
   private readonly sent = new Map<string, SentRequest>();
 
   private readonly promised = new Set<string>();
@@ -114,25 +109,6 @@
     }
   }
 
-  add(violation: Violation, example: string): void {
-    this.counts.set(violation, this.getCount(violation) + 1);
-    const examples = this.examples.get(violation) ?? [];
-    if (examples.length < MAX_EXAMPLES) examples.push(example);
-    this.examples.set(violation, examples);
-  }
-
-  getCount(violation: Violation): number {
-    return this.counts.get(violation) ?? 0;
-  }
-
-  getExamples(violation: Violation): readonly string[] {
-    return this.examples.get(violation) ?? [];
-  }
-
-  hasViolations(): boolean {
-    return this.counts.size > 0;
-  }
-
   countRuns(): number {
     return [...this.runs.values()].reduce((sum, count) => sum + count, 0);
   }
--- a/soak/platform/main.ts
+++ b/soak/platform/main.ts
@@ -5,6 +5,7 @@
 import { parseOptions } from '../../standins/options.js';
 import { chooseOne, createRandom } from '../../standins/random.js';
 import { sendHttp, wait } from '../../standins/mesh/meshFleet.js';
+import { formatCounts } from '../violations.js';
 import { CALM_MS, startCallers, type Disturbance } from './callers.js';
 import { PlatformChecker, VIOLATIONS } from './checker.js';
 import { FAULTS, stopNodeProcess, type Fault } from './faults.js';
@@ -34,10 +35,6 @@
   process.stdout.write(`${text}\n`);
 }
 
-function formatCounts(numbers: ReadonlyMap<string, number>): string {
-  return [...numbers].map(([name, count]) => `${name}=${count}`).join(', ');
-}
-
 function recordFault(name: string): void {
   counts.set(name, (counts.get(name) ?? 0) + 1);
 }
@@ -126,10 +123,7 @@
   print(`seed ${options.seed}, ${rounds} rounds, ${checker.countRuns()} runs`);
   print(`responses: ${formatCounts(checker.results)}`);
   print(`faults: ${formatCounts(counts)}`);
-  for (const name of VIOLATIONS) {
-    print(`${name.padEnd(48)}${String(checker.getCount(name)).padStart(6)}`);
-    for (const example of checker.getExamples(name)) print(`    ${example}`);
-  }
+  print(checker.format(VIOLATIONS));
   print(checker.hasViolations() ? 'FAIL' : 'PASS');
   // Sockets that a fault left half open must not keep the program.
   process.exit(checker.hasViolations() ? 1 : 0);
--- a/src/mesh/callPort.ts
+++ b/src/mesh/callPort.ts
@@ -6,12 +6,12 @@
 import type { EventLog } from './eventLog.js';
 import { filterHeaders, getHeader, type HeaderNames } from './headers.js';
 import type { MeshMetrics } from './meshMetrics.js';
-import type { HttpResponse, MeshConfig, MeshSettings } from './model.js';
+import type { CallerLimits, HttpResponse, MeshConfig, MeshSettings } from './model.js';
 import { NODE_HEADERS } from './peerMessages.js';
 import { readBody } from './readBody.js';
 import { RequestAges } from './requestAges.js';
 import { Cancellation } from './signal.js';
-import { listRouteNames, matchRoute } from './targets.js';
+import { matchRoute } from './targets.js';
 
 /** Largest head that the HTTP library reads, in bytes; the configured limit is lower. */
 const MAX_HEAD_BYTES = 128 * 1024;
@@ -43,8 +43,8 @@
   refuseNew(): void;
   /** Gives up the requests without a response, which get one at once, and returns their number. */
   cancelOpen(): number;
-  /** Applies what a version says of callers and of routes. */
-  applyConfig(config: MeshConfig): void;
+  /** Applies the limits of a version, whose routes are `routes`. */
+  applyConfig(limits: CallerLimits, routes: ReadonlySet<string>): void;
 }
 
 function countBytes(headers: readonly string[]): number {
@@ -223,9 +223,8 @@
       for (const cancellation of cancellations) cancellation.cancel();
       return cancellations.size;
     },
-    applyConfig(config) {
-      const { limits } = config;
-      ages.evictRoutes(listRouteNames(config));
+    applyConfig(limits, routes) {
+      ages.evictRoutes(routes);
       server.keepAliveTimeout = limits.idleTimeoutMs;
       server.headersTimeout = limits.headerTimeoutMs;
     },
--- a/src/mesh/localInstance.ts
+++ b/src/mesh/localInstance.ts
@@ -19,9 +19,11 @@
   readonly sequence: number;
 }
 
+/** A state that holds the latest heartbeat of the instance. */
 type HeardState = Extract<InstanceState, { heartbeat: Heartbeat }>;
 
-function isHeard(state: InstanceState): state is HeardState {
+/** True for states that hold a heartbeat. */
+export function isHeard(state: InstanceState): state is HeardState {
   return state.kind === 'ready' || state.kind === 'leaving';
 }
 
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -28,7 +28,7 @@
 import { createMetricsPort, createReadyPort } from './statusPorts.js';
 import { stopNode } from './stopNode.js';
 import type { MeshStore } from './store.js';
-import { TargetChooser } from './targets.js';
+import { listRouteNames, TargetChooser } from './targets.js';
 import { watchKind } from './watchKind.js';
 import { chooseWatchMs } from './watchWaits.js';
 
@@ -129,8 +129,9 @@
     metrics,
   });
   config.onInstall((installed) => {
-    targets.evictRoutes(installed);
-    callPort.applyConfig(installed);
+    const routes = listRouteNames(installed);
+    targets.evictRoutes(routes);
+    callPort.applyConfig(installed.limits, routes);
   });
   const peerPort = createPeerPort({ runner, processId, names, seen });
   const announcementPort = createAnnouncementPort({
--- a/src/mesh/nodeRecord.ts
+++ b/src/mesh/nodeRecord.ts
@@ -1,6 +1,5 @@
 /** The object in which a node publishes itself and its instance. */
-import type { InstanceId } from '../types/ids.js';
-import type { InstanceState, LeftInstance, LocalInstance } from './localInstance.js';
+import { isHeard, type LeftInstance, type LocalInstance } from './localInstance.js';
 import type { MeshSettings, NodeRecord } from './model.js';
 
 /** Kind of the objects in the store. */
@@ -48,20 +47,6 @@
   return { record: record as NodeRecord, left: isLeft(left) ? left : undefined };
 }
 
-function getInstanceId(state: InstanceState): InstanceId | undefined {
-  switch (state.kind) {
-    case 'ready':
-    case 'leaving':
-      return state.heartbeat.instanceId;
-    case 'gone':
-      return state.instanceId;
-    case 'unknown':
-      return undefined;
-    default:
-      throw new Error(`unknown state ${JSON.stringify(state satisfies never)}`);
-  }
-}
-
 /**
  * Builds what this process should store: nothing before its instance was heard of. The instance
  * that left stays on record when the process ends: the next one must know it.
@@ -74,9 +59,9 @@
 ): PublishedNode | undefined {
   const state = instance.getState();
   const left = instance.getLeft();
-  const heartbeat =
-    state.kind === 'ready' || state.kind === 'leaving' ? state.heartbeat : undefined;
-  const instanceId = getInstanceId(state) ?? left?.instanceId;
+  const heartbeat = isHeard(state) ? state.heartbeat : undefined;
+  const gone = state.kind === 'gone' ? state : left;
+  const instanceId = heartbeat?.instanceId ?? gone?.instanceId;
   if (instanceId === undefined) return undefined;
   const record: NodeRecord = {
     nodeId,
--- a/src/mesh/publisher.ts
+++ b/src/mesh/publisher.ts
@@ -44,23 +44,27 @@
     if (this.revision !== undefined && revision < this.revision) return;
     this.revision = value === undefined ? undefined : revision;
     this.storedText = value === undefined ? undefined : JSON.stringify(value);
-    if (!this.isCurrent() && !this.isRunning) void this.run();
+    if (this.findMissing() && !this.isRunning) void this.run();
   }
 
   stop(): void {
     this.isStopped = true;
   }
 
-  private isCurrent(): boolean {
+  /** Returns what should be stored and is not. */
+  private findMissing(): PublishedNode | undefined {
     const wanted = this.getWanted();
-    return wanted === undefined || this.storedText === JSON.stringify(wanted);
+    const isStored = wanted !== undefined && this.storedText === JSON.stringify(wanted);
+    return isStored ? undefined : wanted;
   }
 
   private async run(): Promise<void> {
     this.isRunning = true;
     let failures = 0;
-    while (!this.isStopped && !this.isCurrent()) {
-      const hasWritten = await this.write();
+    for (;;) {
+      const missing = this.isStopped ? undefined : this.findMissing();
+      if (!missing) break;
+      const hasWritten = await this.write(missing);
       if (hasWritten) {
         failures = 0;
         continue;
@@ -75,10 +79,8 @@
   }
 
   /** Makes one call; true when it changed what is known of the object. */
-  private async write(): Promise<boolean> {
+  private async write(wanted: PublishedNode): Promise<boolean> {
     const { store, name, revision } = this;
-    const wanted = this.getWanted();
-    if (wanted === undefined) return true;
     const result =
       revision === undefined
         ? await store.create(NODE_KIND, name, wanted)
--- a/src/mesh/requestAges.ts
+++ b/src/mesh/requestAges.ts
@@ -4,6 +4,7 @@
  * counts from their first try, so that taken for new ones they hold up those that can still be in
  * time.
  */
+import { evictMissing } from '../utils/evictMissing.js';
 
 /** Share of the requests of a route from which a waiting time may be a usual one. */
 const USUAL_SHARE = 0.05;
@@ -74,10 +75,8 @@
   }
 
   /** Drops what is known of routes that are gone. */
-  evictRoutes(names: ReadonlySet<string>): void {
-    for (const name of [...this.byRoute.keys()]) {
-      if (!names.has(name)) this.byRoute.delete(name);
-    }
+  evictRoutes(known: ReadonlySet<string>): void {
+    evictMissing(this.byRoute, known);
   }
 
   private getTimes(route: string): StatedTimes {
--- a/src/mesh/targets.ts
+++ b/src/mesh/targets.ts
@@ -1,5 +1,6 @@
 /** Chooses the service of a route by weight, and the route of a request. */
 import type { ServiceName } from '../types/ids.js';
+import { evictMissing } from '../utils/evictMissing.js';
 import type { MeshConfig, MeshRoute } from './model.js';
 
 /** Returns the names of all routes of a version. */
@@ -33,11 +34,8 @@
   }
 
   /** Drops the credits of routes that are gone. */
-  evictRoutes(config: MeshConfig): void {
-    const names = listRouteNames(config);
-    for (const name of [...this.credits.keys()]) {
-      if (!names.has(name)) this.credits.delete(name);
-    }
+  evictRoutes(known: ReadonlySet<string>): void {
+    evictMissing(this.credits, known);
   }
 
   private getCredits(route: MeshRoute): Map<ServiceName, number> {
--- a/src/plugins/callStats.ts
+++ b/src/plugins/callStats.ts
@@ -4,6 +4,7 @@
 import type { CompiledRoute } from '../types/routing.js';
 import type { Outcome } from '../types/outcome.js';
 import type { RouteName } from '../types/ids.js';
+import { evictMissing } from '../utils/evictMissing.js';
 import { BURN_WINDOWS_MIN, BurnRing } from './burnRate.js';
 import type { BurnCounts } from './burnRate.js';
 
@@ -87,9 +88,7 @@
 
   /** Drops routes that the configuration no longer has, so that renamed routes do not add up. */
   evictRoutes(known: ReadonlyMap<RouteName, CompiledRoute>): void {
-    for (const name of this.entries.keys()) {
-      if (!known.has(name)) this.entries.delete(name);
-    }
+    evictMissing(this.entries, known);
   }
 
   private requireEntry(route: RouteName): RouteEntry {
--- /dev/null
+++ b/src/utils/evictMissing.ts
@@ -0,0 +1,6 @@
+/** Removes the entries of a map whose keys are not known any more. */
+export function evictMissing<Key>(map: Map<Key, unknown>, known: { has(key: Key): boolean }): void {
+  for (const key of map.keys()) {
+    if (!known.has(key)) map.delete(key);
+  }
+}
--- a/src/utils/rendezvous.ts
+++ b/src/utils/rendezvous.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto';
 
 /** Returns the rendezvous hash score of a member for a key, evenly spread over 0 to 2^48 - 1. */
-export function computeScore(key: string, member: string): number {
+function computeScore(key: string, member: string): number {
   return createHash('sha1').update(`${key}\n${member}`).digest().readUIntBE(0, 6);
 }
 
--- a/standins/platform/counters.ts
+++ b/standins/platform/counters.ts
@@ -8,7 +8,7 @@
   /** Calls that the platform took up, also those that it answered with an error. */
   readonly total: number;
   readonly byKind: Readonly<Record<CallKind, number>>;
-  /** Calls by kind of object, such as `config` or `keypartitions`. */
+  /** Calls by kind of object, such as `config` or `bundles`. */
   readonly byObjectKind: Readonly<Record<string, number>>;
   /** Answers by status code. */
   readonly byStatus: Readonly<Record<string, number>>;
--- a/test/calls/callFleet.ts
+++ b/test/calls/callFleet.ts
@@ -102,7 +102,8 @@
     table,
     store: { getRouting: () => routing, isReady: () => true },
     memory: createRequestMemory({ maxKeys: 10_000, rememberMs: 900_000 }),
-    ...{ logger: SILENT_LOGGER, client: upstream.client },
+    logger: SILENT_LOGGER,
+    client: upstream.client,
   });
   return { nodeId, view, published, table, state, upstream, dispatcher, latest, alive };
 }
