Log what the resources that requests share cost: store responses, queue, run, event loop

Added, without a change of logic: - store-response: bytes, transfer time and reason of each large, slow or broken response of the store; counters store_calls, store_bytes, store_failures by step and kind - call-ended: sends, age of the load report, time in the queue and run time at the instance - node-load every 5 s: greatest delay of the event loop, store calls and bytes - config-installed: revision

The times travel in the result header between nodes, about 18 bytes a call.

--- a/src/mesh/callPort.ts
+++ b/src/mesh/callPort.ts
@@ -103,6 +103,7 @@
 
   const writeOutcome = (response: ServerResponse, call: PendingCall, outcome: CallOutcome) => {
     const elapsedMs = performance.now() - call.startedAtMs;
+    const { sends, loadAgeMs, timing } = call.trace;
     const fields = {
       request: call.requestId,
       route: call.route.name,
@@ -112,6 +113,10 @@
       leftMs: Math.round(call.deadlineAtMs - performance.now()),
       config: options.getConfig()?.version,
       cancelled: call.cancellation.isCancelled() || undefined,
+      sends,
+      loadAgeMs: loadAgeMs === undefined ? undefined : Math.round(loadAgeMs),
+      queueMs: timing && Math.round(timing.queueMs),
+      runMs: timing && Math.round(timing.runMs),
     };
     log.write('info', 'call-ended', fields);
     metrics.count('calls', `outcome="${outcome.kind}"`);
@@ -180,6 +185,7 @@
       deadlineAtMs: startedAtMs + Math.min(remainingMs, route.timeoutMs),
       objectiveAtMs: startedAtMs + route.objectiveMs - ageMs,
       cancellation,
+      trace: { sends: 0, loadAgeMs: undefined, timing: undefined },
     };
     cancellations.add(cancellation);
     const outcome = await router.run(call);
--- a/src/mesh/callRouter.ts
+++ b/src/mesh/callRouter.ts
@@ -71,6 +71,7 @@
 
   private async runAttempts(call: PendingCall): Promise<CallOutcome> {
     const { targets, retryBudget } = this.options;
+    const { trace } = call;
     const service = targets.choose(call.route);
     if (service === undefined) return { kind: 'notRun', reason: 'no-target', retryAfterMs: 0 };
     retryBudget.recordRequest(service, call.startedAtMs);
@@ -81,7 +82,8 @@
       if (!chosen) break;
       if (progress.countArrivals() > 0 && !this.takeRetry(call, service)) break;
       progress.recordAttempt(chosen.peer.record.instanceId);
-      const { result } = await this.send(chosen, call);
+      const { result, timing } = await this.send(chosen, call);
+      trace.timing = timing;
       if (result.kind === 'notRun') this.recordRefusal(result, chosen, call);
       const outcome = progress.apply(result);
       if (outcome) return outcome;
@@ -130,7 +132,9 @@
       deadlineAtMs: call.deadlineAtMs,
       objectiveAtMs: call.objectiveAtMs,
     };
-    const { request, cancellation } = call;
+    const { request, cancellation, trace } = call;
+    trace.sends += 1;
+    trace.loadAgeMs = peer.getLoadAgeMs(performance.now());
     peer.recordSend();
     try {
       if (directory.isOwn(peer)) {
--- a/src/mesh/configHolder.ts
+++ b/src/mesh/configHolder.ts
@@ -40,7 +40,7 @@
     else this.options.log.write('warn', 'config-removed', { peer: event.name });
   }
 
-  private install({ name, value }: StoredObject): void {
+  private install({ name, value, revision }: StoredObject): void {
     const { log } = this.options;
     if (name !== this.options.name) return;
     const decoded = this.options.decode(value);
@@ -55,6 +55,6 @@
     if (decoded.version <= installedVersion) return;
     this.config = decoded;
     for (const listener of this.listeners) listener(decoded);
-    log.write('info', 'config-installed', { version: decoded.version });
+    log.write('info', 'config-installed', { version: decoded.version, revision });
   }
 }
--- a/src/mesh/httpConnection.ts
+++ b/src/mesh/httpConnection.ts
@@ -67,6 +67,12 @@
   /** Time at which bytes were last received, on the `performance.now` scale. */
   lastReceivedAtMs = performance.now();
 
+  /** Bytes received since the start of the latest exchange. */
+  receivedBytes = 0;
+
+  /** Time of the first bytes since the start of the latest exchange, if any. */
+  firstReceivedAtMs: number | undefined;
+
   /** Time at which the last exchange ended, on the `performance.now` scale. */
   idleSinceMs = performance.now();
 
@@ -114,6 +120,8 @@
     if (this.isClosed || this.pending) {
       return Promise.resolve({ kind: 'broken', reason: 'connection closed', wasSent: false });
     }
+    this.receivedBytes = 0;
+    this.firstReceivedAtMs = undefined;
     return new Promise((resolve) => {
       this.pending = { isHead: request.method === 'HEAD', onInterim, isMatching, resolve };
       this.socket.write(encodeRequest(request));
@@ -179,6 +187,8 @@
   private handleData(chunk: Buffer): void {
     if (this.isClosed) return;
     this.lastReceivedAtMs = performance.now();
+    this.firstReceivedAtMs ??= this.lastReceivedAtMs;
+    this.receivedBytes += chunk.length;
     if (!this.pending) {
       this.fail('bytes without a request');
       return;
--- a/src/mesh/localRunner.ts
+++ b/src/mesh/localRunner.ts
@@ -66,9 +66,19 @@
     metadata: CallMetadata,
     cancellation: Cancellation,
   ): Promise<RunReport> {
+    const receivedAtMs = performance.now();
+    let startedAtMs: number | undefined;
+    const onStart = () => {
+      startedAtMs = performance.now();
+    };
     const refusal = this.checkInstance(metadata.instanceId);
-    const result = refusal ?? (await this.admit(request, metadata, cancellation));
-    return { result, load: this.getLoad() };
+    const result = refusal ?? (await this.admit(request, metadata, cancellation, onStart));
+    const endedAtMs = performance.now();
+    const timing = {
+      queueMs: (startedAtMs ?? endedAtMs) - receivedAtMs,
+      runMs: startedAtMs === undefined ? 0 : endedAtMs - startedAtMs,
+    };
+    return { result, load: this.getLoad(), timing };
   }
 
   /** Returns the load of the instance, or undefined while it does not accept requests. */
@@ -142,6 +152,7 @@
     request: HttpRequest,
     metadata: CallMetadata,
     cancellation: Cancellation,
+    onStart: () => void,
   ): Promise<RunResult> {
     return new Promise((resolve) => {
       const item: QueuedRequest = {
@@ -150,6 +161,7 @@
         objectiveAtMs: metadata.objectiveAtMs,
         deadlineAtMs: metadata.deadlineAtMs,
         start: () => {
+          onStart();
           void this.start(request, metadata, cancellation).then(resolve);
         },
         refuse: (reason, retryAfterMs) => resolve(buildRefusal(reason, false, retryAfterMs)),
--- a/src/mesh/meshMetrics.ts
+++ b/src/mesh/meshMetrics.ts
@@ -13,10 +13,10 @@
 
   private readonly gauges = new Map<string, () => number>();
 
-  /** Increments a counter; `labels` is the text between the braces. */
-  count(name: string, labels = ''): void {
+  /** Increases a counter; `labels` is the text between the braces. */
+  count(name: string, labels = '', increase = 1): void {
     const key = `${name}{${labels}}`;
-    this.counters.set(key, (this.counters.get(key) ?? 0) + 1);
+    this.counters.set(key, (this.counters.get(key) ?? 0) + increase);
   }
 
   /** Registers a gauge whose value is read whenever the metrics are rendered. */
--- a/src/mesh/model.ts
+++ b/src/mesh/model.ts
@@ -172,8 +172,18 @@
   /** The request may have been run; no response was received. */
   | { readonly kind: 'unknown'; readonly reason: string };
 
+/** Times that one attempt spent at the node of the instance, in milliseconds. */
+export interface RunTiming {
+  /** Time between the arrival of the request and its start or refusal. */
+  readonly queueMs: number;
+  /** Time of the exchange with the instance; 0 for a refused request. */
+  readonly runMs: number;
+}
+
 /** A result with the load of the instance that the request was sent to. */
 export interface RunReport {
   readonly result: RunResult;
   readonly load: InstanceLoad | undefined;
+  /** Undefined when the node of the instance did not report it. */
+  readonly timing?: RunTiming | undefined;
 }
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -19,6 +19,7 @@
 import { MeshMetrics } from './meshMetrics.js';
 import type { MeshConfig, MeshSettings } from './model.js';
 import { NodeListener } from './nodeListener.js';
+import { startNodeMonitor } from './nodeMonitor.js';
 import { buildPublishedNode, NODE_KIND } from './nodeRecord.js';
 import { createPeerPort } from './peerPort.js';
 import { Publisher } from './publisher.js';
@@ -157,6 +158,14 @@
   metrics.registerGauge('open_calls', () => callPort.countOpen());
   metrics.registerGauge('config_version', () => config.get()?.version ?? 0);
 
+  const stopMonitor = startNodeMonitor({
+    store,
+    metrics,
+    log,
+    countOpen: () => callPort.countOpen(),
+    countRunning: () => runner.countRunning(),
+  });
+
   const servers = [
     [callPort.server, ports.calls, 'calls.listen'],
     [peerPort, ports.peers, 'peers.listen'],
@@ -186,6 +195,7 @@
   log.write('info', 'started', { service: settings.service, process: processId });
 
   const closeComponents = () => {
+    stopMonitor();
     recordPruner.stop();
     positions.config.endWait();
     positions.nodes.endWait();
--- a/src/mesh/peerCalls.ts
+++ b/src/mesh/peerCalls.ts
@@ -192,6 +192,6 @@
     const forwarded = { ...response, headers: filterHeaders(response.headers, NODE_HEADERS) };
     const decoded = decodeResult(getHeader(response.headers, RESULT_HEADER), forwarded);
     if (!decoded) return buildUnknownReport('unreadable result of a node');
-    return { result: decoded.result, load: decoded.load, hasResponded: true };
+    return { ...decoded, hasResponded: true };
   }
 }
--- a/src/mesh/peerMessages.ts
+++ b/src/mesh/peerMessages.ts
@@ -45,7 +45,10 @@
 /** Wire format of the load; `failures` is the failure rate in thousandths. */
 type LoadMessage = readonly [slots: number, inFlight: number, meanMs: number, failures: number];
 
-type ResultMessage = { readonly load?: LoadMessage } & (
+/** Wire format of the timing, in whole milliseconds. */
+type TimingMessage = readonly [queueMs: number, runMs: number];
+
+type ResultMessage = { readonly load?: LoadMessage; readonly timing?: TimingMessage } & (
   | { readonly kind: 'answered' }
   | {
       readonly kind: 'notRun';
@@ -142,8 +145,11 @@
 }
 
 /** Encodes a result for a header; the response itself is sent as the HTTP response. */
-export function encodeResult({ result, load }: RunReport): string {
-  const common = { load: load && encodeLoad(load) };
+export function encodeResult({ result, load, timing }: RunReport): string {
+  const common = {
+    load: load && encodeLoad(load),
+    timing: timing && ([Math.round(timing.queueMs), Math.round(timing.runMs)] as const),
+  };
   const message: ResultMessage =
     result.kind === 'answered' ? { ...common, kind: 'answered' } : { ...common, ...result };
   return JSON.stringify(message);
@@ -161,6 +167,10 @@
   } catch {
     return undefined;
   }
-  const { load } = message;
-  return { result: toRunResult(message, response), load: load && decodeLoad(load) };
+  const { load, timing } = message;
+  return {
+    result: toRunResult(message, response),
+    load: load && decodeLoad(load),
+    timing: timing && { queueMs: timing[0], runMs: timing[1] },
+  };
 }
--- a/src/mesh/peerNode.ts
+++ b/src/mesh/peerNode.ts
@@ -124,6 +124,11 @@
     return nowMs < this.unavailableUntilMs;
   }
 
+  /** Returns the age of the latest load report, or undefined before the first one. */
+  getLoadAgeMs(nowMs: number): number | undefined {
+    return this.load && nowMs - this.loadAtMs;
+  }
+
   getLoad(nowMs: number): InstanceLoad | undefined {
     const { load } = this;
     if (!load || nowMs - this.loadAtMs < MAX_LOAD_AGE_MS) return load;
--- a/src/mesh/pendingCall.ts
+++ b/src/mesh/pendingCall.ts
@@ -1,7 +1,17 @@
 /** Types for the request of a caller and its outcome. */
-import type { HttpRequest, HttpResponse, MeshRoute } from './model.js';
+import type { HttpRequest, HttpResponse, MeshRoute, RunTiming } from './model.js';
 import type { Cancellation } from './signal.js';
 
+/** What the log line of a call says about its attempts. */
+export interface CallTrace {
+  /** Number of attempts. */
+  sends: number;
+  /** Age of the load report on which the latest instance was selected; undefined without one. */
+  loadAgeMs: number | undefined;
+  /** Times of the latest attempt at the node of its instance. */
+  timing: RunTiming | undefined;
+}
+
 /**
  * A request of a caller that is in progress. Fields that end in `AtMs` are on the
  * `performance.now` scale.
@@ -14,6 +24,7 @@
   readonly deadlineAtMs: number;
   readonly objectiveAtMs: number;
   readonly cancellation: Cancellation;
+  readonly trace: CallTrace;
 }
 
 /** Outcome of the request of a caller. */
--- a/src/mesh/store.ts
+++ b/src/mesh/store.ts
@@ -27,6 +27,20 @@
   readonly revision: number;
 }
 
+/** A finished call to the store, as reported to listeners. */
+export interface StoreCall {
+  /** Step name of the call, such as `store.watch`. */
+  readonly step: string;
+  readonly kind: string;
+  /** Received bytes, headers included; for a failed call those that arrived before the failure. */
+  readonly bytes: number;
+  /** Time from the start of the call to the first received bytes; undefined if none arrived. */
+  readonly firstByteMs: number | undefined;
+  readonly totalMs: number;
+  /** Reason of the failure; undefined for a complete response of any status. */
+  readonly failure: string | undefined;
+}
+
 /**
  * Store of objects by kind and name. Error kinds: `conflict` when the condition of a write does not
  * hold, `not-found`, `stale` when the history of a watch was compacted, `busy` when the store did
@@ -52,5 +66,7 @@
   ): Promise<Result<StoredObject, StepError>>;
   /** Removes the object if its current revision is `revision`. */
   remove(kind: string, name: string, revision: number): Promise<Result<void, StepError>>;
+  /** Registers a listener that is called after each call to the store. */
+  onCall(listener: (call: StoreCall) => void): void;
   close(): void;
 }
