Send hosts with slow links the changes of the configuration, not all of it

Cause: a watch returns whole objects, 355 KB a version with 1,600 idle routes, to every node for every change. Behind 5 Mbit/s that takes 0.83 s (store-response), and the requests of the host wait for the same link: 160 to 406 ms on the way, 8 to 13 ms in calm. A cut watch or a lost history makes every node list the whole configuration again, although nothing has changed. Class: control traffic whose cost grows with the state and not with the change, on the link of the callers. Ruled out: event loop (1 ms late at the most), the queue of instances (12 to 54 ms). Change: a response of the store may use the link for 50 ms. A larger one is broken off at its head; the node asks the two hosts of its data centre with the fastest links, which read whole versions, for the changes since its own version, and only then the store. It goes on asking until nothing came for 0.6 s, so a series costs no store calls. After a lost history or connection a source can confirm the version. Deltas name base, target and number of routes; one that does not fit is refused, and the store is read. Where links are fast nothing changes.

--- /dev/null
+++ b/src/mesh/configAnswers.ts
@@ -0,0 +1,135 @@
+/** Answers the requests of other nodes for changes of the configuration. */
+import { err, ok, type Result } from 'neverthrow';
+import { buildError, toStepError, type StepError } from '../errors.js';
+import type { ConfigVersion } from '../types/ids.js';
+import type { ConfigDelta } from './configDelta.js';
+import type { ConfigHistory } from './configHistory.js';
+import type { ConfigHolder } from './configHolder.js';
+import type { KindPosition } from './kindPosition.js';
+
+/** Upper bound of the wait that another node can request. */
+const MAX_WAIT_MS = 2000;
+
+/** A request for changes, as sent in one header. */
+export interface ConfigRequest {
+  /** Version that is installed at the requesting node. */
+  readonly version: ConfigVersion;
+  /** Revision up to which that node has received all changes. */
+  readonly revision: number;
+  /** True when confirmation of `version` at a later revision is a sufficient answer. */
+  readonly canConfirm: boolean;
+  /** Time for which the answer may wait for a change. */
+  readonly waitMs: number;
+}
+
+/** Answer to a request. `revision` is the one up to which the answering node has all changes. */
+export type ConfigAnswer =
+  | { readonly kind: 'changed'; readonly revision: number; readonly delta: ConfigDelta }
+  /** The version of the request is the latest one that is known here. */
+  | { readonly kind: 'unchanged'; readonly revision: number }
+  /** The history does not reach back to the version of the request. */
+  | { readonly kind: 'unknown'; readonly revision: number };
+
+/** Encodes a request for a header. */
+export function encodeConfigRequest(request: ConfigRequest): string {
+  return JSON.stringify(request);
+}
+
+/** Decodes a request; undefined when the text is malformed. */
+export function decodeConfigRequest(text: string): ConfigRequest | undefined {
+  try {
+    const request = JSON.parse(text) as Partial<ConfigRequest> | null;
+    const numbers = [request?.version, request?.revision, request?.waitMs];
+    return numbers.every(Number.isFinite) ? (request as ConfigRequest) : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Decodes the answer of another node. */
+export function decodeConfigAnswer(body: Buffer): Result<ConfigAnswer, StepError> {
+  const step = 'config.decodeAnswer';
+  const refuse = () => err(buildError('invalid', step, 'peer', 'malformed answer'));
+  let answer: ConfigAnswer;
+  try {
+    answer = JSON.parse(body.toString('utf8')) as ConfigAnswer;
+  } catch (thrown) {
+    return err(toStepError(thrown, step, 'peer'));
+  }
+  if (!Number.isSafeInteger(answer?.revision)) return refuse();
+  switch (answer.kind) {
+    case 'unchanged':
+    case 'unknown':
+      return ok(answer);
+    case 'changed': {
+      const { delta } = answer;
+      const isList = Array.isArray(delta?.routes) && Array.isArray(delta.removed);
+      return isList && Number.isSafeInteger(delta.revision) ? ok(answer) : refuse();
+    }
+    default:
+      return refuse();
+  }
+}
+
+/** Parts of the node that know the configuration and its position in the store. */
+export interface ConfigAnswersOptions {
+  readonly holder: Pick<ConfigHolder, 'get' | 'onInstall'>;
+  readonly history: Pick<ConfigHistory, 'findChanges'>;
+  readonly position: Pick<KindPosition, 'getSyncedRevision' | 'onSynced'>;
+}
+
+/** A request whose answer is not due yet. */
+interface Waiting {
+  readonly request: ConfigRequest;
+  readonly resolve: () => void;
+}
+
+/** Answers requests at once, or when the awaited change arrives. */
+export class ConfigAnswers {
+  private readonly waiting = new Set<Waiting>();
+
+  constructor(private readonly options: ConfigAnswersOptions) {
+    options.holder.onInstall(() => this.checkWaiting());
+    options.position.onSynced(() => this.checkWaiting());
+  }
+
+  /** Resolves with the answer, at the latest after the wait of the request. */
+  async answer(request: ConfigRequest): Promise<ConfigAnswer> {
+    if (!this.isDue(request)) await this.waitUntilDue(request);
+    return this.build(request);
+  }
+
+  private waitUntilDue(request: ConfigRequest): Promise<void> {
+    return new Promise((resolve) => {
+      const waiting: Waiting = { request, resolve };
+      this.waiting.add(waiting);
+      setTimeout(() => this.end(waiting), Math.min(MAX_WAIT_MS, request.waitMs));
+    });
+  }
+
+  private end(waiting: Waiting): void {
+    this.waiting.delete(waiting);
+    waiting.resolve();
+  }
+
+  private isDue({ version, revision, canConfirm }: ConfigRequest): boolean {
+    const { holder, position } = this.options;
+    const installedVersion = holder.get()?.version ?? 0;
+    if (installedVersion > version) return true;
+    return canConfirm && installedVersion === version && position.getSyncedRevision() > revision;
+  }
+
+  private build({ version }: ConfigRequest): ConfigAnswer {
+    const { holder, history, position } = this.options;
+    const revision = position.getSyncedRevision();
+    if (holder.get()?.version === version) return { kind: 'unchanged', revision };
+    const delta = history.findChanges(version);
+    return delta ? { kind: 'changed', revision, delta } : { kind: 'unknown', revision };
+  }
+
+  private checkWaiting(): void {
+    for (const waiting of [...this.waiting]) {
+      if (this.isDue(waiting.request)) this.end(waiting);
+    }
+  }
+}
--- /dev/null
+++ b/src/mesh/configDelta.ts
@@ -0,0 +1,95 @@
+/**
+ * Differences between two versions of the configuration. A node with a low-bandwidth link gets them
+ * from another node, so that a change costs bytes in proportion to the change and not to the
+ * configuration. It performs no I/O.
+ */
+import { err, ok, type Result } from 'neverthrow';
+import { buildError, type StepError } from '../errors.js';
+import type { ConfigVersion, RouteName } from '../types/ids.js';
+import type { CallerLimits, MeshConfig, MeshRoute } from './model.js';
+import { buildRouteTable } from './routeTable.js';
+
+const STEP = 'config.applyDelta';
+
+/** Changes from one version to a later one. */
+export interface ConfigDelta {
+  readonly fromVersion: ConfigVersion;
+  readonly toVersion: ConfigVersion;
+  /** Revision of the stored object with `toVersion`. */
+  readonly revision: number;
+  /** Routes that were added or changed. */
+  readonly routes: readonly MeshRoute[];
+  readonly removed: readonly RouteName[];
+  readonly limits: CallerLimits;
+  /** Number of routes of `toVersion`, which detects a delta for another base. */
+  readonly routeCount: number;
+}
+
+/** Returns the routes of a configuration by name. */
+function mapRoutes({ routes }: MeshConfig): Map<RouteName, MeshRoute> {
+  const byName = new Map<RouteName, MeshRoute>();
+  for (const ofHost of routes.values()) {
+    for (const route of ofHost) byName.set(route.name, route);
+  }
+  return byName;
+}
+
+/** Returns the changes from `before` to `after`, which is stored at `revision`. */
+export function diffConfigs(before: MeshConfig, after: MeshConfig, revision: number): ConfigDelta {
+  const removed = mapRoutes(before);
+  const routes: MeshRoute[] = [];
+  const routesAfter = mapRoutes(after);
+  for (const [name, route] of routesAfter) {
+    const known = removed.get(name);
+    if (!known || JSON.stringify(known) !== JSON.stringify(route)) routes.push(route);
+    removed.delete(name);
+  }
+  return {
+    fromVersion: before.version,
+    toVersion: after.version,
+    revision,
+    routes,
+    removed: [...removed.keys()],
+    limits: after.limits,
+    routeCount: routesAfter.size,
+  };
+}
+
+/** Combines the changes of two successive deltas. */
+export function mergeDeltas(first: ConfigDelta, second: ConfigDelta): ConfigDelta {
+  const routes = new Map(first.routes.map((route) => [route.name, route]));
+  const removed = new Set(first.removed);
+  for (const name of second.removed) {
+    routes.delete(name);
+    removed.add(name);
+  }
+  for (const route of second.routes) {
+    routes.set(route.name, route);
+    removed.delete(route.name);
+  }
+  return {
+    ...second,
+    fromVersion: first.fromVersion,
+    routes: [...routes.values()],
+    removed: [...removed],
+  };
+}
+
+/** Applies a delta to the version that it starts from. */
+export function applyDelta(base: MeshConfig, delta: ConfigDelta): Result<MeshConfig, StepError> {
+  const refuse = (message: string) => err(buildError('invalid', STEP, 'peer', message));
+  if (base.version !== delta.fromVersion) {
+    return refuse(`starts from version ${delta.fromVersion}, installed is ${base.version}`);
+  }
+  if (delta.toVersion <= base.version) {
+    return refuse(`leads to version ${delta.toVersion}, installed is ${base.version}`);
+  }
+  const byName = mapRoutes(base);
+  for (const name of delta.removed) byName.delete(name);
+  for (const route of delta.routes) byName.set(route.name, route);
+  if (byName.size !== delta.routeCount) {
+    return refuse(`results in ${byName.size} routes instead of ${delta.routeCount}`);
+  }
+  const routes = buildRouteTable(byName.values());
+  return ok({ version: delta.toVersion, routes, limits: delta.limits });
+}
--- a/src/mesh/configHolder.ts
+++ b/src/mesh/configHolder.ts
@@ -1,4 +1,5 @@
 /** Holds the installed configuration. Its version never decreases. */
+import { applyDelta, type ConfigDelta } from './configDelta.js';
 import type { EventLog } from './eventLog.js';
 import type { MeshConfig } from './model.js';
 import type { StoredObject, StoreEvent, StoreList } from './store.js';
@@ -13,11 +14,14 @@
   readonly log: EventLog;
 }
 
+/** Called with an installed version and the revision at which it is stored. */
+export type InstallListener = (config: MeshConfig, revision: number) => void;
+
 /** Installs a version completely or not at all. */
 export class ConfigHolder implements KindListener {
   private config: MeshConfig | undefined;
 
-  private readonly listeners: ((config: MeshConfig) => void)[] = [];
+  private readonly listeners: InstallListener[] = [];
 
   constructor(private readonly options: ConfigHolderOptions) {}
 
@@ -27,20 +31,33 @@
   }
 
   /** Registers a listener that is called after each installation. */
-  onInstall(listener: (config: MeshConfig) => void): void {
+  onInstall(listener: InstallListener): void {
     this.listeners.push(listener);
   }
 
   applyList({ objects }: StoreList): void {
-    for (const object of objects) this.install(object);
+    for (const object of objects) this.installObject(object);
   }
 
   applyEvent(event: StoreEvent): void {
-    if (event.kind === 'stored') this.install(event.object);
+    if (event.kind === 'stored') this.installObject(event.object);
     else this.options.log.write('warn', 'config-removed', { peer: event.name });
   }
 
-  private install({ name, value, revision }: StoredObject): void {
+  /** Installs the version that a delta leads to; returns false if the delta does not apply. */
+  installDelta(delta: ConfigDelta): boolean {
+    if (!this.config) return false;
+    const applied = applyDelta(this.config, delta);
+    if (applied.isErr()) {
+      const { step, message } = applied.error;
+      this.options.log.write('warn', 'config-delta-refused', { step, reason: message });
+      return false;
+    }
+    this.install(applied.value, delta.revision, 'peer');
+    return true;
+  }
+
+  private installObject({ name, value, revision }: StoredObject): void {
     const { log } = this.options;
     if (name !== this.options.name) return;
     const decoded = this.options.decode(value);
@@ -53,8 +70,13 @@
       log.write('warn', 'config-older', { version: decoded.version, held: installedVersion });
     }
     if (decoded.version <= installedVersion) return;
-    this.config = decoded;
-    for (const listener of this.listeners) listener(decoded);
-    log.write('info', 'config-installed', { version: decoded.version, revision });
+    this.install(decoded, revision, 'store');
+  }
+
+  private install(config: MeshConfig, revision: number, peer: 'store' | 'peer'): void {
+    this.config = config;
+    for (const listener of this.listeners) listener(config, revision);
+    const { version } = config;
+    this.options.log.write('info', 'config-installed', { version, revision, peer });
   }
 }
--- a/src/mesh/directory.ts
+++ b/src/mesh/directory.ts
@@ -6,7 +6,6 @@
 import { PeerNode } from './peerNode.js';
 import type { Candidate } from './instanceSelection.js';
 import type { RevisionExchange } from './revisionExchange.js';
-import type { WatchingNode } from './primaryWatchers.js';
 
 /**
  * Time for which a node is still used after its record was removed, if it responds. Records that
@@ -108,11 +107,13 @@
   }
 
   /** Returns the nodes that are ready and respond, including this node once it is listed. */
-  listResponding(nowMs: number): WatchingNode[] {
-    return [...this.nodes.values()]
-      .filter((node) => node.unlistedAtMs === undefined && !node.isUnreachable(nowMs))
-      .map(({ record }) => record)
-      .filter(({ state }) => state === 'ready');
+  listResponding(nowMs: number): PeerNode[] {
+    return [...this.nodes.values()].filter(
+      (node) =>
+        node.unlistedAtMs === undefined &&
+        !node.isUnreachable(nowMs) &&
+        node.record.state === 'ready',
+    );
   }
 
   countNodes(): number {
--- a/src/mesh/httpConnection.ts
+++ b/src/mesh/httpConnection.ts
@@ -15,12 +15,21 @@
 /** Result of an exchange. */
 export type ExchangeResult =
   | { readonly kind: 'response'; readonly response: HttpResponse }
+  /** The body is larger than the limit of the exchange; the connection was closed. */
+  | { readonly kind: 'too-large' }
   /** `wasSent` is false when no byte of the request was written. */
   | { readonly kind: 'broken'; readonly reason: string; readonly wasSent: boolean };
 
-interface PendingExchange {
+/** Options of an exchange. */
+export interface ExchangeOptions {
+  /** Called for each interim response. */
+  readonly onInterim?: (() => void) | undefined;
+  /** Size from which the body is not read, in bytes. */
+  readonly maxBytes?: number | undefined;
+}
+
+interface PendingExchange extends ExchangeOptions {
   readonly isHead: boolean;
-  readonly onInterim: (() => void) | undefined;
   readonly isMatching: (headers: readonly string[]) => boolean;
   readonly resolve: (result: ExchangeResult) => void;
 }
@@ -110,12 +119,12 @@
 
   /**
    * Sends a request and reads its response. `isMatching` distinguishes its response from those to
-   * other requests; `onInterim` is called for each interim response.
+   * other requests.
    */
   exchange(
     request: HttpRequest,
     isMatching: (headers: readonly string[]) => boolean,
-    onInterim?: () => void,
+    options: ExchangeOptions = {},
   ): Promise<ExchangeResult> {
     if (this.isClosed || this.pending) {
       return Promise.resolve({ kind: 'broken', reason: 'connection closed', wasSent: false });
@@ -123,7 +132,7 @@
     this.receivedBytes = 0;
     this.firstReceivedAtMs = undefined;
     return new Promise((resolve) => {
-      this.pending = { isHead: request.method === 'HEAD', onInterim, isMatching, resolve };
+      this.pending = { ...options, isHead: request.method === 'HEAD', isMatching, resolve };
       this.socket.write(encodeRequest(request));
     });
   }
@@ -142,6 +151,10 @@
       if (!incoming) return;
       incoming.bytes += length;
       if (incoming.bytes > MAX_RESPONSE_BYTES) throw new Error('response too large');
+      if (incoming.bytes > (this.pending?.maxBytes ?? Infinity)) {
+        this.abandon();
+        return;
+      }
       incoming.chunks.push(Buffer.from(chunk.subarray(offset, offset + length)));
     };
     parser[HTTPParser.kOnMessageComplete] = () => this.handleMessage();
@@ -157,6 +170,10 @@
     const isInterim = info.statusCode < 200;
     if (isInterim) pending.onInterim?.();
     const isMismatched = !isInterim && !pending.isMatching(info.headers);
+    if (length !== undefined && Number(length) > (pending.maxBytes ?? Infinity)) {
+      this.abandon();
+      return true;
+    }
     this.incoming = {
       status: info.statusCode,
       headers: [...info.headers],
@@ -212,6 +229,14 @@
     this.fail('connection closed');
   }
 
+  /** Closes the connection during a response that is larger than the limit of its exchange. */
+  private abandon(): void {
+    const { pending } = this;
+    this.pending = undefined;
+    pending?.resolve({ kind: 'too-large' });
+    this.fail('response above the limit');
+  }
+
   private fail(reason: string): void {
     if (this.isClosed) return;
     this.isClosed = true;
--- a/src/mesh/instanceClient.ts
+++ b/src/mesh/instanceClient.ts
@@ -108,11 +108,12 @@
     clearTimeout(timer);
     isInProgress = false;
     if (result.kind === 'response') return this.classifyResponse(result.response);
-    if (!result.wasSent) return buildRefusal('unreachable', false);
+    if (result.kind === 'broken' && !result.wasSent) return buildRefusal('unreachable', false);
     if (!cancellation.isCancelled()) this.reusePausedUntilMs = performance.now() + REUSE_PAUSE_MS;
     // Connections usually become half-open together, so the idle ones would time out as well.
-    if (result.reason === TIMEOUT) this.pool.close();
-    return { kind: 'unknown', reason: result.reason };
+    const reason = result.kind === 'broken' ? result.reason : result.kind;
+    if (reason === TIMEOUT) this.pool.close();
+    return { kind: 'unknown', reason };
   }
 
   private isMatchingResponse(headers: readonly string[], requestId: string): boolean {
--- a/src/mesh/kindPosition.ts
+++ b/src/mesh/kindPosition.ts
@@ -16,6 +16,8 @@
 
   private timer: NodeJS.Timeout | undefined;
 
+  private readonly listeners: (() => void)[] = [];
+
   private interrupt: (() => void) | undefined;
 
   getLatestChange(): number {
@@ -28,7 +30,19 @@
   }
 
   recordSynced(revision: number): void {
-    this.syncedRevision = Math.max(this.syncedRevision, revision);
+    if (revision <= this.syncedRevision) return;
+    this.syncedRevision = revision;
+    for (const listener of this.listeners) listener();
+  }
+
+  /** Returns the revision up to which all changes have been received. */
+  getSyncedRevision(): number {
+    return this.syncedRevision;
+  }
+
+  /** Registers a listener that is called whenever the synced revision has increased. */
+  onSynced(listener: () => void): void {
+    this.listeners.push(listener);
   }
 
   /** Records a complete list, which corrects higher revisions that other nodes have reported. */
--- a/src/mesh/model.ts
+++ b/src/mesh/model.ts
@@ -29,6 +29,8 @@
     readonly announcements: PeerAddress;
   };
   readonly store: PeerAddress;
+  /** Bandwidth of the link of this host. */
+  readonly linkMbps: number;
   /** Time between SIGTERM and SIGKILL. */
   readonly stopLimitMs: number;
   /** Limit on requests that reach a service more than once, over all nodes. */
@@ -102,6 +104,8 @@
   readonly instanceId: InstanceId;
   readonly slots: number;
   readonly state: 'ready' | 'leaving';
+  /** Bandwidth of the link of the host; records of older builds lack it. */
+  readonly linkMbps?: number;
 }
 
 /** Load of the local instance of a node. */
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -9,7 +9,11 @@
 import { createAnnouncementPort, type Announcement } from './announcements.js';
 import { createCallPort } from './callPort.js';
 import { CallRouter } from './callRouter.js';
+import { ConfigAnswers } from './configAnswers.js';
+import { ConfigFetcher } from './configFetcher.js';
+import { ConfigHistory } from './configHistory.js';
 import { ConfigHolder } from './configHolder.js';
+import { computeMaxResponseBytes, listConfigSources, type SourceNode } from './configSources.js';
 import { Directory } from './directory.js';
 import type { EventLog } from './eventLog.js';
 import type { HeaderNames } from './headers.js';
@@ -21,6 +25,7 @@
 import { NodeListener } from './nodeListener.js';
 import { startNodeMonitor } from './nodeMonitor.js';
 import { buildPublishedNode, NODE_KIND } from './nodeRecord.js';
+import type { PeerNode } from './peerNode.js';
 import { createPeerPort } from './peerPort.js';
 import { Publisher } from './publisher.js';
 import { RetryBudget } from './retryBudget.js';
@@ -77,6 +82,11 @@
   );
 }
 
+function toSourceNode({ record, calls }: PeerNode): SourceNode & Pick<PeerNode, 'calls'> {
+  const { nodeId, dataCentre, linkMbps = 0 } = record;
+  return { nodeId, dataCentre, linkMbps, calls };
+}
+
 /** Starts a node. Throws when a port cannot be bound. */
 export async function startMeshNode(options: NodeOptions): Promise<MeshNode> {
   const { adapter, getSettings, log } = options;
@@ -129,12 +139,19 @@
     log,
     metrics,
   });
-  config.onInstall((installed) => {
+  const history = new ConfigHistory();
+  config.onInstall((installed, revision) => {
+    history.record(installed, revision);
     const routes = listRouteNames(installed);
     targets.evictRoutes(routes);
     callPort.applyConfig(installed.limits, routes);
   });
-  const peerPort = createPeerPort({ runner, processId, names, seen });
+  const configAnswers = new ConfigAnswers({
+    holder: config,
+    history,
+    position: positions.config,
+  });
+  const peerPort = createPeerPort({ runner, processId, names, seen, configAnswers });
   const announcementPort = createAnnouncementPort({
     instance,
     log,
@@ -177,10 +194,21 @@
     const { step, peer, message } = toStepError(thrown, 'metrics.listen', 'self');
     log.write('warn', 'metrics-unavailable', { step, peer, reason: message });
   });
+  const listResponding = () => directory.listResponding(performance.now());
+  const fetcher = new ConfigFetcher({
+    holder: config,
+    listSources: () => {
+      const candidates = listResponding().map(toSourceNode);
+      return listConfigSources(getSettings(), candidates).map(({ calls }) => calls);
+    },
+  });
   const watchOptions = {
     store,
     log,
-    getWaitMs: () => chooseWatchWaitMs(nodeId, directory.listResponding(performance.now())),
+    getWaitMs: () => {
+      const records = listResponding().map(({ record }) => record);
+      return chooseWatchWaitMs(nodeId, records);
+    },
     isStopped: () => isStopping,
   };
   const { configKind } = adapter;
@@ -189,6 +217,12 @@
     kind: configKind,
     listener: config,
     position: positions.config,
+    source: {
+      // Without an installed version there is nothing to which a change could be applied.
+      getMaxBytes: () =>
+        config.get() ? computeMaxResponseBytes(getSettings().linkMbps) : undefined,
+      fetch: (revision, canConfirm) => fetcher.fetch(revision, canConfirm),
+    },
   });
   void watchKind({ ...watchOptions, kind: NODE_KIND, listener: nodes, position: positions.nodes });
   const recordPruner = startRecordPruner(directory, store, log);
--- a/src/mesh/nodeRecord.ts
+++ b/src/mesh/nodeRecord.ts
@@ -6,7 +6,10 @@
 export const NODE_KIND = 'lycheelane-nodes';
 
 /** Settings that a node publishes. */
-export type PublishedSettings = Pick<MeshSettings, 'nodeId' | 'dataCentre' | 'service'> & {
+export type PublishedSettings = Pick<
+  MeshSettings,
+  'nodeId' | 'dataCentre' | 'service' | 'linkMbps'
+> & {
   readonly ports: Pick<MeshSettings['ports'], 'peers'>;
 };
 
@@ -53,7 +56,7 @@
  */
 export function buildPublishedNode(
   instance: LocalInstance,
-  { nodeId, dataCentre, ports, service }: PublishedSettings,
+  { nodeId, dataCentre, ports, service, linkMbps }: PublishedSettings,
   incarnation: string,
   isStopping: boolean,
 ): PublishedNode | undefined {
@@ -72,6 +75,7 @@
     instanceId,
     slots: heartbeat?.slots ?? 0,
     state: state.kind === 'ready' && !isStopping ? 'ready' : 'leaving',
+    linkMbps,
   };
   return departedInstance ? { record, left: departedInstance } : { record };
 }
--- a/src/mesh/peerCalls.ts
+++ b/src/mesh/peerCalls.ts
@@ -3,13 +3,21 @@
  * resumed on a new connection with the same attempt identifier, so that its response is not lost.
  */
 import type { PeerAddress } from '../types/interfaces.js';
+import { formatHostPort } from '../utils/address.js';
 import { waitMs } from '../utils/backoff.js';
+import {
+  decodeConfigAnswer,
+  encodeConfigRequest,
+  type ConfigAnswer,
+  type ConfigRequest,
+} from './configAnswers.js';
 import { filterHeaders, getHeader } from './headers.js';
 import { buildRefusal } from './instanceClient.js';
 import type { HttpConnection } from './httpConnection.js';
 import { ConnectionPool } from './connectionPool.js';
 import type { CallMetadata, HttpRequest, RunReport } from './model.js';
 import {
+  CONFIG_HEADER,
   decodeResult,
   encodeMetadata,
   NODE_HEADERS,
@@ -35,6 +43,9 @@
 /** Time after the deadline of a call for which its result is accepted. */
 const DEADLINE_GRACE_MS = 150;
 
+/** Time without an answer after the wait of a request for configuration changes. */
+const CONFIG_ANSWER_TIMEOUT_MS = 300;
+
 const EMPTY_BODY = Buffer.alloc(0);
 
 /** Result of a call to a node. */
@@ -66,10 +77,13 @@
 export class PeerCalls {
   private readonly pool: ConnectionPool;
 
+  private readonly host: string;
+
   constructor(
     address: PeerAddress,
     private readonly seen: RevisionExchange,
   ) {
+    this.host = formatHostPort(address.host, address.port);
     this.pool = new ConnectionPool(address);
   }
 
@@ -114,6 +128,23 @@
     });
   }
 
+  /** Requests changes of the configuration; undefined when the node gives no answer. */
+  async requestConfig(request: ConfigRequest): Promise<ConfigAnswer | undefined> {
+    const connection =
+      this.pool.takeIdle(MAX_IDLE_MS) ?? (await this.pool.connect(CONNECT_TIMEOUT_MS));
+    if (typeof connection === 'string') return undefined;
+    const timeoutMs = request.waitMs + CONFIG_ANSWER_TIMEOUT_MS;
+    const timer = setTimeout(() => connection.abort('timeout'), timeoutMs);
+    const headers = ['Host', this.host, CONFIG_HEADER, encodeConfigRequest(request)];
+    const message = { method: 'GET', path: '/', headers, body: EMPTY_BODY };
+    const result = await connection.exchange(message, isAnyResponse);
+    clearTimeout(timer);
+    if (result.kind !== 'response') return undefined;
+    this.pool.release(connection);
+    if (result.response.status !== 200) return undefined;
+    return decodeConfigAnswer(result.response.body).unwrapOr(undefined);
+  }
+
   close(): void {
     this.pool.close();
   }
@@ -179,13 +210,11 @@
     const seen = this.seen.formatIfDue(performance.now());
     if (seen !== undefined) headers.push(SEEN_HEADER, seen);
     const body = resumedProcessId === undefined ? request.body : EMPTY_BODY;
-    const result = await connection.exchange(
-      { ...request, headers, body },
-      isAnyResponse,
+    const result = await connection.exchange({ ...request, headers, body }, isAnyResponse, {
       onInterim,
-    );
+    });
     state.connections.delete(connection);
-    if (result.kind === 'broken') return undefined;
+    if (result.kind !== 'response') return undefined;
     this.pool.release(connection);
     const { response } = result;
     this.seen.apply(getHeader(response.headers, SEEN_HEADER));
--- a/src/mesh/peerMessages.ts
+++ b/src/mesh/peerMessages.ts
@@ -18,11 +18,15 @@
 /** Header of calls and responses with the latest store revisions that a node has applied. */
 export const SEEN_HEADER = 'mesh-seen';
 
+/** Request header that asks a node for changes of the configuration. */
+export const CONFIG_HEADER = 'mesh-config';
+
 /** Headers that only nodes may set; they are removed from messages of callers and instances. */
 export const NODE_HEADERS: ReadonlySet<string> = new Set([
   METADATA_HEADER,
   RESULT_HEADER,
   SEEN_HEADER,
+  CONFIG_HEADER,
 ]);
 
 /**
--- a/src/mesh/peerPort.ts
+++ b/src/mesh/peerPort.ts
@@ -5,11 +5,13 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { filterHeaders, getHeader, type HeaderNames } from './headers.js';
+import { decodeConfigRequest, type ConfigAnswers } from './configAnswers.js';
 import { buildRefusal } from './instanceClient.js';
 import { readBody } from './readBody.js';
 import type { LocalRunner } from './localRunner.js';
 import type { CallMetadata, HttpRequest, RunReport, RunResult } from './model.js';
 import {
+  CONFIG_HEADER,
   decodeMetadata,
   encodeResult,
   NODE_HEADERS,
@@ -46,6 +48,7 @@
   readonly processId: string;
   readonly names: HeaderNames;
   readonly seen: RevisionExchange;
+  readonly configAnswers: Pick<ConfigAnswers, 'answer'>;
 }
 
 function writeReport(response: ServerResponse, report: RunReport, seen: string | undefined): void {
@@ -66,8 +69,24 @@
   response.end(body);
 }
 
+/** Answers a request of another node for changes of the configuration. */
+async function serveConfigRequest(
+  text: string,
+  response: ServerResponse,
+  configAnswers: Pick<ConfigAnswers, 'answer'>,
+): Promise<void> {
+  const request = decodeConfigRequest(text);
+  if (!request) {
+    response.writeHead(400).end();
+    return;
+  }
+  const body = Buffer.from(JSON.stringify(await configAnswers.answer(request)));
+  response.writeHead(200, { 'Content-Length': body.length }).end(body);
+}
+
 /** Creates the server of the port; the caller binds it. */
-export function createPeerPort({ runner, processId, names, seen }: PeerPortOptions): Server {
+export function createPeerPort(options: PeerPortOptions): Server {
+  const { runner, processId, names, seen, configAnswers } = options;
   const runs = new Map<string, Run>();
 
   const addRun = (
@@ -116,6 +135,12 @@
 
   const serve = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
     const receivedAtMs = performance.now();
+    const configRequest = getHeader(message.rawHeaders, CONFIG_HEADER);
+    if (configRequest !== undefined) {
+      message.resume();
+      await serveConfigRequest(configRequest, response, configAnswers);
+      return;
+    }
     const received = decodeMetadata(
       getHeader(message.rawHeaders, METADATA_HEADER),
       getHeader(message.rawHeaders, names.requestId) ?? '',
--- a/src/mesh/store.ts
+++ b/src/mesh/store.ts
@@ -27,6 +27,13 @@
   readonly revision: number;
 }
 
+/** Options of one watch call. */
+export interface WatchOptions {
+  /** Ends the wait; a response that has begun to arrive is still read. */
+  readonly cancellation?: Cancellation | undefined;
+  readonly maxBytes?: number | undefined;
+}
+
 /** A finished call to the store, as reported to listeners. */
 export interface StoreCall {
   /** Step name of the call, such as `store.watch`. */
@@ -49,12 +56,15 @@
 export interface MeshStore {
   list(kind: string): Promise<Result<StoreList, StepError>>;
   read(kind: string, name: string): Promise<Result<StoredObject, StepError>>;
-  /** Waits for changes after a revision, for up to `waitMs` or until cancelled. */
+  /**
+   * Waits for changes after a revision, for up to `waitMs` or until cancelled. Fails as `too-large`
+   * when there are changes in more than `maxBytes`; their transfer is broken off.
+   */
   watch(
     kind: string,
     revision: number,
     waitMs: number,
-    cancellation?: Cancellation,
+    options?: WatchOptions,
   ): Promise<Result<StoreChanges, StepError>>;
   create(kind: string, name: string, value: unknown): Promise<Result<StoredObject, StepError>>;
   /** Replaces the object if its current revision is `revision`. */
--- a/src/mesh/watchKind.ts
+++ b/src/mesh/watchKind.ts
@@ -23,6 +23,17 @@
   applyEvent(event: StoreEvent): void;
 }
 
+/** Where a node with a low-bandwidth link gets changes, so that it need not read whole objects. */
+export interface ChangeSource {
+  /** Returns the size up to which the response of a watch is read, in bytes; undefined for any. */
+  readonly getMaxBytes: () => number | undefined;
+  /**
+   * Applies the changes after `revision` and returns the revision that was reached; undefined when
+   * the store has to be read. `canConfirm` is true when there may be no change.
+   */
+  readonly fetch: (revision: number, canConfirm: boolean) => Promise<number | undefined>;
+}
+
 /** Options of a watch. */
 export interface WatchKindOptions {
   readonly store: Pick<MeshStore, 'list' | 'watch'>;
@@ -33,6 +44,7 @@
   /** Returns how long the next watch waits for changes, in milliseconds. */
   readonly getWaitMs: () => number;
   readonly isStopped: () => boolean;
+  readonly source?: ChangeSource;
 }
 
 function applyList({ listener, position }: WatchKindOptions, list: StoreList): void {
@@ -41,6 +53,17 @@
   position.recordList(list.revision);
 }
 
+/** Returns the revision after `revision` to watch from; undefined when a list is needed. */
+async function fetchChanges(
+  { source, position }: WatchKindOptions,
+  revision: number,
+  canConfirm: boolean,
+): Promise<number | undefined> {
+  const reached = await source?.fetch(revision, canConfirm);
+  if (reached !== undefined) position.recordChange(reached);
+  return reached;
+}
+
 function applyChanges({ listener, position }: WatchKindOptions, changes: StoreChanges): void {
   for (const event of changes.events) {
     listener.applyEvent(event);
@@ -77,16 +100,21 @@
     const interruption = new Cancellation();
     position.setInterrupt(() => interruption.cancel());
     const waitMs = failures === 0 ? options.getWaitMs() : RECOVERY_WATCH_MS;
-    const watched = await store.watch(kind, revision, waitMs, interruption);
+    const watched = await store.watch(kind, revision, waitMs, {
+      cancellation: interruption,
+      maxBytes: options.source?.getMaxBytes(),
+    });
     position.setInterrupt(undefined);
     if (isStopped()) return;
     if (watched.isErr()) {
       if (interruption.isCancelled()) {
         log.write('warn', 'watch-behind', { step: 'store.watch', peer: kind, revision });
-        revision = undefined;
+        revision = await fetchChanges(options, revision, true);
       } else if (watched.error.kind === 'stale') {
         log.write('info', 'history-gone', { peer: kind, revision });
-        revision = undefined;
+        revision = await fetchChanges(options, revision, true);
+      } else if (watched.error.kind === 'too-large') {
+        revision = await fetchChanges(options, revision, false);
       } else {
         await recordFailure(watched.error.step, watched.error.message);
       }
--- a/standins/mesh/meshFleet.ts
+++ b/standins/mesh/meshFleet.ts
@@ -8,6 +8,7 @@
 import { brandText } from '../../src/types/ids.js';
 import { findFreePorts } from '../launcher/ports.js';
 import { InstanceServer } from './instanceServer.js';
+import { SlowLink } from './slowLink.js';
 import { StoreServer } from './storeServer.js';
 
 const HOST = '127.0.0.1';
@@ -24,6 +25,9 @@
 const DEFAULT_MAX_ATTEMPTS = 2;
 const DEFAULT_SLOTS = 4;
 const STOP_LIMIT_MS = 6000;
+const DEFAULT_LINK_MBPS = 1000;
+/** Bytes per second of a bandwidth of 1 Mbit/s. */
+const BYTES_PER_S_PER_MBPS = 125_000;
 const RETRY_BUDGET = { ratio: 0.2, windowMs: 10_000, extra: 60 };
 const SPILL_OVER_POLICY = { waitShare: 0.5, spillRank: 99 };
 const LIMITS_SPEC = {
@@ -76,6 +80,8 @@
 /** One host: a node and its local instance. */
 export interface FleetHost {
   readonly settings: MeshSettings;
+  /** Link to the store; undefined for a host without a limited bandwidth. */
+  readonly link: SlowLink | undefined;
   node: MeshNode;
   instance: InstanceServer;
   /** Whether the fleet sends periodic heartbeats for the instance. */
@@ -86,6 +92,14 @@
   startedAtMs: number;
 }
 
+/** Options of a host. */
+export interface HostOptions {
+  readonly slots?: number;
+  readonly log?: EventLog;
+  /** Bandwidth of the link of the host; applied to the bytes from the store. */
+  readonly linkMbps?: number;
+}
+
 /** Response that a test received. */
 export interface FleetResponse {
   readonly status: number;
@@ -252,13 +266,18 @@
   async addHost(
     service: string,
     dataCentre = 'a',
-    { slots = DEFAULT_SLOTS, log = SILENT_LOG }: { slots?: number; log?: EventLog } = {},
+    { slots = DEFAULT_SLOTS, log = SILENT_LOG, linkMbps }: HostOptions = {},
   ): Promise<FleetHost> {
     const name = `host-${this.hosts.length}`;
     const instance = new InstanceServer(`i-${this.hosts.length}`);
     const instancePort = await instance.listen();
     const ports = await findFreePorts(HOST, PORTS_PER_NODE);
     const [calls, peers, ready, announcements] = ports.map((port) => ({ host: HOST, port }));
+    const link =
+      linkMbps === undefined
+        ? undefined
+        : new SlowLink(this.storePort, linkMbps * BYTES_PER_S_PER_MBPS);
+    const storePort = (await link?.listen()) ?? this.storePort;
     const settings: MeshSettings = {
       nodeId: brandText(name),
       dataCentre: brandText(dataCentre),
@@ -270,13 +289,15 @@
         ready: ready!,
         announcements: announcements!,
       },
-      store: { host: HOST, port: this.storePort },
+      store: { host: HOST, port: storePort },
+      linkMbps: linkMbps ?? DEFAULT_LINK_MBPS,
       stopLimitMs: STOP_LIMIT_MS,
       retryBudget: RETRY_BUDGET,
       spillOverPolicy: SPILL_OVER_POLICY,
     };
     const host: FleetHost = {
       settings,
+      link,
       node: await startNode(settings, log),
       instance,
       isSendingHeartbeats: true,
@@ -320,9 +341,10 @@
   /** Closes all nodes, the instances and the store. */
   async close(): Promise<void> {
     clearInterval(this.heartbeatTimer);
-    for (const { node, instance } of this.hosts) {
+    for (const { node, instance, link } of this.hosts) {
       await node.close();
       await instance.close();
+      await link?.close();
     }
     await this.store.close();
   }
--- /dev/null
+++ b/test/mesh/configFetcher.test.ts
@@ -0,0 +1,159 @@
+/** Which nodes are asked for configuration changes, what they answer, and what is installed. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import {
+  ConfigAnswers,
+  decodeConfigAnswer,
+  type ConfigAnswer,
+  type ConfigRequest,
+} from '../../src/mesh/configAnswers.js';
+import type { ConfigDelta } from '../../src/mesh/configDelta.js';
+import { ConfigFetcher } from '../../src/mesh/configFetcher.js';
+import {
+  computeMaxResponseBytes,
+  listConfigSources,
+  type SourceNode,
+} from '../../src/mesh/configSources.js';
+import { KindPosition } from '../../src/mesh/kindPosition.js';
+import type { MeshConfig } from '../../src/mesh/model.js';
+import { brandText, brandVersion } from '../../src/types/ids.js';
+import { waitMs as wait } from '../../src/utils/backoff.js';
+
+function buildNode(nodeId: string, dataCentre: string, linkMbps: number): SourceNode {
+  return { nodeId: brandText(nodeId), dataCentre: brandText(dataCentre), linkMbps };
+}
+
+const NODES = [
+  buildNode('a-1', 'a', 5),
+  buildNode('a-2', 'a', 100),
+  buildNode('a-3', 'a', 5),
+  buildNode('a-4', 'a', 100),
+  buildNode('b-1', 'b', 5),
+  buildNode('b-2', 'b', 5),
+  buildNode('b-3', 'b', 5),
+];
+
+function listNames(own: SourceNode, nodes = NODES): string[] {
+  return listConfigSources(own, nodes).map(({ nodeId }) => nodeId);
+}
+
+test('the hosts with the fastest links of each data centre are its sources', () => {
+  assert.deepEqual(listNames(NODES[0]!), ['a-2', 'a-4']);
+  assert.deepEqual(listNames(NODES[6]!), ['b-1', 'b-2']);
+  assert.deepEqual(listNames(NODES[1]!), [], 'a source reads from the store');
+  assert.deepEqual(listNames(buildNode('c-1', 'c', 5)), ['a-2', 'a-4']);
+  assert.deepEqual(listNames(NODES[0]!, []), []);
+});
+
+test('a response may use a link for 50 ms', () => {
+  assert.equal(computeMaxResponseBytes(5), 31_250);
+  assert.equal(computeMaxResponseBytes(1000), 6_250_000);
+});
+
+const REQUEST: ConfigRequest = {
+  version: brandVersion(4),
+  revision: 10,
+  canConfirm: false,
+  waitMs: 60,
+};
+
+const DELTA = { fromVersion: 4, toVersion: 5, revision: 12 } as unknown as ConfigDelta;
+
+function createAnswers(installed: { version: number }) {
+  const position = new KindPosition();
+  const listeners: (() => void)[] = [];
+  const answers = new ConfigAnswers({
+    holder: {
+      get: () => installed as unknown as MeshConfig,
+      onInstall: (listener) => listeners.push(listener as () => void),
+    },
+    history: {
+      findChanges: (version) => (version === 4 && installed.version === 5 ? DELTA : undefined),
+    },
+    position,
+  });
+  return { answers, position, install: () => listeners.forEach((listener) => listener()) };
+}
+
+test('an answer waits for a change, and for nothing else', async () => {
+  const installed = { version: 4 };
+  const { answers, position, install } = createAnswers(installed);
+  const pending = answers.answer({ ...REQUEST, waitMs: 1500 });
+  position.recordSynced(30);
+  installed.version = 5;
+  install();
+  assert.deepEqual(await pending, { kind: 'changed', revision: 30, delta: DELTA });
+  assert.equal((await answers.answer({ ...REQUEST, version: brandVersion(5) })).kind, 'unchanged');
+  assert.equal((await answers.answer({ ...REQUEST, version: brandVersion(3) })).kind, 'unknown');
+});
+
+test('a version is confirmed only once the answering node has read past the revision', async () => {
+  const { answers, position } = createAnswers({ version: 4 });
+  position.recordSynced(10);
+  const early = await answers.answer({ ...REQUEST, canConfirm: true });
+  assert.deepEqual(early, { kind: 'unchanged', revision: 10 });
+  const pending = answers.answer({ ...REQUEST, canConfirm: true, waitMs: 1500 });
+  position.recordSynced(11);
+  assert.deepEqual(await pending, { kind: 'unchanged', revision: 11 });
+});
+
+test('malformed answers are errors', () => {
+  for (const text of ['', '{', 'null', '{"kind":"changed","revision":1}', '{"revision":1}']) {
+    assert.ok(decodeConfigAnswer(Buffer.from(text)).isErr(), text);
+  }
+});
+
+type Source = () => Promise<ConfigAnswer | undefined>;
+
+async function runFetch(
+  sources: readonly Source[],
+  canConfirm: boolean,
+  onInstall: () => void = () => {},
+) {
+  const installed: number[] = [];
+  const fetcher = new ConfigFetcher({
+    holder: {
+      get: () => ({ version: 4 }) as unknown as MeshConfig,
+      installDelta: ({ toVersion }) => {
+        installed.push(toVersion);
+        onInstall();
+        return true;
+      },
+    },
+    listSources: () => sources.map((requestConfig) => ({ requestConfig })),
+  });
+  return { reached: await fetcher.fetch(10, canConfirm), installed };
+}
+
+/** Source that returns the given answers in turn, then none. */
+function createSource(...answers: ConfigAnswer[]): Source {
+  return async () => answers.shift();
+}
+
+const CHANGED: ConfigAnswer = { kind: 'changed', revision: 12, delta: DELTA };
+
+test('a source that is away or behind does not delay the changes of another', async () => {
+  const silent: Source = async () => {
+    await wait(1000);
+    return undefined;
+  };
+  const startedAtMs = performance.now();
+  const { reached, installed } = await runFetch([silent, createSource(CHANGED)], false, () => {
+    assert.ok(performance.now() - startedAtMs < 500);
+  });
+  assert.equal(reached, 12);
+  assert.deepEqual(installed, [5]);
+});
+
+test('a change that the store has is never confirmed away by a source that lacks it', async () => {
+  const behind = createSource({ kind: 'unchanged', revision: 99 });
+  assert.equal((await runFetch([behind], false)).reached, undefined);
+});
+
+test('without a change a source confirms the version, if it has read far enough', async () => {
+  const synced = createSource({ kind: 'unchanged', revision: 11 });
+  assert.equal((await runFetch([synced], true)).reached, 11);
+  const late = createSource({ kind: 'unchanged', revision: 10 });
+  assert.equal((await runFetch([late], true)).reached, undefined);
+  assert.equal((await runFetch([], true)).reached, undefined);
+});
--- a/test/mesh/localInstance.test.ts
+++ b/test/mesh/localInstance.test.ts
@@ -25,6 +25,7 @@
   dataCentre: brandText('a'),
   service: brandText('pads'),
   ports: { peers: { host: '10.0.0.1', port: 7400 } },
+  linkMbps: 1000,
 };
 
 interface Case {
--- a/test/mesh/peerCalls.test.ts
+++ b/test/mesh/peerCalls.test.ts
@@ -100,6 +100,7 @@
       processId: 'p-1',
       names: HEADER_NAMES,
       seen: NO_REVISIONS,
+      configAnswers: { answer: async () => ({ kind: 'unchanged', revision: 0 }) },
     });
     const port = await openServer(server, '127.0.0.1', 0);
     const proxy = await openProxy(port, fault);
--- a/test/mesh/watches.test.ts
+++ b/test/mesh/watches.test.ts
@@ -62,7 +62,7 @@
       const objects = [{ name: 'main', revision, value: this.lists }];
       return ok<StoreList>({ objects, revision: revision + 2 });
     },
-    async watch(_kind, revision, _waitMs, cancellation) {
+    async watch(_kind, revision, _waitMs, { cancellation } = {}) {
       this.watches += 1;
       if (isSilent) {
         await new Promise<void>((resolve) => {
--- a/test/platform/storeClient.test.ts
+++ b/test/platform/storeClient.test.ts
@@ -104,7 +104,7 @@
     const cancellation = new Cancellation();
     setTimeout(() => cancellation.cancel(), 100);
     const startedAtMs = performance.now();
-    const watched = await store.watch('nodes', from, 20_000, cancellation);
+    const watched = await store.watch('nodes', from, 20_000, { cancellation });
     assert.equal(watched._unsafeUnwrapErr().step, 'store.watch');
     assert.ok(performance.now() - startedAtMs < 1000);
   });
