--- a/test/platform/storeClient.test.ts
+++ b/test/platform/storeClient.test.ts
@@ -4,6 +4,7 @@
 import type { MeshStore } from '../../src/mesh/store.js';
 import { Cancellation } from '../../src/mesh/signal.js';
 import { createStoreClient } from '../../platform/storeClient.js';
+import { SlowLink } from '../../standins/mesh/slowLink.js';
 import { StoreServer, type StoreFault } from '../../standins/mesh/storeServer.js';
 
 const TODO = { todo: 'KNOWN-RED' };
@@ -110,6 +111,25 @@
   });
 });
 
+test('a watch whose response is under way over a slow link is not cancelled', async () => {
+  const server = new StoreServer();
+  const link = new SlowLink(await server.listen(), 50_000);
+  const port = await link.listen();
+  const store = createStoreClient(() => ({ host: '127.0.0.1', port }));
+  try {
+    const from = server.put('config', 'main', {});
+    server.put('config', 'main', { text: 'x'.repeat(30_000) });
+    const cancellation = new Cancellation();
+    setTimeout(() => cancellation.cancel(), 200);
+    const watched = await store.watch('config', from, 20_000, { cancellation });
+    assert.equal(watched._unsafeUnwrap().events.length, 1);
+  } finally {
+    store.close();
+    await link.close();
+    await server.close();
+  }
+});
+
 const FAULTS: readonly { readonly fault: StoreFault; readonly kind: string }[] = [
   { fault: { kind: 'refuse', status: 429 }, kind: 'busy' },
   { fault: { kind: 'refuse', status: 503 }, kind: 'busy' },
