Let changes of instances share calls to the store in a large fleet

Cause: each of 85 nodes makes a call for every change of an instance, with a pause of 0.3 s between two: while instances are replaced, about 200 calls a second. Class: cost of the fleet that grows with its square, as with the bytes of the configuration. Change: the pause is 12 ms for each node, 0.3 s (as before) to 1 s. A later change of a node is known up to 0.7 s later; its own node answers for it until then: a leaving instance refuses and the request goes on to another. Test: a fleet in which instances are replaced makes less than 100 watch calls a second; with the constant pause of 0.3 s it is 283 at 85 nodes.

--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -36,7 +36,10 @@
 import type { MeshStore } from './store.js';
 import { listRouteNames, TargetChooser } from './targets.js';
 import { watchKind } from './watchKind.js';
-import { chooseWatchWaitMs } from './primaryWatchers.js';
+import { chooseChangePauseMs, chooseWatchWaitMs } from './primaryWatchers.js';
+
+/** Pause after a change of the configuration, whose versions are in force within seconds. */
+const CONFIG_PAUSE_MS = 300;
 
 /** Adapter to the platform. */
 export interface NodeAdapter {
@@ -215,6 +218,7 @@
   void watchKind({
     ...watchOptions,
     kind: configKind,
+    getPauseMs: () => CONFIG_PAUSE_MS,
     listener: config,
     position: positions.config,
     source: {
@@ -224,7 +228,13 @@
       fetch: (revision, canConfirm) => fetcher.fetch(revision, canConfirm),
     },
   });
-  void watchKind({ ...watchOptions, kind: NODE_KIND, listener: nodes, position: positions.nodes });
+  void watchKind({
+    ...watchOptions,
+    kind: NODE_KIND,
+    getPauseMs: () => chooseChangePauseMs(directory.countNodes()),
+    listener: nodes,
+    position: positions.nodes,
+  });
   const recordPruner = startRecordPruner(directory, store, log);
   log.write('info', 'started', { service: settings.service, process: processId });
 
--- a/src/mesh/primaryWatchers.ts
+++ b/src/mesh/primaryWatchers.ts
@@ -1,12 +1,22 @@
 /**
- * Selects how long each watch of a node waits in one long poll. It performs no I/O and reads no
- * clock.
+ * Selects how long each watch of a node waits in one long poll, and how long it pauses after a
+ * change. It performs no I/O and reads no clock.
  *
- * It is designed for the load of an idle fleet on the store, in which each renewal of a watch is a
- * call. Only primary watchers renew their watches often.
+ * It is designed for the load of a fleet on the store. In an idle fleet each renewal of a watch is
+ * a call, and only primary watchers renew their watches often. While instances are replaced, each
+ * node makes a call for each change, unless changes share a call.
  */
 import type { DataCentre, NodeId } from '../types/ids.js';
 
+/**
+ * Bounds of the pause after a change before the next watch. Changes that come within it share a
+ * call; it also delays the second of two changes.
+ */
+const PAUSE_BOUNDS_MS = { min: 300, max: 1000 };
+
+/** Pause for each node of the fleet, which bounds the calls of the whole fleet per second. */
+const PAUSE_PER_NODE_MS = 12;
+
 /**
  * Wait of primary watchers. Together with the client timeout it bounds the time for which a change
  * stays undetected when all connections of the fleet to the store are dead.
@@ -45,6 +55,12 @@
   return primaryWatchers;
 }
 
+/** Returns the pause of a node after a change, in milliseconds. */
+export function chooseChangePauseMs(nodeCount: number): number {
+  const { min, max } = PAUSE_BOUNDS_MS;
+  return Math.min(max, Math.max(min, nodeCount * PAUSE_PER_NODE_MS));
+}
+
 /** Returns how long the next watch of a node waits in one call, in milliseconds. */
 export function chooseWatchWaitMs(ownId: NodeId, nodes: readonly WatchingNode[]): number {
   const primaryWatchers = listPrimaryWatchers(nodes);
--- a/src/mesh/watchKind.ts
+++ b/src/mesh/watchKind.ts
@@ -14,9 +14,6 @@
 /** Backoff after a failed call; its maximum bounds the time to detect that the store is back. */
 const BACKOFF = { baseMs: 150, maxMs: 900 };
 
-/** Delay before the next watch after a change, so that changes in quick succession share a call. */
-const COALESCE_MS = 300;
-
 /** Receives the lists and events of a watch. */
 export interface KindListener {
   applyList(list: StoreList): void;
@@ -43,6 +40,8 @@
   readonly log: EventLog;
   /** Returns how long the next watch waits for changes, in milliseconds. */
   readonly getWaitMs: () => number;
+  /** Returns the pause after a change, so that changes in quick succession share a call. */
+  readonly getPauseMs: () => number;
   readonly isStopped: () => boolean;
   readonly source?: ChangeSource;
 }
@@ -123,6 +122,6 @@
     recordSuccess();
     applyChanges(options, watched.value);
     revision = Math.max(revision, watched.value.revision);
-    if (watched.value.events.length > 0) await wait(COALESCE_MS);
+    if (watched.value.events.length > 0) await wait(options.getPauseMs());
   }
 }
--- a/test/mesh/watches.test.ts
+++ b/test/mesh/watches.test.ts
@@ -12,6 +12,7 @@
 import type { MeshStore, StoreChanges, StoreList } from '../../src/mesh/store.js';
 import { watchKind } from '../../src/mesh/watchKind.js';
 import {
+  chooseChangePauseMs,
   chooseWatchWaitMs,
   listPrimaryWatchers,
   type WatchingNode,
@@ -48,6 +49,13 @@
   assert.ok(smallFleet.every(({ nodeId }) => chooseWatchWaitMs(nodeId, smallFleet) < 5000));
 });
 
+test('a fleet in which instances are replaced makes less than 100 watch calls per second', () => {
+  for (const nodeCount of [3, 12, 24, 72, 85]) {
+    const perSecond = (nodeCount * 1000) / chooseChangePauseMs(nodeCount);
+    assert.ok(perSecond < 100, `${perSecond} calls/s with ${nodeCount} nodes`);
+  }
+});
+
 /** Creates a store whose watches either never respond or return a change each time. */
 function createStore(isSilent: boolean): Pick<MeshStore, 'list' | 'watch'> & {
   lists: number;
@@ -91,6 +99,7 @@
     position,
     log: SILENT_LOG,
     getWaitMs: () => 25_000,
+    getPauseMs: () => chooseChangePauseMs(12),
     isStopped: () => isStopped,
   });
   await wait(20);
