--- a/src/mesh/peerCalls.ts
+++ b/src/mesh/peerCalls.ts
@@ -14,6 +14,7 @@
 import { filterHeaders, getHeader } from './headers.js';
 import { buildRefusal } from './instanceClient.js';
 import type { HttpConnection } from './httpConnection.js';
+import { startInactivityTimer } from './inactivityTimer.js';
 import { ConnectionPool } from './connectionPool.js';
 import type { CallMetadata, HttpRequest, RunReport } from './model.js';
 import {
@@ -43,7 +44,7 @@
 /** Time after the deadline of a call for which its result is accepted. */
 const DEADLINE_GRACE_MS = 150;
 
-/** Time without an answer after the wait of a request for configuration changes. */
+/** Time without data after the wait of a request for configuration changes. */
 const CONFIG_ANSWER_TIMEOUT_MS = 300;
 
 const EMPTY_BODY = Buffer.alloc(0);
@@ -133,12 +134,11 @@
     const connection =
       this.pool.takeIdle(MAX_IDLE_MS) ?? (await this.pool.connect(CONNECT_TIMEOUT_MS));
     if (typeof connection === 'string') return undefined;
-    const timeoutMs = request.waitMs + CONFIG_ANSWER_TIMEOUT_MS;
-    const timer = setTimeout(() => connection.abort('timeout'), timeoutMs);
+    const stopTimer = startInactivityTimer(connection, request.waitMs, CONFIG_ANSWER_TIMEOUT_MS);
     const headers = ['Host', this.host, CONFIG_HEADER, encodeConfigRequest(request)];
     const message = { method: 'GET', path: '/', headers, body: EMPTY_BODY };
     const result = await connection.exchange(message, isAnyResponse);
-    clearTimeout(timer);
+    stopTimer();
     if (result.kind !== 'response') return undefined;
     this.pool.release(connection);
     if (result.response.status !== 200) return undefined;
--- a/test/mesh/peerCalls.test.ts
+++ b/test/mesh/peerCalls.test.ts
@@ -1,8 +1,10 @@
 /** Calls between nodes over failing connections: at most one run, whose response is not lost. */
 import assert from 'node:assert/strict';
+import { randomUUID } from 'node:crypto';
 import { connect, createServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
 import { test } from 'node:test';
+import type { ConfigDelta } from '../../src/mesh/configDelta.js';
 import type { LocalRunner } from '../../src/mesh/localRunner.js';
 import type { CallMetadata, RunReport } from '../../src/mesh/model.js';
 import { PeerCalls } from '../../src/mesh/peerCalls.js';
@@ -10,8 +12,9 @@
 import { RevisionExchange } from '../../src/mesh/revisionExchange.js';
 import { Cancellation } from '../../src/mesh/signal.js';
 import { HEADER_NAMES } from '../../platform/names.js';
-import { brandText } from '../../src/types/ids.js';
+import { brandText, brandVersion } from '../../src/types/ids.js';
 import { closeServer, openServer } from '../../standins/http.js';
+import { SlowLink } from '../../standins/mesh/slowLink.js';
 
 const NO_REVISIONS = new RevisionExchange([]);
 
@@ -156,3 +159,32 @@
   calls.close();
   hangingServer.close();
 });
+
+test('an answer that arrives slowly is read to its end', async () => {
+  const removed = Array.from({ length: 1500 }, () => randomUUID());
+  const delta = { routes: [], removed, revision: 3 } as unknown as ConfigDelta;
+  const server = createPeerPort({
+    runner: {} as LocalRunner,
+    processId: 'p-1',
+    names: HEADER_NAMES,
+    seen: NO_REVISIONS,
+    configAnswers: { answer: async () => ({ kind: 'changed', revision: 3, delta }) },
+  });
+  const link = new SlowLink(await openServer(server, '127.0.0.1', 0), 25_000);
+  const calls = new PeerCalls({ host: '127.0.0.1', port: await link.listen() }, NO_REVISIONS);
+  const startedAtMs = performance.now();
+  try {
+    const answer = await calls.requestConfig({
+      version: brandVersion(1),
+      revision: 2,
+      canConfirm: false,
+      waitMs: 100,
+    });
+    assert.deepEqual(answer, { kind: 'changed', revision: 3, delta });
+    assert.ok(performance.now() - startedAtMs > 600, 'the answer took longer than its timeout');
+  } finally {
+    calls.close();
+    await link.close();
+    await closeServer(server);
+  }
+});
