Keep a confirmed revision apart from a change of the configuration

Change: a confirmation counts as a complete list does; the revision of a change is recorded when it is installed. Test: "a version that a source confirms is not reported to other nodes as a change" failed on the code before by what it records (50 instead of 4); passes now. Records with a bandwidth that is no number are refused as another writer's; endTooLarge was abandon.

--- a/src/mesh/httpConnection.ts
+++ b/src/mesh/httpConnection.ts
@@ -152,7 +152,7 @@
       incoming.bytes += length;
       if (incoming.bytes > MAX_RESPONSE_BYTES) throw new Error('response too large');
       if (incoming.bytes > (this.pending?.maxBytes ?? Infinity)) {
-        this.abandon();
+        this.endTooLarge();
         return;
       }
       incoming.chunks.push(Buffer.from(chunk.subarray(offset, offset + length)));
@@ -171,7 +171,7 @@
     if (isInterim) pending.onInterim?.();
     const isMismatched = !isInterim && !pending.isMatching(info.headers);
     if (length !== undefined && Number(length) > (pending.maxBytes ?? Infinity)) {
-      this.abandon();
+      this.endTooLarge();
       return true;
     }
     this.incoming = {
@@ -230,7 +230,7 @@
   }
 
   /** Closes the connection during a response that is larger than the limit of its exchange. */
-  private abandon(): void {
+  private endTooLarge(): void {
     const { pending } = this;
     this.pending = undefined;
     pending?.resolve({ kind: 'too-large' });
--- a/src/mesh/kindPosition.ts
+++ b/src/mesh/kindPosition.ts
@@ -45,7 +45,10 @@
     this.listeners.push(listener);
   }
 
-  /** Records a complete list, which corrects higher revisions that other nodes have reported. */
+  /**
+   * Records that all changes up to a revision have been applied, without a watch. This corrects
+   * higher revisions that other nodes have reported.
+   */
   recordList(revision: number): void {
     this.recordSynced(revision);
     this.remoteRevision = Math.min(this.remoteRevision, this.syncedRevision);
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -145,6 +145,7 @@
   const history = new ConfigHistory();
   config.onInstall((installed, revision) => {
     history.record(installed, revision);
+    positions.config.recordChange(revision);
     const routes = listRouteNames(installed);
     targets.evictRoutes(routes);
     callPort.applyConfig(installed.limits, routes);
--- a/src/mesh/nodeRecord.ts
+++ b/src/mesh/nodeRecord.ts
@@ -44,7 +44,8 @@
   if (typeof value !== 'object' || value === null) return undefined;
   const { record, left } = value as { record?: Partial<NodeRecord>; left?: DepartedInstance };
   if (!record || !hasStringFields(record) || !Number.isFinite(record.slots)) return undefined;
-  const { address, state } = record;
+  const { address, state, linkMbps = 0 } = record;
+  if (!Number.isFinite(linkMbps)) return undefined;
   if (typeof address?.host !== 'string' || !Number.isInteger(address.port)) return undefined;
   if (state !== 'ready' && state !== 'leaving') return undefined;
   return { record: record as NodeRecord, left: isDepartedInstance(left) ? left : undefined };
--- a/src/mesh/watchKind.ts
+++ b/src/mesh/watchKind.ts
@@ -59,7 +59,7 @@
   canConfirm: boolean,
 ): Promise<number | undefined> {
   const reached = await source?.fetch(revision, canConfirm);
-  if (reached !== undefined) position.recordChange(reached);
+  if (reached !== undefined) position.recordList(reached);
   return reached;
 }
 
--- a/test/mesh/watches.test.ts
+++ b/test/mesh/watches.test.ts
@@ -130,6 +130,42 @@
   assert.equal(behind.lists, 2);
 });
 
+test('a version that a source confirms is not reported to other nodes as a change', async () => {
+  const position = new KindPosition();
+  const lists: number[] = [];
+  let isStopped = false;
+  const ended = watchKind({
+    store: {
+      async list() {
+        lists.push(4);
+        return ok<StoreList>({ objects: [{ name: 'main', revision: 4, value: 0 }], revision: 6 });
+      },
+      async watch(_kind, revision, _waitMs, { cancellation } = {}) {
+        if (revision < 50) return err(buildError('stale', 'store.watch', 'store', 'status 410'));
+        await new Promise<void>((resolve) => {
+          cancellation?.onCancel(resolve);
+        });
+        return err(buildError('answer-lost', 'store.watch', 'store', 'cancelled'));
+      },
+    },
+    kind: 'config',
+    listener: { applyList: () => {}, applyEvent: () => {} },
+    position,
+    log: SILENT_LOG,
+    getWaitMs: () => 25_000,
+    getPauseMs: () => 0,
+    isStopped: () => isStopped,
+    source: { getMaxBytes: () => undefined, fetch: async () => 50 },
+  });
+  await wait(50);
+  assert.equal(position.getLatestChange(), 4);
+  assert.equal(position.getSyncedRevision(), 50);
+  assert.equal(lists.length, 1);
+  isStopped = true;
+  position.endWait();
+  await ended;
+});
+
 test('a node whose store connection is dead receives a new configuration version', async () => {
   const fleet = new MeshFleet();
   const routes = [{ prefix: '/read/' }];
