--- a/demo/platform.ts
+++ b/demo/platform.ts
@@ -9,13 +9,8 @@
 import { CONFIG_KIND, CONFIG_NAME } from '../platform/names.js';
 import { findFreePorts } from '../standins/launcher/ports.js';
 import { InstanceServer } from '../standins/mesh/instanceServer.js';
-import {
-  buildConfiguration,
-  sendHttp,
-  wait,
-  type FleetResponse,
-  type FleetRoute,
-} from '../standins/mesh/meshFleet.js';
+import { buildConfiguration, type FleetRoute } from '../standins/mesh/configuration.js';
+import { sendHttp, wait, type FleetResponse } from '../standins/mesh/meshFleet.js';
 import {
   ANNOUNCEMENT_PORT_INDEX,
   CALL_PORT_INDEX,
--- a/soak/platform/fleet.ts
+++ b/soak/platform/fleet.ts
@@ -6,7 +6,8 @@
 import { FaultProxy } from '../../standins/mesh/faultProxy.js';
 import { findFreePorts } from '../../standins/launcher/ports.js';
 import { InstanceServer } from '../../standins/mesh/instanceServer.js';
-import { buildConfiguration, sendHttp, type FleetRoute } from '../../standins/mesh/meshFleet.js';
+import { buildConfiguration, type FleetRoute } from '../../standins/mesh/configuration.js';
+import { sendHttp } from '../../standins/mesh/meshFleet.js';
 import {
   ANNOUNCEMENT_PORT_INDEX,
   startNodeProcess,
--- /dev/null
+++ b/standins/mesh/configuration.ts
@@ -0,0 +1,52 @@
+/** Configuration object of the store, built from the routes of a test. */
+/** Timeout of a route that sets none. */
+export const DEFAULT_REQUEST_TIMEOUT_MS = 1500;
+const DEFAULT_TARGET_LATENCY_MS = 500;
+const DEFAULT_PRIORITY = 1;
+const DEFAULT_MAX_ATTEMPTS = 2;
+const LIMITS_SPEC = {
+  MaxHeaderBytes: 16384,
+  MaxBodyBytes: 65536,
+  HeaderTimeout: '3000ms',
+  IdleTimeout: '15000ms',
+};
+
+/** Route definition of a test. */
+export interface FleetRoute {
+  readonly prefix: string;
+  readonly service?: string;
+  readonly backends?: readonly { readonly Service: string; readonly Weight: number }[];
+  readonly kind?: 'safe' | 'unsafe';
+  readonly timeoutMs?: number;
+  readonly objectiveMs?: number;
+  readonly attempts?: number;
+  readonly priority?: number;
+}
+
+/** Builds the value of the `config/main` object. */
+export function buildConfiguration(version: number, routes: readonly FleetRoute[]): object {
+  return {
+    Version: version.toString(16).padStart(8, '0'),
+    Resources: [
+      ...routes.map((route, index) => ({
+        EntryKind: 'Routes',
+        Metadata: { Name: `r-${index}` },
+        Spec: {
+          Host: 'mesh.example',
+          PathPrefix: route.prefix,
+          Kind: route.kind ?? 'safe',
+          Timeout: `${route.timeoutMs ?? DEFAULT_REQUEST_TIMEOUT_MS}ms`,
+          TargetLatency: `${route.objectiveMs ?? DEFAULT_TARGET_LATENCY_MS}ms`,
+          Priority: route.priority ?? DEFAULT_PRIORITY,
+          MaxAttempts: route.attempts ?? DEFAULT_MAX_ATTEMPTS,
+          ...(route.backends ? { Backends: route.backends } : { Service: route.service ?? 'pads' }),
+        },
+      })),
+      {
+        EntryKind: 'Limits',
+        Metadata: {},
+        Spec: LIMITS_SPEC,
+      },
+    ],
+  };
+}
--- a/standins/mesh/meshFleet.ts
+++ b/standins/mesh/meshFleet.ts
@@ -7,6 +7,11 @@
 import { startMeshNode, type MeshNode } from '../../src/mesh/node.js';
 import { brandText } from '../../src/types/ids.js';
 import { findFreePorts } from '../launcher/ports.js';
+import {
+  buildConfiguration,
+  DEFAULT_REQUEST_TIMEOUT_MS,
+  type FleetRoute,
+} from './configuration.js';
 import { InstanceServer } from './instanceServer.js';
 import { SlowLink } from './slowLink.js';
 import { StoreServer } from './storeServer.js';
@@ -19,10 +24,6 @@
 const MAX_PROBES_PER_HOST = 400;
 const PORTS_PER_NODE = 4;
 const INSTANCE_STARTED_AT_MS = 1000;
-const DEFAULT_REQUEST_TIMEOUT_MS = 1500;
-const DEFAULT_TARGET_LATENCY_MS = 500;
-const DEFAULT_PRIORITY = 1;
-const DEFAULT_MAX_ATTEMPTS = 2;
 const DEFAULT_SLOTS = 4;
 const STOP_LIMIT_MS = 6000;
 const DEFAULT_LINK_MBPS = 1000;
@@ -30,52 +31,6 @@
 const BYTES_PER_S_PER_MBPS = 125_000;
 const RETRY_BUDGET = { ratio: 0.2, windowMs: 10_000, extra: 60 };
 const SPILL_OVER_POLICY = { waitShare: 0.5, spillRank: 99 };
-const LIMITS_SPEC = {
-  MaxHeaderBytes: 16384,
-  MaxBodyBytes: 65536,
-  HeaderTimeout: '3000ms',
-  IdleTimeout: '15000ms',
-};
-
-/** Route definition of a test. */
-export interface FleetRoute {
-  readonly prefix: string;
-  readonly service?: string;
-  readonly backends?: readonly { readonly Service: string; readonly Weight: number }[];
-  readonly kind?: 'safe' | 'unsafe';
-  readonly timeoutMs?: number;
-  readonly objectiveMs?: number;
-  readonly attempts?: number;
-  readonly priority?: number;
-}
-
-/** Builds the value of the `config/main` object. */
-export function buildConfiguration(version: number, routes: readonly FleetRoute[]): object {
-  return {
-    Version: version.toString(16).padStart(8, '0'),
-    Resources: [
-      ...routes.map((route, index) => ({
-        EntryKind: 'Routes',
-        Metadata: { Name: `r-${index}` },
-        Spec: {
-          Host: 'mesh.example',
-          PathPrefix: route.prefix,
-          Kind: route.kind ?? 'safe',
-          Timeout: `${route.timeoutMs ?? DEFAULT_REQUEST_TIMEOUT_MS}ms`,
-          TargetLatency: `${route.objectiveMs ?? DEFAULT_TARGET_LATENCY_MS}ms`,
-          Priority: route.priority ?? DEFAULT_PRIORITY,
-          MaxAttempts: route.attempts ?? DEFAULT_MAX_ATTEMPTS,
-          ...(route.backends ? { Backends: route.backends } : { Service: route.service ?? 'pads' }),
-        },
-      })),
-      {
-        EntryKind: 'Limits',
-        Metadata: {},
-        Spec: LIMITS_SPEC,
-      },
-    ],
-  };
-}
 
 /** One host: a node and its local instance. */
 export interface FleetHost {
--- a/standins/mesh/slowLink.ts
+++ b/standins/mesh/slowLink.ts
@@ -34,7 +34,7 @@
   async listen(): Promise<number> {
     this.server.listen(0, '127.0.0.1');
     await once(this.server, 'listening');
-    this.timer = setInterval(() => this.carry(), TICK_MS);
+    this.timer = setInterval(() => this.forward(), TICK_MS);
     return (this.server.address() as AddressInfo).port;
   }
 
@@ -61,7 +61,7 @@
   }
 
   /** Carries the bytes of one tick, in turn for each connection. */
-  private carry(): void {
+  private forward(): void {
     let left = Math.ceil((this.bytesPerS * TICK_MS) / 1000);
     for (const transfer of this.transfers) {
       const bytes = transfer.pending.subarray(0, left);
--- a/test/mesh/fleet.test.ts
+++ b/test/mesh/fleet.test.ts
@@ -3,6 +3,7 @@
 import { test } from 'node:test';
 import { once } from 'node:events';
 import { connect } from 'node:net';
+import { type FleetRoute } from '../../standins/mesh/configuration.js';
 import {
   updateHost,
   deregister,
@@ -11,7 +12,6 @@
   sendHeartbeat,
   sendToHost,
   wait,
-  type FleetRoute,
 } from '../../standins/mesh/meshFleet.js';
 import type { InstanceFault } from '../../standins/mesh/instanceServer.js';
 
--- a/test/mesh/slowLinks.test.ts
+++ b/test/mesh/slowLinks.test.ts
@@ -1,13 +1,8 @@
 /** Hosts with low-bandwidth links, on which a whole configuration takes longer than a request. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import {
-  MeshFleet,
-  sendToHost,
-  wait,
-  type FleetHost,
-  type FleetRoute,
-} from '../../standins/mesh/meshFleet.js';
+import { type FleetRoute } from '../../standins/mesh/configuration.js';
+import { MeshFleet, sendToHost, wait, type FleetHost } from '../../standins/mesh/meshFleet.js';
 
 /** About 60 KB, which take 0.5 s at the bandwidth of the slow hosts. */
 const IDLE_ROUTES: readonly FleetRoute[] = Array.from({ length: 250 }, (_, index) => ({
--- a/test/mesh/targets.test.ts
+++ b/test/mesh/targets.test.ts
@@ -4,7 +4,7 @@
 import type { MeshConfig, MeshRoute } from '../../src/mesh/model.js';
 import { matchRoute, TargetChooser } from '../../src/mesh/targets.js';
 import { decodeConfiguration } from '../../platform/configuration.js';
-import { buildConfiguration } from '../../standins/mesh/meshFleet.js';
+import { buildConfiguration } from '../../standins/mesh/configuration.js';
 
 function decode(routes: Parameters<typeof buildConfiguration>[1]): MeshConfig {
   const config = decodeConfiguration(buildConfiguration(12, routes));
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -4,7 +4,7 @@
 import { decodeAnnouncement } from '../../platform/announcement.js';
 import { decodeConfiguration } from '../../platform/configuration.js';
 import { decodeSettings } from '../../platform/settings.js';
-import { buildConfiguration } from '../../standins/mesh/meshFleet.js';
+import { buildConfiguration } from '../../standins/mesh/configuration.js';
 
 const HEARTBEAT = {
   Service: 'pads',
--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -7,12 +7,8 @@
 import { CONFIG_KIND, CONFIG_NAME } from '../../platform/names.js';
 import { findFreePorts } from '../../standins/launcher/ports.js';
 import { InstanceServer } from '../../standins/mesh/instanceServer.js';
-import {
-  buildConfiguration,
-  sendHttp,
-  wait,
-  type FleetResponse,
-} from '../../standins/mesh/meshFleet.js';
+import { buildConfiguration } from '../../standins/mesh/configuration.js';
+import { sendHttp, wait, type FleetResponse } from '../../standins/mesh/meshFleet.js';
 import {
   buildSettings,
   getSettingsPaths,
