Log the limits that instances name, the requests against them, and who learned of them

No logic changes. The host of an instance logs instance-limit (requests per second, starts in the last 4 s, number of processes that they came from) at most once per second, instance-limit-ended and instance-leaving; the load report carries the limit, and a host that learns of the limit of another one logs peer-limit. call-ended names the instance.

--- a/src/mesh/callPort.ts
+++ b/src/mesh/callPort.ts
@@ -103,7 +103,7 @@
 
   const writeOutcome = (response: ServerResponse, call: PendingCall, outcome: CallOutcome) => {
     const elapsedMs = performance.now() - call.startedAtMs;
-    const { sends, loadAgeMs, timing } = call.trace;
+    const { sends, instance, loadAgeMs, timing } = call.trace;
     const fields = {
       request: call.requestId,
       route: call.route.name,
@@ -114,6 +114,7 @@
       config: options.getConfig()?.version,
       cancelled: call.cancellation.isCancelled() || undefined,
       sends,
+      instance,
       loadAgeMs: loadAgeMs === undefined ? undefined : Math.round(loadAgeMs),
       queueMs: timing && Math.round(timing.queueMs),
       runMs: timing && Math.round(timing.runMs),
@@ -185,7 +186,7 @@
       deadlineAtMs: startedAtMs + Math.min(remainingMs, route.timeoutMs),
       objectiveAtMs: startedAtMs + route.objectiveMs - ageMs,
       cancellation,
-      trace: { sends: 0, loadAgeMs: undefined, timing: undefined },
+      trace: { sends: 0, instance: undefined, loadAgeMs: undefined, timing: undefined },
     };
     cancellations.add(cancellation);
     const outcome = await router.run(call);
--- a/src/mesh/callRouter.ts
+++ b/src/mesh/callRouter.ts
@@ -8,6 +8,7 @@
 import type { MeshMetrics } from './meshMetrics.js';
 import type { CallMetadata, MeshSettings, RefusalReason, RunReport, RunResult } from './model.js';
 import { chooseInstance } from './instanceSelection.js';
+import type { PeerNode } from './peerNode.js';
 import type { RetryBudget } from './retryBudget.js';
 import type { TargetChooser } from './targets.js';
 
@@ -134,12 +135,13 @@
     };
     const { request, cancellation, trace } = call;
     trace.sends += 1;
+    trace.instance = peer.record.instanceId;
     trace.loadAgeMs = peer.getLoadAgeMs(performance.now());
     peer.recordSend();
     try {
       if (directory.isOwn(peer)) {
         const report = await runner.run(request, metadata, cancellation);
-        peer.recordLoad(report.load, performance.now());
+        this.recordLoad(peer, report);
         return report;
       }
       const report = await peer.calls.send(
@@ -149,7 +151,7 @@
         cancellation,
         () => peer.recordNoResponse(performance.now()),
       );
-      if (report.hasResponded) peer.recordLoad(report.load, performance.now());
+      if (report.hasResponded) this.recordLoad(peer, report);
       else if (!cancellation.isCancelled()) peer.recordNoResponse(performance.now());
       return report;
     } finally {
@@ -157,6 +159,19 @@
     }
   }
 
+  private recordLoad(peer: PeerNode, { load }: RunReport): void {
+    const knownLimitPerS = peer.getLimitPerS();
+    peer.recordLoad(load, performance.now());
+    const limitPerS = peer.getLimitPerS();
+    if ((limitPerS === undefined) === (knownLimitPerS === undefined)) return;
+    const { nodeId, instanceId } = peer.record;
+    this.options.log.write('info', 'peer-limit', {
+      peer: nodeId,
+      instance: instanceId,
+      limitPerS: limitPerS ?? 'none',
+    });
+  }
+
   private recordRefusal(
     { reason, retryAfterMs }: Extract<RunResult, { kind: 'notRun' }>,
     { peer }: PeerCandidate,
--- a/src/mesh/headers.ts
+++ b/src/mesh/headers.ts
@@ -8,6 +8,10 @@
   readonly targetInstance: string;
   readonly notExecuted: string;
   readonly callerService: string;
+  /** Response header: requests per second that the instance accepts from all nodes together. */
+  readonly requestLimit: string;
+  /** Response header of an instance that is about to shut down. */
+  readonly leaving: string;
 }
 
 /**
--- a/src/mesh/instanceClient.ts
+++ b/src/mesh/instanceClient.ts
@@ -3,6 +3,7 @@
 import { getHeader, type HeaderNames } from './headers.js';
 import type { HttpConnection } from './httpConnection.js';
 import { ConnectionPool } from './connectionPool.js';
+import { readInstanceNotice, type InstanceNotice } from './instanceNotice.js';
 import type { CallMetadata, HttpRequest, RunResult } from './model.js';
 import type { Cancellation } from './signal.js';
 
@@ -45,6 +46,8 @@
   constructor(
     address: PeerAddress,
     private readonly names: HeaderNames,
+    /** Called with what each response of the instance says about the instance. */
+    private readonly onNotice: (notice: InstanceNotice) => void,
   ) {
     this.pool = new ConnectionPool(address);
   }
@@ -130,6 +133,7 @@
   }): RunResult {
     const { status, headers } = response;
     if (status === 421) return buildRefusal('mismatch', true);
+    this.onNotice(readInstanceNotice(headers, this.names));
     if (getHeader(headers, this.names.notExecuted) !== undefined) return buildRefusal('shed', true);
     const isSigned = getHeader(headers, this.names.signature) !== undefined;
     if (status < 300 && !isSigned) return { kind: 'unknown', reason: 'unsigned response' };
--- a/src/mesh/localRunner.ts
+++ b/src/mesh/localRunner.ts
@@ -5,6 +5,8 @@
 import type { EventLog } from './eventLog.js';
 import type { HeaderNames } from './headers.js';
 import { buildRefusal, InstanceClient } from './instanceClient.js';
+import type { InstanceNotice } from './instanceNotice.js';
+import { LimitMonitor } from './limitMonitor.js';
 import type { LocalInstance } from './localInstance.js';
 import type {
   CallMetadata,
@@ -14,6 +16,7 @@
   RunReport,
   RunResult,
 } from './model.js';
+import { getOriginProcess } from './peerMessages.js';
 import { RunTimes } from './runTimes.js';
 import type { Cancellation } from './signal.js';
 
@@ -45,6 +48,10 @@
 
   private readonly times = new RunTimes();
 
+  private readonly limitMonitor: LimitMonitor;
+
+  private isLeavingLogged = false;
+
   private client: InstanceClient;
 
   private clientAddress: PeerAddress;
@@ -56,8 +63,9 @@
   private expiryTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: RunnerOptions) {
+    this.limitMonitor = new LimitMonitor(options.log);
     this.clientAddress = options.getAddress();
-    this.client = new InstanceClient(this.clientAddress, options.names);
+    this.client = this.createClient();
   }
 
   /** Runs a request, waiting for a free slot if necessary. Never rejects. */
@@ -90,6 +98,7 @@
       inFlight: this.queue.countRunning() + this.queue.countQueued(),
       meanMs: this.times.getMeanMs(),
       failures: this.times.getFailureRate(),
+      limitPerS: this.limitMonitor.getLimitPerS(),
     };
   }
 
@@ -118,7 +127,7 @@
     if (address.host === host && address.port === port) return;
     this.client.close();
     this.clientAddress = address;
-    this.client = new InstanceClient(address, this.options.names);
+    this.client = this.createClient();
   }
 
   close(): void {
@@ -126,6 +135,19 @@
     this.client.close();
   }
 
+  private createClient(): InstanceClient {
+    return new InstanceClient(this.clientAddress, this.options.names, (notice) =>
+      this.handleNotice(notice),
+    );
+  }
+
+  private handleNotice({ limit, isLeaving }: InstanceNotice): void {
+    this.limitMonitor.recordLimit(limit, performance.now());
+    if (isLeaving === this.isLeavingLogged) return;
+    this.isLeavingLogged = isLeaving;
+    this.options.log.write('info', 'instance-leaving', { isLeaving });
+  }
+
   private checkInstance(instanceId: InstanceId): RunResult | undefined {
     const state = this.options.instance.getState();
     if (this.isStopping) return buildRefusal('leaving', false, UNAVAILABLE_RETRY_MS);
@@ -197,6 +219,7 @@
   ): Promise<RunResult> {
     const startedAtMs = performance.now();
     const refusal = this.checkInstance(metadata.instanceId);
+    if (!refusal) this.limitMonitor.recordStart(getOriginProcess(metadata), startedAtMs);
     const result = refusal ?? (await this.client.run(request, metadata, cancellation));
     this.queue.releaseSlot();
     if (!refusal) this.record(metadata, result, performance.now() - startedAtMs, cancellation);
--- a/src/mesh/model.ts
+++ b/src/mesh/model.ts
@@ -117,6 +117,8 @@
   readonly meanMs: number;
   /** Failure rate of recent requests, from 0 to 1. */
   readonly failures: number;
+  /** Requests per second that the instance accepts from all nodes; undefined without a limit. */
+  readonly limitPerS?: number | undefined;
 }
 
 /** An HTTP request to forward. Headers are alternating names and values. */
--- a/src/mesh/peerMessages.ts
+++ b/src/mesh/peerMessages.ts
@@ -47,7 +47,13 @@
 ];
 
 /** Wire format of the load; `failures` is the failure rate in thousandths. */
-type LoadMessage = readonly [slots: number, inFlight: number, meanMs: number, failures: number];
+type LoadMessage = readonly [
+  slots: number,
+  inFlight: number,
+  meanMs: number,
+  failures: number,
+  limitPerS?: number,
+];
 
 /** Wire format of the timing, in whole milliseconds. */
 type TimingMessage = readonly [queueMs: number, runMs: number];
@@ -70,6 +76,11 @@
   readonly resumedProcessId: string | undefined;
 }
 
+/** Returns the process that sent a call; the identifier of each attempt begins with it. */
+export function getOriginProcess({ attemptId }: Pick<CallMetadata, 'attemptId'>): string {
+  return attemptId.split('.', 1)[0]!;
+}
+
 /** Encodes the metadata of a call for a header. */
 export function encodeMetadata(
   metadata: CallMetadata,
@@ -125,12 +136,14 @@
   return { metadata, resumedProcessId };
 }
 
-function encodeLoad({ slots, inFlight, meanMs, failures }: InstanceLoad): LoadMessage {
-  return [slots, inFlight, Math.round(meanMs), Math.round(failures * 1000)];
+function encodeLoad(load: InstanceLoad): LoadMessage {
+  const { slots, inFlight, meanMs, failures, limitPerS } = load;
+  const common = [slots, inFlight, Math.round(meanMs), Math.round(failures * 1000)] as const;
+  return limitPerS === undefined ? common : [...common, limitPerS];
 }
 
-function decodeLoad([slots, inFlight, meanMs, failures]: LoadMessage): InstanceLoad {
-  return { slots, inFlight, meanMs, failures: failures / 1000 };
+function decodeLoad([slots, inFlight, meanMs, failures, limitPerS]: LoadMessage): InstanceLoad {
+  return { slots, inFlight, meanMs, failures: failures / 1000, limitPerS };
 }
 
 function toRunResult(message: ResultMessage, response: HttpResponse): RunResult {
--- a/src/mesh/peerNode.ts
+++ b/src/mesh/peerNode.ts
@@ -124,6 +124,11 @@
     return nowMs < this.unavailableUntilMs;
   }
 
+  /** Returns the limit of the instance in requests per second, as of its latest load report. */
+  getLimitPerS(): number | undefined {
+    return this.load?.limitPerS;
+  }
+
   /** Returns the age of the latest load report, or undefined before the first one. */
   getLoadAgeMs(nowMs: number): number | undefined {
     return this.load && nowMs - this.loadAtMs;
--- a/src/mesh/pendingCall.ts
+++ b/src/mesh/pendingCall.ts
@@ -1,4 +1,5 @@
 /** Types for the request of a caller and its outcome. */
+import type { InstanceId } from '../types/ids.js';
 import type { HttpRequest, HttpResponse, MeshRoute, RunTiming } from './model.js';
 import type { Cancellation } from './signal.js';
 
@@ -6,6 +7,8 @@
 export interface CallTrace {
   /** Number of attempts. */
   sends: number;
+  /** Instance of the latest attempt. */
+  instance: InstanceId | undefined;
   /** Age of the load report on which the latest instance was selected; undefined without one. */
   loadAgeMs: number | undefined;
   /** Times of the latest attempt at the node of its instance. */
--- a/test/mesh/instanceClient.test.ts
+++ b/test/mesh/instanceClient.test.ts
@@ -29,7 +29,7 @@
 test('a late cancellation does not abort the next request on the connection', async () => {
   const instance = new InstanceServer('i-1');
   const port = await instance.listen();
-  const client = new InstanceClient({ host: '127.0.0.1', port }, HEADER_NAMES);
+  const client = new InstanceClient({ host: '127.0.0.1', port }, HEADER_NAMES, () => {});
   const first = new Cancellation();
   await client.run(buildRequest('a'), buildMetadata('a', true), first);
   instance.executionTimeMs = 100;
