Keep the limit that an instance names, for the requests of all hosts together

Cause: nothing read the header (hypothesis 1). The starts came from 4 to 10 processes, so a limit of each host on its own could not hold the sum (4). Change: the host of the instance, through which all its requests go, starts them by a token bucket with the named rate and a burst of one second; what does not fit queues with deadlines and priorities as for slots, or is refused as limited with the time to wait. The load report carries the rate and the starts left, and hosts count the expected wait when they choose. Until the first response of a new process or instance at most a few requests start.

--- a/src/mesh/admission.ts
+++ b/src/mesh/admission.ts
@@ -2,10 +2,12 @@
  * Admission control of one instance: decides which requests run, in which order, and which are
  * rejected immediately. It performs no I/O and takes the current time as an argument.
  *
- * It is designed for an instance that receives more requests than it has slots. An overloaded
- * instance queues requests in no particular order, and some of them never get a response.
+ * It is designed for an instance that receives more requests than it has slots, or than the limit
+ * that it names allows. An overloaded instance queues requests in no particular order, and some of
+ * them never get a response.
  */
 import type { RefusalReason } from './model.js';
+import { RequestLimit } from './requestLimit.js';
 
 /** Properties of a request that admission control uses. Instants and times are in milliseconds. */
 export interface AdmissionItem {
@@ -66,6 +68,12 @@
   readonly lateExpiryAtMs: number;
 }
 
+/** Expected queueing time of a request, and what it would be rejected for. */
+interface ExpectedWait {
+  readonly waitMs: number;
+  readonly cause: Extract<RefusalReason, 'overloaded' | 'limited'>;
+}
+
 /** Sorts requests that can meet their objective first, then by priority, then by arrival. */
 function compareEntries(a: QueueEntry<AdmissionItem>, b: QueueEntry<AdmissionItem>): number {
   return (
@@ -94,7 +102,10 @@
 
   private arrivals = 0;
 
-  constructor(private slots: number) {}
+  constructor(
+    private slots: number,
+    private readonly limit = new RequestLimit(),
+  ) {}
 
   /** Sets the maximum number of requests that run concurrently. */
   setSlots(slots: number): void {
@@ -114,8 +125,8 @@
     if (item.deadlineAtMs <= nowMs) {
       return { kind: 'refused', reason: 'deadline', retryAfterMs: 0 };
     }
-    if (this.running < this.slots && this.queue.length === 0) {
-      this.recordStart(item);
+    if (this.running < this.slots && this.queue.length === 0 && this.limit.canStart(nowMs)) {
+      this.recordStart(item, nowMs);
       return { kind: 'start' };
     }
     const remainingMs = item.deadlineAtMs - nowMs;
@@ -126,15 +137,15 @@
       lateExpiryAtMs: nowMs + remainingMs * MAX_LATE_WAIT_SHARE,
     };
     const conservativeMs =
-      this.estimateWaitMs(entry, ESTIMATE_SAFETY_FACTOR) +
+      this.estimateWait(entry, nowMs, ESTIMATE_SAFETY_FACTOR).waitMs +
       item.expectedRunMs * ESTIMATE_SAFETY_FACTOR;
     entry.isLate = nowMs + conservativeMs > item.objectiveAtMs;
-    const waitMs = this.estimateWaitMs(entry);
+    const { waitMs, cause } = this.estimateWait(entry, nowMs);
     const isQueueFull = this.queue.length >= this.slots * MAX_QUEUED_PER_SLOT;
     const isDeadlineMissed = waitMs + item.expectedRunMs > remainingMs;
     const isLateTooLong = entry.isLate && nowMs + waitMs > entry.lateExpiryAtMs;
     if (isQueueFull || isDeadlineMissed || isLateTooLong) {
-      return { kind: 'refused', reason: 'overloaded', retryAfterMs: waitMs };
+      return { kind: 'refused', reason: cause, retryAfterMs: waitMs };
     }
     this.arrivals += 1;
     this.insert(entry);
@@ -151,14 +162,20 @@
    * is empty. Call `releaseSlot` when the request has ended.
    */
   dequeue(nowMs: number): Item | undefined {
-    if (this.running >= this.slots) return undefined;
+    if (this.running >= this.slots || !this.limit.canStart(nowMs)) return undefined;
     this.updateLateness(nowMs);
     const [next] = this.queue.splice(this.findNextIndex(), 1);
     if (!next) return undefined;
-    this.recordStart(next.item);
+    this.recordStart(next.item, nowMs);
     return next.item;
   }
 
+  /** Returns the time until the limit allows the next queued request; undefined without one. */
+  getLimitWaitMs(nowMs: number): number | undefined {
+    if (this.running >= this.slots || this.queue.length === 0) return undefined;
+    return this.limit.estimateWaitMs(0, nowMs);
+  }
+
   /**
    * Removes and returns the requests that cannot complete before their deadline, and the late ones
    * that have waited for too long.
@@ -195,22 +212,34 @@
 
   /**
    * Returns the expected queueing time of a request: until the requests ahead of it have run, or
-   * until its turn within the minimum share of its priority, whichever is shorter. The safety
-   * factor applies to the first estimate only.
+   * until its turn within the minimum share of its priority, whichever is shorter, and not before
+   * the limit of the instance allows it. The safety factor applies to the first estimate only.
    */
-  private estimateWaitMs(entry: QueueEntry<Item>, safetyFactor = 1): number {
+  private estimateWait(entry: QueueEntry<Item>, nowMs: number, safetyFactor = 1): ExpectedWait {
     const { priority, expectedRunMs } = entry.item;
     let aheadMs = expectedRunMs;
     let samePriorityMs = expectedRunMs;
+    let ahead = 0;
+    let samePriority = 0;
     const higherPriorities = new Set<number>();
     for (const queued of this.queue) {
       const { item } = queued;
       if (item.priority < priority) higherPriorities.add(item.priority);
-      if (item.priority === priority) samePriorityMs += item.expectedRunMs;
-      if (compareEntries(queued, entry) <= 0) aheadMs += item.expectedRunMs;
+      if (item.priority === priority) {
+        samePriorityMs += item.expectedRunMs;
+        samePriority += 1;
+      }
+      if (compareEntries(queued, entry) <= 0) {
+        aheadMs += item.expectedRunMs;
+        ahead += 1;
+      }
     }
     const share = higherPriorities.size === 0 ? 1 : getMinShare(higherPriorities.size - 1);
-    return Math.min(aheadMs * safetyFactor, samePriorityMs / share) / this.slots;
+    const runWaitMs = Math.min(aheadMs * safetyFactor, samePriorityMs / share) / this.slots;
+    const limitWaitMs = this.limit.estimateWaitMs(Math.min(ahead, samePriority / share), nowMs);
+    return limitWaitMs > runWaitMs
+      ? { waitMs: limitWaitMs, cause: 'limited' }
+      : { waitMs: runWaitMs, cause: 'overloaded' };
   }
 
   /**
@@ -231,8 +260,9 @@
     return 0;
   }
 
-  private recordStart({ priority, expectedRunMs }: Item): void {
+  private recordStart({ priority, expectedRunMs }: Item, nowMs: number): void {
     this.running += 1;
+    this.limit.recordStart(nowMs);
     for (const [known, ms] of this.startedMs) this.startedMs.set(known, ms * RUN_TIME_DECAY);
     this.startedMs.set(priority, (this.startedMs.get(priority) ?? 0) + expectedRunMs);
   }
--- a/src/mesh/attemptProgress.ts
+++ b/src/mesh/attemptProgress.ts
@@ -2,6 +2,7 @@
 import type { InstanceId } from '../types/ids.js';
 import type { CallOutcome } from './pendingCall.js';
 import type { MeshRoute, RunResult } from './model.js';
+import { isCapacityRefusal } from './refusalReason.js';
 
 /** Retry time when no instance reported one, in milliseconds. */
 const DEFAULT_RETRY_MS = 300;
@@ -74,7 +75,7 @@
   private applyRefusal({ reason, retryAfterMs }: Pick<Refusal, 'reason' | 'retryAfterMs'>): void {
     const { refusal } = this;
     // Keeps the earliest retry time of overloaded instances; other refusals carry no load estimate.
-    if (refusal.reason === 'overloaded' && retryAfterMs >= refusal.retryAfterMs) return;
+    if (isCapacityRefusal(refusal.reason) && retryAfterMs >= refusal.retryAfterMs) return;
     this.refusal = { kind: 'notRun', reason, retryAfterMs };
   }
 
--- a/src/mesh/callRouter.ts
+++ b/src/mesh/callRouter.ts
@@ -6,9 +6,10 @@
 import type { EventLog } from './eventLog.js';
 import type { LocalRunner } from './localRunner.js';
 import type { MeshMetrics } from './meshMetrics.js';
-import type { CallMetadata, MeshSettings, RefusalReason, RunReport, RunResult } from './model.js';
+import type { CallMetadata, MeshSettings, RunReport, RunResult } from './model.js';
 import { chooseInstance } from './instanceSelection.js';
 import type { PeerNode } from './peerNode.js';
+import { isCapacityRefusal, isInstanceUnavailable } from './refusalReason.js';
 import type { RetryBudget } from './retryBudget.js';
 import type { TargetChooser } from './targets.js';
 
@@ -37,11 +38,6 @@
   return performance.now() >= call.deadlineAtMs - MIN_SEND_TIME_MS;
 }
 
-/** Returns true for refusals that mean that the instance is temporarily unavailable. */
-function isInstanceUnavailable(reason: RefusalReason): boolean {
-  return reason !== 'overloaded' && reason !== 'deadline' && reason !== 'cancelled';
-}
-
 export class CallRouter {
   private attemptCount = 0;
 
@@ -179,7 +175,7 @@
   ): void {
     const nowMs = performance.now();
     if (isInstanceUnavailable(reason)) peer.recordUnavailable(nowMs);
-    if (reason === 'overloaded') peer.recordOverload(route.priority, retryAfterMs, nowMs);
+    if (isCapacityRefusal(reason)) peer.recordOverload(route.priority, retryAfterMs, nowMs);
     this.options.metrics.count('attempts_refused', `reason="${reason}"`);
   }
 
--- a/src/mesh/directory.ts
+++ b/src/mesh/directory.ts
@@ -90,7 +90,7 @@
         isSameDataCentre: peer.record.dataCentre === ownDataCentre,
         slots: Math.max(1, peer.record.slots),
         ...peer.getOutstanding(),
-        load: peer.getLoad(nowMs),
+        load: peer.getLoad(nowMs, this.countNodes()),
         isUnreachable: peer.isUnreachable(nowMs),
         // The local instance is always asked: asking it needs no network call.
         isFull: !this.isOwn(peer) && peer.isOverloaded(priority, nowMs),
--- a/src/mesh/instanceSelection.ts
+++ b/src/mesh/instanceSelection.ts
@@ -6,6 +6,7 @@
  * their health checks succeed, and traffic between data centres costs more than a short wait.
  */
 import type { InstanceLoad } from './model.js';
+import { estimateLimitWaitMs } from './requestLimit.js';
 
 /** Properties of an instance that the selection uses. */
 export interface Candidate {
@@ -78,10 +79,15 @@
   const excess = inFlight + 1 - slots;
   const waitMs =
     excess > 0 ? (excess * meanMs) / slots : (FREE_SLOT_WAIT_SHARE * meanMs * inFlight) / slots;
+  const limitMs = load?.limit ? estimateLimitWaitMs(load.limit, sentSinceLoad) : 0;
   const failureMs = (load?.failures ?? 0) * FAILURE_COST_MS;
   const unreachableMs = candidate.isUnreachable ? UNREACHABLE_COST_MS : 0;
   return (
-    meanMs + waitMs + failureMs + unreachableMs + (candidate.isSameDataCentre ? 0 : spillOverMs)
+    meanMs +
+    Math.max(waitMs, limitMs) +
+    failureMs +
+    unreachableMs +
+    (candidate.isSameDataCentre ? 0 : spillOverMs)
   );
 }
 
--- a/src/mesh/limitMonitor.ts
+++ b/src/mesh/limitMonitor.ts
@@ -22,11 +22,6 @@
 
   constructor(private readonly log: EventLog) {}
 
-  /** Returns the limit that the latest response stated, in requests per second. */
-  getLimitPerS(): number | undefined {
-    return this.requestsPerS;
-  }
-
   /** Records a request that is sent to the instance; `origin` is the process that it came from. */
   recordStart(origin: string, nowMs: number): void {
     this.starts.push({ atMs: nowMs, origin });
--- a/src/mesh/localRunner.ts
+++ b/src/mesh/localRunner.ts
@@ -10,6 +10,7 @@
 import type { LocalInstance } from './localInstance.js';
 import type {
   CallMetadata,
+  Heartbeat,
   HttpRequest,
   InstanceLoad,
   RefusalReason,
@@ -17,6 +18,7 @@
   RunResult,
 } from './model.js';
 import { getOriginProcess } from './peerMessages.js';
+import { RequestLimit } from './requestLimit.js';
 import { RunTimes } from './runTimes.js';
 import type { Cancellation } from './signal.js';
 
@@ -44,7 +46,9 @@
 }
 
 export class LocalRunner {
-  private readonly queue = new AdmissionQueue<QueuedRequest>(1);
+  private readonly limit = new RequestLimit();
+
+  private readonly queue = new AdmissionQueue<QueuedRequest>(1, this.limit);
 
   private readonly times = new RunTimes();
 
@@ -60,10 +64,16 @@
 
   private isStopping = false;
 
+  /** Instance that the limit applies to. */
+  private limitedInstance: Pick<Heartbeat, 'instanceId' | 'startedAtMs'> | undefined;
+
   private expiryTimer: NodeJS.Timeout | undefined;
 
+  private limitTimer: NodeJS.Timeout | undefined;
+
   constructor(private readonly options: RunnerOptions) {
     this.limitMonitor = new LimitMonitor(options.log);
+    this.limit.reset(performance.now());
     this.clientAddress = options.getAddress();
     this.client = this.createClient();
   }
@@ -98,7 +108,7 @@
       inFlight: this.queue.countRunning() + this.queue.countQueued(),
       meanMs: this.times.getMeanMs(),
       failures: this.times.getFailureRate(),
-      limitPerS: this.limitMonitor.getLimitPerS(),
+      limit: this.limit.getState(this.queue.countQueued(), performance.now()),
     };
   }
 
@@ -116,6 +126,7 @@
   handleInstanceChange(): void {
     const state = this.options.instance.getState();
     if (state.kind === 'ready') {
+      this.checkReplacement(state.heartbeat);
       this.queue.setSlots(state.heartbeat.slots);
       this.unreachableUntilMs = -Infinity;
       this.startNext();
@@ -132,9 +143,18 @@
 
   close(): void {
     clearTimeout(this.expiryTimer);
+    clearTimeout(this.limitTimer);
     this.client.close();
   }
 
+  /** Forgets the limit of an instance that was replaced or restarted. */
+  private checkReplacement({ instanceId, startedAtMs }: Heartbeat): void {
+    const current = this.limitedInstance;
+    if (current?.instanceId === instanceId && current.startedAtMs === startedAtMs) return;
+    this.limitedInstance = { instanceId, startedAtMs };
+    this.limit.reset(performance.now());
+  }
+
   private createClient(): InstanceClient {
     return new InstanceClient(this.clientAddress, this.options.names, (notice) =>
       this.handleNotice(notice),
@@ -142,7 +162,11 @@
   }
 
   private handleNotice({ limit, isLeaving }: InstanceNotice): void {
-    this.limitMonitor.recordLimit(limit, performance.now());
+    const nowMs = performance.now();
+    this.limitMonitor.recordLimit(limit, nowMs);
+    if (limit.kind !== 'invalid') {
+      this.limit.setRate(limit.kind === 'named' ? limit.requestsPerS : undefined, nowMs);
+    }
     if (isLeaving === this.isLeavingLogged) return;
     this.isLeavingLogged = isLeaving;
     this.options.log.write('info', 'instance-leaving', { isLeaving });
@@ -198,6 +222,7 @@
           break;
         case 'queued':
           this.scheduleExpiry();
+          this.scheduleLimitedStart();
           cancellation.onCancel(() => {
             if (this.queue.remove(item)) item.refuse('cancelled', 0);
           });
@@ -263,9 +288,21 @@
   private startNext(): void {
     for (;;) {
       const item = this.queue.dequeue(performance.now());
-      if (!item) return;
+      if (!item) break;
       item.start();
     }
+    this.scheduleLimitedStart();
+  }
+
+  /** Starts queued requests once the limit of the instance allows it. */
+  private scheduleLimitedStart(): void {
+    if (this.limitTimer) return;
+    const limitWaitMs = this.queue.getLimitWaitMs(performance.now());
+    if (limitWaitMs === undefined) return;
+    this.limitTimer = setTimeout(() => {
+      this.limitTimer = undefined;
+      this.startNext();
+    }, Math.ceil(limitWaitMs));
   }
 
   private refuseQueued(reason: RefusalReason): void {
--- a/src/mesh/model.ts
+++ b/src/mesh/model.ts
@@ -1,5 +1,6 @@
 /** Types of the mesh: settings, configuration, node records and calls. */
 import type { PeerAddress } from '../types/interfaces.js';
+import type { LimitState } from './requestLimit.js';
 import type { SpillOverPolicy } from './instanceSelection.js';
 import type { RetryLimit } from './retryBudget.js';
 import type {
@@ -117,8 +118,8 @@
   readonly meanMs: number;
   /** Failure rate of recent requests, from 0 to 1. */
   readonly failures: number;
-  /** Requests per second that the instance accepts from all nodes; undefined without a limit. */
-  readonly limitPerS?: number | undefined;
+  /** Limit on the requests of all nodes that the instance names; undefined without one. */
+  readonly limit?: LimitState | undefined;
 }
 
 /** An HTTP request to forward. Headers are alternating names and values. */
@@ -156,6 +157,8 @@
 /** Reasons why a request was not run. */
 export type RefusalReason =
   | 'overloaded'
+  /** The instance has got the requests that its limit allows. */
+  | 'limited'
   | 'deadline'
   | 'leaving'
   | 'no-instance'
--- a/src/mesh/peerMessages.ts
+++ b/src/mesh/peerMessages.ts
@@ -53,6 +53,7 @@
   meanMs: number,
   failures: number,
   limitPerS?: number,
+  availableStarts?: number,
 ];
 
 /** Wire format of the timing, in whole milliseconds. */
@@ -137,13 +138,16 @@
 }
 
 function encodeLoad(load: InstanceLoad): LoadMessage {
-  const { slots, inFlight, meanMs, failures, limitPerS } = load;
+  const { slots, inFlight, meanMs, failures, limit } = load;
   const common = [slots, inFlight, Math.round(meanMs), Math.round(failures * 1000)] as const;
-  return limitPerS === undefined ? common : [...common, limitPerS];
+  if (!limit) return common;
+  return [...common, limit.requestsPerS, Math.round(limit.availableStarts * 100) / 100];
 }
 
-function decodeLoad([slots, inFlight, meanMs, failures, limitPerS]: LoadMessage): InstanceLoad {
-  return { slots, inFlight, meanMs, failures: failures / 1000, limitPerS };
+function decodeLoad(message: LoadMessage): InstanceLoad {
+  const [slots, inFlight, meanMs, failures, limitPerS, availableStarts = 0] = message;
+  const limit = limitPerS === undefined ? undefined : { requestsPerS: limitPerS, availableStarts };
+  return { slots, inFlight, meanMs, failures: failures / 1000, limit };
 }
 
 function toRunResult(message: ResultMessage, response: HttpResponse): RunResult {
--- a/src/mesh/peerNode.ts
+++ b/src/mesh/peerNode.ts
@@ -1,6 +1,7 @@
 /** State of a node as observed by this node: its record, its load, and whether it responds. */
 import type { InstanceLoad, NodeRecord } from './model.js';
 import type { PeerCalls } from './peerCalls.js';
+import { projectLimitState } from './requestLimit.js';
 
 /** Backoff after the first request without a response; it doubles with each further one. */
 const INITIAL_BACKOFF_MS = 400;
@@ -126,7 +127,7 @@
 
   /** Returns the limit of the instance in requests per second, as of its latest load report. */
   getLimitPerS(): number | undefined {
-    return this.load?.limitPerS;
+    return this.load?.limit?.requestsPerS;
   }
 
   /** Returns the age of the latest load report, or undefined before the first one. */
@@ -134,10 +135,14 @@
     return this.load && nowMs - this.loadAtMs;
   }
 
-  getLoad(nowMs: number): InstanceLoad | undefined {
+  /** Returns the expected load now; `nodeCount` nodes share the limit of the instance, if any. */
+  getLoad(nowMs: number, nodeCount: number): InstanceLoad | undefined {
     const { load } = this;
-    if (!load || nowMs - this.loadAtMs < MAX_LOAD_AGE_MS) return load;
+    if (!load) return undefined;
+    const ageMs = nowMs - this.loadAtMs;
+    const limit = load.limit && projectLimitState(load.limit, ageMs, 1 / nodeCount);
+    if (ageMs < MAX_LOAD_AGE_MS) return limit ? { ...load, limit } : load;
     // The reported queue is outdated; the run time is still the best estimate.
-    return { ...load, inFlight: 0, failures: load.failures / 2 };
+    return { ...load, limit, inFlight: 0, failures: load.failures / 2 };
   }
 }
--- a/standins/mesh/instanceServer.ts
+++ b/standins/mesh/instanceServer.ts
@@ -25,12 +25,17 @@
   readonly body: string;
   readonly callerService: string | undefined;
   readonly deadlineMs: number;
+  /** Time of arrival on the scale of `performance.now`. */
+  readonly atMs: number;
 }
 
 /** HTTP server of an instance on a loopback port. */
 export class InstanceServer {
   fault: InstanceFault = { kind: 'none' };
 
+  /** Limit that responses name, in requests per second from all hosts; undefined for none. */
+  requestLimitPerS: number | undefined;
+
   /** Execution time of a request, in milliseconds. */
   executionTimeMs = 0;
 
@@ -81,6 +86,7 @@
       body: Buffer.concat(chunks).toString(),
       callerService: headers['x-lycheelane-caller-service'] as string | undefined,
       deadlineMs: Number(headers['x-lycheelane-deadline-ms']),
+      atMs: performance.now(),
     });
     this.runningRequests += 1;
     this.maxRunningRequests = Math.max(this.maxRunningRequests, this.runningRequests);
@@ -106,6 +112,7 @@
     const headers = {
       'X-Lycheelane-Request-Attempt-Id': requestId,
       'X-Lycheelane-Response-Signature': `signed-${this.instanceId}`,
+      ...(this.requestLimitPerS === undefined ? {} : { 'Server-Limit': this.requestLimitPerS }),
     };
     const { fault } = this;
     switch (fault.kind) {
