Take no request to an instance whose response says that it leaves

Cause: the state of an instance came from its heartbeats alone. Change: the host of the instance takes the header like a draining heartbeat: refuses what is queued, publishes the record, and keeps to it when an older heartbeat arrives. A host that passed the response on keeps it as well, until the record names a later start, since a restarted node may not know it while the store is away.

--- a/src/mesh/callRouter.ts
+++ b/src/mesh/callRouter.ts
@@ -4,9 +4,11 @@
 import type { CallOutcome, PendingCall } from './pendingCall.js';
 import type { Directory, PeerCandidate } from './directory.js';
 import type { EventLog } from './eventLog.js';
+import type { HeaderNames } from './headers.js';
+import { readInstanceNotice } from './instanceNotice.js';
 import type { LocalRunner } from './localRunner.js';
 import type { MeshMetrics } from './meshMetrics.js';
-import type { CallMetadata, MeshSettings, RunReport, RunResult } from './model.js';
+import type { CallMetadata, HttpResponse, MeshSettings, RunReport, RunResult } from './model.js';
 import { chooseInstance } from './instanceSelection.js';
 import type { PeerNode } from './peerNode.js';
 import { isCapacityRefusal, isInstanceUnavailable } from './refusalReason.js';
@@ -24,6 +26,7 @@
 
 export interface CallRouterOptions {
   readonly getSettings: () => MeshSettings;
+  readonly names: HeaderNames;
   readonly directory: Directory;
   readonly runner: LocalRunner;
   readonly retryBudget: RetryBudget;
@@ -82,6 +85,7 @@
       const { result, timing } = await this.send(chosen, call);
       trace.timing = timing;
       if (result.kind === 'notRun') this.recordRefusal(result, chosen, call);
+      if (result.kind === 'answered') this.recordNotice(result.response, chosen, call);
       const outcome = progress.apply(result);
       if (outcome) return outcome;
       this.logFailure(result, chosen, call);
@@ -179,6 +183,22 @@
     this.options.metrics.count('attempts_refused', `reason="${reason}"`);
   }
 
+  private recordNotice(
+    { headers }: HttpResponse,
+    { peer }: PeerCandidate,
+    call: PendingCall,
+  ): void {
+    const { names, log } = this.options;
+    if (!readInstanceNotice(headers, names).isLeaving || !peer.isReady()) return;
+    const { nodeId, instanceId } = peer.record;
+    peer.recordLeaving(call.trace.instance ?? instanceId);
+    log.write('info', 'peer-leaving', {
+      peer: nodeId,
+      instance: instanceId,
+      request: call.requestId,
+    });
+  }
+
   private logFailure(result: RunResult, { peer }: PeerCandidate, call: PendingCall): void {
     const { nodeId, instanceId } = peer.record;
     this.options.log.write('info', 'attempt-failed', {
--- a/src/mesh/directory.ts
+++ b/src/mesh/directory.ts
@@ -137,7 +137,7 @@
         this.nodes.delete(nodeId);
         continue;
       }
-      if (peer.record.service === service && peer.record.state === 'ready') ready.push(peer);
+      if (peer.record.service === service && peer.isReady()) ready.push(peer);
     }
     return ready;
   }
--- a/src/mesh/instanceClient.ts
+++ b/src/mesh/instanceClient.ts
@@ -1,10 +1,11 @@
 /** Sends requests to the local instance and classifies its responses. */
+import type { InstanceId } from '../types/ids.js';
 import type { PeerAddress } from '../types/interfaces.js';
 import { getHeader, type HeaderNames } from './headers.js';
 import type { HttpConnection } from './httpConnection.js';
 import { ConnectionPool } from './connectionPool.js';
 import { readInstanceNotice, type InstanceNotice } from './instanceNotice.js';
-import type { CallMetadata, HttpRequest, RunResult } from './model.js';
+import type { CallMetadata, HttpRequest, HttpResponse, RunResult } from './model.js';
 import type { Cancellation } from './signal.js';
 
 /** The instance is on this host, so a connection that takes longer is not being accepted. */
@@ -46,8 +47,8 @@
   constructor(
     address: PeerAddress,
     private readonly names: HeaderNames,
-    /** Called with what each response of the instance says about the instance. */
-    private readonly onNotice: (notice: InstanceNotice) => void,
+    /** Called with what each response says about the instance that sent it. */
+    private readonly onNotice: (notice: InstanceNotice, instanceId: InstanceId) => void,
   ) {
     this.pool = new ConnectionPool(address);
   }
@@ -110,7 +111,7 @@
     );
     clearTimeout(timer);
     isInProgress = false;
-    if (result.kind === 'response') return this.classifyResponse(result.response);
+    if (result.kind === 'response') return this.classifyResponse(result.response, metadata);
     if (result.kind === 'broken' && !result.wasSent) return buildRefusal('unreachable', false);
     if (!cancellation.isCancelled()) this.reusePausedUntilMs = performance.now() + REUSE_PAUSE_MS;
     // Connections usually become half-open together, so the idle ones would time out as well.
@@ -126,14 +127,10 @@
     return isMatching;
   }
 
-  private classifyResponse(response: {
-    status: number;
-    headers: readonly string[];
-    body: Buffer;
-  }): RunResult {
+  private classifyResponse(response: HttpResponse, { instanceId }: CallMetadata): RunResult {
     const { status, headers } = response;
     if (status === 421) return buildRefusal('mismatch', true);
-    this.onNotice(readInstanceNotice(headers, this.names));
+    this.onNotice(readInstanceNotice(headers, this.names), instanceId);
     if (getHeader(headers, this.names.notExecuted) !== undefined) return buildRefusal('shed', true);
     const isSigned = getHeader(headers, this.names.signature) !== undefined;
     if (status < 300 && !isSigned) return { kind: 'unknown', reason: 'unsigned response' };
--- a/src/mesh/localInstance.ts
+++ b/src/mesh/localInstance.ts
@@ -100,6 +100,15 @@
     return true;
   }
 
+  /** Records that the instance says that it leaves; returns false if that is known or outdated. */
+  recordLeaving(instanceId: InstanceId): boolean {
+    const { state } = this;
+    if (state.kind !== 'ready' || state.heartbeat.instanceId !== instanceId) return false;
+    this.departed = state.heartbeat;
+    this.state = { kind: 'leaving', heartbeat: state.heartbeat };
+    return true;
+  }
+
   /** Records that another instance responds at the address of `instanceId`. */
   recordMismatch(instanceId: InstanceId): void {
     const { state } = this;
--- a/src/mesh/localRunner.ts
+++ b/src/mesh/localRunner.ts
@@ -41,6 +41,8 @@
   readonly getAddress: () => PeerAddress;
   readonly names: HeaderNames;
   readonly log: EventLog;
+  /** Called when a response of the instance says that it leaves. */
+  readonly onLeaving: (instanceId: InstanceId) => void;
   /** Called when a different instance responds at the address. */
   readonly onMismatch: (instanceId: InstanceId) => void;
 }
@@ -54,8 +56,6 @@
 
   private readonly limitMonitor: LimitMonitor;
 
-  private isLeavingLogged = false;
-
   private client: InstanceClient;
 
   private clientAddress: PeerAddress;
@@ -156,20 +156,18 @@
   }
 
   private createClient(): InstanceClient {
-    return new InstanceClient(this.clientAddress, this.options.names, (notice) =>
-      this.handleNotice(notice),
+    return new InstanceClient(this.clientAddress, this.options.names, (notice, id) =>
+      this.handleNotice(notice, id),
     );
   }
 
-  private handleNotice({ limit, isLeaving }: InstanceNotice): void {
+  private handleNotice({ limit, isLeaving }: InstanceNotice, instanceId: InstanceId): void {
     const nowMs = performance.now();
     this.limitMonitor.recordLimit(limit, nowMs);
     if (limit.kind !== 'invalid') {
       this.limit.setRate(limit.kind === 'named' ? limit.requestsPerS : undefined, nowMs);
     }
-    if (isLeaving === this.isLeavingLogged) return;
-    this.isLeavingLogged = isLeaving;
-    this.options.log.write('info', 'instance-leaving', { isLeaving });
+    if (isLeaving) this.options.onLeaving(instanceId);
   }
 
   private checkInstance(instanceId: InstanceId): RunResult | undefined {
--- a/src/mesh/model.ts
+++ b/src/mesh/model.ts
@@ -103,6 +103,8 @@
   readonly address: PeerAddress;
   readonly service: ServiceName;
   readonly instanceId: InstanceId;
+  /** Start time of the instance in Unix milliseconds; records of older builds lack it. */
+  readonly startedAtMs?: number | undefined;
   readonly slots: number;
   readonly state: 'ready' | 'leaving';
   /** Bandwidth of the link of the host; records of older builds lack it. */
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -112,6 +112,11 @@
     getAddress: () => getSettings().instanceAddress,
     names,
     log,
+    onLeaving: (instanceId) => {
+      if (!instance.recordLeaving(instanceId)) return;
+      log.write('info', 'instance-leaving', { instance: instanceId, source: 'response' });
+      void applyInstanceChange();
+    },
     onMismatch: (instanceId) => {
       log.write('warn', 'instance-mismatch', { instance: instanceId });
       instance.recordMismatch(instanceId);
@@ -120,6 +125,7 @@
   });
   const router = new CallRouter({
     getSettings,
+    names,
     directory,
     runner,
     retryBudget: new RetryBudget(settings.retryBudget),
@@ -128,6 +134,12 @@
     metrics,
     processId,
   });
+  async function applyInstanceChange(): Promise<void> {
+    runner.handleInstanceChange();
+    const desired = getDesired();
+    if (desired) directory.update(desired.record);
+    await publisher.sync();
+  }
   const config = new ConfigHolder({
     name: adapter.configName,
     decode: adapter.decodeConfig,
@@ -164,12 +176,7 @@
       const { instanceAddress, service } = getSettings();
       return { address: instanceAddress, service };
     },
-    onChange: async () => {
-      runner.handleInstanceChange();
-      const desired = getDesired();
-      if (desired) directory.update(desired.record);
-      await publisher.sync();
-    },
+    onChange: applyInstanceChange,
   });
   const nodes = new NodeListener({ ownId: nodeId, instance, publisher, directory, log });
   const isReady = () => config.get() !== undefined && nodes.hasReceivedList() && !isStopping;
--- a/src/mesh/nodeRecord.ts
+++ b/src/mesh/nodeRecord.ts
@@ -74,6 +74,7 @@
     address: ports.peers,
     service: heartbeat?.service ?? service,
     instanceId,
+    startedAtMs: heartbeat?.startedAtMs ?? departedInstance?.startedAtMs,
     slots: heartbeat?.slots ?? 0,
     state: state.kind === 'ready' && !isStopping ? 'ready' : 'leaving',
     linkMbps,
--- a/src/mesh/peerNode.ts
+++ b/src/mesh/peerNode.ts
@@ -1,4 +1,5 @@
 /** State of a node as observed by this node: its record, its load, and whether it responds. */
+import type { InstanceId } from '../types/ids.js';
 import type { InstanceLoad, NodeRecord } from './model.js';
 import type { PeerCalls } from './peerCalls.js';
 import { projectLimitState } from './requestLimit.js';
@@ -37,6 +38,9 @@
   /** End of the time for which the instance is overloaded, by priority of the refused request. */
   private readonly overloadedUntilMs = new Map<number, number>();
 
+  /** Record of the instance that said that it leaves. */
+  private leaving: NodeRecord | undefined;
+
   unlistedAtMs: number | undefined;
 
   /** Time of the first request without a response since the node last responded. */
@@ -61,6 +65,19 @@
     this.outstanding -= 1;
   }
 
+  /** Records that a response said that the instance leaves; it holds until the next instance. */
+  recordLeaving(instanceId: InstanceId): void {
+    if (this.record.instanceId !== instanceId) return;
+    this.leaving = this.record;
+  }
+
+  /** True when the instance is ready and no response has said that it leaves. */
+  isReady(): boolean {
+    const { record, leaving } = this;
+    if (record.state !== 'ready') return false;
+    return leaving?.instanceId !== record.instanceId || leaving.startedAtMs !== record.startedAtMs;
+  }
+
   /** Returns the open requests to the node, now and when the latest load was received. */
   getOutstanding(): { readonly outstanding: number; readonly outstandingAtLoad: number } {
     const { outstanding, outstandingAtLoad } = this;
--- a/standins/mesh/instanceServer.ts
+++ b/standins/mesh/instanceServer.ts
@@ -36,6 +36,9 @@
   /** Limit that responses name, in requests per second from all hosts; undefined for none. */
   requestLimitPerS: number | undefined;
 
+  /** True when responses say that the instance leaves. */
+  isLeaving = false;
+
   /** Execution time of a request, in milliseconds. */
   executionTimeMs = 0;
 
@@ -113,6 +116,7 @@
       'X-Lycheelane-Request-Attempt-Id': requestId,
       'X-Lycheelane-Response-Signature': `signed-${this.instanceId}`,
       ...(this.requestLimitPerS === undefined ? {} : { 'Server-Limit': this.requestLimitPerS }),
+      ...(this.isLeaving ? { 'Server-Leaving': '1' } : {}),
     };
     const { fault } = this;
     switch (fault.kind) {
--- a/standins/mesh/meshFleet.ts
+++ b/standins/mesh/meshFleet.ts
@@ -137,7 +137,7 @@
 /** Changes the state and slots that the instance announces, or its heartbeats. */
 export function updateHost(
   host: FleetHost,
-  change: Partial<Pick<FleetHost, 'state' | 'isSendingHeartbeats' | 'slots'>>,
+  change: Partial<Pick<FleetHost, 'state' | 'isSendingHeartbeats' | 'slots' | 'startedAtMs'>>,
 ): void {
   Object.assign(host, change);
 }
--- a/test/mesh/fleet.test.ts
+++ b/test/mesh/fleet.test.ts
@@ -227,6 +227,56 @@
   });
 });
 
+test('an instance whose response says that it leaves gets no request from any host', async () => {
+  await withFleet(async (fleet) => {
+    const entry = await fleet.addHost('guide');
+    const other = await fleet.addHost('guide');
+    const leaving = await fleet.addHost('pads');
+    await fleet.waitForInstances('/read/', ['i-2']);
+    leaving.instance.isLeaving = true;
+    assert.equal((await sendToHost(entry, { path: '/book/', id: 'l-1' })).status, 200);
+    assert.equal((await sendToHost(other, { path: '/book/', id: 'l-2' })).status, 503);
+    assert.equal((await sendToHost(leaving, { path: '/book/', id: 'l-3' })).status, 503);
+    // A heartbeat that was sent before is delayed.
+    await sendHeartbeat(leaving);
+    assert.equal((await sendToHost(entry, { path: '/book/', id: 'l-4' })).status, 503);
+    assert.equal(leaving.instance.runs.at(-1)?.requestId, 'l-1');
+  });
+});
+
+test('a host does not forget that an instance leaves when the node of the instance does', async () => {
+  await withFleet(async (fleet) => {
+    const entry = await fleet.addHost('guide');
+    const leaving = await fleet.addHost('pads');
+    await fleet.waitForInstances('/read/', ['i-1']);
+    fleet.store.setFault({ kind: 'refuse', status: 503 });
+    leaving.instance.isLeaving = true;
+    assert.equal((await sendToHost(entry, { path: '/book/', id: 'f-1' })).status, 200);
+    await leaving.node.close();
+    await restartNode(leaving);
+    fleet.store.setFault({ kind: 'none' });
+    await sendHeartbeat(leaving);
+    await fleet.waitForRecords();
+    assert.equal((await sendToHost(entry, { path: '/book/', id: 'f-2' })).status, 503);
+    assert.equal(leaving.instance.runs.at(-1)?.requestId, 'f-1');
+  });
+});
+
+test('an instance that started again after it left gets requests', async () => {
+  await withFleet(async (fleet) => {
+    const entry = await fleet.addHost('guide');
+    const leaving = await fleet.addHost('pads');
+    await fleet.waitForInstances('/read/', ['i-1']);
+    leaving.instance.isLeaving = true;
+    assert.equal((await sendToHost(entry, { path: '/book/', id: 's-1' })).status, 200);
+    leaving.instance.isLeaving = false;
+    updateHost(leaving, { startedAtMs: leaving.startedAtMs + 1000 });
+    await sendHeartbeat(leaving);
+    await wait(1000);
+    assert.equal((await sendToHost(entry, { path: '/book/', id: 's-2' })).status, 200);
+  });
+});
+
 test('a node still knows after a restart that its instance was deregistered', async () => {
   await withFleet(async (fleet) => {
     const host = await fleet.addHost('pads');
