--- a/src/mesh/localInstance.ts
+++ b/src/mesh/localInstance.ts
@@ -46,6 +46,8 @@
 
   private departed: DepartedInstance | undefined;
 
+  private readonly leavingListeners: ((instanceId: InstanceId) => void)[] = [];
+
   getState(): InstanceState {
     return this.state;
   }
@@ -100,13 +102,18 @@
     return true;
   }
 
-  /** Records that the instance says that it leaves; returns false if that is known or outdated. */
-  recordLeaving(instanceId: InstanceId): boolean {
+  /** Registers a listener that is called when a response has said that the instance leaves. */
+  onLeaving(listener: (instanceId: InstanceId) => void): void {
+    this.leavingListeners.push(listener);
+  }
+
+  /** Records that a response of the instance says that it leaves. */
+  recordLeaving(instanceId: InstanceId): void {
     const { state } = this;
-    if (state.kind !== 'ready' || state.heartbeat.instanceId !== instanceId) return false;
+    if (state.kind !== 'ready' || state.heartbeat.instanceId !== instanceId) return;
     this.departed = state.heartbeat;
     this.state = { kind: 'leaving', heartbeat: state.heartbeat };
-    return true;
+    for (const listener of this.leavingListeners) listener(instanceId);
   }
 
   /** Records that another instance responds at the address of `instanceId`. */
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -112,11 +112,7 @@
     getAddress: () => getSettings().instanceAddress,
     names,
     log,
-    onLeaving: (instanceId) => {
-      if (!instance.recordLeaving(instanceId)) return;
-      log.write('info', 'instance-leaving', { instance: instanceId, source: 'response' });
-      void applyInstanceChange();
-    },
+    onLeaving: (instanceId) => instance.recordLeaving(instanceId),
     onMismatch: (instanceId) => {
       log.write('warn', 'instance-mismatch', { instance: instanceId });
       instance.recordMismatch(instanceId);
@@ -134,12 +130,16 @@
     metrics,
     processId,
   });
-  async function applyInstanceChange(): Promise<void> {
+  const applyInstanceChange = async () => {
     runner.handleInstanceChange();
     const desired = getDesired();
     if (desired) directory.update(desired.record);
     await publisher.sync();
-  }
+  };
+  instance.onLeaving((instanceId) => {
+    log.write('info', 'instance-leaving', { instance: instanceId, source: 'response' });
+    void applyInstanceChange();
+  });
   const config = new ConfigHolder({
     name: adapter.configName,
     decode: adapter.decodeConfig,
--- a/test/mesh/fleet.test.ts
+++ b/test/mesh/fleet.test.ts
@@ -244,7 +244,7 @@
   });
 });
 
-test('a host does not forget that an instance leaves when the node of the instance does', async () => {
+test('a host still knows that an instance leaves after its node restarted', async () => {
   await withFleet(async (fleet) => {
     const entry = await fleet.addHost('guide');
     const leaving = await fleet.addHost('pads');
