Log the era of the store, with the positions, lists and records that belong to it

No logic changes. The store client reads Store-Era from every response; a node logs store-era when it rises, with its version and positions, and names the era in history-gone, watch-behind, store-regained and record-published.

--- a/src/mesh/kindPosition.ts
+++ b/src/mesh/kindPosition.ts
@@ -1,5 +1,7 @@
 /** Progress of a node in the changes to objects of one kind in the store. */
 
+import { StoreEra } from './storeEra.js';
+
 /** Time that a watch response may take after another node has reported the change. */
 const RESPONSE_GRACE_MS = 400;
 
@@ -20,6 +22,13 @@
 
   private interrupt: (() => void) | undefined;
 
+  constructor(private readonly era = new StoreEra()) {}
+
+  /** Returns the era of the store that is known. */
+  getEra(): number {
+    return this.era.get();
+  }
+
   getLatestChange(): number {
     return this.latestChange;
   }
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -99,7 +99,10 @@
   const processId = randomUUID().slice(0, 8);
   const metrics = new MeshMetrics();
   const instance = new LocalInstance();
-  const positions = { config: new KindPosition(), nodes: new KindPosition() };
+  const positions = {
+    config: new KindPosition(store.era),
+    nodes: new KindPosition(store.era),
+  };
   const seen = new RevisionExchange([positions.config, positions.nodes]);
   const directory = new Directory(nodeId, log, seen);
   const targets = new TargetChooser();
@@ -145,6 +148,17 @@
     decode: adapter.decodeConfig,
     log,
   });
+  store.era.onRise((era, previous) => {
+    const version = config.get()?.version;
+    const { config: configPosition, nodes: nodesPosition } = positions;
+    log.write('info', 'store-era', {
+      era,
+      previous,
+      config: version,
+      configRevision: configPosition.getSyncedRevision(),
+      nodesRevision: nodesPosition.getSyncedRevision(),
+    });
+  });
   const getConfig = () => config.get();
   const callPort = createCallPort({
     getSettings,
--- a/src/mesh/publisher.ts
+++ b/src/mesh/publisher.ts
@@ -89,6 +89,13 @@
     if (result.isOk()) {
       this.revision = result.value.revision;
       this.storedJson = JSON.stringify(desired);
+      const { instanceId, state } = desired.record;
+      this.log.write('info', 'record-published', {
+        instance: instanceId,
+        state,
+        revision: result.value.revision,
+        era: store.era.get(),
+      });
       return true;
     }
     this.recordFailure(result.error.step, result.error.message);
--- a/src/mesh/store.ts
+++ b/src/mesh/store.ts
@@ -2,6 +2,7 @@
 import type { Result } from 'neverthrow';
 import type { StepError } from '../errors.js';
 import type { Cancellation } from './signal.js';
+import type { StoreEra } from './storeEra.js';
 
 /** A stored object with the revision of its last change. */
 export interface StoredObject {
@@ -54,6 +55,8 @@
  * not execute the call, and `answer-lost` when the call may have been executed or may still be.
  */
 export interface MeshStore {
+  /** Era of the latest history that is known. */
+  readonly era: StoreEra;
   list(kind: string): Promise<Result<StoreList, StepError>>;
   read(kind: string, name: string): Promise<Result<StoredObject, StepError>>;
   /**
--- a/src/mesh/watchKind.ts
+++ b/src/mesh/watchKind.ts
@@ -82,10 +82,14 @@
     await wait(computeDelayMs(BACKOFF, failures));
   };
   const recordSuccess = () => {
-    if (failures > 0) log.write('info', 'store-regained', { peer: kind, failures });
+    if (failures > 0) {
+      const era = position.getEra();
+      log.write('info', 'store-regained', { peer: kind, failures, revision, era });
+    }
     failures = 0;
   };
   while (!isStopped()) {
+    const era = position.getEra();
     if (revision === undefined) {
       const listed = await store.list(kind);
       if (listed.isErr()) {
@@ -107,10 +111,10 @@
     if (isStopped()) return;
     if (watched.isErr()) {
       if (interruption.isCancelled()) {
-        log.write('warn', 'watch-behind', { step: 'store.watch', peer: kind, revision });
+        log.write('warn', 'watch-behind', { step: 'store.watch', peer: kind, revision, era });
         revision = await fetchChanges(options, revision, true);
       } else if (watched.error.kind === 'stale') {
-        log.write('info', 'history-gone', { peer: kind, revision });
+        log.write('info', 'history-gone', { peer: kind, revision, era });
         revision = await fetchChanges(options, revision, true);
       } else if (watched.error.kind === 'too-large') {
         revision = await fetchChanges(options, revision, false);
