Start anew in each era of the store, since its revisions belong to one history

Cause: a revision was taken for a position in whatever history the store has. A node that asked for changes after revision 17 when the store had given out 17 again got no event and no 410. The class: a number that is compared outside the scope in which it is unique. Positions, revisions that other nodes report, the stored state of the own record and the revisions of the other records start anew when the era rises; nodes name the era beside their revisions, so a node also learns of it from others; requests for configuration changes are answered only in the era of the request. Ruled out: late notice by the backoff (late nodes would catch up; they did not), and a report of other nodes that is lost (both histories stood at 17, so there was nothing to report).

--- a/src/mesh/configAnswers.ts
+++ b/src/mesh/configAnswers.ts
@@ -24,13 +24,18 @@
   readonly version: ConfigVersion;
   /** Revision up to which that node has received all changes. */
   readonly revision: number;
+  /** Era of `revision`; requests of older builds lack it. */
+  readonly era?: number | undefined;
   /** True when confirmation of `version` at a later revision is a sufficient answer. */
   readonly canConfirm: boolean;
   /** Time for which the answer may wait for a change. */
   readonly waitMs: number;
 }
 
-/** Answer to a request. `revision` is the one up to which the answering node has all changes. */
+/**
+ * Answer to a request. `revision` is the one up to which the answering node has all changes; except
+ * for `unknown`, it is of the era of the request.
+ */
 export type ConfigAnswer =
   | { readonly kind: 'changed'; readonly revision: number; readonly delta: ConfigDelta }
   /** The version of the request is the latest one that is known here. */
@@ -89,7 +94,7 @@
 export interface ConfigAnswersOptions {
   readonly holder: Pick<ConfigHolder, 'get' | 'onInstall'>;
   readonly history: Pick<ConfigHistory, 'findChanges'>;
-  readonly position: Pick<KindPosition, 'getSyncedRevision' | 'onSynced'>;
+  readonly position: Pick<KindPosition, 'getEra' | 'getSyncedRevision' | 'onSynced'>;
 }
 
 /** A request whose answer is not due yet. */
@@ -126,16 +131,27 @@
     waiting.resolve();
   }
 
-  private isDue({ version, revision, canConfirm }: ConfigRequest): boolean {
+  private isDue(request: ConfigRequest): boolean {
+    const { version, revision, canConfirm } = request;
     const { holder, position } = this.options;
+    if (!this.isInEra(request)) return false;
     const installedVersion = holder.get()?.version ?? 0;
     if (installedVersion > version) return true;
     return canConfirm && installedVersion === version && position.getSyncedRevision() > revision;
   }
 
-  private build({ version }: ConfigRequest): ConfigAnswer {
+  /** Returns true when the store has been read here in the era of the request. */
+  private isInEra({ era }: ConfigRequest): boolean {
+    const { position } = this.options;
+    const isSameEra = era === undefined || era === position.getEra();
+    return isSameEra && position.getSyncedRevision() > 0;
+  }
+
+  private build(request: ConfigRequest): ConfigAnswer {
+    const { version } = request;
     const { holder, history, position } = this.options;
     const revision = position.getSyncedRevision();
+    if (!this.isInEra(request)) return { kind: 'unknown', revision };
     if (holder.get()?.version === version) return { kind: 'unchanged', revision };
     const delta = history.findChanges(version);
     return delta ? { kind: 'changed', revision, delta } : { kind: 'unknown', revision };
--- a/src/mesh/configFetcher.ts
+++ b/src/mesh/configFetcher.ts
@@ -2,6 +2,7 @@
 import { waitMs as wait } from '../utils/backoff.js';
 import type { ConfigAnswer, ConfigRequest } from './configAnswers.js';
 import type { ConfigHolder } from './configHolder.js';
+import type { KindPosition } from './kindPosition.js';
 import type { PeerCalls } from './peerCalls.js';
 
 /** Time for which a source may wait for a change before it answers. */
@@ -13,6 +14,7 @@
 /** Options of the fetcher. */
 export interface ConfigFetcherOptions {
   readonly holder: Pick<ConfigHolder, 'get' | 'installDelta'>;
+  readonly position: Pick<KindPosition, 'getEra'>;
   /** Returns the nodes to ask; empty when this node reads from the store. */
   readonly listSources: () => readonly Pick<PeerCalls, 'requestConfig'>[];
 }
@@ -48,7 +50,7 @@
     if (answer?.kind === 'unchanged') return answer.revision;
     let reached: number | undefined;
     while (answer?.kind === 'changed' && this.options.holder.installDelta(answer.delta)) {
-      reached = answer.delta.revision;
+      reached = answer.revision;
       await wait(COALESCE_MS);
       answer = await this.request(reached, false);
     }
@@ -56,13 +58,16 @@
   }
 
   private async request(revision: number, canConfirm: boolean): Promise<ConfigAnswer | undefined> {
-    const version = this.options.holder.get()?.version;
+    const { holder, position } = this.options;
+    const version = holder.get()?.version;
     if (version === undefined) return undefined;
-    const request: ConfigRequest = { version, revision, canConfirm, waitMs: SOURCE_WAIT_MS };
+    const era = position.getEra();
+    const request: ConfigRequest = { version, revision, era, canConfirm, waitMs: SOURCE_WAIT_MS };
     const answers = this.options.listSources().map((source) => source.requestConfig(request));
-    return findFirst(answers, ({ kind, revision: synced }) => {
+    const answer = await findFirst(answers, ({ kind, revision: synced }) => {
       if (kind === 'unchanged') return canConfirm && synced > revision;
       return kind === 'changed';
     });
+    return era === position.getEra() ? answer : undefined;
   }
 }
--- a/src/mesh/configHistory.ts
+++ b/src/mesh/configHistory.ts
@@ -18,6 +18,11 @@
     this.latest = config;
   }
 
+  /** Forgets the revisions of the changes, which belong to a history that the store has lost. */
+  forgetRevisions(): void {
+    this.deltas = this.deltas.map((delta) => ({ ...delta, revision: 0 }));
+  }
+
   /** Returns the changes since a version; undefined if that version is not in the history. */
   findChanges(version: ConfigVersion): ConfigDelta | undefined {
     const from = this.deltas.findIndex(({ fromVersion }) => fromVersion === version);
--- a/src/mesh/directory.ts
+++ b/src/mesh/directory.ts
@@ -116,6 +116,11 @@
     );
   }
 
+  /** Forgets the revisions of the records, which belong to a history that the store has lost. */
+  forgetRevisions(): void {
+    for (const node of this.nodes.values()) node.revision = 0;
+  }
+
   countNodes(): number {
     return Math.max(1, this.nodes.size);
   }
--- a/src/mesh/kindPosition.ts
+++ b/src/mesh/kindPosition.ts
@@ -1,4 +1,7 @@
-/** Progress of a node in the changes to objects of one kind in the store. */
+/**
+ * Progress of a node in the changes to objects of one kind in the store. It starts anew in each era
+ * of the store, since revisions of two eras cannot be compared.
+ */
 
 import { StoreEra } from './storeEra.js';
 
@@ -22,9 +25,11 @@
 
   private interrupt: (() => void) | undefined;
 
-  constructor(private readonly era = new StoreEra()) {}
+  constructor(private readonly era = new StoreEra()) {
+    era.onRise(() => this.reset());
+  }
 
-  /** Returns the era of the store that is known. */
+  /** Returns the era that the revisions belong to. */
   getEra(): number {
     return this.era.get();
   }
@@ -71,9 +76,17 @@
   /** Interrupts the current long poll, if any. */
   endWait(): void {
     clearTimeout(this.timer);
+    this.timer = undefined;
     this.interrupt?.();
   }
 
+  private reset(): void {
+    this.latestChange = 0;
+    this.syncedRevision = 0;
+    this.remoteRevision = 0;
+    this.endWait();
+  }
+
   /**
    * Records a revision that another node has reported. If the change does not arrive within the
    * grace period, the connection of the long poll is assumed to be dead and the poll is
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -103,7 +103,7 @@
     config: new KindPosition(store.era),
     nodes: new KindPosition(store.era),
   };
-  const seen = new RevisionExchange([positions.config, positions.nodes]);
+  const seen = new RevisionExchange([positions.config, positions.nodes], store.era);
   const directory = new Directory(nodeId, log, seen);
   const targets = new TargetChooser();
   let isStopping = false;
@@ -148,17 +148,6 @@
     decode: adapter.decodeConfig,
     log,
   });
-  store.era.onRise((era, previous) => {
-    const version = config.get()?.version;
-    const { config: configPosition, nodes: nodesPosition } = positions;
-    log.write('info', 'store-era', {
-      era,
-      previous,
-      config: version,
-      configRevision: configPosition.getSyncedRevision(),
-      nodesRevision: nodesPosition.getSyncedRevision(),
-    });
-  });
   const getConfig = () => config.get();
   const callPort = createCallPort({
     getSettings,
@@ -176,6 +165,12 @@
     targets.evictRoutes(routes);
     callPort.applyConfig(installed.limits, routes);
   });
+  store.era.onRise((era, previous) => {
+    log.write('info', 'store-era', { era, previous, config: config.get()?.version });
+    publisher.forgetStoredState();
+    directory.forgetRevisions();
+    history.forgetRevisions();
+  });
   const configAnswers = new ConfigAnswers({
     holder: config,
     history,
@@ -222,6 +217,7 @@
   const listResponding = () => directory.listResponding(performance.now());
   const fetcher = new ConfigFetcher({
     holder: config,
+    position: positions.config,
     listSources: () => {
       const candidates = listResponding().map(toSourceNode);
       return listConfigSources(getSettings(), candidates).map(({ calls }) => calls);
--- a/src/mesh/publisher.ts
+++ b/src/mesh/publisher.ts
@@ -48,6 +48,12 @@
     if (this.findUnpublished() && !this.isRunning) void this.run();
   }
 
+  /** Forgets what is stored: the store has come back from a copy, and a list will follow. */
+  forgetStoredState(): void {
+    this.revision = undefined;
+    this.storedJson = undefined;
+  }
+
   stop(): void {
     this.isStopped = true;
   }
--- a/src/mesh/watchKind.ts
+++ b/src/mesh/watchKind.ts
@@ -1,6 +1,7 @@
 /**
  * Watches the objects of a kind: lists them, then watches for changes. Lists them again after
- * history compaction, or when other nodes have observed later changes.
+ * history compaction, when the era of the store has risen, or when other nodes have observed later
+ * changes.
  */
 import { computeDelayMs, waitMs as wait } from '../utils/backoff.js';
 import type { EventLog } from './eventLog.js';
@@ -58,8 +59,10 @@
   revision: number,
   canConfirm: boolean,
 ): Promise<number | undefined> {
+  const era = position.getEra();
   const reached = await source?.fetch(revision, canConfirm);
-  if (reached !== undefined) position.recordList(reached);
+  if (reached === undefined || era !== position.getEra()) return undefined;
+  position.recordList(reached);
   return reached;
 }
 
@@ -75,6 +78,8 @@
 export async function watchKind(options: WatchKindOptions): Promise<void> {
   const { store, kind, position, log, isStopped } = options;
   let revision: number | undefined;
+  /** Era that `revision` belongs to. */
+  let era = position.getEra();
   let failures = 0;
   const recordFailure = async (step: string, reason: string): Promise<void> => {
     if (failures === 0) log.write('warn', 'store-lost', { step, peer: kind, reason });
@@ -83,13 +88,18 @@
   };
   const recordSuccess = () => {
     if (failures > 0) {
-      const era = position.getEra();
-      log.write('info', 'store-regained', { peer: kind, failures, revision, era });
+      const currentEra = position.getEra();
+      log.write('info', 'store-regained', { peer: kind, failures, revision, era: currentEra });
     }
     failures = 0;
   };
   while (!isStopped()) {
-    const era = position.getEra();
+    if (era !== position.getEra()) {
+      const isListed = revision !== undefined;
+      era = position.getEra();
+      revision = isListed ? await fetchChanges(options, 0, true) : undefined;
+      continue;
+    }
     if (revision === undefined) {
       const listed = await store.list(kind);
       if (listed.isErr()) {
@@ -99,6 +109,7 @@
       recordSuccess();
       applyList(options, listed.value);
       revision = listed.value.revision;
+      era = position.getEra();
     }
     const interruption = new Cancellation();
     position.setInterrupt(() => interruption.cancel());
@@ -109,6 +120,10 @@
     });
     position.setInterrupt(undefined);
     if (isStopped()) return;
+    if (era !== position.getEra()) {
+      log.write('info', 'history-replaced', { peer: kind, revision, era: position.getEra() });
+      continue;
+    }
     if (watched.isErr()) {
       if (interruption.isCancelled()) {
         log.write('warn', 'watch-behind', { step: 'store.watch', peer: kind, revision, era });
--- a/standins/mesh/storeServer.ts
+++ b/standins/mesh/storeServer.ts
@@ -36,6 +36,13 @@
   readonly timer: NodeJS.Timeout;
 }
 
+/** Objects and history of the store at one moment. */
+export interface StoreCopy {
+  readonly objects: ReadonlyMap<string, ReadonlyMap<string, StoredObject>>;
+  readonly changes: readonly StoredChange[];
+  readonly revision: number;
+}
+
 const OBJECT_PATH = /^\/objects\/([^/]+)(?:\/([^/]+))?$/;
 
 function formatObject({ name, spec, revision, created }: StoredObject): object {
@@ -74,9 +81,9 @@
   /** Received requests, as `METHOD kind`. */
   readonly calls: string[] = [];
 
-  private readonly objects = new Map<string, Map<string, StoredObject>>();
+  private objects = new Map<string, Map<string, StoredObject>>();
 
-  private readonly changes: StoredChange[] = [];
+  private changes: StoredChange[] = [];
 
   private watches: PendingWatch[] = [];
 
@@ -84,6 +91,9 @@
 
   private oldestWatchableRevision = 1;
 
+  /** Number of the history; it rises whenever a copy is restored. */
+  private era = 1;
+
   private readonly server: Server = createServer((request, response) => {
     void this.handleRequest(request, response);
   });
@@ -125,9 +135,28 @@
     this.watches = [];
   }
 
+  /** Returns a copy of the present state. */
+  copyState(): StoreCopy {
+    const objects = new Map([...this.objects].map(([kind, ofKind]) => [kind, new Map(ofKind)]));
+    return { objects, changes: [...this.changes], revision: this.revision };
+  }
+
+  /** Replaces the state by an older copy, as after a loss of data, and closes pending watches. */
+  restoreState({ objects, changes, revision }: StoreCopy): void {
+    this.objects = new Map([...objects].map(([kind, ofKind]) => [kind, new Map(ofKind)]));
+    this.changes = [...changes];
+    this.revision = revision;
+    this.era += 1;
+    this.closeWatches();
+  }
+
   /** Compacts the change history and closes the connections of all pending watches. */
   compactHistory(): void {
     this.oldestWatchableRevision = this.revision;
+    this.closeWatches();
+  }
+
+  private closeWatches(): void {
     for (const { response, timer } of this.watches) {
       clearTimeout(timer);
       response.destroy();
@@ -181,6 +210,7 @@
     const [, kind = '', name] = OBJECT_PATH.exec(url.pathname) ?? [];
     const method = request.method ?? 'GET';
     this.calls.push(`${method} ${kind}`);
+    response.setHeader('Store-Era', this.era);
     if (this.applyFault(response)) return;
     const body = (chunks.length === 0 ? {} : JSON.parse(Buffer.concat(chunks).toString())) as {
       Metadata?: { Name?: string; Revision?: number };
@@ -230,7 +260,7 @@
       return;
     }
     const fromRevision = Number(watch);
-    if (fromRevision < this.oldestWatchableRevision) {
+    if (fromRevision < this.oldestWatchableRevision || fromRevision > this.revision) {
       sendJson(response, 410, {});
       return;
     }
--- a/test/mesh/configFetcher.test.ts
+++ b/test/mesh/configFetcher.test.ts
@@ -145,6 +145,7 @@
         return true;
       },
     },
+    position: new KindPosition(),
     listSources: () => sources.map((requestConfig) => ({ requestConfig })),
   });
   return { reached: await fetcher.fetch(10, canConfirm), installed };
