Keep the latest departed instance when a restored store has an older one

What callers saw: nothing yet. Cause: the record of the own node in a restored store was applied as if it were newer, so the departed instance that a node publishes could go back to an earlier one; a process that starts later would then accept a delayed heartbeat of the instance that left. Evidence: the new test of test/mesh/localInstance failed on the commit before (i-0 in place of i-1) and passes; 13 pass in that file.

--- a/src/mesh/localInstance.ts
+++ b/src/mesh/localInstance.ts
@@ -54,6 +54,8 @@
 
   /** Restores from the store an instance that departed before this process started. */
   restoreDepartedInstance(departed: DepartedInstance): void {
+    // A store that came back from a copy may have an older one.
+    if (this.departed && this.departed.startedAtMs > departed.startedAtMs) return;
     this.departed = departed;
     const { state } = this;
     if (state.kind === 'ready' && this.hasDeparted(state.heartbeat)) {
--- a/test/mesh/localInstance.test.ts
+++ b/test/mesh/localInstance.test.ts
@@ -106,6 +106,16 @@
   assert.equal(instance.getState().kind, 'leaving');
 });
 
+test('an older record in a restored store does not replace the latest departed instance', () => {
+  const instance = new LocalInstance();
+  instance.applyHeartbeat(buildHeartbeat({ startedAtMs: 3000 }));
+  instance.deregister(brandText('i-1'), 3000, 5000);
+  const older = { instanceId: brandText<Heartbeat['instanceId']>('i-0'), startedAtMs: 1000 };
+  instance.restoreDepartedInstance({ ...older, sequence: 3 });
+  assert.equal(instance.getDepartedInstance()?.instanceId, 'i-1');
+  assert.equal(buildPublishedNode(instance, SETTINGS, 'p-1', false)?.left?.instanceId, 'i-1');
+});
+
 test('a delayed heartbeat is not accepted after a deregistration without a start', () => {
   const instance = new LocalInstance();
   // The process has just started, and the deregistration omits the start of the instance.
