Break off a response whose bytes never end, also outside its body

Read on the landed code: a body was collected up to 32 MB for each slot (a node has 250 MB), and interim responses, chunk sizes and trailers without end were read until the deadline, on the event loop that serves all other requests. Evidence: five of seven new tests of test/mesh/instanceClient failed before (interim responses, body, chunks, the size of a chunk, trailers; a head without end was bounded already), all pass now, the slowest in 312 ms. A first form that bounded the received bytes at 8 MiB failed on chunks of one byte, which took longer to parse than the deadline.

--- a/src/mesh/httpConnection.ts
+++ b/src/mesh/httpConnection.ts
@@ -12,6 +12,12 @@
 /** Largest response body that is read, in bytes. */
 const MAX_RESPONSE_BYTES = 32 * 1024 * 1024;
 
+/**
+ * Largest number of bytes in one exchange that are not part of a body: headers, interim responses,
+ * chunk sizes and trailers, which a faulty peer may send without end.
+ */
+const MAX_FRAMING_BYTES = 1024 * 1024;
+
 /** Result of an exchange. */
 export type ExchangeResult =
   | { readonly kind: 'response'; readonly response: HttpResponse }
@@ -79,6 +85,9 @@
   /** Bytes received since the start of the latest exchange. */
   receivedBytes = 0;
 
+  /** Bytes of bodies since the start of the latest exchange. */
+  private bodyBytes = 0;
+
   /** Time of the first bytes since the start of the latest exchange, if any. */
   firstReceivedAtMs: number | undefined;
 
@@ -130,6 +139,7 @@
       return Promise.resolve({ kind: 'broken', reason: 'connection closed', wasSent: false });
     }
     this.receivedBytes = 0;
+    this.bodyBytes = 0;
     this.firstReceivedAtMs = undefined;
     return new Promise((resolve) => {
       this.pending = { ...options, isHead: request.method === 'HEAD', isMatching, resolve };
@@ -150,6 +160,7 @@
       const { incoming } = this;
       if (!incoming) return;
       incoming.bytes += length;
+      this.bodyBytes += length;
       if (incoming.bytes > MAX_RESPONSE_BYTES) throw new Error('response too large');
       if (incoming.bytes > (this.pending?.maxBytes ?? Infinity)) {
         this.endTooLarge();
@@ -212,6 +223,9 @@
     }
     const fault = runParser(() => this.parser.execute(chunk));
     if (fault) this.fail(`malformed response: ${fault.message}`);
+    else if (this.receivedBytes - this.bodyBytes > MAX_FRAMING_BYTES) {
+      this.fail('too many bytes outside the body');
+    }
   }
 
   private handleEnd(): void {
--- a/src/mesh/instanceClient.ts
+++ b/src/mesh/instanceClient.ts
@@ -27,6 +27,9 @@
 /** Time after a failed or mismatched response for which connections are not reused. */
 const REUSE_PAUSE_MS = 5000;
 
+/** Largest response body of an instance; the memory of a node holds one for each slot. */
+const MAX_BODY_BYTES = 8 * 1024 * 1024;
+
 const TIMEOUT = 'timeout';
 
 /** Builds the result of a request that the instance did not run. */
@@ -106,8 +109,10 @@
       names.targetInstance,
       metadata.instanceId,
     ];
-    const result = await connection.exchange({ ...request, headers }, (responseHeaders) =>
-      this.isMatchingResponse(responseHeaders, metadata.requestId),
+    const result = await connection.exchange(
+      { ...request, headers },
+      (responseHeaders) => this.isMatchingResponse(responseHeaders, metadata.requestId),
+      { maxBytes: MAX_BODY_BYTES },
     );
     clearTimeout(timer);
     isInProgress = false;
--- a/standins/mesh/instanceServer.ts
+++ b/standins/mesh/instanceServer.ts
@@ -14,6 +14,8 @@
   | { readonly kind: 'lose-answer' }
   /** Runs the request and never responds. */
   | { readonly kind: 'hang' }
+  /** Writes `head`, then `repeated` without end, until the connection is closed. */
+  | { readonly kind: 'endless'; readonly head: string; readonly repeated: string }
   /** Writes these bytes before the response, or instead of it if `isLast`. */
   | { readonly kind: 'bytes'; readonly text: string; readonly isLast: boolean };
 
@@ -29,6 +31,9 @@
   readonly atMs: number;
 }
 
+/** Size of one write of endless bytes. */
+const ENDLESS_BLOCK_BYTES = 64 * 1024;
+
 /** HTTP server of an instance on a loopback port. */
 export class InstanceServer {
   fault: InstanceFault = { kind: 'none' };
@@ -44,6 +49,9 @@
 
   readonly runs: InstanceRun[] = [];
 
+  /** Bytes that the fault `endless` has written. */
+  endlessBytes = 0;
+
   /** Number of requests refused because they were addressed to another instance. */
   mismatchedRequests = 0;
 
@@ -111,6 +119,20 @@
     });
   }
 
+  private async writeEndlessly(socket: Socket, head: string, repeated: string): Promise<void> {
+    socket.write(head);
+    const block = Buffer.from(repeated.repeat(Math.ceil(ENDLESS_BLOCK_BYTES / repeated.length)));
+    while (!socket.destroyed) {
+      this.endlessBytes += block.length;
+      if (!socket.write(block)) {
+        await new Promise<void>((resolve) => {
+          socket.once('drain', resolve);
+          socket.once('close', () => resolve());
+        });
+      }
+    }
+  }
+
   private respond(requestId: string, response: ServerResponse, socket: Socket): void {
     const headers = {
       'X-Lycheelane-Request-Attempt-Id': requestId,
@@ -132,6 +154,9 @@
           return;
         }
         break;
+      case 'endless':
+        void this.writeEndlessly(socket, fault.head, fault.repeated);
+        return;
       case 'fail':
         response.writeHead(fault.status, headers).end('failed');
         return;
--- a/test/mesh/instanceClient.test.ts
+++ b/test/mesh/instanceClient.test.ts
@@ -39,3 +39,44 @@
   client.close();
   await instance.close();
 });
+
+const HEAD = 'HTTP/1.1 200 OK\r\n';
+const ENDLESS = [
+  { name: 'a header line', head: `${HEAD}X-Long: `, repeated: 'x' },
+  { name: 'header lines', head: HEAD, repeated: 'X-More: 1\r\n' },
+  { name: 'interim responses', head: '', repeated: 'HTTP/1.1 102 Processing\r\n\r\n' },
+  { name: 'a body without a length', head: `${HEAD}\r\n`, repeated: 'x' },
+  { name: 'chunks', head: `${HEAD}Transfer-Encoding: chunked\r\n\r\n`, repeated: '1\r\nx\r\n' },
+  {
+    name: 'the size of a chunk',
+    head: `${HEAD}Transfer-Encoding: chunked\r\n\r\n`,
+    repeated: '0',
+  },
+  {
+    name: 'trailers',
+    head: `${HEAD}Transfer-Encoding: chunked\r\n\r\n0\r\n`,
+    repeated: 'X-More: 1\r\n',
+  },
+] as const;
+
+/** Most bytes of one response that a node may read; its memory holds several of them. */
+const MAX_READ_BYTES = 16 * 1024 * 1024;
+
+for (const { name, head, repeated } of ENDLESS) {
+  test(`a response whose ${name} never ends is broken off, and not held in memory`, async () => {
+    const instance = new InstanceServer('i-1');
+    const port = await instance.listen();
+    const client = new InstanceClient({ host: '127.0.0.1', port }, HEADER_NAMES, () => {});
+    instance.fault = { kind: 'endless', head, repeated };
+    const result = await client.run(
+      buildRequest('a'),
+      buildMetadata('a', true),
+      new Cancellation(),
+    );
+    assert.equal(result.kind, 'unknown');
+    assert.notEqual(result.kind === 'unknown' && result.reason, 'timeout');
+    assert.ok(instance.endlessBytes <= MAX_READ_BYTES, `${instance.endlessBytes} bytes`);
+    client.close();
+    await instance.close();
+  });
+}
