Let silence end a call only when it can be sent to another instance

Cause: a node that did not respond for a second ended an idempotent call, also when the route's attempts or the retry budget allowed no other send. Change: the call ends for silence only when a retry is allowed and another instance is there; otherwise its answer is awaited until the deadline. Evidence: the new test of test/mesh/peerCalls failed before (unknown in place of answered) and passes; test/mesh and test/platform: 197 pass. The other part of the cause, that both sources restart without a history and hosts read the whole configuration, is as it was.

--- a/src/mesh/attemptProgress.ts
+++ b/src/mesh/attemptProgress.ts
@@ -79,6 +79,11 @@
     this.refusal = { kind: 'notRun', reason, retryAfterMs };
   }
 
+  /** Returns true when the route allows a further attempt after one that may have run. */
+  canRetryAfterRun(): boolean {
+    return this.route.isIdempotent && this.arrivals + 1 < this.route.maxAttempts;
+  }
+
   private canRetry(): boolean {
     return this.route.isIdempotent && this.arrivals < this.route.maxAttempts;
   }
--- a/src/mesh/callRouter.ts
+++ b/src/mesh/callRouter.ts
@@ -82,7 +82,9 @@
       if (!chosen) break;
       if (progress.countArrivals() > 0 && !this.takeRetry(call, service)) break;
       progress.recordAttempt(chosen.peer.record.instanceId);
-      const { result, timing } = await this.send(chosen, call);
+      const isLastSend = sendIndex === MAX_SENDS - 1;
+      const canRetry = () => !isLastSend && this.canRetry(call, service, progress);
+      const { result, timing } = await this.send(chosen, call, canRetry);
       trace.timing = timing;
       if (result.kind === 'notRun') this.recordRefusal(result, chosen, call);
       if (result.kind === 'answered') this.recordNotice(result.response, chosen, call);
@@ -99,18 +101,41 @@
     progress: AttemptProgress,
     isFirst: boolean,
   ): PeerCandidate | undefined {
+    const candidates = this.listCandidates(call, service);
+    const chosen = this.findInstance(candidates, call, progress, isFirst);
+    if (!chosen && candidates.some(({ isFull }) => isFull)) progress.recordOverload();
+    return chosen;
+  }
+
+  private listCandidates({ route }: PendingCall, service: ServiceName): PeerCandidate[] {
     const { directory, getSettings } = this.options;
-    const { dataCentre, spillOverPolicy } = getSettings();
-    const { objectiveMs, priority, isIdempotent } = call.route;
-    const candidates = directory.listCandidates(service, dataCentre, priority, performance.now());
-    const chosen = chooseInstance(
+    const { dataCentre } = getSettings();
+    return directory.listCandidates(service, dataCentre, route.priority, performance.now());
+  }
+
+  /** Returns the instance to send a call to next; undefined when none is left. */
+  private findInstance(
+    candidates: readonly PeerCandidate[],
+    { route }: PendingCall,
+    progress: AttemptProgress,
+    isFirst: boolean,
+  ): PeerCandidate | undefined {
+    const { objectiveMs, priority, isIdempotent } = route;
+    return chooseInstance(
       candidates,
       { objectiveMs, priority, canExplore: isIdempotent && isFirst },
-      spillOverPolicy,
+      this.options.getSettings().spillOverPolicy,
       ({ peer }) => progress.wasAttempted(peer.record.instanceId),
     );
-    if (!chosen && candidates.some(({ isFull }) => isFull)) progress.recordOverload();
-    return chosen;
+  }
+
+  /** Returns true when another instance may get the call although the present one may run it. */
+  private canRetry(call: PendingCall, service: ServiceName, progress: AttemptProgress): boolean {
+    const { retryBudget, directory } = this.options;
+    if (!progress.canRetryAfterRun() || isAtDeadline(call)) return false;
+    if (!retryBudget.hasRetry(service, directory.countNodes(), performance.now())) return false;
+    const candidates = this.listCandidates(call, service);
+    return this.findInstance(candidates, call, progress, false) !== undefined;
   }
 
   private takeRetry({ route }: PendingCall, service: ServiceName): boolean {
@@ -120,7 +145,11 @@
     return isAllowed;
   }
 
-  private async send({ peer }: PeerCandidate, call: PendingCall): Promise<RunReport> {
+  private async send(
+    { peer }: PeerCandidate,
+    call: PendingCall,
+    canRetry: () => boolean,
+  ): Promise<RunReport> {
     const { directory, runner, processId } = this.options;
     this.attemptCount += 1;
     const metadata: CallMetadata = {
@@ -150,6 +179,7 @@
         peer.record.incarnation,
         cancellation,
         () => peer.recordNoResponse(performance.now()),
+        canRetry,
       );
       if (report.hasResponded) this.recordLoad(peer, report);
       else if (!cancellation.isCancelled()) peer.recordNoResponse(performance.now());
--- a/src/mesh/peerCalls.ts
+++ b/src/mesh/peerCalls.ts
@@ -58,6 +58,8 @@
 interface SendState {
   /** Called when the node does not respond to a probe while the call is in progress. */
   readonly onUnresponsive: () => void;
+  /** True when the call may be sent to another instance. */
+  readonly canRetry: () => boolean;
   readonly request: HttpRequest;
   readonly metadata: CallMetadata;
   readonly processId: string;
@@ -90,7 +92,8 @@
 
   /**
    * Sends a call to the process `processId`. Never rejects. `onUnresponsive` is called when the
-   * node does not respond to a probe.
+   * node does not respond to a probe. `canRetry` tells whether the call may be sent to another
+   * instance, which is when silence ends it; without a retry only the deadline does.
    */
   send(
     request: HttpRequest,
@@ -98,10 +101,12 @@
     processId: string,
     cancellation: Cancellation,
     onUnresponsive: () => void,
+    canRetry: () => boolean = () => metadata.isIdempotent,
   ): Promise<PeerReport> {
     return new Promise((resolve) => {
       const state: SendState = {
         onUnresponsive,
+        canRetry,
         request,
         metadata,
         processId,
@@ -170,8 +175,8 @@
 
   /**
    * Resumes a call without a response on a second connection, which shows whether its node is alive
-   * and may still be running it. If the node does not respond, an idempotent call ends here, so
-   * that it can be retried on another instance.
+   * and may still be running it. If the node does not respond, a call that can be retried on another
+   * instance ends here.
    */
   private async probe(state: SendState): Promise<PeerReport | undefined> {
     let isAlive = false;
@@ -183,7 +188,7 @@
     await waitMs(CONNECT_TIMEOUT_MS + PROBE_TIMEOUT_MS);
     if (isAlive || state.isSettled) return resumed;
     state.onUnresponsive();
-    return state.metadata.isIdempotent ? buildUnknownReport('silent') : resumed;
+    return state.canRetry() ? buildUnknownReport('silent') : resumed;
   }
 
   /** Resumes a call on a new connection; undefined when the node cannot be reached. */
--- a/src/mesh/retryBudget.ts
+++ b/src/mesh/retryBudget.ts
@@ -34,15 +34,20 @@
     this.getCounts(service, nowMs).requests += 1;
   }
 
-  /** Consumes one retry from the budget of a service. Returns false when none is available. */
-  tryAcquire(service: string, nodeCount: number, nowMs: number): boolean {
+  /** Returns true when the budget of a service has a retry left. */
+  hasRetry(service: string, nodeCount: number, nowMs: number): boolean {
     const counts = this.getCounts(service, nowMs);
     const requests = Math.max(counts.requests, counts.previousRequests);
     const extraPerNode = this.limit.extra / Math.max(1, nodeCount);
     const allowed = USED_LIMIT_SHARE * (this.limit.ratio * requests + extraPerNode);
     // Any sliding window overlaps at most two counted windows.
-    if (counts.retries + counts.previousRetries >= Math.max(1, allowed)) return false;
-    counts.retries += 1;
+    return counts.retries + counts.previousRetries < Math.max(1, allowed);
+  }
+
+  /** Consumes one retry from the budget of a service. Returns false when none is available. */
+  tryAcquire(service: string, nodeCount: number, nowMs: number): boolean {
+    if (!this.hasRetry(service, nodeCount, nowMs)) return false;
+    this.getCounts(service, nowMs).retries += 1;
     return true;
   }
 
--- a/test/mesh/peerCalls.test.ts
+++ b/test/mesh/peerCalls.test.ts
@@ -9,6 +9,7 @@
 import type { CallMetadata, RunReport } from '../../src/mesh/model.js';
 import { PeerCalls } from '../../src/mesh/peerCalls.js';
 import { createPeerPort } from '../../src/mesh/peerPort.js';
+import { RESULT_HEADER } from '../../src/mesh/peerMessages.js';
 import { RevisionExchange } from '../../src/mesh/revisionExchange.js';
 import { Cancellation } from '../../src/mesh/signal.js';
 import { HEADER_NAMES } from '../../platform/names.js';
@@ -160,6 +161,33 @@
   hangingServer.close();
 });
 
+test('an idempotent call that cannot be sent again waits for a node behind a filled link', async () => {
+  const delayMs = 1300;
+  const server = createServer((socket) => {
+    socket.on('error', () => {});
+    const result = JSON.stringify({ kind: 'answered' });
+    const answer = `HTTP/1.1 200 OK\r\n${RESULT_HEADER}: ${result}\r\nContent-Length: 4\r\n\r\ndone`;
+    socket.once('data', () => setTimeout(() => socket.write(answer), delayMs));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const calls = new PeerCalls({ host: '127.0.0.1', port }, NO_REVISIONS);
+  const metadata = { ...buildMetadata('c-1', 3000), isIdempotent: true };
+  const { result } = await calls.send(
+    REQUEST,
+    metadata,
+    'p',
+    new Cancellation(),
+    () => {},
+    () => false,
+  );
+  assert.equal(result.kind, 'answered');
+  calls.close();
+  server.close();
+});
+
 test('an answer that arrives slowly is read to its end', async () => {
   const removed = Array.from({ length: 1500 }, () => randomUUID());
   const delta = { routes: [], removed, revision: 3 } as unknown as ConfigDelta;
