Let the callers of the demo come back when Retry-After says

What users saw: npm run demo ended with 'verdict: 1 faults': half of the 60 deposits were refused with 503 and a Retry-After of 0.3 s by nodes that did not know an instance of padbook yet, truly not run, and the demo did not come back as callers do.

--- a/demo/platform.ts
+++ b/demo/platform.ts
@@ -31,6 +31,10 @@
 const INSTANCE_CAPACITY = 9;
 const INSTANCE_STARTED_AT_MS = 1;
 const DEPOSIT_COUNT = 60;
+
+/** Time for which a caller comes back after it was refused. */
+const CALLER_PATIENCE_MS = 2000;
+
 const REQUESTS_DURING_FAULT = 30;
 
 /** Longer than `STOP_DELAY_MS`, so that the request is in flight when the node stops. */
@@ -64,12 +68,24 @@
 }
 
 /** Sends a request to the node of a host; returns undefined if the connection failed. */
-function send(host: Host, path: string, method = 'GET'): Promise<FleetResponse | undefined> {
+function sendOnce(host: Host, path: string, method = 'GET'): Promise<FleetResponse | undefined> {
   requestCount += 1;
   const request = { path, id: `demo-${requestCount}`, method, body: '' };
   return sendHttp(host.options.ports[CALL_PORT_INDEX]!, request).catch(() => undefined);
 }
 
+/** Sends a request as callers do: after a 503 it comes back when `Retry-After` says. */
+async function send(host: Host, path: string, method = 'GET'): Promise<FleetResponse | undefined> {
+  const lastSendAtMs = performance.now() + CALLER_PATIENCE_MS;
+  for (;;) {
+    const response = await sendOnce(host, path, method);
+    const retryAfterMs = Number(response?.headers['retry-after']) * 1000;
+    const isRefused = response?.status === 503 && retryAfterMs > 0;
+    if (!isRefused || performance.now() + retryAfterMs > lastSendAtMs) return response;
+    await wait(retryAfterMs);
+  }
+}
+
 async function sendHeartbeat({ options, instance }: Host): Promise<void> {
   sequence += 1;
   const body = JSON.stringify({
@@ -91,7 +107,7 @@
   const startedAtMs = performance.now();
   for (const host of hosts) {
     for (;;) {
-      const response = await send(host, path);
+      const response = await sendOnce(host, path);
       if (response?.status === status) break;
       if (performance.now() - startedAtMs > CONVERGENCE_LIMIT_MS) return undefined;
       await wait(POLL_INTERVAL_MS);
