--- a/src/mesh/localRunner.ts
+++ b/src/mesh/localRunner.ts
@@ -294,11 +294,10 @@
 
   /** Starts queued requests once the limit of the instance allows it. */
   private scheduleLimitedStart(): void {
-    if (this.limitTimer) return;
+    clearTimeout(this.limitTimer);
     const limitWaitMs = this.queue.getLimitWaitMs(performance.now());
     if (limitWaitMs === undefined) return;
     this.limitTimer = setTimeout(() => {
-      this.limitTimer = undefined;
       this.startNext();
     }, Math.ceil(limitWaitMs));
   }
--- a/src/mesh/peerCalls.ts
+++ b/src/mesh/peerCalls.ts
@@ -175,8 +175,8 @@
 
   /**
    * Resumes a call without a response on a second connection, which shows whether its node is alive
-   * and may still be running it. If the node does not respond, a call that can be retried on another
-   * instance ends here.
+   * and may still be running it. If the node does not respond, a call that can be retried elsewhere
+   * ends here.
    */
   private async probe(state: SendState): Promise<PeerReport | undefined> {
     let isAlive = false;
--- a/test/mesh/configFetcher.test.ts
+++ b/test/mesh/configFetcher.test.ts
@@ -18,6 +18,7 @@
   type SourceNode,
 } from '../../src/mesh/configSources.js';
 import { KindPosition } from '../../src/mesh/kindPosition.js';
+import { StoreEra } from '../../src/mesh/storeEra.js';
 import type { MeshConfig } from '../../src/mesh/model.js';
 import { brandText, brandVersion } from '../../src/types/ids.js';
 import { waitMs as wait } from '../../src/utils/backoff.js';
@@ -102,6 +103,24 @@
   assert.deepEqual(await pending, { kind: 'unchanged', revision: 11 });
 });
 
+test('a request of another era gets no revision of this one', async () => {
+  const { answers, position } = createAnswers({ version: 4 });
+  position.recordSynced(30);
+  const answer = await answers.answer({ ...REQUEST, era: 7, canConfirm: true });
+  assert.equal(answer.kind, 'unknown');
+});
+
+test('an answer that arrives after the era has risen is not applied', async () => {
+  const era = new StoreEra();
+  const source: Source = async () => {
+    era.observe(2);
+    return CHANGED;
+  };
+  const { reached, installed } = await runFetch([source], true, undefined, era);
+  assert.equal(reached, undefined);
+  assert.deepEqual(installed, []);
+});
+
 test('malformed answers are errors', async () => {
   for (const text of ['', '{', 'null', '{"kind":"changed","revision":1}', '{"revision":1}']) {
     assert.ok((await decodeConfigAnswer(await deflate(text))).isErr(), text);
@@ -134,6 +153,7 @@
   sources: readonly Source[],
   canConfirm: boolean,
   onInstall: () => void = () => {},
+  era = new StoreEra(),
 ) {
   const installed: number[] = [];
   const fetcher = new ConfigFetcher({
@@ -145,7 +165,7 @@
         return true;
       },
     },
-    position: new KindPosition(),
+    position: new KindPosition(era),
     listSources: () => sources.map((requestConfig) => ({ requestConfig })),
   });
   return { reached: await fetcher.fetch(10, canConfirm), installed };
--- a/test/mesh/peerCalls.test.ts
+++ b/test/mesh/peerCalls.test.ts
@@ -161,12 +161,13 @@
   hangingServer.close();
 });
 
-test('an idempotent call that cannot be sent again waits for a node behind a filled link', async () => {
+test('an idempotent call that cannot be sent again waits for a slow node', async () => {
   const delayMs = 1300;
   const server = createServer((socket) => {
     socket.on('error', () => {});
     const result = JSON.stringify({ kind: 'answered' });
-    const answer = `HTTP/1.1 200 OK\r\n${RESULT_HEADER}: ${result}\r\nContent-Length: 4\r\n\r\ndone`;
+    const head = `HTTP/1.1 200 OK\r\n${RESULT_HEADER}: ${result}\r\n`;
+    const answer = `${head}Content-Length: 4\r\n\r\ndone`;
     socket.once('data', () => setTimeout(() => socket.write(answer), delayMs));
   });
   await new Promise<void>((resolve) => {
--- a/test/mesh/watches.test.ts
+++ b/test/mesh/watches.test.ts
@@ -10,6 +10,7 @@
 import { KindPosition } from '../../src/mesh/kindPosition.js';
 import { RevisionExchange } from '../../src/mesh/revisionExchange.js';
 import type { MeshStore, StoreChanges, StoreList } from '../../src/mesh/store.js';
+import { StoreEra } from '../../src/mesh/storeEra.js';
 import { watchKind } from '../../src/mesh/watchKind.js';
 import {
   chooseChangePauseMs,
@@ -130,6 +131,35 @@
   assert.equal(behind.lists, 2);
 });
 
+test('a node that hears of a new era from another node lists again', async () => {
+  const store = createStore(true);
+  const era = new StoreEra();
+  const position = new KindPosition(era);
+  const exchange = new RevisionExchange([position], era);
+  let isStopped = false;
+  const ended = watchKind({
+    store,
+    kind: 'config',
+    listener: { applyList: () => {}, applyEvent: () => {} },
+    position,
+    log: SILENT_LOG,
+    getWaitMs: () => 25_000,
+    getPauseMs: () => 0,
+    isStopped: () => isStopped,
+  });
+  await wait(20);
+  exchange.apply('9.1');
+  await wait(50);
+  assert.equal(store.lists, 2);
+  exchange.apply('99.0');
+  await wait(600);
+  assert.equal(store.lists, 2, 'a revision of an era that is over');
+  assert.equal(exchange.format(), '20.1');
+  isStopped = true;
+  position.endWait();
+  await ended;
+});
+
 test('a version that a source confirms is not reported to other nodes as a change', async () => {
   const position = new KindPosition();
   const lists: number[] = [];
