--- a/test/mesh/configFetcher.test.ts
+++ b/test/mesh/configFetcher.test.ts
@@ -110,17 +110,6 @@
   assert.equal(answer.kind, 'unknown');
 });
 
-test('an answer that arrives after the era has risen is not applied', async () => {
-  const era = new StoreEra();
-  const source: Source = async () => {
-    era.observe(2);
-    return CHANGED;
-  };
-  const { reached, installed } = await runFetch([source], true, undefined, era);
-  assert.equal(reached, undefined);
-  assert.deepEqual(installed, []);
-});
-
 test('malformed answers are errors', async () => {
   for (const text of ['', '{', 'null', '{"kind":"changed","revision":1}', '{"revision":1}']) {
     assert.ok((await decodeConfigAnswer(await deflate(text))).isErr(), text);
@@ -178,6 +167,17 @@
 
 const CHANGED: ConfigAnswer = { kind: 'changed', revision: 12, delta: DELTA };
 
+test('an answer that arrives after the era has risen is not applied', async () => {
+  const era = new StoreEra();
+  const source: Source = async () => {
+    era.observe(2);
+    return CHANGED;
+  };
+  const { reached, installed } = await runFetch([source], true, undefined, era);
+  assert.equal(reached, undefined);
+  assert.deepEqual(installed, []);
+});
+
 test('a source that is away or behind does not delay the changes of another', async () => {
   const silent: Source = async () => {
     await wait(1000);
