--- a/soak/platform/checker.ts
+++ b/soak/platform/checker.ts
@@ -12,6 +12,8 @@
   'version went back in a process',
   'version late on a calm host',
   'run at an instance that has left',
+  'request to an instance that says that it leaves',
+  'instance over its limit',
   'planned stop beyond its limit',
   'host does not serve at the end',
 ] as const;
@@ -24,6 +26,15 @@
 /** Statuses that guarantee that a request has not run and will not run. */
 const NOT_EXECUTED_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
+/** Time after which a host that passed on that an instance leaves sends it nothing more. */
+const LEAVING_LIMIT_MS = 2000;
+
+/** Window of the limit of an instance. */
+const LIMIT_WINDOW_MS = 4000;
+
+/** Share of its limit, and number of requests in addition, that an instance gets in a window. */
+const LIMIT_TOLERANCE = { share: 1.5, requests: 5 };
+
 /** One request that a caller sent. */
 export interface SentRequest {
   readonly id: string;
@@ -51,6 +62,9 @@
 
   private readonly runCounts = new Map<string, number>();
 
+  /** Time at which a host passed on that an instance leaves, by host and instance. */
+  private readonly leavingPassedAtMs = new Map<string, Map<string, number>>();
+
   /** Records a request before it is sent. */
   recordSent(request: SentRequest): void {
     this.sentRequests.set(request.id, request);
@@ -65,6 +79,7 @@
     response: FleetResponse | string,
     durationMs: number,
     isPlannedStopOnly: boolean,
+    nowMs = performance.now(),
   ): void {
     const kind = typeof response === 'string' ? 'broken' : String(response.status);
     this.results.set(kind, (this.results.get(kind) ?? 0) + 1);
@@ -82,6 +97,31 @@
     const signer = /^signed-(.+)$/.exec(signature)?.[1];
     if (signer === undefined || body !== `${signer} ran ${id}`) {
       this.add("success without the instance's whole response", `${id}: ${signature} ${body}`);
+      return;
+    }
+    const passedAtMs = this.leavingPassedAtMs.get(host)?.get(signer) ?? Infinity;
+    if (nowMs - durationMs > passedAtMs + LEAVING_LIMIT_MS) {
+      this.add('request to an instance that says that it leaves', `${id} at ${host}: ${signer}`);
+    }
+    if (headers['server-leaving'] === '1') this.recordLeaving(host, signer, nowMs);
+  }
+
+  /** Records that a node was restarted or frozen, which excuses that it does not know what it did. */
+  recordInterruption(host: string): void {
+    this.leavingPassedAtMs.delete(host);
+  }
+
+  /** Checks the arrivals at an instance that named a limit all the while, in milliseconds. */
+  checkLimit(instanceId: string, limitPerS: number, arrivalsAtMs: readonly number[]): void {
+    const { share, requests } = LIMIT_TOLERANCE;
+    const allowed = (share * limitPerS * LIMIT_WINDOW_MS) / 1000 + requests;
+    for (const fromMs of arrivalsAtMs) {
+      const inWindow = arrivalsAtMs.filter(
+        (atMs) => atMs >= fromMs && atMs < fromMs + LIMIT_WINDOW_MS,
+      );
+      if (inWindow.length <= allowed) continue;
+      this.add('instance over its limit', `${instanceId}: ${inWindow.length} of ${allowed}`);
+      return;
     }
   }
 
@@ -90,6 +130,12 @@
     this.runCounts.set(id, (this.runCounts.get(id) ?? 0) + 1);
   }
 
+  private recordLeaving(host: string, instanceId: string, nowMs: number): void {
+    const passed = this.leavingPassedAtMs.get(host) ?? new Map<string, number>();
+    if (!passed.has(instanceId)) passed.set(instanceId, nowMs);
+    this.leavingPassedAtMs.set(host, passed);
+  }
+
   /** Compares runs with responses; called after the last request has ended. */
   finish(): void {
     // A request sent while the node closes the idle connection is neither read nor forwarded.
--- a/soak/platform/faults.ts
+++ b/soak/platform/faults.ts
@@ -25,6 +25,16 @@
 const MAX_RESTART_DELAY_MS = 1000;
 const SLOW_EXECUTION_MS = 300;
 
+/** Limit that an instance in need names, in requests per second. */
+const REQUEST_LIMIT_PER_S = 8;
+
+/** Time after which a limit that an instance names is kept. */
+const LIMIT_LEARN_MS = 3000;
+const LIMIT_HELD_MS = 6000;
+
+/** Time after which the operator writes the version again that a restored store lacks. */
+const REWRITE_DELAY_MS = 200;
+
 /** Share of instance replacements that drain first; the others deregister without a drain. */
 const DRAIN_SHARE = 0.7;
 
@@ -57,6 +67,7 @@
   if (!isRunning(host)) return;
   node.process.kill('SIGKILL');
   await node.exited;
+  context.checker.recordInterruption(host.options.name);
   await wait(context.random() * MAX_RESTART_DELAY_MS);
   restartNode(host, node);
 }
@@ -72,13 +83,15 @@
   }, STOP_LIMIT_MS);
   node.process.kill('SIGTERM');
   await node.exited;
+  context.checker.recordInterruption(name);
   clearTimeout(killTimer);
   restartNode(host, node);
 }
 
-async function freezeNode(context: FaultContext, { node }: SoakHost): Promise<void> {
+async function freezeNode(context: FaultContext, { node, options }: SoakHost): Promise<void> {
   node.process.kill('SIGSTOP');
   await waitRandom(context);
+  context.checker.recordInterruption(options.name);
   node.process.kill('SIGCONT');
 }
 
@@ -100,6 +113,44 @@
   fleet.replaceInstance(host);
 }
 
+/** Lets responses say that the instance leaves while its heartbeats are still late, then replaces it. */
+async function announceLeaving(context: FaultContext, host: SoakHost): Promise<void> {
+  const { fleet } = context;
+  if (host.state !== 'ready' || host.instance.isLeaving) return;
+  const { instance } = host;
+  instance.isLeaving = true;
+  await wait(DRAIN_LIMIT_MS);
+  await waitRandom(context);
+  // Another fault may have replaced it meanwhile.
+  if (host.state === 'ready' && host.instance.isLeaving) fleet.replaceInstance(host);
+}
+
+async function limitRequests({ checker }: FaultContext, { instance }: SoakHost): Promise<void> {
+  const limited = instance;
+  if (limited.requestLimitPerS !== undefined) return;
+  const { instanceId } = limited;
+  limited.requestLimitPerS = REQUEST_LIMIT_PER_S;
+  await wait(LIMIT_LEARN_MS);
+  const learnedAtMs = performance.now();
+  await wait(LIMIT_HELD_MS);
+  limited.requestLimitPerS = undefined;
+  const arrivals = limited.runs.map(({ atMs }) => atMs).filter((atMs) => atMs >= learnedAtMs);
+  checker.checkLimit(instanceId, REQUEST_LIMIT_PER_S, arrivals);
+}
+
+/** Takes the store away and brings it back from a copy; the operator then writes again. */
+async function restoreStore(context: FaultContext): Promise<void> {
+  const { fleet } = context;
+  const copy = fleet.store.copyState();
+  await waitRandom(context);
+  fleet.store.setFault({ kind: 'reset' });
+  await waitRandom(context);
+  fleet.store.restoreState(copy);
+  fleet.store.setFault({ kind: 'none' });
+  await wait(REWRITE_DELAY_MS);
+  fleet.rewriteVersion();
+}
+
 const INSTANCE_FAULTS: readonly InstanceFault[] = [
   { kind: 'fail', status: 500 },
   { kind: 'shed' },
@@ -157,11 +208,14 @@
   { name: 'stop', target: 'host', inject: stopNodeProcess },
   { name: 'freeze', target: 'host', inject: freezeNode },
   { name: 'replace', target: 'host', inject: replaceInstance },
+  { name: 'leaving', target: 'host', inject: announceLeaving },
+  { name: 'limit', target: 'host', inject: limitRequests },
   { name: 'instance-fault', target: 'host', inject: injectInstanceFault },
   { name: 'instance-slow', target: 'host', inject: injectSlowExecution },
   { name: 'instance-link', target: 'host', inject: createProxyFault('instanceProxy') },
   { name: 'store-link', target: 'host', inject: createProxyFault('storeProxy') },
   { name: 'store', target: 'store', inject: injectStoreFault },
+  { name: 'store-restored', target: 'store', inject: restoreStore },
   {
     name: 'store-forgets',
     target: 'store',
--- a/soak/platform/fleet.ts
+++ b/soak/platform/fleet.ts
@@ -124,11 +124,16 @@
     this.writeVersion();
   }
 
+  /** Writes the current version once more, as the operator does after a restored store. */
+  rewriteVersion(): void {
+    this.writeVersion();
+  }
+
   /** Replaces the instance of a host by a new instance at the same address. */
   replaceInstance(host: SoakHost): void {
     this.latestStartedAtMs += INSTANCE_START_INTERVAL_MS;
     const instanceId = `${host.options.name}-${this.latestStartedAtMs}`;
-    Object.assign(host.instance, { instanceId });
+    Object.assign(host.instance, { instanceId, isLeaving: false });
     Object.assign(host, { state: 'ready', startedAtMs: this.latestStartedAtMs, sequence: 0 });
   }
 
--- a/test/soak/platformChecker.test.ts
+++ b/test/soak/platformChecker.test.ts
@@ -10,6 +10,20 @@
   return { status, body, headers: { 'x-lycheelane-response-signature': signature } };
 }
 
+/** Records that the instance `i` says that it leaves, and a response of it some time later. */
+function recordLeaving(checker: PlatformChecker, delayMs: number, isInterrupted: boolean): void {
+  const response = buildResponse(200);
+  const headers = { ...response.headers, 'server-leaving': '1' };
+  checker.recordResponse(REQUEST, { ...response, headers }, 10, false, 1000);
+  if (isInterrupted) checker.recordInterruption('h');
+  checker.recordResponse(REQUEST, response, 10, false, 1010 + delayMs);
+}
+
+/** Arrivals at an instance, one per `gapMs`. */
+function listArrivals(count: number, gapMs: number): number[] {
+  return Array.from({ length: count }, (_, index) => index * gapMs);
+}
+
 interface Case {
   readonly name: string;
   readonly violation: Violation | undefined;
@@ -88,6 +102,31 @@
     violation: undefined,
     record: (checker) => checker.recordResponse(REQUEST, 'ECONNREFUSED', 500, true),
   },
+  {
+    name: 'a request to an instance that said that it leaves',
+    violation: 'request to an instance that says that it leaves',
+    record: (checker) => recordLeaving(checker, 2001, false),
+  },
+  {
+    name: 'a request shortly after an instance said that it leaves',
+    violation: undefined,
+    record: (checker) => recordLeaving(checker, 1900, false),
+  },
+  {
+    name: 'a request of a node that restarted since an instance said that it leaves',
+    violation: undefined,
+    record: (checker) => recordLeaving(checker, 2001, true),
+  },
+  {
+    name: 'an instance with one request more than its limit allows',
+    violation: 'instance over its limit',
+    record: (checker) => checker.checkLimit('i', 5, listArrivals(36, 100)),
+  },
+  {
+    name: 'an instance with all that its limit allows, for a long time',
+    violation: undefined,
+    record: (checker) => checker.checkLimit('i', 5, listArrivals(200, 120)),
+  },
   {
     name: 'a cut beside a kill',
     violation: undefined,
