--- a/soak/platform/checker.ts
+++ b/soak/platform/checker.ts
@@ -106,7 +106,7 @@
     if (headers['server-leaving'] === '1') this.recordLeaving(host, signer, nowMs);
   }
 
-  /** Records that a node was restarted or frozen, which excuses that it does not know what it did. */
+  /** Records that a node was restarted or frozen, which excuses what it no longer knows. */
   recordInterruption(host: string): void {
     this.leavingPassedAtMs.delete(host);
   }
--- a/soak/platform/faults.ts
+++ b/soak/platform/faults.ts
@@ -113,7 +113,7 @@
   fleet.replaceInstance(host);
 }
 
-/** Lets responses say that the instance leaves while its heartbeats are still late, then replaces it. */
+/** Lets responses say that the instance leaves before its heartbeats do, then replaces it. */
 async function announceLeaving(context: FaultContext, host: SoakHost): Promise<void> {
   const { fleet } = context;
   if (host.state !== 'ready' || host.instance.isLeaving) return;
