--- a/test/mesh/watches.test.ts
+++ b/test/mesh/watches.test.ts
@@ -85,9 +85,13 @@
   };
 }
 
-async function runWatch(isSilent: boolean, run: (position: KindPosition) => Promise<void>) {
+async function runWatch(
+  isSilent: boolean,
+  run: (position: KindPosition, store: ReturnType<typeof createStore>) => Promise<void>,
+  era = new StoreEra(),
+) {
   const store = createStore(isSilent);
-  const position = new KindPosition();
+  const position = new KindPosition(era);
   let isStopped = false;
   const values: unknown[] = [];
   const ended = watchKind({
@@ -104,7 +108,7 @@
     isStopped: () => isStopped,
   });
   await wait(20);
-  await run(position);
+  await run(position, store);
   isStopped = true;
   position.endWait();
   await ended;
@@ -132,32 +136,18 @@
 });
 
 test('a node that hears of a new era from another node lists again', async () => {
-  const store = createStore(true);
   const era = new StoreEra();
-  const position = new KindPosition(era);
-  const exchange = new RevisionExchange([position], era);
-  let isStopped = false;
-  const ended = watchKind({
-    store,
-    kind: 'config',
-    listener: { applyList: () => {}, applyEvent: () => {} },
-    position,
-    log: SILENT_LOG,
-    getWaitMs: () => 25_000,
-    getPauseMs: () => 0,
-    isStopped: () => isStopped,
-  });
-  await wait(20);
-  exchange.apply('9.1');
-  await wait(50);
-  assert.equal(store.lists, 2);
-  exchange.apply('99.0');
-  await wait(600);
-  assert.equal(store.lists, 2, 'a revision of an era that is over');
-  assert.equal(exchange.format(), '20.1');
-  isStopped = true;
-  position.endWait();
-  await ended;
+  const listAgain = async (position: KindPosition, store: ReturnType<typeof createStore>) => {
+    const exchange = new RevisionExchange([position], era);
+    exchange.apply('9.1');
+    await wait(50);
+    assert.equal(store.lists, 2);
+    exchange.apply('99.0');
+    await wait(600);
+    assert.equal(store.lists, 2, 'a revision of an era that is over');
+    assert.equal(exchange.format(), '20.1');
+  };
+  await runWatch(true, listAgain, era);
 });
 
 test('a version that a source confirms is not reported to other nodes as a change', async () => {
