--- a/soak/platform/faults.ts
+++ b/soak/platform/faults.ts
@@ -148,7 +148,7 @@
   fleet.store.restoreState(copy);
   fleet.store.setFault({ kind: 'none' });
   await wait(REWRITE_DELAY_MS);
-  fleet.rewriteVersion();
+  fleet.writeVersion();
 }
 
 const INSTANCE_FAULTS: readonly InstanceFault[] = [
--- a/soak/platform/fleet.ts
+++ b/soak/platform/fleet.ts
@@ -124,9 +124,15 @@
     this.writeVersion();
   }
 
-  /** Writes the current version once more, as the operator does after a restored store. */
-  rewriteVersion(): void {
-    this.writeVersion();
+  /** Writes the current version, also once more, as the operator does after a restored store. */
+  writeVersion(): void {
+    const currentRoute = { prefix: `/v${this.version}/`, service: 'guide' };
+    const previousRoutes = Array.from({ length: this.version - 1 }, (_, index) => ({
+      prefix: `/v${index + 1}/`,
+      service: 'guide',
+    }));
+    const routes = [...ROUTES, ...previousRoutes.slice(-MAX_PREVIOUS_ROUTES), currentRoute];
+    this.store.put(CONFIG_KIND, CONFIG_NAME, buildConfiguration(this.version, routes));
   }
 
   /** Replaces the instance of a host by a new instance at the same address. */
@@ -148,16 +154,6 @@
     await rm(this.folder, { recursive: true });
   }
 
-  private writeVersion(): void {
-    const currentRoute = { prefix: `/v${this.version}/`, service: 'guide' };
-    const previousRoutes = Array.from({ length: this.version - 1 }, (_, index) => ({
-      prefix: `/v${index + 1}/`,
-      service: 'guide',
-    }));
-    const routes = [...ROUTES, ...previousRoutes.slice(-MAX_PREVIOUS_ROUTES), currentRoute];
-    this.store.put(CONFIG_KIND, CONFIG_NAME, buildConfiguration(this.version, routes));
-  }
-
   private async addHost(index: number, storePort: number): Promise<void> {
     const name = `node-${index}`;
     const instance = new InstanceServer(`${name}-0`);
