Measure how long calls are under way between nodes

No line tells how long a call was on its way between two nodes: `queueMs` and `runMs` begin at its arrival, and the message tells only the time that is left. Each response between nodes now carries the clock of its process (`mesh-clock`), from which its receiver bounds the difference of the two clocks, as NTP does; each call carries the time of its sending on the receiver's clock. The receiver thus knows the time in transit: a lower bound, short of the truth by the shortest way seen within the last minute and 10 ms for drift. It is unknown for the first call to a process, and after the own monotonic clock has stood still (a suspended host). `call-ended` has `transitMs`, the metrics have `transit_ms`. No decision uses it yet. Nodes of the build before ignore the header and send none.

--- a/src/mesh/callPort.ts
+++ b/src/mesh/callPort.ts
@@ -118,6 +118,7 @@
       loadAgeMs: loadAgeMs === undefined ? undefined : Math.round(loadAgeMs),
       queueMs: timing && Math.round(timing.queueMs),
       runMs: timing && Math.round(timing.runMs),
+      transitMs: timing?.transitMs,
     };
     log.write('info', 'call-ended', fields);
     metrics.count('calls', `outcome="${outcome.kind}"`);
--- a/src/mesh/directory.ts
+++ b/src/mesh/directory.ts
@@ -6,6 +6,7 @@
 import { PeerNode } from './peerNode.js';
 import type { Candidate } from './instanceSelection.js';
 import type { RevisionExchange } from './revisionExchange.js';
+import { SuspensionDetector } from './suspensionDetector.js';
 
 /**
  * Time for which a node is still used after its record was removed, if it responds. Records that
@@ -26,6 +27,8 @@
 export class Directory {
   private readonly nodes = new Map<NodeId, PeerNode>();
 
+  private readonly detector = new SuspensionDetector();
+
   constructor(
     private readonly ownId: NodeId,
     private readonly log: EventLog,
@@ -40,7 +43,12 @@
       known?.calls.close();
       this.nodes.set(
         record.nodeId,
-        new PeerNode(record, nowMs, revision, new PeerCalls(record.address, this.seen)),
+        new PeerNode(
+          record,
+          nowMs,
+          revision,
+          new PeerCalls(record.address, this.seen, this.detector),
+        ),
       );
     } else {
       const isNewInstance =
--- a/src/mesh/model.ts
+++ b/src/mesh/model.ts
@@ -189,6 +189,8 @@
   readonly queueMs: number;
   /** Time of the exchange with the instance; 0 for a refused request. */
   readonly runMs: number;
+  /** Time between the sending of the request and its arrival; undefined if it is not known. */
+  readonly transitMs?: number | undefined;
 }
 
 /** A result with the load of the instance that the request was sent to. */
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -176,7 +176,14 @@
     history,
     position: positions.config,
   });
-  const peerPort = createPeerPort({ runner, processId, names, seen, configAnswers });
+  const peerPort = createPeerPort({
+    runner,
+    processId,
+    names,
+    seen,
+    configAnswers,
+    onTransit: (transitMs) => metrics.recordLatency('transit', transitMs),
+  });
   const announcementPort = createAnnouncementPort({
     instance,
     log,
--- a/src/mesh/peerCalls.ts
+++ b/src/mesh/peerCalls.ts
@@ -15,12 +15,16 @@
 import { buildRefusal } from './instanceClient.js';
 import type { HttpConnection } from './httpConnection.js';
 import { startInactivityTimer } from './inactivityTimer.js';
+import { ClockOffset } from './clockOffset.js';
 import { ConnectionPool } from './connectionPool.js';
 import type { CallMetadata, HttpRequest, RunReport } from './model.js';
 import {
+  CLOCK_HEADER,
   CONFIG_HEADER,
+  decodeClockReading,
   decodeResult,
   encodeMetadata,
+  encodeSentTime,
   NODE_HEADERS,
   RESULT_HEADER,
   SEEN_HEADER,
@@ -28,6 +32,7 @@
 } from './peerMessages.js';
 import type { RevisionExchange } from './revisionExchange.js';
 import type { Cancellation } from './signal.js';
+import { SuspensionDetector } from './suspensionDetector.js';
 
 /** Allows several round trips between data centres of one region. */
 const CONNECT_TIMEOUT_MS = 250;
@@ -82,10 +87,14 @@
 
   private readonly host: string;
 
+  private readonly clock: ClockOffset;
+
   constructor(
     address: PeerAddress,
     private readonly seen: RevisionExchange,
+    detector = new SuspensionDetector(),
   ) {
+    this.clock = new ClockOffset(detector);
     this.host = formatHostPort(address.host, address.port);
     this.pool = new ConnectionPool(address);
   }
@@ -210,9 +219,11 @@
   ): Promise<PeerReport | undefined> {
     const { request, metadata } = state;
     state.connections.add(connection);
-    const encoded = encodeMetadata(metadata, resumedProcessId, performance.now());
-    const headers = [...request.headers, METADATA_HEADER, encoded];
-    const seen = this.seen.formatIfDue(performance.now());
+    const sentAtMs = performance.now();
+    const encoded = encodeMetadata(metadata, resumedProcessId, sentAtMs);
+    const sentTime = encodeSentTime(this.clock.convert(sentAtMs));
+    const headers = [...request.headers, METADATA_HEADER, encoded, CLOCK_HEADER, sentTime];
+    const seen = this.seen.formatIfDue(sentAtMs);
     if (seen !== undefined) headers.push(SEEN_HEADER, seen);
     const body = resumedProcessId === undefined ? request.body : EMPTY_BODY;
     const result = await connection.exchange({ ...request, headers, body }, isAnyResponse, {
@@ -222,10 +233,16 @@
     if (result.kind !== 'response') return undefined;
     this.pool.release(connection);
     const { response } = result;
+    this.recordClock(response.headers, sentAtMs);
     this.seen.apply(getHeader(response.headers, SEEN_HEADER));
     const forwarded = { ...response, headers: filterHeaders(response.headers, NODE_HEADERS) };
     const decoded = decodeResult(getHeader(response.headers, RESULT_HEADER), forwarded);
     if (!decoded) return buildUnknownReport('unreadable result of a node');
     return { ...decoded, hasResponded: true };
   }
+
+  private recordClock(headers: readonly string[], sentAtMs: number): void {
+    const reading = decodeClockReading(getHeader(headers, CLOCK_HEADER));
+    if (reading) this.clock.record(reading, sentAtMs, performance.now());
+  }
 }
--- a/src/mesh/peerMessages.ts
+++ b/src/mesh/peerMessages.ts
@@ -1,5 +1,6 @@
 /** Encodes the headers by which nodes exchange the metadata of a call and its result. */
 import { brandText } from '../types/ids.js';
+import type { ClockReading, RemoteInstant } from './clockOffset.js';
 import type {
   CallMetadata,
   HttpResponse,
@@ -7,6 +8,7 @@
   RefusalReason,
   RunReport,
   RunResult,
+  RunTiming,
 } from './model.js';
 
 /** Request header with the metadata of a call. */
@@ -21,12 +23,19 @@
 /** Request header that asks a node for changes of the configuration. */
 export const CONFIG_HEADER = 'mesh-config';
 
+/**
+ * Header of calls with the time at which they were sent, on the clock of the receiving process, and
+ * of responses with the clock of the process that responds.
+ */
+export const CLOCK_HEADER = 'mesh-clock';
+
 /** Headers that only nodes may set; they are removed from messages of callers and instances. */
 export const NODE_HEADERS: ReadonlySet<string> = new Set([
   METADATA_HEADER,
   RESULT_HEADER,
   SEEN_HEADER,
   CONFIG_HEADER,
+  CLOCK_HEADER,
 ]);
 
 /**
@@ -57,7 +66,7 @@
 ];
 
 /** Wire format of the timing, in whole milliseconds. */
-type TimingMessage = readonly [queueMs: number, runMs: number];
+type TimingMessage = readonly [queueMs: number, runMs: number, transitMs?: number];
 
 type ResultMessage = { readonly load?: LoadMessage; readonly timing?: TimingMessage } & (
   | { readonly kind: 'answered' }
@@ -137,6 +146,55 @@
   return { metadata, resumedProcessId };
 }
 
+/** Marks a call whose sender does not know the clock of the receiving process. */
+const UNKNOWN_CLOCK = '-';
+
+/** What a received message tells about the time at which it was sent. */
+export type SentTime =
+  /** On the clock of this process. */
+  | { readonly kind: 'known'; readonly atMs: number }
+  | { readonly kind: 'unknown' }
+  /** The sender is of a build that does not tell it. */
+  | { readonly kind: 'unsupported' };
+
+function formatMs(ms: number): string {
+  return ms.toFixed(1);
+}
+
+/** Encodes the time at which a message is sent; undefined if the other clock is not known. */
+export function encodeSentTime(instant: RemoteInstant | undefined): string {
+  return instant ? `${instant.processId}:${formatMs(instant.atMs)}` : UNKNOWN_CLOCK;
+}
+
+/** Decodes the time at which a message was sent that this process received at `receivedAtMs`. */
+export function decodeSentTime(
+  text: string | undefined,
+  processId: string,
+  receivedAtMs: number,
+): SentTime {
+  if (text === undefined) return { kind: 'unsupported' };
+  const match = /^([^:]+):(-?\d{1,15}(?:\.\d)?)$/.exec(text);
+  if (match?.[1] !== processId) return { kind: 'unknown' };
+  return { kind: 'known', atMs: Math.min(receivedAtMs, Number(match[2])) };
+}
+
+/** Encodes the clock of this process for a response. */
+export function encodeClockReading(reading: ClockReading): string {
+  const { processId, receivedAtMs, respondedAtMs } = reading;
+  return `${processId}:${formatMs(receivedAtMs)}:${formatMs(respondedAtMs)}`;
+}
+
+/** Decodes the clock of the process that responded; undefined when missing or malformed. */
+export function decodeClockReading(text: string | undefined): ClockReading | undefined {
+  const match = /^([^:]+):(\d{1,15}(?:\.\d)?):(\d{1,15}(?:\.\d)?)$/.exec(text ?? '');
+  if (!match) return undefined;
+  return {
+    processId: match[1]!,
+    receivedAtMs: Number(match[2]),
+    respondedAtMs: Number(match[3]),
+  };
+}
+
 function encodeLoad(load: InstanceLoad): LoadMessage {
   const { slots, inFlight, meanMs, failures, limit } = load;
   const common = [slots, inFlight, Math.round(meanMs), Math.round(failures * 1000)] as const;
@@ -150,6 +208,11 @@
   return { slots, inFlight, meanMs, failures: failures / 1000, limit };
 }
 
+function encodeTiming({ queueMs, runMs, transitMs }: RunTiming): TimingMessage {
+  const times = [Math.round(queueMs), Math.round(runMs)] as const;
+  return transitMs === undefined ? times : [...times, Math.round(transitMs)];
+}
+
 function toRunResult(message: ResultMessage, response: HttpResponse): RunResult {
   switch (message.kind) {
     case 'answered':
@@ -169,7 +232,7 @@
 export function encodeResult({ result, load, timing }: RunReport): string {
   const common = {
     load: load && encodeLoad(load),
-    timing: timing && ([Math.round(timing.queueMs), Math.round(timing.runMs)] as const),
+    timing: timing && encodeTiming(timing),
   };
   const message: ResultMessage =
     result.kind === 'answered' ? { ...common, kind: 'answered' } : { ...common, ...result };
@@ -192,6 +255,6 @@
   return {
     result: toRunResult(message, response),
     load: load && decodeLoad(load),
-    timing: timing && { queueMs: timing[0], runMs: timing[1] },
+    timing: timing && { queueMs: timing[0], runMs: timing[1], transitMs: timing[2] },
   };
 }
--- a/src/mesh/peerPort.ts
+++ b/src/mesh/peerPort.ts
@@ -11,8 +11,11 @@
 import type { LocalRunner } from './localRunner.js';
 import type { CallMetadata, HttpRequest, RunReport, RunResult } from './model.js';
 import {
+  CLOCK_HEADER,
   CONFIG_HEADER,
   decodeMetadata,
+  decodeSentTime,
+  encodeClockReading,
   encodeResult,
   NODE_HEADERS,
   RESULT_HEADER,
@@ -49,26 +52,37 @@
   readonly names: HeaderNames;
   readonly seen: RevisionExchange;
   readonly configAnswers: Pick<ConfigAnswers, 'answer'>;
+  /** Called with the time that a call spent on its way to this node, in milliseconds. */
+  readonly onTransit?: (transitMs: number) => void;
 }
 
-function writeReport(response: ServerResponse, report: RunReport, seen: string | undefined): void {
+/** Writes a report with the headers in `nodeHeaders`, which are for the other node only. */
+function writeReport(
+  response: ServerResponse,
+  report: RunReport,
+  nodeHeaders: readonly string[],
+): void {
   const { result } = report;
-  const encoded = encodeResult(report);
+  const added = [RESULT_HEADER, encodeResult(report), ...nodeHeaders];
   if (result.kind !== 'answered') {
     const status = result.kind === 'notRun' ? 503 : 502;
-    const headers = [RESULT_HEADER, encoded, 'Content-Length', '0'];
-    if (seen !== undefined) headers.push(SEEN_HEADER, seen);
-    response.writeHead(status, headers).end();
+    response.writeHead(status, [...added, 'Content-Length', '0']).end();
     return;
   }
   const { status, headers, body } = result.response;
   const forwarded = filterHeaders(headers, NODE_HEADERS);
-  forwarded.push(RESULT_HEADER, encoded, 'Content-Length', String(body.length));
-  if (seen !== undefined) forwarded.push(SEEN_HEADER, seen);
+  forwarded.push(...added, 'Content-Length', String(body.length));
   response.writeHead(status, forwarded);
   response.end(body);
 }
 
+function addTransit(report: RunReport, transitMs: number | undefined): RunReport {
+  const { timing } = report;
+  return timing && transitMs !== undefined
+    ? { ...report, timing: { ...timing, transitMs } }
+    : report;
+}
+
 /** Answers a request of another node for changes of the configuration. */
 async function serveConfigRequest(
   text: string,
@@ -86,7 +100,7 @@
 
 /** Creates the server of the port; the caller binds it. */
 export function createPeerPort(options: PeerPortOptions): Server {
-  const { runner, processId, names, seen, configAnswers } = options;
+  const { runner, processId, names, seen, configAnswers, onTransit } = options;
   const runs = new Map<string, Run>();
 
   const addRun = (
@@ -150,6 +164,13 @@
       response.writeHead(400).end();
       return;
     }
+    const sentTime = decodeSentTime(
+      getHeader(message.rawHeaders, CLOCK_HEADER),
+      processId,
+      receivedAtMs,
+    );
+    const transitMs = sentTime.kind === 'known' ? receivedAtMs - sentTime.atMs : undefined;
+    if (transitMs !== undefined) onTransit?.(transitMs);
     const receivedRevisions = getHeader(message.rawHeaders, SEEN_HEADER);
     seen.apply(receivedRevisions);
     const body = await readBody(message, MAX_BODY_BYTES);
@@ -178,7 +199,10 @@
     });
     const report = await run.report;
     if (isDetached) return;
-    writeReport(response, report, receivedRevisions === undefined ? undefined : seen.format());
+    const reading = { processId, receivedAtMs, respondedAtMs: performance.now() };
+    const nodeHeaders = [CLOCK_HEADER, encodeClockReading(reading)];
+    if (receivedRevisions !== undefined) nodeHeaders.push(SEEN_HEADER, seen.format());
+    writeReport(response, addTransit(report, transitMs), nodeHeaders);
     response.once('finish', () => {
       isDetached = true;
       run.isDelivered = true;
