--- a/src/mesh/callPort.ts
+++ b/src/mesh/callPort.ts
@@ -103,7 +103,7 @@
 
   const writeOutcome = (response: ServerResponse, call: PendingCall, outcome: CallOutcome) => {
     const elapsedMs = performance.now() - call.startedAtMs;
-    const { sends, instance, loadAgeMs, timing } = call.trace;
+    const { sends, instance, loadAgeMs, sendTrace, timing } = call.trace;
     const fields = {
       request: call.requestId,
       route: call.route.name,
@@ -116,6 +116,8 @@
       sends,
       instance,
       loadAgeMs: loadAgeMs === undefined ? undefined : Math.round(loadAgeMs),
+      connectMs: sendTrace?.connectMs === undefined ? undefined : Math.round(sendTrace.connectMs),
+      unsentBytes: sendTrace?.unsentBytes || undefined,
       queueMs: timing && Math.round(timing.queueMs),
       runMs: timing && Math.round(timing.runMs),
       transitMs: timing?.transitMs,
@@ -187,7 +189,13 @@
       deadlineAtMs: startedAtMs + Math.min(remainingMs, route.timeoutMs),
       objectiveAtMs: startedAtMs + route.objectiveMs - ageMs,
       cancellation,
-      trace: { sends: 0, instance: undefined, loadAgeMs: undefined, timing: undefined },
+      trace: {
+        sends: 0,
+        instance: undefined,
+        loadAgeMs: undefined,
+        sendTrace: undefined,
+        timing: undefined,
+      },
     };
     cancellations.add(cancellation);
     const outcome = await router.run(call);
--- a/src/mesh/callRouter.ts
+++ b/src/mesh/callRouter.ts
@@ -165,6 +165,7 @@
     const { request, cancellation, trace } = call;
     trace.sends += 1;
     trace.instance = peer.record.instanceId;
+    trace.sendTrace = undefined;
     trace.loadAgeMs = peer.getLoadAgeMs(performance.now());
     peer.recordSend();
     try {
@@ -181,6 +182,7 @@
         () => peer.recordNoResponse(performance.now()),
         canRetry,
       );
+      trace.sendTrace = report.sendTrace;
       if (report.hasResponded) this.recordLoad(peer, report);
       else if (!cancellation.isCancelled()) peer.recordNoResponse(performance.now());
       return report;
--- a/src/mesh/directory.ts
+++ b/src/mesh/directory.ts
@@ -129,6 +129,13 @@
     for (const node of this.nodes.values()) node.revision = 0;
   }
 
+  /** Returns the bytes of calls that wait in the connections to all nodes. */
+  countUnsentBytes(): number {
+    let bytes = 0;
+    for (const { calls } of this.nodes.values()) bytes += calls.countUnsentBytes();
+    return bytes;
+  }
+
   countNodes(): number {
     return Math.max(1, this.nodes.size);
   }
--- a/src/mesh/httpConnection.ts
+++ b/src/mesh/httpConnection.ts
@@ -126,6 +126,11 @@
     return this.isReusable && !this.isClosed && this.socket.writableLength === 0;
   }
 
+  /** Returns the bytes that the operating system has not taken yet. */
+  countUnsentBytes(): number {
+    return this.socket.writableLength;
+  }
+
   /**
    * Sends a request and reads its response. `isMatching` distinguishes its response from those to
    * other requests.
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -8,6 +8,7 @@
 import { unwrap } from '../utils/unwrap.js';
 import { createAnnouncementPort, type Announcement } from './announcements.js';
 import { createCallPort } from './callPort.js';
+import { CallMonitor } from './callMonitor.js';
 import { CallRouter } from './callRouter.js';
 import { ConfigAnswers } from './configAnswers.js';
 import { ConfigFetcher } from './configFetcher.js';
@@ -176,13 +177,21 @@
     history,
     position: positions.config,
   });
+  const nodeMonitor = startNodeMonitor({
+    store,
+    metrics,
+    log,
+    countOpen: () => callPort.countOpen(),
+    countRunning: () => runner.countRunning(),
+    countUnsentBytes: () => directory.countUnsentBytes(),
+  });
   const peerPort = createPeerPort({
     runner,
     processId,
     names,
     seen,
     configAnswers,
-    onTransit: (transitMs) => metrics.recordLatency('transit', transitMs),
+    monitor: new CallMonitor({ metrics, log, getLagMs: () => nodeMonitor.getLagMs() }),
   });
   const announcementPort = createAnnouncementPort({
     instance,
@@ -199,17 +208,10 @@
   const readyPort = createReadyPort(isReady);
   const metricsPort = createMetricsPort(metrics, options.metricsPath);
   metrics.registerGauge('running', () => runner.countRunning());
+  metrics.registerGauge('peer_unsent_bytes', () => directory.countUnsentBytes());
   metrics.registerGauge('open_calls', () => callPort.countOpen());
   metrics.registerGauge('config_version', () => config.get()?.version ?? 0);
 
-  const stopMonitor = startNodeMonitor({
-    store,
-    metrics,
-    log,
-    countOpen: () => callPort.countOpen(),
-    countRunning: () => runner.countRunning(),
-  });
-
   const servers = [
     [callPort.server, ports.calls, 'calls.listen'],
     [peerPort, ports.peers, 'peers.listen'],
@@ -264,7 +266,7 @@
   log.write('info', 'started', { service: settings.service, process: processId });
 
   const closeComponents = () => {
-    stopMonitor();
+    nodeMonitor.stop();
     recordPruner.stop();
     positions.config.endWait();
     positions.nodes.endWait();
--- a/src/mesh/nodeMonitor.ts
+++ b/src/mesh/nodeMonitor.ts
@@ -27,6 +27,15 @@
   readonly countOpen: () => number;
   /** Returns the number of requests that run on the local instance. */
   readonly countRunning: () => number;
+  /** Returns the bytes of calls that wait in the connections to other nodes. */
+  readonly countUnsentBytes: () => number;
+}
+
+/** The running monitor. */
+export interface NodeMonitor {
+  /** Returns the delay of the event loop at its latest check, or now if that is greater. */
+  getLagMs(): number;
+  stop(): void;
 }
 
 function recordStoreCall({ metrics, log }: NodeMonitorOptions, call: StoreCall): void {
@@ -49,9 +58,9 @@
   });
 }
 
-/** Starts the monitor; the returned function stops it. */
-export function startNodeMonitor(options: NodeMonitorOptions): () => void {
-  const { store, metrics, log, countOpen, countRunning } = options;
+/** Starts the monitor. */
+export function startNodeMonitor(options: NodeMonitorOptions): NodeMonitor {
+  const { store, metrics, log, countOpen, countRunning, countUnsentBytes } = options;
   let storeCalls = 0;
   let storeBytes = 0;
   store.onCall((call) => {
@@ -60,14 +69,17 @@
     recordStoreCall(options, call);
   });
   let checks = 0;
+  let lagMs = 0;
   let maxLagMs = 0;
+  let maxUnsentBytes = 0;
   let expectedAtMs = performance.now() + LAG_CHECK_MS;
   const timer = setInterval(() => {
     const nowMs = performance.now();
-    const lagMs = Math.max(0, nowMs - expectedAtMs);
+    lagMs = Math.max(0, nowMs - expectedAtMs);
     expectedAtMs = nowMs + LAG_CHECK_MS;
     metrics.recordLatency('event_loop_lag', lagMs);
     maxLagMs = Math.max(maxLagMs, lagMs);
+    maxUnsentBytes = Math.max(maxUnsentBytes, countUnsentBytes());
     checks += 1;
     if (checks < CHECKS_PER_LINE) return;
     log.write('info', 'node-load', {
@@ -76,12 +88,17 @@
       maxLagMs: Math.round(maxLagMs),
       storeCalls,
       storeBytes,
+      maxUnsentBytes,
     });
     checks = 0;
     maxLagMs = 0;
+    maxUnsentBytes = 0;
     storeCalls = 0;
     storeBytes = 0;
   }, LAG_CHECK_MS);
   timer.unref();
-  return () => clearInterval(timer);
+  return {
+    getLagMs: () => Math.max(lagMs, performance.now() - expectedAtMs),
+    stop: () => clearInterval(timer),
+  };
 }
--- a/src/mesh/peerCalls.ts
+++ b/src/mesh/peerCalls.ts
@@ -54,8 +54,17 @@
 
 const EMPTY_BODY = Buffer.alloc(0);
 
+/** What the sending node observed of the way of a call. */
+export interface SendTrace {
+  /** Time until the call had a connection; undefined when it got none. */
+  readonly connectMs: number | undefined;
+  /** Bytes of the call that still waited in its connections when it ended. */
+  readonly unsentBytes: number;
+}
+
 /** Result of a call to a node. */
 export interface PeerReport extends RunReport {
+  readonly sendTrace?: SendTrace;
   /** False when the node did not send a response. */
   readonly hasResponded: boolean;
 }
@@ -70,6 +79,8 @@
   readonly processId: string;
   readonly cancellation: Cancellation;
   readonly connections: Set<HttpConnection>;
+  readonly startedAtMs: number;
+  connectMs: number | undefined;
   isSettled: boolean;
 }
 
@@ -77,6 +88,12 @@
   return true;
 }
 
+function countUnsentBytes(connections: ReadonlySet<HttpConnection>): number {
+  let bytes = 0;
+  for (const connection of connections) bytes += connection.countUnsentBytes();
+  return bytes;
+}
+
 function buildUnknownReport(reason: string): PeerReport {
   return { result: { kind: 'unknown', reason }, load: undefined, hasResponded: false };
 }
@@ -89,6 +106,9 @@
 
   private readonly clock: ClockOffset;
 
+  /** Connections of the calls in progress. */
+  private readonly active = new Set<HttpConnection>();
+
   constructor(
     address: PeerAddress,
     private readonly seen: RevisionExchange,
@@ -121,6 +141,8 @@
         processId,
         cancellation,
         connections: new Set(),
+        startedAtMs: performance.now(),
+        connectMs: undefined,
         isSettled: false,
       };
       const timers: NodeJS.Timeout[] = [];
@@ -128,8 +150,9 @@
         if (state.isSettled) return;
         state.isSettled = true;
         for (const timer of timers) clearTimeout(timer);
+        const unsentBytes = countUnsentBytes(state.connections);
         for (const connection of state.connections) connection.abort('settled');
-        resolve(report);
+        resolve({ ...report, sendTrace: { connectMs: state.connectMs, unsentBytes } });
       };
       const remainingMs = metadata.deadlineAtMs - performance.now();
       const timeoutMs = Math.max(0, remainingMs) + DEADLINE_GRACE_MS;
@@ -159,11 +182,17 @@
     return (await decodeConfigAnswer(result.response.body)).unwrapOr(undefined);
   }
 
+  /** Returns the bytes of the calls in progress that wait in their connections. */
+  countUnsentBytes(): number {
+    return countUnsentBytes(this.active);
+  }
+
   close(): void {
     this.pool.close();
   }
 
-  private async sendFirst(state: SendState): Promise<PeerReport> {
+  private async sendFirst(pending: SendState): Promise<PeerReport> {
+    const state = pending;
     const connection =
       this.pool.takeIdle(MAX_IDLE_MS) ?? (await this.pool.connect(CONNECT_TIMEOUT_MS));
     if (typeof connection === 'string') {
@@ -177,6 +206,7 @@
       this.pool.release(connection);
       return buildUnknownReport('cancelled');
     }
+    state.connectMs = performance.now() - state.startedAtMs;
     const first = await this.exchange(state, connection, undefined);
     if (first || state.isSettled) return first ?? buildUnknownReport('settled');
     return (await this.resume(state)) ?? buildUnknownReport('connection lost');
@@ -219,6 +249,7 @@
   ): Promise<PeerReport | undefined> {
     const { request, metadata } = state;
     state.connections.add(connection);
+    this.active.add(connection);
     const sentAtMs = performance.now();
     const encoded = encodeMetadata(metadata, resumedProcessId, sentAtMs);
     const sentTime = encodeSentTime(this.clock.convert(sentAtMs));
@@ -230,6 +261,7 @@
       onInterim,
     });
     state.connections.delete(connection);
+    this.active.delete(connection);
     if (result.kind !== 'response') return undefined;
     this.pool.release(connection);
     const { response } = result;
--- a/src/mesh/peerPort.ts
+++ b/src/mesh/peerPort.ts
@@ -4,6 +4,7 @@
  * again.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { CallMonitor } from './callMonitor.js';
 import { filterHeaders, getHeader, type HeaderNames } from './headers.js';
 import { decodeConfigRequest, encodeConfigAnswer, type ConfigAnswers } from './configAnswers.js';
 import { buildRefusal } from './instanceClient.js';
@@ -24,6 +25,7 @@
   type ReceivedMetadata,
 } from './peerMessages.js';
 import type { RevisionExchange } from './revisionExchange.js';
+import type { RunTrace } from './runTrace.js';
 import { Cancellation } from './signal.js';
 
 /** Time for which a run continues after its connection failed, unless the call is resumed. */
@@ -41,6 +43,7 @@
 interface Run {
   readonly report: Promise<RunReport>;
   readonly cancellation: Cancellation;
+  readonly trace: RunTrace;
   /** Number of requests that wait for the report. */
   listeners: number;
   isDelivered: boolean;
@@ -52,8 +55,7 @@
   readonly names: HeaderNames;
   readonly seen: RevisionExchange;
   readonly configAnswers: Pick<ConfigAnswers, 'answer'>;
-  /** Called with the time that a call spent on its way to this node, in milliseconds. */
-  readonly onTransit?: (transitMs: number) => void;
+  readonly monitor: CallMonitor;
 }
 
 /** Writes a report with the headers in `nodeHeaders`, which are for the other node only. */
@@ -100,20 +102,24 @@
 
 /** Creates the server of the port; the caller binds it. */
 export function createPeerPort(options: PeerPortOptions): Server {
-  const { runner, processId, names, seen, configAnswers, onTransit } = options;
+  const { runner, processId, names, seen, configAnswers, monitor } = options;
   const runs = new Map<string, Run>();
 
   const addRun = (
-    { attemptId, deadlineAtMs }: CallMetadata,
+    metadata: CallMetadata,
+    trace: RunTrace,
     start: (cancellation: Cancellation) => Promise<RunReport>,
   ): Run => {
+    const { attemptId, deadlineAtMs } = metadata;
     const cancellation = new Cancellation();
     const run: Run = {
       report: start(cancellation),
       cancellation,
+      trace,
       listeners: 0,
       isDelivered: false,
     };
+    void run.report.then((report) => trace.recordEnd(report));
     runs.set(attemptId, run);
     const retentionMs = deadlineAtMs - performance.now() + RUN_RETENTION_MS;
     setTimeout(() => runs.delete(attemptId), Math.max(RUN_RETENTION_MS, retentionMs)).unref();
@@ -124,6 +130,7 @@
     const run = target;
     run.listeners -= 1;
     if (run.isDelivered) return;
+    if (run.listeners === 0) run.trace.recordAbandoned();
     setTimeout(() => {
       if (run.listeners === 0) run.cancellation.cancel();
     }, RESUME_TIMEOUT_MS);
@@ -132,11 +139,13 @@
   const getOrCreateRun = (
     request: HttpRequest,
     { metadata, resumedProcessId }: ReceivedMetadata,
+    transitMs: number | undefined,
   ): Run => {
     const existing = runs.get(metadata.attemptId);
     if (existing) return existing;
+    const trace = monitor.createTrace(metadata, transitMs);
     if (resumedProcessId === undefined) {
-      return addRun(metadata, (cancellation) => runner.run(request, metadata, cancellation));
+      return addRun(metadata, trace, (cancellation) => runner.run(request, metadata, cancellation));
     }
     // Only the process that the call was first sent to can tell that it did not arrive. The refusal
     // is retained, so the call is not run if it still arrives on its first connection.
@@ -144,7 +153,7 @@
       resumedProcessId === processId
         ? buildRefusal('unreachable', false)
         : { kind: 'unknown', reason: 'the process was replaced' };
-    return addRun(metadata, () => Promise.resolve({ result, load: runner.getLoad() }));
+    return addRun(metadata, trace, () => Promise.resolve({ result, load: runner.getLoad() }));
   };
 
   const serve = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
@@ -170,7 +179,6 @@
       receivedAtMs,
     );
     const transitMs = sentTime.kind === 'known' ? receivedAtMs - sentTime.atMs : undefined;
-    if (transitMs !== undefined) onTransit?.(transitMs);
     const receivedRevisions = getHeader(message.rawHeaders, SEEN_HEADER);
     seen.apply(receivedRevisions);
     const body = await readBody(message, MAX_BODY_BYTES);
@@ -186,10 +194,12 @@
         body,
       },
       received,
+      transitMs,
     );
     // Tells the node that resumes a call that this process is alive, since the run may take long.
     if (received.resumedProcessId !== undefined) response.writeProcessing();
     run.listeners += 1;
+    run.trace.recordAttached();
     let isDetached = false;
     response.once('close', () => {
       if (!response.writableFinished && !isDetached) {
--- a/src/mesh/pendingCall.ts
+++ b/src/mesh/pendingCall.ts
@@ -1,6 +1,7 @@
 /** Types for the request of a caller and its outcome. */
 import type { InstanceId } from '../types/ids.js';
 import type { HttpRequest, HttpResponse, MeshRoute, RunTiming } from './model.js';
+import type { SendTrace } from './peerCalls.js';
 import type { Cancellation } from './signal.js';
 
 /** What the log line of a call says about its attempts. */
@@ -11,6 +12,8 @@
   instance: InstanceId | undefined;
   /** Age of the load report on which the latest instance was selected; undefined without one. */
   loadAgeMs: number | undefined;
+  /** Way of the latest attempt to another node, as this node observed it. */
+  sendTrace: SendTrace | undefined;
   /** Times of the latest attempt at the node of its instance. */
   timing: RunTiming | undefined;
 }
--- a/test/mesh/heldUpCalls.test.ts
+++ b/test/mesh/heldUpCalls.test.ts
@@ -5,9 +5,11 @@
 import { join } from 'node:path';
 import { test } from 'node:test';
 import { CONFIG_KIND, CONFIG_NAME, HEADER_NAMES } from '../../platform/names.js';
+import { CallMonitor } from '../../src/mesh/callMonitor.js';
 import { SILENT_LOG } from '../../src/mesh/eventLog.js';
 import { LocalInstance } from '../../src/mesh/localInstance.js';
 import { LocalRunner } from '../../src/mesh/localRunner.js';
+import { MeshMetrics } from '../../src/mesh/meshMetrics.js';
 import type { CallMetadata } from '../../src/mesh/model.js';
 import { PeerCalls, type PeerReport } from '../../src/mesh/peerCalls.js';
 import { createPeerPort } from '../../src/mesh/peerPort.js';
@@ -31,6 +33,12 @@
 const HELD_CALL = 'held';
 const NO_REVISIONS = new RevisionExchange([]);
 
+const MONITOR = new CallMonitor({
+  metrics: new MeshMetrics(),
+  log: SILENT_LOG,
+  getLagMs: () => 0,
+});
+
 /** Time for which a call is held up. */
 const HELD_MS = 1500;
 
@@ -134,6 +142,7 @@
     names: HEADER_NAMES,
     seen: NO_REVISIONS,
     configAnswers: { answer: async () => ({ kind: 'unchanged', revision: 0 }) },
+    monitor: MONITOR,
   });
   const link = new HeldLink(await openServer(server, HOST, 0));
   const calls = new PeerCalls({ host: HOST, port: await link.listen() }, NO_REVISIONS);
