Count the time that a call was under way, and start no call that was held up

Cause: a message between nodes was taken to be as young as its arrival. The deadline travelled as the time that is left and started again there; the end of the connection, by which a caller's leaving is told, travels behind the call and is held up with it. Change: the deadline and the objective count from the time at which the call was sent, on the receiver's clock. A process whose monotonic clock stood still gets a new clock, so that calls that waited meanwhile are not taken for young. Nodes of the build before, which send no time, are served as before. The estimate is never above the truth but for 10 ms of drift that it allows for, so no call that has time left is refused for its deadline.

--- a/src/mesh/clockOffset.ts
+++ b/src/mesh/clockOffset.ts
@@ -17,14 +17,15 @@
 
 /** Times of one exchange on the clock of the process that responded, in milliseconds. */
 export interface ClockReading {
-  readonly processId: string;
+  /** Names the process, and distinguishes its clocks before and after it stood still. */
+  readonly clockId: string;
   readonly receivedAtMs: number;
   readonly respondedAtMs: number;
 }
 
-/** An instant on the clock of a process, in milliseconds. */
+/** An instant on a clock, in milliseconds. */
 export interface RemoteInstant {
-  readonly processId: string;
+  readonly clockId: string;
   readonly atMs: number;
 }
 
@@ -36,7 +37,7 @@
 
 /** Clock of the process at one address. */
 export class ClockOffset {
-  private processId: string | undefined;
+  private clockId: string | undefined;
 
   /** The latest window last. */
   private windows: BoundWindow[] = [];
@@ -52,13 +53,13 @@
    * `returnedAtMs`, on the own clock.
    */
   record(reading: ClockReading, sentAtMs: number, returnedAtMs: number): void {
-    const { processId, receivedAtMs, respondedAtMs } = reading;
+    const { clockId, receivedAtMs, respondedAtMs } = reading;
     // The request may have been sent before the own clock stood still.
     if (this.forgetAfterSuspension()) return;
     const lowerMs = respondedAtMs - returnedAtMs;
     const isContradiction = lowerMs > this.getUpperMs(returnedAtMs) + MAX_DRIFT_MS;
-    if (processId !== this.processId || isContradiction) this.windows = [];
-    this.processId = processId;
+    if (clockId !== this.clockId || isContradiction) this.windows = [];
+    this.clockId = clockId;
     this.recordUpper(receivedAtMs - sentAtMs, returnedAtMs);
   }
 
@@ -66,8 +67,8 @@
   convert(nowMs: number): RemoteInstant | undefined {
     this.forgetAfterSuspension();
     const upperMs = this.getUpperMs(nowMs);
-    if (this.processId === undefined || upperMs === Infinity) return undefined;
-    return { processId: this.processId, atMs: nowMs + upperMs + MAX_DRIFT_MS };
+    if (this.clockId === undefined || upperMs === Infinity) return undefined;
+    return { clockId: this.clockId, atMs: nowMs + upperMs + MAX_DRIFT_MS };
   }
 
   private recordUpper(upperMs: number, nowMs: number): void {
--- a/src/mesh/directory.ts
+++ b/src/mesh/directory.ts
@@ -27,12 +27,11 @@
 export class Directory {
   private readonly nodes = new Map<NodeId, PeerNode>();
 
-  private readonly detector = new SuspensionDetector();
-
   constructor(
     private readonly ownId: NodeId,
     private readonly log: EventLog,
     private readonly seen: RevisionExchange,
+    private readonly detector = new SuspensionDetector(),
   ) {}
 
   /** Applies the record of a node. `revision` is 0 if the record was not read from the store. */
--- a/src/mesh/model.ts
+++ b/src/mesh/model.ts
@@ -162,6 +162,10 @@
   /** The instance has got the requests that its limit allows. */
   | 'limited'
   | 'deadline'
+  /** The request was under way for so long that its caller may have left. */
+  | 'delayed'
+  /** The node that sent the request did not know the clock by which its age is told. */
+  | 'clock-unknown'
   | 'leaving'
   | 'no-instance'
   | 'unreachable'
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -35,6 +35,7 @@
 import { createMetricsPort, createReadyPort } from './statusPorts.js';
 import { stopNode } from './stopNode.js';
 import type { MeshStore } from './store.js';
+import { SuspensionDetector } from './suspensionDetector.js';
 import { listRouteNames, TargetChooser } from './targets.js';
 import { watchKind } from './watchKind.js';
 import { chooseChangePauseMs, chooseWatchWaitMs } from './primaryWatchers.js';
@@ -105,7 +106,8 @@
     nodes: new KindPosition(store.era),
   };
   const seen = new RevisionExchange([positions.config, positions.nodes], store.era);
-  const directory = new Directory(nodeId, log, seen);
+  const detector = new SuspensionDetector();
+  const directory = new Directory(nodeId, log, seen, detector);
   const targets = new TargetChooser();
   let isStopping = false;
 
@@ -191,6 +193,7 @@
     names,
     seen,
     configAnswers,
+    detector,
     monitor: new CallMonitor({ metrics, log, getLagMs: () => nodeMonitor.getLagMs() }),
   });
   const announcementPort = createAnnouncementPort({
--- a/src/mesh/peerCalls.ts
+++ b/src/mesh/peerCalls.ts
@@ -52,6 +52,9 @@
 /** Time without data after the wait of a request for configuration changes. */
 const CONFIG_ANSWER_TIMEOUT_MS = 300;
 
+/** Distinguishes the second attempt at a node, after the first one told its clock. */
+const SECOND_ATTEMPT_SUFFIX = '.1';
+
 const EMPTY_BODY = Buffer.alloc(0);
 
 /** What the sending node observed of the way of a call. */
@@ -69,7 +72,7 @@
   readonly hasResponded: boolean;
 }
 
-interface SendState {
+interface SendOptions {
   /** Called when the node does not respond to a probe while the call is in progress. */
   readonly onUnresponsive: () => void;
   /** True when the call may be sent to another instance. */
@@ -78,12 +81,20 @@
   readonly metadata: CallMetadata;
   readonly processId: string;
   readonly cancellation: Cancellation;
+}
+
+interface SendState extends SendOptions {
   readonly connections: Set<HttpConnection>;
   readonly startedAtMs: number;
   connectMs: number | undefined;
   isSettled: boolean;
 }
 
+/** Returns true when the call was not started because its age could not be told. */
+function isClockUnknown({ result }: PeerReport): boolean {
+  return result.kind === 'notRun' && result.reason === 'clock-unknown';
+}
+
 function isAnyResponse(): boolean {
   return true;
 }
@@ -124,7 +135,7 @@
    * node does not respond to a probe. `canRetry` tells whether the call may be sent to another
    * instance, which is when silence ends it; without a retry only the deadline does.
    */
-  send(
+  async send(
     request: HttpRequest,
     metadata: CallMetadata,
     processId: string,
@@ -132,14 +143,44 @@
     onUnresponsive: () => void,
     canRetry: () => boolean = () => metadata.isIdempotent,
   ): Promise<PeerReport> {
+    const options = { request, processId, cancellation, onUnresponsive, canRetry };
+    const report = await this.sendAttempt({ ...options, metadata });
+    if (!isClockUnknown(report) || cancellation.isCancelled()) return report;
+    // The refusal told the clock. It also holds for the first identifier from now on.
+    const attemptId = `${metadata.attemptId}${SECOND_ATTEMPT_SUFFIX}`;
+    return this.sendAttempt({ ...options, metadata: { ...metadata, attemptId } });
+  }
+
+  /** Requests changes of the configuration; undefined when the node gives no answer. */
+  async requestConfig(request: ConfigRequest): Promise<ConfigAnswer | undefined> {
+    const connection =
+      this.pool.takeIdle(MAX_IDLE_MS) ?? (await this.pool.connect(CONNECT_TIMEOUT_MS));
+    if (typeof connection === 'string') return undefined;
+    const stopTimer = startInactivityTimer(connection, request.waitMs, CONFIG_ANSWER_TIMEOUT_MS);
+    const headers = ['Host', this.host, CONFIG_HEADER, encodeConfigRequest(request)];
+    const message = { method: 'GET', path: '/', headers, body: EMPTY_BODY };
+    const result = await connection.exchange(message, isAnyResponse);
+    stopTimer();
+    if (result.kind !== 'response') return undefined;
+    this.pool.release(connection);
+    if (result.response.status !== 200) return undefined;
+    return (await decodeConfigAnswer(result.response.body)).unwrapOr(undefined);
+  }
+
+  /** Returns the bytes of the calls in progress that wait in their connections. */
+  countUnsentBytes(): number {
+    return countUnsentBytes(this.active);
+  }
+
+  close(): void {
+    this.pool.close();
+  }
+
+  private sendAttempt(options: SendOptions): Promise<PeerReport> {
+    const { metadata, cancellation } = options;
     return new Promise((resolve) => {
       const state: SendState = {
-        onUnresponsive,
-        canRetry,
-        request,
-        metadata,
-        processId,
-        cancellation,
+        ...options,
         connections: new Set(),
         startedAtMs: performance.now(),
         connectMs: undefined,
@@ -166,31 +207,6 @@
     });
   }
 
-  /** Requests changes of the configuration; undefined when the node gives no answer. */
-  async requestConfig(request: ConfigRequest): Promise<ConfigAnswer | undefined> {
-    const connection =
-      this.pool.takeIdle(MAX_IDLE_MS) ?? (await this.pool.connect(CONNECT_TIMEOUT_MS));
-    if (typeof connection === 'string') return undefined;
-    const stopTimer = startInactivityTimer(connection, request.waitMs, CONFIG_ANSWER_TIMEOUT_MS);
-    const headers = ['Host', this.host, CONFIG_HEADER, encodeConfigRequest(request)];
-    const message = { method: 'GET', path: '/', headers, body: EMPTY_BODY };
-    const result = await connection.exchange(message, isAnyResponse);
-    stopTimer();
-    if (result.kind !== 'response') return undefined;
-    this.pool.release(connection);
-    if (result.response.status !== 200) return undefined;
-    return (await decodeConfigAnswer(result.response.body)).unwrapOr(undefined);
-  }
-
-  /** Returns the bytes of the calls in progress that wait in their connections. */
-  countUnsentBytes(): number {
-    return countUnsentBytes(this.active);
-  }
-
-  close(): void {
-    this.pool.close();
-  }
-
   private async sendFirst(pending: SendState): Promise<PeerReport> {
     const state = pending;
     const connection =
--- a/src/mesh/peerMessages.ts
+++ b/src/mesh/peerMessages.ts
@@ -109,11 +109,14 @@
   return JSON.stringify(resumedProcessId === undefined ? message : [...message, resumedProcessId]);
 }
 
-/** Decodes the metadata of a call; undefined when the text is missing or malformed. */
+/**
+ * Decodes the metadata of a call that was sent at `sentAtMs`, on the clock of this process;
+ * undefined when the text is missing or malformed.
+ */
 export function decodeMetadata(
   text: string | undefined,
   requestId: string,
-  nowMs: number,
+  sentAtMs: number,
 ): ReceivedMetadata | undefined {
   if (text === undefined) return undefined;
   let message: MetadataMessage;
@@ -140,8 +143,8 @@
     instanceId: brandText(instanceId),
     isIdempotent: idempotent === 1,
     priority,
-    deadlineAtMs: nowMs + remainingMs,
-    objectiveAtMs: nowMs + objectiveRemainingMs,
+    deadlineAtMs: sentAtMs + remainingMs,
+    objectiveAtMs: sentAtMs + objectiveRemainingMs,
   };
   return { metadata, resumedProcessId };
 }
@@ -163,25 +166,25 @@
 
 /** Encodes the time at which a message is sent; undefined if the other clock is not known. */
 export function encodeSentTime(instant: RemoteInstant | undefined): string {
-  return instant ? `${instant.processId}:${formatMs(instant.atMs)}` : UNKNOWN_CLOCK;
+  return instant ? `${instant.clockId}:${formatMs(instant.atMs)}` : UNKNOWN_CLOCK;
 }
 
 /** Decodes the time at which a message was sent that this process received at `receivedAtMs`. */
 export function decodeSentTime(
   text: string | undefined,
-  processId: string,
+  clockId: string,
   receivedAtMs: number,
 ): SentTime {
   if (text === undefined) return { kind: 'unsupported' };
   const match = /^([^:]+):(-?\d{1,15}(?:\.\d)?)$/.exec(text);
-  if (match?.[1] !== processId) return { kind: 'unknown' };
+  if (match?.[1] !== clockId) return { kind: 'unknown' };
   return { kind: 'known', atMs: Math.min(receivedAtMs, Number(match[2])) };
 }
 
 /** Encodes the clock of this process for a response. */
 export function encodeClockReading(reading: ClockReading): string {
-  const { processId, receivedAtMs, respondedAtMs } = reading;
-  return `${processId}:${formatMs(receivedAtMs)}:${formatMs(respondedAtMs)}`;
+  const { clockId, receivedAtMs, respondedAtMs } = reading;
+  return `${clockId}:${formatMs(receivedAtMs)}:${formatMs(respondedAtMs)}`;
 }
 
 /** Decodes the clock of the process that responded; undefined when missing or malformed. */
@@ -189,7 +192,7 @@
   const match = /^([^:]+):(\d{1,15}(?:\.\d)?):(\d{1,15}(?:\.\d)?)$/.exec(text ?? '');
   if (!match) return undefined;
   return {
-    processId: match[1]!,
+    clockId: match[1]!,
     receivedAtMs: Number(match[2]),
     respondedAtMs: Number(match[3]),
   };
--- a/src/mesh/peerPort.ts
+++ b/src/mesh/peerPort.ts
@@ -10,27 +10,28 @@
 import { buildRefusal } from './instanceClient.js';
 import { readBody } from './readBody.js';
 import type { LocalRunner } from './localRunner.js';
-import type { CallMetadata, HttpRequest, RunReport, RunResult } from './model.js';
+import type { HttpRequest, RunReport, RunResult } from './model.js';
 import {
   CLOCK_HEADER,
   CONFIG_HEADER,
-  decodeMetadata,
-  decodeSentTime,
   encodeClockReading,
   encodeResult,
   NODE_HEADERS,
   RESULT_HEADER,
   SEEN_HEADER,
-  METADATA_HEADER,
-  type ReceivedMetadata,
 } from './peerMessages.js';
+import { readReceivedCall, type ReceivedCall } from './receivedCall.js';
 import type { RevisionExchange } from './revisionExchange.js';
 import type { RunTrace } from './runTrace.js';
 import { Cancellation } from './signal.js';
+import { SuspensionDetector } from './suspensionDetector.js';
 
 /** Time for which a run continues after its connection failed, unless the call is resumed. */
 const RESUME_TIMEOUT_MS = 300;
 
+/** Retry time of a call that was held up on its way, in milliseconds. */
+const DELAYED_RETRY_MS = 300;
+
 /** Time after the deadline of a call for which its run is retained. */
 const RUN_RETENTION_MS = 1000;
 
@@ -56,6 +57,7 @@
   readonly seen: RevisionExchange;
   readonly configAnswers: Pick<ConfigAnswers, 'answer'>;
   readonly monitor: CallMonitor;
+  readonly detector?: SuspensionDetector;
 }
 
 /** Writes a report with the headers in `nodeHeaders`, which are for the other node only. */
@@ -103,11 +105,11 @@
 /** Creates the server of the port; the caller binds it. */
 export function createPeerPort(options: PeerPortOptions): Server {
   const { runner, processId, names, seen, configAnswers, monitor } = options;
+  const { detector = new SuspensionDetector() } = options;
   const runs = new Map<string, Run>();
 
   const addRun = (
-    metadata: CallMetadata,
-    trace: RunTrace,
+    { metadata, transitMs }: ReceivedCall,
     start: (cancellation: Cancellation) => Promise<RunReport>,
   ): Run => {
     const { attemptId, deadlineAtMs } = metadata;
@@ -115,17 +117,20 @@
     const run: Run = {
       report: start(cancellation),
       cancellation,
-      trace,
+      trace: monitor.createTrace(metadata, transitMs),
       listeners: 0,
       isDelivered: false,
     };
-    void run.report.then((report) => trace.recordEnd(report));
+    void run.report.then((report) => run.trace.recordEnd(report));
     runs.set(attemptId, run);
     const retentionMs = deadlineAtMs - performance.now() + RUN_RETENTION_MS;
     setTimeout(() => runs.delete(attemptId), Math.max(RUN_RETENTION_MS, retentionMs)).unref();
     return run;
   };
 
+  const addResult = (call: ReceivedCall, result: RunResult): Run =>
+    addRun(call, () => Promise.resolve({ result, load: runner.getLoad() }));
+
   const detachListener = (target: Run) => {
     const run = target;
     run.listeners -= 1;
@@ -136,16 +141,14 @@
     }, RESUME_TIMEOUT_MS);
   };
 
-  const getOrCreateRun = (
-    request: HttpRequest,
-    { metadata, resumedProcessId }: ReceivedMetadata,
-    transitMs: number | undefined,
-  ): Run => {
+  const getOrCreateRun = (request: HttpRequest, call: ReceivedCall): Run => {
+    const { metadata, resumedProcessId, ageRefusal } = call;
     const existing = runs.get(metadata.attemptId);
     if (existing) return existing;
-    const trace = monitor.createTrace(metadata, transitMs);
     if (resumedProcessId === undefined) {
-      return addRun(metadata, trace, (cancellation) => runner.run(request, metadata, cancellation));
+      return ageRefusal === undefined
+        ? addRun(call, (cancellation) => runner.run(request, metadata, cancellation))
+        : addResult(call, buildRefusal(ageRefusal, false, DELAYED_RETRY_MS));
     }
     // Only the process that the call was first sent to can tell that it did not arrive. The refusal
     // is retained, so the call is not run if it still arrives on its first connection.
@@ -153,7 +156,7 @@
       resumedProcessId === processId
         ? buildRefusal('unreachable', false)
         : { kind: 'unknown', reason: 'the process was replaced' };
-    return addRun(metadata, trace, () => Promise.resolve({ result, load: runner.getLoad() }));
+    return addResult(call, result);
   };
 
   const serve = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
@@ -164,21 +167,14 @@
       await serveConfigRequest(configRequest, response, configAnswers);
       return;
     }
-    const received = decodeMetadata(
-      getHeader(message.rawHeaders, METADATA_HEADER),
-      getHeader(message.rawHeaders, names.requestId) ?? '',
-      receivedAtMs,
-    );
-    if (!received) {
+    // After a suspension the clock is another one, on which no earlier message has its time.
+    const clockId = `${processId}.${detector.count()}`;
+    const receiver = { clockId, requestIdHeader: names.requestId };
+    const call = readReceivedCall(message.rawHeaders, receiver, receivedAtMs);
+    if (!call) {
       response.writeHead(400).end();
       return;
     }
-    const sentTime = decodeSentTime(
-      getHeader(message.rawHeaders, CLOCK_HEADER),
-      processId,
-      receivedAtMs,
-    );
-    const transitMs = sentTime.kind === 'known' ? receivedAtMs - sentTime.atMs : undefined;
     const receivedRevisions = getHeader(message.rawHeaders, SEEN_HEADER);
     seen.apply(receivedRevisions);
     const body = await readBody(message, MAX_BODY_BYTES);
@@ -193,11 +189,10 @@
         headers: filterHeaders(message.rawHeaders, NODE_HEADERS),
         body,
       },
-      received,
-      transitMs,
+      call,
     );
     // Tells the node that resumes a call that this process is alive, since the run may take long.
-    if (received.resumedProcessId !== undefined) response.writeProcessing();
+    if (call.resumedProcessId !== undefined) response.writeProcessing();
     run.listeners += 1;
     run.trace.recordAttached();
     let isDetached = false;
@@ -209,10 +204,10 @@
     });
     const report = await run.report;
     if (isDetached) return;
-    const reading = { processId, receivedAtMs, respondedAtMs: performance.now() };
+    const reading = { clockId, receivedAtMs, respondedAtMs: performance.now() };
     const nodeHeaders = [CLOCK_HEADER, encodeClockReading(reading)];
     if (receivedRevisions !== undefined) nodeHeaders.push(SEEN_HEADER, seen.format());
-    writeReport(response, addTransit(report, transitMs), nodeHeaders);
+    writeReport(response, addTransit(report, call.transitMs), nodeHeaders);
     response.once('finish', () => {
       isDetached = true;
       run.isDelivered = true;
--- a/src/mesh/refusalReason.ts
+++ b/src/mesh/refusalReason.ts
@@ -12,6 +12,8 @@
     case 'overloaded':
     case 'limited':
     case 'deadline':
+    case 'delayed':
+    case 'clock-unknown':
     case 'cancelled':
       return false;
     case 'leaving':
--- a/src/mesh/runTrace.ts
+++ b/src/mesh/runTrace.ts
@@ -60,7 +60,7 @@
     const { transitMs = 0, metadata } = this;
     const queueMs = report.timing?.queueMs ?? 0;
     const isStarted = hasReachedInstance(report);
-    const leftMs = this.remainingMs - transitMs - queueMs;
+    const leftMs = this.remainingMs - queueMs;
     const isLate = isStarted && leftMs < 0;
     const abandonedMs =
       this.abandonedAtMs === undefined ? undefined : performance.now() - this.abandonedAtMs;
--- a/test/mesh/callMonitor.test.ts
+++ b/test/mesh/callMonitor.test.ts
@@ -35,7 +35,7 @@
 
 test('a call that starts after its deadline by the clock of its sender gets a line', () => {
   const { metrics, lines, monitor } = createMonitor();
-  const trace = monitor.createTrace(buildMetadata(600), 1500);
+  const trace = monitor.createTrace(buildMetadata(600 - 1500), 1500);
   trace.recordEnd(REPORT);
   assert.equal(lines.length, 1);
   assert.match(lines[0]!, /event=call-held-up request=r-1 origin=origin outcome=answered/);
--- a/test/mesh/clockOffset.test.ts
+++ b/test/mesh/clockOffset.test.ts
@@ -30,13 +30,13 @@
   readonly offset = new ClockOffset(this.detector);
 
   /** Plays an exchange whose request and response take the given times. */
-  exchange(requestMs: number, responseMs: number, processId = 'p-1'): void {
+  exchange(requestMs: number, responseMs: number, clockId = 'p-1'): void {
     const sentAtMs = this.nowMs;
     this.offset.convert(sentAtMs);
     this.nowMs += requestMs;
     const receivedAtMs = this.nowMs + this.offsetMs;
     this.nowMs += responseMs;
-    const reading = { processId, receivedAtMs, respondedAtMs: receivedAtMs };
+    const reading = { clockId, receivedAtMs, respondedAtMs: receivedAtMs };
     this.offset.record(reading, sentAtMs, this.nowMs);
   }
 
@@ -79,7 +79,7 @@
   const receivedAtMs = sentAtMs + clocks.offsetMs + 1;
   clocks.suspendedMs += 3000;
   clocks.offsetMs += 3000;
-  const reading = { processId: 'p-1', receivedAtMs, respondedAtMs: receivedAtMs };
+  const reading = { clockId: 'p-1', receivedAtMs, respondedAtMs: receivedAtMs };
   clocks.offset.record(reading, sentAtMs, clocks.nowMs + 2);
   assert.equal(clocks.measureAge(1), undefined);
 });
@@ -101,7 +101,7 @@
   clocks.exchange(1, 1);
   clocks.offsetMs = -800_000;
   clocks.exchange(1, 1, 'p-2');
-  assert.equal(clocks.offset.convert(clocks.nowMs)?.processId, 'p-2');
+  assert.equal(clocks.offset.convert(clocks.nowMs)?.clockId, 'p-2');
   assert.ok(clocks.measureAge(1)! <= 1);
 });
 
@@ -130,9 +130,9 @@
 });
 
 test('clocks survive the way over the wire', () => {
-  const reading = { processId: 'p-1', receivedAtMs: 12.3, respondedAtMs: 45.6 };
+  const reading = { clockId: 'p-1', receivedAtMs: 12.3, respondedAtMs: 45.6 };
   assert.deepEqual(decodeClockReading(encodeClockReading(reading)), reading);
-  const text = encodeSentTime({ processId: 'p-1', atMs: 99.5 });
+  const text = encodeSentTime({ clockId: 'p-1', atMs: 99.5 });
   assert.deepEqual(decodeSentTime(text, 'p-1', 100), { kind: 'known', atMs: 99.5 });
 });
 
--- a/test/mesh/heldUpCalls.test.ts
+++ b/test/mesh/heldUpCalls.test.ts
@@ -25,8 +25,6 @@
 import { startNodeProcess, writeSettings } from '../../standins/mesh/nodeProcess.js';
 import { StoreServer } from '../../standins/mesh/storeServer.js';
 
-const KNOWN_RED = { todo: 'KNOWN-RED, issue 24' };
-
 const HOST = '127.0.0.1';
 const INSTANCE_ID = 'i-1';
 const PROCESS_ID = 'p-1';
@@ -133,7 +131,7 @@
 }
 
 /** Connects a sender and the node of an instance by a link that can be held. */
-async function withLink(run: (setup: Setup) => Promise<void>): Promise<void> {
+async function withLink(run: (setup: Setup) => Promise<void>, isClockKnown = true): Promise<void> {
   const instance = new InstanceServer(INSTANCE_ID);
   const runner = createRunner(await instance.listen());
   const server = createPeerPort({
@@ -148,7 +146,7 @@
   const calls = new PeerCalls({ host: HOST, port: await link.listen() }, NO_REVISIONS);
   const send = createSend(calls, PROCESS_ID);
   try {
-    await sendUnheldCalls(send, 'before');
+    if (isClockKnown) await sendUnheldCalls(send, 'before');
     await run({ instance, link, send });
   } finally {
     calls.close();
@@ -233,7 +231,7 @@
 for (const isIdempotent of [true, false]) {
   const kind = isIdempotent ? 'an idempotent' : 'a non-idempotent';
 
-  test(`${kind} call whose deadline passed on its way is not started`, KNOWN_RED, async () => {
+  test(`${kind} call whose deadline passed on its way is not started`, async () => {
     await withLink(async (setup) => {
       const { link, send } = setup;
       link.setState({ kind: 'delayed', delayMs: HELD_MS });
@@ -248,61 +246,72 @@
     });
   });
 
-  test(
-    `${kind} call that arrives with the news that its caller left is not started`,
-    KNOWN_RED,
-    async () => {
-      await withLink(async (setup) => {
-        const { link, send } = setup;
-        link.setState({ kind: 'held' });
-        const cancellation = new Cancellation();
-        const sent = send(HELD_CALL, { isIdempotent, remainingMs: 4000 }, cancellation);
-        await wait(700);
-        cancellation.cancel();
-        await sent;
-        await wait(HELD_MS - 700);
-        link.setState({ kind: 'open' });
-        await assertNotStarted(setup);
-      });
-    },
-  );
-
-  test(
-    `${kind} call to a frozen process is not started when its deadline has passed`,
-    KNOWN_RED,
-    async () => {
-      await withNodeProcess(async (setup, pid) => {
-        process.kill(pid, 'SIGSTOP');
-        const cancellation = new Cancellation();
-        const sent = setup.send(HELD_CALL, { isIdempotent, remainingMs: 620 }, cancellation);
-        await wait(530);
-        cancellation.cancel();
-        await sent;
-        await wait(HELD_MS - 530);
-        process.kill(pid, 'SIGCONT');
-        await assertNotStarted(setup);
-      });
-    },
-  );
-}
+  test(`${kind} call that arrives with the news that its caller left is not started`, async () => {
+    await withLink(async (setup) => {
+      const { link, send } = setup;
+      link.setState({ kind: 'held' });
+      const cancellation = new Cancellation();
+      const sent = send(HELD_CALL, { isIdempotent, remainingMs: 4000 }, cancellation);
+      await wait(700);
+      cancellation.cancel();
+      await sent;
+      await wait(HELD_MS - 700);
+      link.setState({ kind: 'open' });
+      await assertNotStarted(setup);
+    });
+  });
 
-test(
-  'a held call hands its instance no more time than its caller has left',
-  KNOWN_RED,
-  async () => {
-    await withLink(async ({ instance, link, send }) => {
-      link.setState({ kind: 'delayed', delayMs: HELD_MS });
-      const deadlineAtMs = performance.now() + 4000;
-      const sent = send(HELD_CALL, { isIdempotent: false, remainingMs: 4000 });
+  test(`${kind} call to a frozen process is not started when its deadline has passed`, async () => {
+    await withNodeProcess(async (setup, pid) => {
+      process.kill(pid, 'SIGSTOP');
+      const cancellation = new Cancellation();
+      const sent = setup.send(HELD_CALL, { isIdempotent, remainingMs: 620 }, cancellation);
+      await wait(530);
+      cancellation.cancel();
       await sent;
-      const run = findHeldRun(instance);
-      // A node may also refuse the call, which hands over no time.
-      if (!run) return;
-      const excessMs = run.atMs + run.deadlineMs - deadlineAtMs;
-      assert.ok(excessMs <= DEADLINE_SLACK_MS, `${Math.round(excessMs)} ms too much`);
+      await wait(HELD_MS - 530);
+      process.kill(pid, 'SIGCONT');
+      await assertNotStarted(setup);
     });
-  },
-);
+  });
+}
+
+test('the first call to a process is not started when it was held up', async () => {
+  await withLink(async (setup) => {
+    const { link, send } = setup;
+    link.setState({ kind: 'delayed', delayMs: HELD_MS });
+    const cancellation = new Cancellation();
+    const sent = send(HELD_CALL, { isIdempotent: true, remainingMs: 4000 }, cancellation);
+    await wait(700);
+    cancellation.cancel();
+    await sent;
+    await link.waitUntilEmpty();
+    link.setState({ kind: 'open' });
+    await assertNotStarted(setup);
+  }, false);
+});
+
+test('the first call to a process is run once and answered', async () => {
+  await withLink(async ({ instance, send }) => {
+    const { result } = await send(HELD_CALL, { isIdempotent: false, remainingMs: 4000 });
+    assert.equal(result.kind, 'answered');
+    assert.equal(instance.runs.length, 1);
+  }, false);
+});
+
+test('a held call hands its instance no more time than its caller has left', async () => {
+  await withLink(async ({ instance, link, send }) => {
+    link.setState({ kind: 'delayed', delayMs: HELD_MS });
+    const deadlineAtMs = performance.now() + 4000;
+    const sent = send(HELD_CALL, { isIdempotent: false, remainingMs: 4000 });
+    await sent;
+    const run = findHeldRun(instance);
+    // A node may also refuse the call, which hands over no time.
+    if (!run) return;
+    const excessMs = run.atMs + run.deadlineMs - deadlineAtMs;
+    assert.ok(excessMs <= DEADLINE_SLACK_MS, `${Math.round(excessMs)} ms too much`);
+  });
+});
 
 test('a call that is held up by 100 ms and has time left is run and answered', async () => {
   await withLink(async ({ instance, link, send }) => {
