End a queued call as soon as its connection has ended

Cause: the time for resuming was given to calls that run and to calls that wait alike. Only a run has something to lose: a queued call was not run, and its sender may send it elsewhere. Change: a call that has no slot yet is refused when its last connection ends; a resumed one gets that refusal. Evidence: the new test of test/mesh/heldUpCalls failed on the code before (the held call reached the instance) and passes; test/mesh/heldUpCalls 11 pass.

--- a/src/mesh/localRunner.ts
+++ b/src/mesh/localRunner.ts
@@ -78,19 +78,24 @@
     this.client = this.createClient();
   }
 
-  /** Runs a request, waiting for a free slot if necessary. Never rejects. */
+  /**
+   * Runs a request, waiting for a free slot if necessary; `onStart` is called when it gets one.
+   * Never rejects.
+   */
   async run(
     request: HttpRequest,
     metadata: CallMetadata,
     cancellation: Cancellation,
+    onStart: () => void = () => {},
   ): Promise<RunReport> {
     const receivedAtMs = performance.now();
     let startedAtMs: number | undefined;
-    const onStart = () => {
+    const recordStart = () => {
       startedAtMs = performance.now();
+      onStart();
     };
     const refusal = this.checkInstance(metadata.instanceId);
-    const result = refusal ?? (await this.admit(request, metadata, cancellation, onStart));
+    const result = refusal ?? (await this.admit(request, metadata, cancellation, recordStart));
     const endedAtMs = performance.now();
     const timing = {
       queueMs: (startedAtMs ?? endedAtMs) - receivedAtMs,
--- a/src/mesh/peerPort.ts
+++ b/src/mesh/peerPort.ts
@@ -43,6 +43,8 @@
 
 interface Run {
   readonly report: Promise<RunReport>;
+  /** Returns true once the request has got a slot of the instance. */
+  readonly hasStarted: () => boolean;
   readonly cancellation: Cancellation;
   readonly trace: RunTrace;
   /** Number of requests that wait for the report. */
@@ -110,18 +112,23 @@
 
   const addRun = (
     { metadata, transitMs }: ReceivedCall,
-    start: (cancellation: Cancellation) => Promise<RunReport>,
+    start: (cancellation: Cancellation, onStart: () => void) => Promise<RunReport>,
   ): Run => {
     const { attemptId, deadlineAtMs } = metadata;
     const cancellation = new Cancellation();
+    let hasStarted = false;
+    const report = start(cancellation, () => {
+      hasStarted = true;
+    });
     const run: Run = {
-      report: start(cancellation),
+      report,
+      hasStarted: () => hasStarted,
       cancellation,
       trace: monitor.createTrace(metadata, transitMs),
       listeners: 0,
       isDelivered: false,
     };
-    void run.report.then((report) => run.trace.recordEnd(report));
+    void report.then((ended) => run.trace.recordEnd(ended));
     runs.set(attemptId, run);
     const retentionMs = deadlineAtMs - performance.now() + RUN_RETENTION_MS;
     setTimeout(() => runs.delete(attemptId), Math.max(RUN_RETENTION_MS, retentionMs)).unref();
@@ -135,7 +142,10 @@
     const run = target;
     run.listeners -= 1;
     if (run.isDelivered) return;
-    if (run.listeners === 0) run.trace.recordAbandoned();
+    if (run.listeners > 0) return;
+    run.trace.recordAbandoned();
+    // A queued call loses nothing: its sender may still send it elsewhere.
+    if (!run.hasStarted()) run.cancellation.cancel();
     setTimeout(() => {
       if (run.listeners === 0) run.cancellation.cancel();
     }, RESUME_TIMEOUT_MS);
@@ -147,7 +157,9 @@
     if (existing) return existing;
     if (resumedProcessId === undefined) {
       return ageRefusal === undefined
-        ? addRun(call, (cancellation) => runner.run(request, metadata, cancellation))
+        ? addRun(call, (cancellation, onStart) =>
+            runner.run(request, metadata, cancellation, onStart),
+          )
         : addResult(call, buildRefusal(ageRefusal, false, DELAYED_RETRY_MS));
     }
     // Only the process that the call was first sent to can tell that it did not arrive. The refusal
--- a/test/mesh/heldUpCalls.test.ts
+++ b/test/mesh/heldUpCalls.test.ts
@@ -116,7 +116,7 @@
     address: { host: HOST, port: instancePort },
     startedAtMs: 1,
     state: 'ready',
-    slots: 4,
+    slots: 1,
     warmupMs: 0,
     sequence: 1,
   });
@@ -299,6 +299,20 @@
   }, false);
 });
 
+test('a queued call whose caller left is not started before it could be resumed', async () => {
+  await withLink(async (setup) => {
+    const { instance, send } = setup;
+    instance.executionTimeMs = 250;
+    const running = send('running', { isIdempotent: false, remainingMs: 4000 });
+    const cancellation = new Cancellation();
+    const sent = send(HELD_CALL, { isIdempotent: true, remainingMs: 4000 }, cancellation);
+    await wait(150);
+    cancellation.cancel();
+    await Promise.all([running, sent]);
+    await assertNotStarted(setup);
+  });
+});
+
 test('a held call hands its instance no more time than its caller has left', async () => {
   await withLink(async ({ instance, link, send }) => {
     link.setState({ kind: 'delayed', delayMs: HELD_MS });
