Cancel all pipelined requests of a caller that leaves, not only the first

What happened: a caller that sends further requests before the first response and then closes its connection left all but the first running, at instances that other callers wait for. The node also counted them as open for ever, so that its planned stop took the whole stop limit. Cause: the end of a request was taken from the `close` event of its response, and a response of Node's HTTP server that waits behind another on its connection has none when the connection closes. Change: the open requests are kept by connection (openRequests.ts), whose end cancels all of them.

--- a/src/mesh/callPort.ts
+++ b/src/mesh/callPort.ts
@@ -7,10 +7,11 @@
 import { filterHeaders, getHeader, type HeaderNames } from './headers.js';
 import type { MeshMetrics } from './meshMetrics.js';
 import type { CallerLimits, HttpResponse, MeshConfig, MeshSettings } from './model.js';
+import { OpenRequests } from './openRequests.js';
 import { NODE_HEADERS } from './peerMessages.js';
 import { readBody } from './readBody.js';
 import { RequestAges } from './requestAges.js';
-import { Cancellation } from './signal.js';
+import type { Cancellation } from './signal.js';
 import { matchRoute } from './targets.js';
 
 /** Header size limit of the HTTP parser, in bytes; the configured limit is lower. */
@@ -87,11 +88,8 @@
 /** Creates the port; the caller binds its server. */
 export function createCallPort(options: CallPortOptions): CallPort {
   const { router, names, log, metrics } = options;
-  let open = 0;
   const ages = new RequestAges();
-  const cancellations = new Set<Cancellation>();
-  const openBySocket = new WeakMap<Socket, number>();
-  const countOpenOn = (socket: Socket) => openBySocket.get(socket) ?? 0;
+  const openRequests = new OpenRequests();
   let isClosing = false;
   let isRefusing = false;
   const strippedRequestHeaders: ReadonlySet<string> = new Set([
@@ -124,7 +122,7 @@
     };
     log.write('info', 'call-ended', fields);
     metrics.count('calls', `outcome="${outcome.kind}"`);
-    if (response.destroyed) return;
+    if (response.destroyed || response.req.socket.destroyed) return;
     switch (outcome.kind) {
       case 'answered':
         metrics.recordLatency('call', elapsedMs);
@@ -141,7 +139,11 @@
     }
   };
 
-  const serve = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
+  const serve = async (
+    message: IncomingMessage,
+    response: ServerResponse,
+    cancellation: Cancellation,
+  ): Promise<void> => {
     const startedAtMs = performance.now();
     const { rawHeaders } = message;
     const requestId = getHeader(rawHeaders, names.requestId) ?? '';
@@ -171,10 +173,6 @@
       if (body === 'too-large') writeRefusal(413);
       return;
     }
-    const cancellation = new Cancellation();
-    response.once('close', () => {
-      if (!response.writableFinished) cancellation.cancel();
-    });
     const headers = filterHeaders(rawHeaders, strippedRequestHeaders);
     headers.push(names.callerService, options.getSettings().service);
     const receivedDeadlineMs = Number(getHeader(rawHeaders, names.deadline));
@@ -197,30 +195,21 @@
         timing: undefined,
       },
     };
-    cancellations.add(cancellation);
     const outcome = await router.run(call);
-    cancellations.delete(cancellation);
     writeOutcome(response, call, outcome);
   };
 
   const server = createServer(
     { keepAlive: true, noDelay: true, maxHeaderSize: MAX_HEAD_BYTES },
     (message, response) => {
-      const { socket } = message;
-      open += 1;
-      openBySocket.set(socket, countOpenOn(socket) + 1);
-      response.once('close', () => {
-        open -= 1;
-        openBySocket.set(socket, countOpenOn(socket) - 1);
-      });
-      void serve(message, response);
+      void serve(message, response, openRequests.add(message.socket, response));
     },
   );
   server.requestTimeout = 0;
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
     log.write('warn', 'malformed-request', { step: 'call.read', reason: error.code });
     // With requests still open, the caller would assign this response to one of them.
-    if (socket.writable && countOpenOn(socket) === 0) {
+    if (socket.writable && openRequests.countOn(socket) === 0) {
       const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Too Large' : '400 Bad Request';
       socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
     } else {
@@ -230,17 +219,14 @@
 
   return {
     server,
-    countOpen: () => open,
+    countOpen: () => openRequests.count(),
     closeAfterResponses() {
       isClosing = true;
     },
     refuseNew() {
       isRefusing = true;
     },
-    cancelOpen() {
-      for (const cancellation of cancellations) cancellation.cancel();
-      return cancellations.size;
-    },
+    cancelOpen: () => openRequests.cancelAll(),
     applyConfig(limits, routes) {
       ages.evictRoutes(routes);
       server.keepAliveTimeout = limits.idleTimeoutMs;
