Resolve to the reason when an address cannot be connected to at all

Callers saw: the process of a node ended (code 1, restarted by the platform) with every request that it had, as soon as it called a node whose record had a port above 65,535. Cause: net.connect throws for such an address instead of emitting an error, so openSocket rejected. Nothing above it expects that: PeerCalls.send never rejects by its own words, and an unhandled rejection ends the process. Why this works: the one place that connects turns the exception into the reason that it resolves to, so all users (calls, store, instance) take their usual path for a peer that cannot be reached.

--- a/src/mesh/httpConnection.ts
+++ b/src/mesh/httpConnection.ts
@@ -267,10 +267,23 @@
   }
 }
 
-/** Opens a socket; resolves to the reason when that fails or times out. */
+/** Starts to connect; returns the reason when the address cannot be connected to at all. */
+function startConnect({ host, port }: PeerAddress): Socket | string {
+  try {
+    return connect({ host, port, noDelay: true });
+  } catch (thrown) {
+    return thrown instanceof Error ? thrown.message : String(thrown);
+  }
+}
+
+/** Opens a socket; resolves to the reason when that fails or times out. Never rejects. */
 export function openSocket(address: PeerAddress, timeoutMs: number): Promise<Socket | string> {
   return new Promise((resolve) => {
-    const socket = connect({ host: address.host, port: address.port, noDelay: true });
+    const socket = startConnect(address);
+    if (typeof socket === 'string') {
+      resolve(socket);
+      return;
+    }
     const timer = setTimeout(() => {
       socket.destroy();
       resolve('timeout');
--- a/test/mesh/httpConnection.test.ts
+++ b/test/mesh/httpConnection.test.ts
@@ -215,3 +215,18 @@
     assert.equal(received, 1);
   });
 });
+
+const BAD_ADDRESSES = [
+  { host: '127.0.0.1', port: 99_999 },
+  { host: '127.0.0.1', port: -1 },
+  { host: '127.0.0.1', port: 0.5 },
+  { host: '127.0.0.1', port: 1e308 },
+  { host: '127.0.0.1', port: NaN },
+  { host: '127.0.0.1', port: '{}' as unknown as number },
+  { host: 7 as unknown as string, port: 9000 },
+];
+for (const address of BAD_ADDRESSES) {
+  test(`a socket to ${address.host}:${address.port} fails without an exception`, async () => {
+    assert.equal(typeof (await openSocket(address, 1000)), 'string');
+  });
+}
