Decode the records of nodes field by field, and hold on to the others when one is odd

Callers saw: with one record of another writer among those of the nodes, requests went to an instance that does not exist; a node ended again and again (port out of range at the first call; a nested value in its own record, at each start); a node was never ready again (departure in the far future). Cause: decodePublishedNode checked a few types and then used the stored value as it was. The own record went through JSON.stringify, which overflows the stack at a depth of some 5,000; the exception left watchKind, which nothing restarts. Why this works: each field is bounded by what the code relies on (an IP address and a port from 1, a whole number of slots, a start time that is not in the future, names that fit a header or a URL), and the result is a new object of the known fields, so that nothing of unknown depth is kept or printed. A record that becomes unusable counts as unlisted like a removed one. The reason is logged, once for each change of the record, since a list repeats all of them.

--- a/src/mesh/nodeListener.ts
+++ b/src/mesh/nodeListener.ts
@@ -2,6 +2,7 @@
 import { brandText, type NodeId } from '../types/ids.js';
 import type { Directory } from './directory.js';
 import type { EventLog } from './eventLog.js';
+import { InvalidObjectLog } from './invalidObjectLog.js';
 import type { LocalInstance } from './localInstance.js';
 import { decodePublishedNode } from './nodeRecord.js';
 import type { Publisher } from './publisher.js';
@@ -21,7 +22,11 @@
 export class NodeListener implements KindListener {
   private isListReceived = false;
 
-  constructor(private readonly options: NodeListenerOptions) {}
+  private readonly invalidObjects: InvalidObjectLog;
+
+  constructor(private readonly options: NodeListenerOptions) {
+    this.invalidObjects = new InvalidObjectLog(options.log, 'record-invalid');
+  }
 
   /** True once a complete list has been applied. */
   hasReceivedList(): boolean {
@@ -30,41 +35,51 @@
 
   applyList({ objects, revision }: StoreList): void {
     const { ownId, directory, publisher } = this.options;
-    for (const object of objects) this.applyNode(object);
-    const listed = new Set(objects.map(({ name }) => brandText<NodeId>(name)));
-    if (!listed.has(ownId)) publisher.recordStoredState(revision, undefined);
+    const usable = objects.filter((object) => this.applyNode(object));
+    const listed = new Set(usable.map(({ name }) => brandText<NodeId>(name)));
+    const isOwnListed = objects.some(({ name }) => name === ownId);
+    if (!isOwnListed) publisher.recordStoredState(revision, undefined);
     listed.add(ownId);
     directory.markUnlistedExcept(listed, performance.now());
     this.isListReceived = true;
   }
 
   applyEvent(event: StoreEvent): void {
-    const { ownId, directory, publisher } = this.options;
+    const { ownId, publisher } = this.options;
     switch (event.kind) {
       case 'stored':
-        this.applyNode(event.object);
+        if (!this.applyNode(event.object)) this.markUnlisted(event.object.name);
         break;
       case 'removed':
         if (event.name === ownId) publisher.recordStoredState(event.revision, undefined);
-        else directory.markUnlisted(brandText<NodeId>(event.name), performance.now());
+        this.markUnlisted(event.name);
         break;
       default:
         throw new Error(`unknown event ${JSON.stringify(event satisfies never)}`);
     }
   }
 
-  private applyNode({ name, revision, value }: StoredObject): void {
-    const { ownId, instance, publisher, directory, log } = this.options;
-    const published = decodePublishedNode(value);
-    if (name === ownId) {
+  private markUnlisted(name: string): void {
+    const { ownId, directory } = this.options;
+    if (name !== ownId) directory.markUnlisted(brandText<NodeId>(name), performance.now());
+  }
+
+  /** Applies a record; returns false if it is not usable. */
+  private applyNode({ name, revision, value }: StoredObject): boolean {
+    const { ownId, instance, publisher, directory } = this.options;
+    const decoded = decodePublishedNode(name, value);
+    const isOwn = name === ownId;
+    if (isOwn) {
+      const published = decoded.unwrapOr(undefined);
       if (published?.left) instance.restoreDepartedInstance(published.left);
       publisher.recordStoredState(revision, published);
-      if (published) return;
     }
-    if (!published || published.record.nodeId !== name) {
-      log.write('warn', 'record-invalid', { peer: name });
-      return;
+    if (decoded.isErr()) {
+      const { step, message } = decoded.error;
+      this.invalidObjects.record(name, step, message, revision);
+      return false;
     }
-    directory.update(published.record, revision);
+    if (!isOwn) directory.update(decoded.value.record, revision);
+    return true;
   }
 }
--- a/src/mesh/nodeRecord.ts
+++ b/src/mesh/nodeRecord.ts
@@ -1,10 +1,25 @@
 /** The stored object in which a node publishes itself and its local instance. */
+import { err, ok, type Result } from 'neverthrow';
+import { buildError, toStepError, type StepError } from '../errors.js';
+import { brandText } from '../types/ids.js';
+import {
+  isAmount,
+  isCount,
+  isHeaderText,
+  isIpAddress,
+  isName,
+  isStartTime,
+  MAX_LINK_MBPS,
+  MAX_SLOTS,
+} from '../utils/boundedValues.js';
 import { hasHeartbeat, type DepartedInstance, type LocalInstance } from './localInstance.js';
 import type { MeshSettings, NodeRecord } from './model.js';
 
 /** Kind of these objects in the store. */
 export const NODE_KIND = 'lycheelane-nodes';
 
+const STEP = 'record.decode';
+
 /** Settings that a node publishes. */
 export type PublishedSettings = Pick<
   MeshSettings,
@@ -19,36 +34,84 @@
   readonly left?: DepartedInstance;
 }
 
-function hasStringFields(record: Partial<NodeRecord>): boolean {
-  const texts = [
-    record.nodeId,
-    record.incarnation,
-    record.dataCentre,
-    record.service,
-    record.instanceId,
-  ];
-  return texts.every((text) => typeof text === 'string');
+function requireField<Value>(
+  isValid: (value: unknown) => value is Value,
+  value: unknown,
+  name: string,
+): Value {
+  if (!isValid(value)) throw buildError('invalid', STEP, 'store', `${name} is not usable`);
+  return value;
+}
+
+function requireOptional<Value>(
+  isValid: (value: unknown) => value is Value,
+  value: unknown,
+  name: string,
+): Value | undefined {
+  return value === undefined ? undefined : requireField(isValid, value, name);
+}
+
+function isSlotCount(value: unknown): value is number {
+  return isCount(value, MAX_SLOTS);
+}
+
+function isLinkMbps(value: unknown): value is number {
+  return isAmount(value, MAX_LINK_MBPS);
+}
+
+function isNodeState(value: unknown): value is NodeRecord['state'] {
+  return value === 'ready' || value === 'leaving';
+}
+
+function decodeDepartedInstance(left: unknown): DepartedInstance | undefined {
+  const { instanceId, startedAtMs, sequence } = (left ?? {}) as Partial<DepartedInstance>;
+  if (!isHeaderText(instanceId) || !isStartTime(startedAtMs) || !isCount(sequence)) {
+    return undefined;
+  }
+  return { instanceId, startedAtMs, sequence };
+}
+
+function decodeRecord(record: Partial<NodeRecord>): NodeRecord {
+  const address = requireField(isIpAddress, record.address, 'address');
+  return {
+    nodeId: brandText(requireField(isName, record.nodeId, 'nodeId')),
+    incarnation: requireField(isHeaderText, record.incarnation, 'incarnation'),
+    dataCentre: brandText(requireField(isName, record.dataCentre, 'dataCentre')),
+    address: { host: address.host, port: address.port },
+    service: brandText(requireField(isName, record.service, 'service')),
+    instanceId: brandText(requireField(isHeaderText, record.instanceId, 'instanceId')),
+    startedAtMs: requireOptional(isStartTime, record.startedAtMs, 'startedAtMs'),
+    slots: requireField(isSlotCount, record.slots, 'slots'),
+    state: requireField(isNodeState, record.state, 'state'),
+    linkMbps: requireOptional(isLinkMbps, record.linkMbps, 'linkMbps'),
+  };
 }
 
-function isDepartedInstance(left: DepartedInstance | undefined): boolean {
-  return (
-    typeof left === 'object' &&
-    left !== null &&
-    typeof left.instanceId === 'string' &&
-    Number.isFinite(left.startedAtMs)
-  );
+/**
+ * Decodes the stored value of the object `name`. The result has the known fields only, in the order
+ * of `buildPublishedNode`, so that both can be compared as text.
+ */
+export function decodePublishedNode(
+  name: string,
+  value: unknown,
+): Result<PublishedNode, StepError> {
+  const { record, left } = (value ?? {}) as { record?: Partial<NodeRecord>; left?: unknown };
+  try {
+    const decoded = decodeRecord(record ?? {});
+    if (decoded.nodeId !== name) {
+      return err(buildError('invalid', STEP, name, `names node ${decoded.nodeId}`));
+    }
+    const departed = decodeDepartedInstance(left);
+    return ok(departed ? { record: decoded, left: departed } : { record: decoded });
+  } catch (thrown) {
+    return err(toStepError(thrown, STEP, name));
+  }
 }
 
-/** Decodes a stored value; returns undefined if it is not a valid published node. */
-export function decodePublishedNode(value: unknown): PublishedNode | undefined {
-  if (typeof value !== 'object' || value === null) return undefined;
-  const { record, left } = value as { record?: Partial<NodeRecord>; left?: DepartedInstance };
-  if (!record || !hasStringFields(record) || !Number.isFinite(record.slots)) return undefined;
-  const { address, state, linkMbps = 0 } = record;
-  if (!Number.isFinite(linkMbps)) return undefined;
-  if (typeof address?.host !== 'string' || !Number.isInteger(address.port)) return undefined;
-  if (state !== 'ready' && state !== 'leaving') return undefined;
-  return { record: record as NodeRecord, left: isDepartedInstance(left) ? left : undefined };
+/** Returns the fields that are stored: the latest heartbeat of the instance has more. */
+function omitHeartbeatFields(departed: DepartedInstance): DepartedInstance {
+  const { instanceId, startedAtMs, sequence } = departed;
+  return { instanceId, startedAtMs, sequence };
 }
 
 /**
@@ -79,5 +142,5 @@
     state: state.kind === 'ready' && !isStopping ? 'ready' : 'leaving',
     linkMbps,
   };
-  return departedInstance ? { record, left: departedInstance } : { record };
+  return departedInstance ? { record, left: omitHeartbeatFields(departedInstance) } : { record };
 }
--- a/src/mesh/publisher.ts
+++ b/src/mesh/publisher.ts
@@ -5,7 +5,7 @@
  */
 import { computeDelayMs, waitMs } from '../utils/backoff.js';
 import type { EventLog } from './eventLog.js';
-import { NODE_KIND, type PublishedNode } from './nodeRecord.js';
+import { decodePublishedNode, NODE_KIND, type PublishedNode } from './nodeRecord.js';
 import type { MeshStore } from './store.js';
 
 /** Backoff after a failed write. */
@@ -115,8 +115,10 @@
   private async refresh(): Promise<boolean> {
     const read = await this.store.read(NODE_KIND, this.name);
     if (read.isOk()) {
-      this.revision = read.value.revision;
-      this.storedJson = JSON.stringify(read.value.value);
+      const { revision, value } = read.value;
+      const stored = decodePublishedNode(this.name, value);
+      this.revision = revision;
+      this.storedJson = stored.isOk() ? JSON.stringify(stored.value) : undefined;
       return true;
     }
     if (read.error.kind !== 'not-found') return false;
