Decode the objects of a list or watch one by one, so that an odd one hides no other

Callers saw: machines that stopped following the list. With one object that cannot be decoded, each list and each watch failed as a whole; nodes neither learned of new instances nor of leaving ones, and a node that started was never ready. A name with half a surrogate pair at the end of a page ended the process. Cause: decodeObject and decodeEvent threw for the whole response. Revisions of any size were taken: 1e308 became the position of the node, and its report to the others could no longer be read. The name went into the URL of the next page, where encodeURIComponent throws outside of any try. Why this works: each entry is decoded by itself, and those that fail are handed on with their reason; the watch logs them once for each change and goes on from AtRev. The stand-in of the store can hold such objects and texts that JSON.stringify cannot write.

--- a/src/mesh/store.ts
+++ b/src/mesh/store.ts
@@ -16,15 +16,24 @@
   | { readonly kind: 'stored'; readonly object: StoredObject }
   | { readonly kind: 'removed'; readonly name: string; readonly revision: number };
 
+/** An object or event that could not be decoded; the others of its list or watch hold. */
+export interface InvalidObject {
+  /** Name of the object; empty if it is not readable. */
+  readonly name: string;
+  readonly error: StepError;
+}
+
 /** The objects of a kind at one revision. */
 export interface StoreList {
   readonly objects: readonly StoredObject[];
+  readonly invalid?: readonly InvalidObject[];
   readonly revision: number;
 }
 
 /** The changes since a revision. */
 export interface StoreChanges {
   readonly events: readonly StoreEvent[];
+  readonly invalid?: readonly InvalidObject[];
   readonly revision: number;
 }
 
--- a/src/mesh/watchKind.ts
+++ b/src/mesh/watchKind.ts
@@ -5,9 +5,10 @@
  */
 import { computeDelayMs, waitMs as wait } from '../utils/backoff.js';
 import type { EventLog } from './eventLog.js';
+import { InvalidObjectLog } from './invalidObjectLog.js';
 import type { KindPosition } from './kindPosition.js';
 import { Cancellation } from './signal.js';
-import type { MeshStore, StoreChanges, StoreEvent, StoreList } from './store.js';
+import type { MeshStore, StoreChanges, StoreEvent, StoreList, InvalidObject } from './store.js';
 
 /** Wait of the first watch after a failure; it is short so that recovery is detected early. */
 const RECOVERY_WATCH_MS = 300;
@@ -47,6 +48,10 @@
   readonly source?: ChangeSource;
 }
 
+function logInvalid(log: InvalidObjectLog, invalid: readonly InvalidObject[] = []): void {
+  for (const { name, error } of invalid) log.record(name, error.step, error.message);
+}
+
 function applyList({ listener, position }: WatchKindOptions, list: StoreList): void {
   listener.applyList(list);
   for (const { revision } of list.objects) position.recordChange(revision);
@@ -77,6 +82,7 @@
 /** Watches a kind until `isStopped` returns true. Never throws. */
 export async function watchKind(options: WatchKindOptions): Promise<void> {
   const { store, kind, position, log, isStopped } = options;
+  const invalidObjectLog = new InvalidObjectLog(log, 'object-invalid');
   let revision: number | undefined;
   /** Era that `revision` belongs to. */
   let era = position.getEra();
@@ -107,6 +113,7 @@
         continue;
       }
       recordSuccess();
+      logInvalid(invalidObjectLog, listed.value.invalid);
       applyList(options, listed.value);
       revision = listed.value.revision;
       era = position.getEra();
@@ -139,6 +146,7 @@
       continue;
     }
     recordSuccess();
+    logInvalid(invalidObjectLog, watched.value.invalid);
     applyChanges(options, watched.value);
     revision = Math.max(revision, watched.value.revision);
     if (watched.value.events.length > 0) await wait(options.getPauseMs());
--- a/standins/mesh/storeServer.ts
+++ b/standins/mesh/storeServer.ts
@@ -1,7 +1,8 @@
 /** Stand-in for the platform's metadata store: its HTTP protocol, with fault injection. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { waitMs } from '../../src/utils/backoff.js';
-import { closeServer, openServer, sendJson } from '../http.js';
+import { closeServer, openServer } from '../http.js';
+import { encodeWithRawJson } from './oddValues.js';
 
 /** Fault that the store injects into requests. */
 export type StoreFault =
@@ -21,6 +22,8 @@
   readonly spec: unknown;
   readonly revision: number;
   readonly created: number;
+  /** What lists and events hold in place of the object, as another writer may leave it. */
+  readonly replacement?: unknown;
 }
 
 interface StoredChange {
@@ -45,7 +48,18 @@
 
 const OBJECT_PATH = /^\/objects\/([^/]+)(?:\/([^/]+))?$/;
 
-function formatObject({ name, spec, revision, created }: StoredObject): object {
+function sendJson(response: ServerResponse, status: number, value: unknown): void {
+  if (response.destroyed || response.headersSent) return;
+  const text = Buffer.from(encodeWithRawJson(value));
+  response.writeHead(status, {
+    'Content-Type': 'application/json',
+    'Content-Length': text.length,
+  });
+  response.end(text);
+}
+
+function formatObject({ name, spec, revision, created, replacement }: StoredObject): unknown {
+  if (replacement !== undefined) return replacement;
   const metadata = {
     Name: name,
     Revision: revision,
@@ -61,7 +75,7 @@
   value: object,
   { chunkCount, chunkIntervalMs }: Extract<StoreFault, { kind: 'slow-link' }>,
 ): Promise<void> {
-  const bytes = Buffer.from(JSON.stringify(value));
+  const bytes = Buffer.from(encodeWithRawJson(value));
   const size = Math.ceil(bytes.length / chunkCount);
   response.writeHead(200, { 'Content-Length': bytes.length });
   for (let from = 0; from < bytes.length; from += size) {
@@ -117,6 +131,13 @@
     return this.storeObject(kind, name, spec).revision;
   }
 
+  /** Stores an object in whose place lists and events hold `replacement`. */
+  putReplaced(kind: string, name: string, replacement: unknown): void {
+    const object = { name, spec: null, revision: this.revision + 1, created: 1, replacement };
+    this.getObjectsOfKind(kind).set(name, object);
+    this.recordChange(kind, object, false);
+  }
+
   get(kind: string, name: string): unknown {
     return this.getObjectsOfKind(kind).get(name)?.spec;
   }
@@ -297,7 +318,7 @@
     query: URLSearchParams,
     response: ServerResponse | undefined,
   ): void {
-    const respond = (status: number, value: object) =>
+    const respond = (status: number, value: unknown) =>
       response && sendJson(response, status, value);
     const objectName = decodeURIComponent(name ?? body.Metadata?.Name ?? '');
     const existing = this.getObjectsOfKind(kind).get(objectName);
--- a/test/mesh/watches.test.ts
+++ b/test/mesh/watches.test.ts
@@ -150,6 +150,30 @@
   await runWatch(true, listAgain, era);
 });
 
+test('an object that cannot be decoded is logged once, and the watch goes on', async () => {
+  const lines: string[] = [];
+  const error = buildError('invalid', 'store.watch', 'store', 'Metadata must be an object');
+  const invalid = [{ name: 'odd', error }];
+  let calls = 0;
+  await watchKind({
+    store: {
+      list: async () => ok<StoreList>({ objects: [], invalid, revision: 4 }),
+      watch: async () => {
+        calls += 1;
+        return ok<StoreChanges>({ events: [], invalid, revision: 4 + calls });
+      },
+    },
+    kind: 'nodes',
+    listener: { applyList: () => {}, applyEvent: () => {} },
+    position: new KindPosition(),
+    log: { write: (_level, event, fields) => lines.push(`${event} ${fields?.peer}`) },
+    getWaitMs: () => 25_000,
+    getPauseMs: () => 0,
+    isStopped: () => calls === 3,
+  });
+  assert.deepEqual(lines, ['object-invalid odd']);
+});
+
 test('a version that a source confirms is not reported to other nodes as a change', async () => {
   const position = new KindPosition();
   const lists: number[] = [];
--- a/test/platform/storeClient.test.ts
+++ b/test/platform/storeClient.test.ts
@@ -4,6 +4,7 @@
 import type { MeshStore } from '../../src/mesh/store.js';
 import { Cancellation } from '../../src/mesh/signal.js';
 import { createStoreClient } from '../../platform/storeClient.js';
+import { formatNested, RawJson } from '../../standins/mesh/oddValues.js';
 import { SlowLink } from '../../standins/mesh/slowLink.js';
 import { StoreServer, type StoreFault } from '../../standins/mesh/storeServer.js';
 
@@ -130,6 +131,54 @@
   }
 });
 
+const ODD_OBJECTS: readonly (readonly [title: string, object: unknown])[] = [
+  ['null', null],
+  ['a number', 7],
+  ['a list', []],
+  ['an object without metadata', { Spec: {} }],
+  ['a deeply nested object', formatNested(100_000)],
+  ['deeply nested metadata', { Metadata: formatNested(100_000), Spec: {} }],
+  ['a nested name', { Metadata: { Name: formatNested(100_000), Revision: 3 }, Spec: {} }],
+  ['an empty name', { Metadata: { Name: '', Revision: 3 }, Spec: {} }],
+  ['a name that no URL can hold', { Metadata: { Name: 'n-\ud800', Revision: 3 }, Spec: {} }],
+  ['a revision of 1e308', { Metadata: { Name: 'n', Revision: new RawJson('1e308') }, Spec: {} }],
+  ['a revision of 1e999', { Metadata: { Name: 'n', Revision: new RawJson('1e999') }, Spec: {} }],
+  ['a fraction as revision', { Metadata: { Name: 'n', Revision: 2.5 }, Spec: {} }],
+  ['a negative revision', { Metadata: { Name: 'n', Revision: -2 }, Spec: {} }],
+];
+for (const [title, object] of ODD_OBJECTS) {
+  test(`${title} in a list and in a watch does not hide the other objects`, async () => {
+    await withStore(async (store, server) => {
+      const from = server.put('nodes', 'a', {});
+      server.putReplaced('nodes', 'b', object);
+      server.put('nodes', 'c', {});
+      Object.assign(server, { pageSize: 2 });
+      const listed = (await store.list('nodes'))._unsafeUnwrap();
+      assert.deepEqual(
+        listed.objects.map(({ name }) => name),
+        ['a', 'c'],
+      );
+      assert.ok(listed.invalid!.length > 0);
+      const { events, invalid, revision } = (
+        await store.watch('nodes', from, 1000)
+      )._unsafeUnwrap();
+      assert.deepEqual(
+        events.map((event) => event.kind === 'stored' && event.object.name),
+        ['c'],
+      );
+      assert.equal(invalid!.length, 1);
+      assert.equal(revision, from + 2);
+    });
+  });
+}
+
+test('a single object that cannot be decoded is an error and not an exception', async () => {
+  await withStore(async (store, server) => {
+    server.putReplaced('nodes', 'b', formatNested(100_000));
+    assert.equal((await store.read('nodes', 'b'))._unsafeUnwrapErr().step, 'store.read');
+  });
+});
+
 const FAULTS: readonly { readonly fault: StoreFault; readonly kind: string }[] = [
   { fault: { kind: 'refuse', status: 429 }, kind: 'busy' },
   { fault: { kind: 'refuse', status: 503 }, kind: 'busy' },
