--- a/src/utils/boundedValues.ts
+++ b/src/utils/boundedValues.ts
@@ -15,8 +15,8 @@
 
 const MAX_NAME_LENGTH = 512;
 
-/** Tolerance for clocks that are set differently; a later start time is not a start time. */
-const MAX_CLOCK_OFFSET_MS = 24 * 60 * 60 * 1000;
+/** Tolerance for clocks that are set wrongly; a start time beyond it was not read from a clock. */
+const MAX_CLOCK_OFFSET_MS = 365 * 24 * 60 * 60 * 1000;
 
 const HEADER_TEXT = /^[\x21-\x7e]+$/;
 
@@ -53,7 +53,7 @@
   return isName(value) && HEADER_TEXT.test(value);
 }
 
-/** True for a start time in Unix milliseconds that is not in the future. */
+/** True for a start time in Unix milliseconds that is not in the far future. */
 export function isStartTime(value: unknown): value is number {
   return isCount(value, Date.now() + MAX_CLOCK_OFFSET_MS);
 }
