--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -4,6 +4,8 @@
 import { decodeAnnouncement } from '../../platform/announcement.js';
 import { decodeConfiguration } from '../../platform/configuration.js';
 import { decodeSettings } from '../../platform/settings.js';
+import { ConfigHolder } from '../../src/mesh/configHolder.js';
+import { matchRoute } from '../../src/mesh/targets.js';
 import { buildConfiguration } from '../../standins/mesh/configuration.js';
 import { encodeWithRawJson, formatNested, RawJson } from '../../standins/mesh/oddValues.js';
 
@@ -118,6 +120,81 @@
   });
 }
 
+interface OddConfiguration {
+  readonly title: string;
+  /** Field of the first route, or of the limits. */
+  readonly field: string;
+  readonly value: unknown;
+}
+
+const ODD_CONFIGURATIONS: readonly OddConfiguration[] = [
+  { title: 'a timeout of 400 digits', field: 'Timeout', value: `${'9'.repeat(400)}ms` },
+  { title: 'a timeout beyond any timer', field: 'Timeout', value: '99999999s' },
+  { title: 'a negative timeout', field: 'Timeout', value: '-1s' },
+  { title: 'a nested timeout', field: 'Timeout', value: formatNested(5000) },
+  { title: 'a latency of 400 digits', field: 'TargetLatency', value: `${'9'.repeat(400)}s` },
+  { title: 'a priority of 1e308', field: 'Priority', value: 1e308 },
+  { title: 'a priority of 1e999', field: 'Priority', value: new RawJson('1e999') },
+  { title: 'attempts of 1e308', field: 'MaxAttempts', value: 1e308 },
+  { title: 'a weight of 1e308', field: 'Backends', value: [{ Service: 'a', Weight: 1e308 }] },
+  { title: 'a nested target', field: 'Backends', value: [formatNested(5000)] },
+  { title: 'a host that is an object', field: 'Host', value: formatNested(5000) },
+  { title: 'an idle time of 400 digits', field: 'IdleTimeout', value: `${'9'.repeat(400)}s` },
+  { title: 'a header time beyond any timer', field: 'HeaderTimeout', value: '99999999s' },
+  { title: 'a body size of 1e308', field: 'MaxBodyBytes', value: 1e308 },
+  { title: 'a header size of 1e999', field: 'MaxHeaderBytes', value: new RawJson('1e999') },
+];
+
+function buildOddConfiguration(version: number, { field, value }: OddConfiguration): unknown {
+  const configuration = JSON.parse(
+    JSON.stringify(buildConfiguration(version, [{ prefix: '/a/' }])),
+  ) as { Resources: { EntryKind: string; Spec: Record<string, unknown> }[] };
+  const isLimit = /^(Max.*Bytes|IdleTimeout|HeaderTimeout)$/.test(field);
+  const entry = configuration.Resources.find(
+    ({ EntryKind: kind }) => (kind === 'Limits') === isLimit,
+  );
+  entry!.Spec[field] = value;
+  return JSON.parse(encodeWithRawJson(configuration));
+}
+
+for (const odd of ODD_CONFIGURATIONS) {
+  test(`a configuration with ${odd.title} keeps the version in force`, () => {
+    const lines: string[] = [];
+    const holder = new ConfigHolder({
+      name: 'main',
+      decode: decodeConfiguration,
+      log: { write: (_level, event) => lines.push(event) },
+    });
+    const put = (revision: number, value: unknown) =>
+      holder.applyEvent({ kind: 'stored', object: { name: 'main', revision, value } });
+    put(5, buildConfiguration(1, [{ prefix: '/a/' }]));
+    put(6, buildOddConfiguration(2, odd));
+    assert.equal(holder.get()?.version, 1);
+    assert.ok(lines.includes('config-refused'));
+    put(7, buildConfiguration(3, [{ prefix: '/a/' }]));
+    assert.equal(holder.get()?.version, 3);
+  });
+}
+
+test('an entry of a kind that is not known does not matter, whatever it holds', () => {
+  const configuration = buildConfiguration(2, [{ prefix: '/a/' }]) as { Resources: object[] };
+  configuration.Resources.push({ EntryKind: 'Quotas', Metadata: null, Spec: [7] });
+  assert.equal(typeof decodeConfiguration(configuration), 'object');
+});
+
+test('names that objects inherit are plain names of routes, services and hosts', () => {
+  for (const name of ['__proto__', 'constructor', 'toString']) {
+    const value = buildConfiguration(2, [{ prefix: '/a/', service: name }]);
+    const renamed = JSON.parse(
+      JSON.stringify(value).replace('"r-0"', `"${name}"`).replace('"mesh.example"', `"${name}"`),
+    ) as unknown;
+    const config = decodeConfiguration(renamed);
+    assert.ok(typeof config === 'object', name);
+    assert.equal(matchRoute(config, name, '/a/')?.targets[0]?.service, name);
+    assert.equal(matchRoute(config, 'valueOf', '/a/'), undefined);
+  }
+});
+
 const getDistancePolicy = () => ({ waitShare: 1, spillRank: 1 });
 
 test('the error for invalid settings names the field', () => {
