Check the values of messages between nodes before they are used

Callers saw: the process that made a call ended when the result of a node was null or its load an object; an instance with a null or huge load was never chosen, or always; a delta with a null route ended the watch of the configuration, and with it the process. Cause: the headers mesh-terms and mesh-result and the deltas were parsed and then cast. Why this works: each field is checked where the message enters. An odd load or timing is left out and the answer holds; an odd call is not run (400); a delta applies as a whole or not at all; a refusal stays one, whatever its retry time is, since it is a promise.

--- a/src/mesh/configDelta.ts
+++ b/src/mesh/configDelta.ts
@@ -6,6 +6,8 @@
 import { err, ok, type Result } from 'neverthrow';
 import { buildError, type StepError } from '../errors.js';
 import type { ConfigVersion, RouteName } from '../types/ids.js';
+import { isCount } from '../utils/boundedValues.js';
+import { isCallerLimits, isMeshRoute } from './configGuards.js';
 import type { CallerLimits, MeshConfig, MeshRoute } from './model.js';
 import { buildRouteTable } from './routeTable.js';
 
@@ -81,9 +83,12 @@
   if (base.version !== delta.fromVersion) {
     return refuse(`starts from version ${delta.fromVersion}, installed is ${base.version}`);
   }
-  if (delta.toVersion <= base.version) {
+  if (!isCount(delta.toVersion) || delta.toVersion <= base.version) {
     return refuse(`leads to version ${delta.toVersion}, installed is ${base.version}`);
   }
+  if (!delta.routes.every(isMeshRoute) || !isCallerLimits(delta.limits)) {
+    return refuse('holds a route or limit that is not usable');
+  }
   const byName = mapRoutes(base);
   for (const name of delta.removed) byName.delete(name);
   for (const route of delta.routes) byName.set(route.name, route);
--- /dev/null
+++ b/src/mesh/configGuards.ts
@@ -0,0 +1,36 @@
+/** Guards for the parts of a configuration that another node sends. */
+import { isAmount, isName, MAX_DURATION_MS } from '../utils/boundedValues.js';
+import type { CallerLimits, MeshRoute, RouteTarget } from './model.js';
+
+function isDurationMs(value: unknown): value is number {
+  return isAmount(value, MAX_DURATION_MS);
+}
+
+function isRouteTarget(value: unknown): value is RouteTarget {
+  const { service, weight } = (value ?? {}) as Partial<RouteTarget>;
+  return isName(service) && isAmount(weight);
+}
+
+export function isMeshRoute(value: unknown): value is MeshRoute {
+  const route = (value ?? {}) as Partial<MeshRoute>;
+  return (
+    [route.name, route.host, route.pathPrefix].every((text) => typeof text === 'string') &&
+    Array.isArray(route.targets) &&
+    route.targets.every(isRouteTarget) &&
+    typeof route.isIdempotent === 'boolean' &&
+    isDurationMs(route.timeoutMs) &&
+    isDurationMs(route.objectiveMs) &&
+    isAmount(route.maxAttempts) &&
+    isAmount(route.priority)
+  );
+}
+
+export function isCallerLimits(value: unknown): value is CallerLimits {
+  const limits = (value ?? {}) as Partial<CallerLimits>;
+  return (
+    isAmount(limits.maxHeaderBytes) &&
+    isAmount(limits.maxBodyBytes) &&
+    isDurationMs(limits.headerTimeoutMs) &&
+    isDurationMs(limits.idleTimeoutMs)
+  );
+}
--- a/src/mesh/peerMessages.ts
+++ b/src/mesh/peerMessages.ts
@@ -1,5 +1,12 @@
 /** Encodes the headers by which nodes exchange the metadata of a call and its result. */
 import { brandText } from '../types/ids.js';
+import {
+  isAmount,
+  isCount,
+  isHeaderText,
+  MAX_DURATION_MS,
+  MAX_SLOTS,
+} from '../utils/boundedValues.js';
 import type { ClockReading, RemoteInstant } from './clockOffset.js';
 import type {
   CallMetadata,
@@ -109,6 +116,11 @@
   return JSON.stringify(resumedProcessId === undefined ? message : [...message, resumedProcessId]);
 }
 
+/** True for a remaining time; it is negative once the instant has passed. */
+function isRemainingMs(value: unknown): value is number {
+  return Number.isFinite(value) && (value as number) <= MAX_DURATION_MS;
+}
+
 /**
  * Decodes the metadata of a call that was sent at `sentAtMs`, on the clock of this process;
  * undefined when the text is missing or malformed.
@@ -136,6 +148,15 @@
     objectiveRemainingMs,
     resumedProcessId,
   ] = message;
+  const isUsable =
+    isHeaderText(attemptId) &&
+    typeof route === 'string' &&
+    isHeaderText(instanceId) &&
+    isAmount(priority) &&
+    isRemainingMs(remainingMs) &&
+    isRemainingMs(objectiveRemainingMs) &&
+    (resumedProcessId === undefined || isHeaderText(resumedProcessId));
+  if (!isUsable) return undefined;
   const metadata: CallMetadata = {
     attemptId,
     requestId,
@@ -205,10 +226,25 @@
   return [...common, limit.requestsPerS, Math.round(limit.availableStarts * 100) / 100];
 }
 
-function decodeLoad(message: LoadMessage): InstanceLoad {
-  const [slots, inFlight, meanMs, failures, limitPerS, availableStarts = 0] = message;
-  const limit = limitPerS === undefined ? undefined : { requestsPerS: limitPerS, availableStarts };
-  return { slots, inFlight, meanMs, failures: failures / 1000, limit };
+/** Decodes a load report; undefined when it is malformed, since it would distort the selection. */
+function decodeLoad(message: unknown): InstanceLoad | undefined {
+  if (!Array.isArray(message)) return undefined;
+  const [slots, inFlight, meanMs, failures, limitPerS, availableStarts = 0] =
+    message as unknown as LoadMessage;
+  const isUsable =
+    isCount(slots, MAX_SLOTS) && isCount(inFlight) && isAmount(meanMs) && isAmount(failures, 1000);
+  if (!isUsable) return undefined;
+  const load = { slots, inFlight, meanMs, failures: failures / 1000 };
+  if (limitPerS === undefined) return { ...load, limit: undefined };
+  const isLimit = isAmount(limitPerS) && limitPerS > 0 && Number.isFinite(availableStarts);
+  return isLimit ? { ...load, limit: { requestsPerS: limitPerS, availableStarts } } : undefined;
+}
+
+function decodeTiming(message: unknown): RunTiming | undefined {
+  if (!Array.isArray(message)) return undefined;
+  const [queueMs, runMs, transitMs] = message as unknown as TimingMessage;
+  if (!isAmount(queueMs) || !isAmount(runMs)) return undefined;
+  return isAmount(transitMs) ? { queueMs, runMs, transitMs } : { queueMs, runMs };
 }
 
 function encodeTiming({ queueMs, runMs, transitMs }: RunTiming): TimingMessage {
@@ -217,17 +253,22 @@
 }
 
 function toRunResult(message: ResultMessage, response: HttpResponse): RunResult {
+  const unreadable: RunResult = { kind: 'unknown', reason: 'unreadable result of a node' };
   switch (message.kind) {
     case 'answered':
       return { kind: 'answered', response };
     case 'notRun': {
       const { kind, reason, retryAfterMs, hasArrived } = message;
-      return { kind, reason, retryAfterMs, hasArrived };
+      if (typeof reason !== 'string') return unreadable;
+      const waitMs = isAmount(retryAfterMs, MAX_DURATION_MS) ? retryAfterMs : 0;
+      return { kind, reason, retryAfterMs: waitMs, hasArrived: hasArrived === true };
     }
     case 'unknown':
-      return { kind: 'unknown', reason: message.reason };
+      return typeof message.reason === 'string'
+        ? { kind: 'unknown', reason: message.reason }
+        : unreadable;
     default:
-      return { kind: 'unknown', reason: 'unreadable result of a node' };
+      return unreadable;
   }
 }
 
@@ -248,16 +289,16 @@
   response: HttpResponse,
 ): RunReport | undefined {
   if (text === undefined) return undefined;
-  let message: ResultMessage;
+  let message: ResultMessage | null;
   try {
-    message = JSON.parse(text) as ResultMessage;
+    message = JSON.parse(text) as ResultMessage | null;
   } catch {
     return undefined;
   }
-  const { load, timing } = message;
+  if (message === null) return undefined;
   return {
     result: toRunResult(message, response),
-    load: load && decodeLoad(load),
-    timing: timing && { queueMs: timing[0], runMs: timing[1], transitMs: timing[2] },
+    load: decodeLoad(message.load),
+    timing: decodeTiming(message.timing),
   };
 }
