Treat a response whose headers cannot be forwarded as malformed

Callers saw: processes that ended by themselves. An instance that hands out wrong bytes, such as a control character in the value of a header, ended the process beside it, and that of the caller. Cause: http-parser-js accepts any byte but a line end in a header value; ServerResponse.writeHead throws on control characters and on names that are no token. The exception leaves the async serve of the call port or the peer port, and an unhandled rejection ends the process. Evidence: test/mesh/httpConnection on the code before: not ok 11 - a connection reads a control character in a header not ok 13 - a connection reads a header name that is no token and writeHead with the headers of such a response: ERR_INVALID_CHAR, "Invalid character in header content". Ruled out: a lone carriage return (the parser leaves that header out), names with blanks (left out), statuses (the parser takes three digits, those below 200 are interim). Why this works: the head is validated with the functions of node:http that writeHead itself uses, where the response enters. The request counts as possibly run, as after other malformed responses.

--- a/src/mesh/httpConnection.ts
+++ b/src/mesh/httpConnection.ts
@@ -2,6 +2,7 @@
  * HTTP/1.1 client connection for one request at a time. It reports whether a request may have
  * reached the peer, and discards responses that belong to other requests.
  */
+import { validateHeaderName, validateHeaderValue } from 'node:http';
 import { connect, type Socket } from 'node:net';
 import { HTTPParser } from 'http-parser-js';
 import type { PeerAddress } from '../types/interfaces.js';
@@ -68,6 +69,14 @@
   return hasBody ? Buffer.concat([headBytes, request.body]) : headBytes;
 }
 
+/** Throws if a header cannot be forwarded; the parser accepts control characters in values. */
+function validateHeaders(headers: readonly string[]): void {
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    validateHeaderName(headers[index]!);
+    validateHeaderValue(headers[index]!, headers[index + 1]!);
+  }
+}
+
 /** Runs a parser step. The parser returns its own errors and rethrows those of its callbacks. */
 function runParser(step: () => number | void | Error): Error | undefined {
   try {
@@ -180,6 +189,7 @@
   private handleHead(info: ResponseHead): boolean {
     const { pending } = this;
     if (!pending) throw new Error('response without a request');
+    validateHeaders(info.headers);
     const length = getHeader(info.headers, 'content-length');
     // The parser never completes a message whose length is not a number.
     if (length !== undefined && !/^\d+$/.test(length)) throw new Error('invalid length');
--- a/test/mesh/httpConnection.test.ts
+++ b/test/mesh/httpConnection.test.ts
@@ -113,6 +113,24 @@
     body: undefined,
     canReuse: false,
   },
+  {
+    name: 'a control character in a header',
+    bytes: `${HEAD}Note: a\u0001b\r\nContent-Length: 3\r\n\r\nown`,
+    body: undefined,
+    canReuse: false,
+  },
+  {
+    name: 'a line end within a header',
+    bytes: `${HEAD}Note: a\rb\r\nContent-Length: 3\r\n\r\nown`,
+    body: undefined,
+    canReuse: false,
+  },
+  {
+    name: 'a header name that is no token',
+    bytes: `${HEAD}No(te): a\r\nContent-Length: 3\r\n\r\nown`,
+    body: undefined,
+    canReuse: false,
+  },
   {
     name: 'a response to another request before the matching one',
     bytes: buildResponse('0', 'foreign') + buildResponse('1', 'own'),
