Ignore a limit of an instance that is no number, and log it once per second

Callers saw: an instance that got no request any more, and a busy process, once its responses had named a Server-Limit of 400 digits. Cause: the text matched and became Infinity; the tokens of the limit became NaN (0 ms x Infinity), no request could start, and the timer of the next start, NaN ms, fired each millisecond. Why this works: a limit beyond the safe numbers is invalid, as other texts: the one in force holds.

--- a/src/mesh/instanceNotice.ts
+++ b/src/mesh/instanceNotice.ts
@@ -1,4 +1,5 @@
 /** What an instance says about itself in the headers of its responses. */
+import { isAmount } from '../utils/boundedValues.js';
 import { getHeader, type HeaderNames } from './headers.js';
 
 /** Limit on the requests that an instance gets, as a response states it. */
@@ -18,7 +19,8 @@
 function parseLimit(text: string | undefined): NamedLimit {
   if (text === undefined) return { kind: 'none' };
   if (!/^\d+(\.\d+)?$/.test(text.trim())) return { kind: 'invalid', text };
-  return { kind: 'named', requestsPerS: Number(text) };
+  const requestsPerS = Number(text);
+  return isAmount(requestsPerS) ? { kind: 'named', requestsPerS } : { kind: 'invalid', text };
 }
 
 /** Reads the notice of an instance from the headers of its response. */
--- a/src/mesh/limitMonitor.ts
+++ b/src/mesh/limitMonitor.ts
@@ -20,6 +20,8 @@
 
   private loggedAtMs = -Infinity;
 
+  private invalidLoggedAtMs = -Infinity;
+
   constructor(private readonly log: EventLog) {}
 
   /** Records a request that is sent to the instance; `origin` is the process that it came from. */
@@ -41,17 +43,22 @@
         if (nowMs - this.loggedAtMs >= LOG_INTERVAL_MS) this.writeLine('instance-limit', nowMs);
         break;
       case 'invalid':
-        this.log.write('warn', 'instance-limit-invalid', {
-          step: 'instance.readNotice',
-          peer: 'instance',
-          text: limit.text.slice(0, 40),
-        });
+        if (nowMs - this.invalidLoggedAtMs >= LOG_INTERVAL_MS) this.writeInvalid(limit.text, nowMs);
         break;
       default:
         throw new Error(`unknown limit ${JSON.stringify(limit satisfies never)}`);
     }
   }
 
+  private writeInvalid(text: string, nowMs: number): void {
+    this.invalidLoggedAtMs = nowMs;
+    this.log.write('warn', 'instance-limit-invalid', {
+      step: 'instance.readNotice',
+      peer: 'instance',
+      text: text.slice(0, 40),
+    });
+  }
+
   private writeLine(event: string, nowMs: number): void {
     this.loggedAtMs = nowMs;
     this.evictStarts(nowMs);
--- a/standins/mesh/instanceServer.ts
+++ b/standins/mesh/instanceServer.ts
@@ -39,7 +39,7 @@
   fault: InstanceFault = { kind: 'none' };
 
   /** Limit that responses name, in requests per second from all hosts; undefined for none. */
-  requestLimitPerS: number | undefined;
+  requestLimitPerS: number | string | undefined;
 
   /** True when responses say that the instance leaves. */
   isLeaving = false;
