Play responses of instances that are cut at each byte, up to the caller (held before)

Another operator reported that an instance stopped in the middle of the head of its response and closed, and that callers got a 200 with an empty or short body, framed as whole.

The stand-in gets the fault 'script', by which a test writes the bytes.

--- a/standins/mesh/instanceServer.ts
+++ b/standins/mesh/instanceServer.ts
@@ -17,7 +17,20 @@
   /** Writes `head`, then `repeated` without end, until the connection is closed. */
   | { readonly kind: 'endless'; readonly head: string; readonly repeated: string }
   /** Writes these bytes before the response, or instead of it if `isLast`. */
-  | { readonly kind: 'bytes'; readonly text: string; readonly isLast: boolean };
+  | { readonly kind: 'bytes'; readonly text: string; readonly isLast: boolean }
+  /** Runs the request and leaves the response to `write`. */
+  | { readonly kind: 'script'; readonly write: (socket: Socket, requestId: string) => void };
+
+/** How a cut response ends its connection. */
+export type CutEnding = 'fin' | 'reset';
+
+export const CUT_ENDINGS: readonly CutEnding[] = ['fin', 'reset'];
+
+/** Writes the bytes that are left of a cut response and ends its connection. */
+export function writeCut(socket: Socket, text: string, ending: CutEnding): void {
+  if (ending === 'fin') socket.end(text, 'latin1');
+  else socket.write(text, 'latin1', () => socket.resetAndDestroy());
+}
 
 /** A request that an instance ran. */
 export interface InstanceRun {
@@ -157,6 +170,9 @@
       case 'endless':
         void this.writeEndlessly(socket, fault.head, fault.repeated);
         return;
+      case 'script':
+        fault.write(socket, requestId);
+        return;
       case 'fail':
         response.writeHead(fault.status, headers).end('failed');
         return;
