Refuse a response with a header line that is none, even one that names the length

Cause: parseHeader of http-parser-js skips a line that it can't read. With the length skipped, the body counts as one that ends with the connection, and whatever had arrived by then as whole.

Evidence: on the code before, four rows of the table fail, each with + 'answered' - 'unknown' (a length whose name is cut short, one whose name ends with a space, a line without a name, a folded header). Ruled out: the length itself. One without a value, signed, folded into two lines or named twice with different values was refused before (rows of the same table).

A line is now a name, a colon and a value, or the response is malformed: the result is unknown and the connection is closed. A folded line is refused too, as RFC 9112, section 5.2, lets a gateway do.

--- a/src/mesh/responseParser.ts
+++ b/src/mesh/responseParser.ts
@@ -1,4 +1,4 @@
-/** Response parser of `http-parser-js` with strict validation of chunk sizes. */
+/** Response parser of `http-parser-js` with strict validation of header lines and chunk sizes. */
 import { HTTPParser, type HTTPParserJS } from 'http-parser-js';
 
 /** Members of the parser that are missing from its type declarations. */
@@ -19,8 +19,18 @@
   this.state = this.body_bytes === 0 ? 'BODY_CHUNKTRAILERS' : 'BODY_CHUNK';
 }
 
+/** A header line: a name, a colon and a value. */
+const HEADER_LINE = /^([^:\s]+):(.*)$/;
+
+/** Replaces the library's function, which skips a malformed line, even one with the length. */
+function parseHeader(line: string, headers: string[]): void {
+  const match = HEADER_LINE.exec(line);
+  if (!match) throw new Error('invalid header line');
+  headers.push(match[1]!, match[2]!.trim());
+}
+
 /** Creates a parser for the responses of one connection. */
 export function createResponseParser(): HTTPParserJS {
   const parser = new HTTPParser(HTTPParser.RESPONSE);
-  return Object.assign(parser, { BODY_CHUNKHEAD: readChunkHeader });
+  return Object.assign(parser, { BODY_CHUNKHEAD: readChunkHeader, parseHeader });
 }
--- a/test/mesh/truncatedResponses.test.ts
+++ b/test/mesh/truncatedResponses.test.ts
@@ -150,8 +150,12 @@
 const DOUBTFUL_HEADS = [
   { name: 'a status line cut short', head: `HTTP/1.1 20\r\n${IDENTITY}Content-Length: 3` },
   { name: 'a status line without a status', head: `HTTP/1.1\r\n${IDENTITY}Content-Length: 3` },
+  { name: 'a length whose name is cut short', head: `${START}${IDENTITY}Content-Len` },
+  { name: 'a length whose name ends with a space', head: `${START}${IDENTITY}Content-Length : 30` },
   { name: 'a length without a value', head: `${START}${IDENTITY}Content-Length:` },
+  { name: 'a line without a name', head: `${START}${IDENTITY}: 30` },
   { name: 'a folded length', head: `${START}${IDENTITY}Content-Length: 3\r\n 0` },
+  { name: 'a folded header', head: `${START}${IDENTITY}X-A: b\r\n Content-Length: 30` },
   { name: 'a list of lengths', head: `${START}${IDENTITY}Content-Length: 3, 3` },
   { name: 'a signed length', head: `${START}${IDENTITY}Content-Length: +3` },
   {
