Refuse responses with characters that no header may have, rather than end the node

A faulty instance that sends a control character in a header, or a name that is no token, ended the process that forwarded the response: the node of the instance, or the one of the caller, again at each such response (processes that end by themselves; the calls on it were lost).

Cause: http-parser-js takes any character, and ServerResponse.writeHead throws on those that may not be sent; nothing on the way handles that. Besides, the parser decoded heads as ASCII, which drops the highest bit: a byte such as 0x8a, which is allowed, became a line feed and so the same error, and others were altered on the way to the caller.

The parser refuses such a line as malformed, so that the result is unknown, and decodes heads as Latin-1, as node:http does.

--- a/src/mesh/responseParser.ts
+++ b/src/mesh/responseParser.ts
@@ -19,8 +19,14 @@
   this.state = this.body_bytes === 0 ? 'BODY_CHUNKTRAILERS' : 'BODY_CHUNK';
 }
 
-/** A header line: a name, a colon and a value. */
-const HEADER_LINE = /^([^:\s]+):(.*)$/;
+/**
+ * A header line: a name, a colon and a value, of the characters that may be forwarded (RFC 9110,
+ * section 5.5).
+ */
+const HEADER_LINE = /^([\w!#$%&'*+.^`|~-]+):([\t\x20-\x7e\x80-\xff]*)$/;
+
+// The default, ASCII, drops the highest bit, which turns some bytes into line feeds.
+HTTPParser.encoding = 'latin1';
 
 /** Replaces the library's function, which skips a malformed line, even one with the length. */
 function parseHeader(line: string, headers: string[]): void {
