Believe a response without an identifier only on a connection that carried nothing else

Another operator reported that a faulty instance wrote an earlier refusal once more on a kept connection, and that callers were told 'not run, try again' for requests that it ran (REFUSED), or the request ran at a second instance (TWICE).

Cause: isMatchingResponse took a response without X-Lycheelane-Request-Attempt-Id for that of whichever request waited, and every response for that of a request that has no identifier itself.

A response now belongs to the request if it echoes its identifier, or if it has none and is the first on a connection that carried no other request. Otherwise the result is unknown and the connection is closed: a 502, or a further attempt within the budget for an idempotent request. A request without an identifier always gets a new connection.

The price: PROTOCOL.md says that instances echo the identifier and names only the 400 to a request without one as a refusal that has none, but the printed examples of a 503 and a 421, and our stand-in, omit it. Therefore a response without one also pauses the reuse of connections, as a foreign one did: where an instance omits it, one result is unknown, and the next refusals come on new connections and count as refusals.

--- a/src/mesh/httpConnection.ts
+++ b/src/mesh/httpConnection.ts
@@ -100,6 +100,9 @@
   /** Time of the first bytes since the start of the latest exchange, if any. */
   firstReceivedAtMs: number | undefined;
 
+  /** Number of requests that were sent. */
+  sentRequests = 0;
+
   /** Time at which the last exchange ended, on the `performance.now` scale. */
   idleSinceMs = performance.now();
 
@@ -155,6 +158,7 @@
     this.receivedBytes = 0;
     this.bodyBytes = 0;
     this.firstReceivedAtMs = undefined;
+    this.sentRequests += 1;
     return new Promise((resolve) => {
       this.pending = { ...options, isHead: request.method === 'HEAD', isMatching, resolve };
       this.socket.write(encodeRequest(request));
--- a/src/mesh/instanceClient.ts
+++ b/src/mesh/instanceClient.ts
@@ -6,6 +6,7 @@
 import { ConnectionPool } from './connectionPool.js';
 import { readInstanceNotice, type InstanceNotice } from './instanceNotice.js';
 import type { CallMetadata, HttpRequest, HttpResponse, RunResult } from './model.js';
+import { classifyOwner, type ResponseOwner } from './responseOwner.js';
 import type { Cancellation } from './signal.js';
 
 /** The instance is on this host, so a connection that takes longer is not being accepted. */
@@ -24,7 +25,7 @@
 /** Time after the deadline of a request for which the response of the instance is accepted. */
 const DEADLINE_GRACE_MS = 60;
 
-/** Time after a failed or mismatched response for which connections are not reused. */
+/** Time after a failed, foreign or unidentified response without reuse of connections. */
 const REUSE_PAUSE_MS = 5000;
 
 /** Largest response body of an instance; the memory of a node holds one for each slot. */
@@ -62,7 +63,7 @@
     metadata: CallMetadata,
     cancellation: Cancellation,
   ): Promise<RunResult> {
-    const connection = await this.acquireConnection(metadata.isIdempotent);
+    const connection = await this.acquireConnection(metadata);
     if (typeof connection === 'string') return buildRefusal('unreachable', false);
     const remainingMs = metadata.deadlineAtMs - performance.now();
     if (cancellation.isCancelled() || remainingMs <= 0) {
@@ -78,9 +79,14 @@
     this.pool.close();
   }
 
-  private async acquireConnection(isIdempotent: boolean): Promise<HttpConnection | string> {
+  private async acquireConnection({
+    isIdempotent,
+    requestId,
+  }: CallMetadata): Promise<HttpConnection | string> {
     const isReusePaused = performance.now() < this.reusePausedUntilMs;
     if (isReusePaused) this.pool.close();
+    // A response to a request without an identifier cannot be told from an earlier response.
+    if (requestId === '') return this.pool.connect(CONNECT_TIMEOUT_MS);
     const idle = this.pool.takeIdle(
       isIdempotent ? MAX_IDLE_IDEMPOTENT_MS : MAX_IDLE_NON_IDEMPOTENT_MS,
     );
@@ -109,14 +115,23 @@
       names.targetInstance,
       metadata.instanceId,
     ];
-    const result = await connection.exchange(
-      { ...request, headers },
-      (responseHeaders) => this.isMatchingResponse(responseHeaders, metadata.requestId),
-      { maxBytes: MAX_BODY_BYTES },
-    );
+    let isFirstOnConnection = connection.sentRequests === 0;
+    let owner = 'other' as ResponseOwner;
+    const isMatching = (responseHeaders: readonly string[]) => {
+      owner = this.identifyResponse(responseHeaders, metadata.requestId, isFirstOnConnection);
+      isFirstOnConnection = false;
+      return owner !== 'other';
+    };
+    const result = await connection.exchange({ ...request, headers }, isMatching, {
+      maxBytes: MAX_BODY_BYTES,
+    });
     clearTimeout(timer);
     isInProgress = false;
-    if (result.kind === 'response') return this.classifyResponse(result.response, metadata);
+    if (result.kind === 'response') {
+      if (owner === 'own') return this.classifyResponse(result.response, metadata);
+      connection.abort('unidentified response');
+      return { kind: 'unknown', reason: `unidentified response, ${result.response.status}` };
+    }
     if (result.kind === 'broken' && !result.wasSent) return buildRefusal('unreachable', false);
     if (!cancellation.isCancelled()) this.reusePausedUntilMs = performance.now() + REUSE_PAUSE_MS;
     // Connections usually become half-open together, so the idle ones would time out as well.
@@ -125,11 +140,18 @@
     return { kind: 'unknown', reason };
   }
 
-  private isMatchingResponse(headers: readonly string[], requestId: string): boolean {
+  private identifyResponse(
+    headers: readonly string[],
+    requestId: string,
+    isFirstOnConnection: boolean,
+  ): ResponseOwner {
     const echoedId = getHeader(headers, this.names.requestId);
-    const isMatching = echoedId === undefined || requestId === '' || echoedId === requestId;
-    if (!isMatching) this.reusePausedUntilMs = performance.now() + REUSE_PAUSE_MS;
-    return isMatching;
+    const owner = classifyOwner(echoedId, requestId, isFirstOnConnection);
+    // On a new connection, the next response of an instance that omits identifiers is proven.
+    if (echoedId === undefined || owner === 'other') {
+      this.reusePausedUntilMs = performance.now() + REUSE_PAUSE_MS;
+    }
+    return owner;
   }
 
   private classifyResponse(response: HttpResponse, { instanceId }: CallMetadata): RunResult {
