Log an answer of a source that cannot be used

requestConfig reports such an answer with step and peer, and the fetcher writes a config-answer-invalid line with the reason. Sources that are away still get no line: that is usual while nodes restart.

--- a/src/mesh/configAnswers.ts
+++ b/src/mesh/configAnswers.ts
@@ -64,16 +64,19 @@
   return deflate(JSON.stringify(answer));
 }
 
-/** Decodes the answer of another node. */
-export async function decodeConfigAnswer(body: Buffer): Promise<Result<ConfigAnswer, StepError>> {
+/** Decodes the answer of the node `peer`. */
+export async function decodeConfigAnswer(
+  body: Buffer,
+  peer = 'peer',
+): Promise<Result<ConfigAnswer, StepError>> {
   const step = 'config.decodeAnswer';
-  const refuse = () => err(buildError('invalid', step, 'peer', 'malformed answer'));
+  const refuse = () => err(buildError('invalid', step, peer, 'malformed answer'));
   let answer: ConfigAnswer;
   try {
     const json = await inflate(body, { maxOutputLength: MAX_ANSWER_BYTES });
     answer = JSON.parse(json.toString('utf8')) as ConfigAnswer;
   } catch (thrown) {
-    return err(toStepError(thrown, step, 'peer'));
+    return err(toStepError(thrown, step, peer));
   }
   if (!Number.isSafeInteger(answer?.revision)) return refuse();
   switch (answer.kind) {
--- a/src/mesh/configFetcher.ts
+++ b/src/mesh/configFetcher.ts
@@ -2,6 +2,7 @@
 import { waitMs as wait } from '../utils/backoff.js';
 import type { ConfigAnswer, ConfigRequest } from './configAnswers.js';
 import type { ConfigHolder } from './configHolder.js';
+import type { EventLog } from './eventLog.js';
 import type { KindPosition } from './kindPosition.js';
 import type { PeerCalls } from './peerCalls.js';
 
@@ -11,12 +12,16 @@
 /** Pause between two requests, so that changes in quick succession share an answer. */
 const COALESCE_MS = 150;
 
+/** A node that answers requests for changes. */
+export type ConfigSource = Pick<PeerCalls, 'requestConfig'>;
+
 /** Options of the fetcher. */
 export interface ConfigFetcherOptions {
   readonly holder: Pick<ConfigHolder, 'get' | 'installDelta'>;
   readonly position: Pick<KindPosition, 'getEra'>;
+  readonly log: EventLog;
   /** Returns the nodes to ask; empty when this node reads from the store. */
-  readonly listSources: () => readonly Pick<PeerCalls, 'requestConfig'>[];
+  readonly listSources: () => readonly ConfigSource[];
 }
 
 /** Returns the first answer that is useful, or undefined when there is none. */
@@ -63,11 +68,17 @@
     if (version === undefined) return undefined;
     const era = position.getEra();
     const request: ConfigRequest = { version, revision, era, canConfirm, waitMs: SOURCE_WAIT_MS };
-    const answers = this.options.listSources().map((source) => source.requestConfig(request));
+    const answers = this.options.listSources().map((source) => this.send(source, request));
     const answer = await findFirst(answers, ({ kind, revision: synced }) => {
       if (kind === 'unchanged') return canConfirm && synced > revision;
       return kind === 'changed';
     });
     return era === position.getEra() ? answer : undefined;
   }
+
+  private send(source: ConfigSource, request: ConfigRequest): Promise<ConfigAnswer | undefined> {
+    return source.requestConfig(request, ({ step, peer, message }) =>
+      this.options.log.write('warn', 'config-answer-invalid', { step, peer, reason: message }),
+    );
+  }
 }
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -230,6 +230,7 @@
   const fetcher = new ConfigFetcher({
     holder: config,
     position: positions.config,
+    log,
     listSources: () => {
       const candidates = listResponding().map(toSourceNode);
       return listConfigSources(getSettings(), candidates).map(({ calls }) => calls);
--- a/src/mesh/peerCalls.ts
+++ b/src/mesh/peerCalls.ts
@@ -2,6 +2,7 @@
  * Sends calls to the nodes of other instances. A call whose connection fails or does not respond is
  * resumed on a new connection with the same attempt identifier, so that its response is not lost.
  */
+import { buildError, type StepError } from '../errors.js';
 import type { PeerAddress } from '../types/interfaces.js';
 import { formatHostPort } from '../utils/address.js';
 import { waitMs } from '../utils/backoff.js';
@@ -151,8 +152,14 @@
     return this.sendAttempt({ ...options, metadata: { ...metadata, attemptId } });
   }
 
-  /** Requests changes of the configuration; undefined when the node gives no answer. */
-  async requestConfig(request: ConfigRequest): Promise<ConfigAnswer | undefined> {
+  /**
+   * Requests changes of the configuration; undefined when the node gives no answer. `onInvalid` is
+   * called when it gives one that cannot be used.
+   */
+  async requestConfig(
+    request: ConfigRequest,
+    onInvalid: (error: StepError) => void,
+  ): Promise<ConfigAnswer | undefined> {
     const connection =
       this.pool.takeIdle(MAX_IDLE_MS) ?? (await this.pool.connect(CONNECT_TIMEOUT_MS));
     if (typeof connection === 'string') return undefined;
@@ -163,8 +170,14 @@
     stopTimer();
     if (result.kind !== 'response') return undefined;
     this.pool.release(connection);
-    if (result.response.status !== 200) return undefined;
-    return (await decodeConfigAnswer(result.response.body)).unwrapOr(undefined);
+    const { status, body } = result.response;
+    if (status !== 200) {
+      onInvalid(buildError('refused', 'config.request', this.host, `status ${status}`));
+      return undefined;
+    }
+    const answer = await decodeConfigAnswer(body, this.host);
+    if (answer.isErr()) onInvalid(answer.error);
+    return answer.unwrapOr(undefined);
   }
 
   /** Returns the bytes of the calls in progress that wait in their connections. */
--- a/test/mesh/configFetcher.test.ts
+++ b/test/mesh/configFetcher.test.ts
@@ -3,6 +3,7 @@
 import { test } from 'node:test';
 import { promisify } from 'node:util';
 import { deflateRaw, type InputType } from 'node:zlib';
+import { buildError } from '../../src/errors.js';
 import {
   ConfigAnswers,
   decodeConfigAnswer,
@@ -11,7 +12,7 @@
   type ConfigRequest,
 } from '../../src/mesh/configAnswers.js';
 import type { ConfigDelta } from '../../src/mesh/configDelta.js';
-import { ConfigFetcher } from '../../src/mesh/configFetcher.js';
+import { ConfigFetcher, type ConfigSource } from '../../src/mesh/configFetcher.js';
 import {
   computeMaxResponseBytes,
   listConfigSources,
@@ -136,7 +137,7 @@
   assert.deepEqual((await decodeConfigAnswer(encoded))._unsafeUnwrap(), answer);
 });
 
-type Source = () => Promise<ConfigAnswer | undefined>;
+type Source = ConfigSource['requestConfig'];
 
 async function runFetch(
   sources: readonly Source[],
@@ -145,6 +146,7 @@
   era = new StoreEra(),
 ) {
   const installed: number[] = [];
+  const lines: string[] = [];
   const fetcher = new ConfigFetcher({
     holder: {
       get: () => ({ version: 4 }) as unknown as MeshConfig,
@@ -155,9 +157,10 @@
       },
     },
     position: new KindPosition(era),
+    log: { write: (_level, event, fields) => lines.push(`${event} ${JSON.stringify(fields)}`) },
     listSources: () => sources.map((requestConfig) => ({ requestConfig })),
   });
-  return { reached: await fetcher.fetch(10, canConfirm), installed };
+  return { reached: await fetcher.fetch(10, canConfirm), installed, lines };
 }
 
 /** Source that returns the given answers in turn, then none. */
@@ -203,3 +206,13 @@
   assert.equal((await runFetch([late], true)).reached, undefined);
   assert.equal((await runFetch([], true)).reached, undefined);
 });
+
+test('an invalid answer of a source is logged with step, peer and reason', async () => {
+  const source: Source = async (_request, onInvalid) => {
+    onInvalid(buildError('invalid', 'config.decodeAnswer', 'a-2', 'malformed answer'));
+    return undefined;
+  };
+  const { lines } = await runFetch([source], false);
+  const fields = { step: 'config.decodeAnswer', peer: 'a-2', reason: 'malformed answer' };
+  assert.deepEqual(lines, [`config-answer-invalid ${JSON.stringify(fields)}`]);
+});
--- a/test/mesh/peerCalls.test.ts
+++ b/test/mesh/peerCalls.test.ts
@@ -214,12 +214,8 @@
   const calls = new PeerCalls({ host: '127.0.0.1', port: await link.listen() }, NO_REVISIONS);
   const startedAtMs = performance.now();
   try {
-    const answer = await calls.requestConfig({
-      version: brandVersion(1),
-      revision: 2,
-      canConfirm: false,
-      waitMs: 100,
-    });
+    const request = { version: brandVersion(1), revision: 2, canConfirm: false, waitMs: 100 };
+    const answer = await calls.requestConfig(request, (error) => assert.fail(error));
     assert.deepEqual(answer, { kind: 'changed', revision: 3, delta });
     assert.ok(performance.now() - startedAtMs > 600, 'the answer took longer than its timeout');
   } finally {
