Send the whole version, deflated, when the history of a source is too short

Cause: a source that has restarted has no history and answered unknown, and every slow host of its data centre read the whole configuration from the store, 357 KB over a link of 3.5 to 5 Mbit/s, on which its calls waited.

A source that cannot bridge the version of a request but has a later one now names that version beside unknown, and the host requests it whole from one of them (canBeWhole). The message is encoded once for each version and revision, by asynchronous zlib, when it is first requested. The host refuses it if the version is not later, a route is invalid, missing or doubled, or the limits are invalid; it then reads the store, as it does when the sources are gone or of another era. Older builds neither send nor get the new kind.

Ruled out: sending the whole version at once instead of unknown. Both sources are asked, and the link would carry it twice.

--- a/src/mesh/configAnswers.ts
+++ b/src/mesh/configAnswers.ts
@@ -3,11 +3,12 @@
 import { deflateRaw, inflateRaw, type InputType, type ZlibOptions } from 'node:zlib';
 import { err, ok, type Result } from 'neverthrow';
 import { buildError, toStepError, type StepError } from '../errors.js';
-import type { ConfigVersion } from '../types/ids.js';
+import { NO_VERSION, type ConfigVersion } from '../types/ids.js';
 import type { ConfigDelta } from './configDelta.js';
 import type { ConfigHistory } from './configHistory.js';
 import type { ConfigHolder } from './configHolder.js';
 import type { KindPosition } from './kindPosition.js';
+import type { WholeConfig } from './wholeConfig.js';
 
 /** Upper bound of the wait that another node can request. */
 const MAX_WAIT_MS = 2000;
@@ -30,6 +31,8 @@
   readonly canConfirm: boolean;
   /** Time for which the answer may wait for a change. */
   readonly waitMs: number;
+  /** True when the answer may be a whole version; requests of older builds lack it. */
+  readonly canBeWhole?: boolean | undefined;
 }
 
 /**
@@ -40,8 +43,15 @@
   | { readonly kind: 'changed'; readonly revision: number; readonly delta: ConfigDelta }
   /** The version of the request is the latest one that is known here. */
   | { readonly kind: 'unchanged'; readonly revision: number }
+  /** Its `revision` may be an earlier one, as the message is encoded once for each version. */
+  | { readonly kind: 'whole'; readonly revision: number; readonly whole: WholeConfig }
   /** The history does not reach back to the version of the request. */
-  | { readonly kind: 'unknown'; readonly revision: number };
+  | {
+      readonly kind: 'unknown';
+      readonly revision: number;
+      /** Version that can be sent whole; undefined if there is none in the era of the request. */
+      readonly version?: ConfigVersion | undefined;
+    };
 
 /** Encodes a request for a header. */
 export function encodeConfigRequest(request: ConfigRequest): string {
@@ -59,9 +69,17 @@
   }
 }
 
+/** Messages with whole versions, each encoded once for all nodes that request it. */
+const encodedWholes = new WeakMap<WholeConfig, Promise<Buffer>>();
+
 /** Encodes an answer as the body of a response: deflated JSON, since routes resemble each other. */
 export function encodeConfigAnswer(answer: ConfigAnswer): Promise<Buffer> {
-  return deflate(JSON.stringify(answer));
+  if (answer.kind !== 'whole') return deflate(JSON.stringify(answer));
+  const known = encodedWholes.get(answer.whole);
+  if (known) return known;
+  const encoded = deflate(JSON.stringify(answer));
+  encodedWholes.set(answer.whole, encoded);
+  return encoded;
 }
 
 /** Decodes the answer of the node `peer`. */
@@ -81,13 +99,20 @@
   if (!Number.isSafeInteger(answer?.revision)) return refuse();
   switch (answer.kind) {
     case 'unchanged':
-    case 'unknown':
       return ok(answer);
+    case 'unknown':
+      return Number.isSafeInteger(answer.version ?? NO_VERSION) ? ok(answer) : refuse();
     case 'changed': {
       const { delta } = answer;
       const isList = Array.isArray(delta?.routes) && Array.isArray(delta.removed);
       return isList && Number.isSafeInteger(delta.revision) ? ok(answer) : refuse();
     }
+    case 'whole': {
+      const { whole } = answer;
+      const numbers = [whole?.version, whole?.revision, whole?.routeCount];
+      const isComplete = Array.isArray(whole?.routes) && numbers.every(Number.isSafeInteger);
+      return isComplete ? ok(answer) : refuse();
+    }
     default:
       return refuse();
   }
@@ -96,7 +121,7 @@
 /** Parts of the node that know the configuration and its position in the store. */
 export interface ConfigAnswersOptions {
   readonly holder: Pick<ConfigHolder, 'get' | 'onInstall'>;
-  readonly history: Pick<ConfigHistory, 'findChanges'>;
+  readonly history: Pick<ConfigHistory, 'findChanges' | 'findWhole'>;
   readonly position: Pick<KindPosition, 'getEra' | 'getSyncedRevision' | 'onSynced'>;
 }
 
@@ -157,7 +182,12 @@
     if (!this.isInEra(request)) return { kind: 'unknown', revision };
     if (holder.get()?.version === version) return { kind: 'unchanged', revision };
     const delta = history.findChanges(version);
-    return delta ? { kind: 'changed', revision, delta } : { kind: 'unknown', revision };
+    if (delta) return { kind: 'changed', revision, delta };
+    const installedVersion = holder.get()?.version ?? NO_VERSION;
+    if (installedVersion <= version) return { kind: 'unknown', revision };
+    const whole = request.canBeWhole === true ? history.findWhole() : undefined;
+    if (whole) return { kind: 'whole', revision, whole };
+    return { kind: 'unknown', revision, version: installedVersion };
   }
 
   private checkWaiting(): void {
--- a/src/mesh/configDelta.ts
+++ b/src/mesh/configDelta.ts
@@ -9,7 +9,7 @@
 import { isCount } from '../utils/boundedValues.js';
 import { isCallerLimits, isMeshRoute } from './configGuards.js';
 import type { CallerLimits, MeshConfig, MeshRoute } from './model.js';
-import { buildRouteTable } from './routeTable.js';
+import { buildRouteTable, mapRoutes } from './routeTable.js';
 
 const STEP = 'config.applyDelta';
 
@@ -27,15 +27,6 @@
   readonly routeCount: number;
 }
 
-/** Returns the routes of a configuration by name. */
-function mapRoutes({ routes }: MeshConfig): Map<RouteName, MeshRoute> {
-  const byName = new Map<RouteName, MeshRoute>();
-  for (const ofHost of routes.values()) {
-    for (const route of ofHost) byName.set(route.name, route);
-  }
-  return byName;
-}
-
 /** Returns the changes from `before` to `after`, which is stored at `revision`. */
 export function diffConfigs(before: MeshConfig, after: MeshConfig, revision: number): ConfigDelta {
   const removed = mapRoutes(before);
--- a/src/mesh/configFetcher.ts
+++ b/src/mesh/configFetcher.ts
@@ -1,5 +1,7 @@
 /** Gets changes of the configuration from other nodes instead of whole versions from the store. */
 import { waitMs as wait } from '../utils/backoff.js';
+import { NO_VERSION } from '../types/ids.js';
+import { findBestReply, type ReplyRank } from './bestReply.js';
 import type { ConfigAnswer, ConfigRequest } from './configAnswers.js';
 import type { ConfigHolder } from './configHolder.js';
 import type { EventLog } from './eventLog.js';
@@ -17,28 +19,48 @@
 
 /** Options of the fetcher. */
 export interface ConfigFetcherOptions {
-  readonly holder: Pick<ConfigHolder, 'get' | 'installDelta'>;
+  readonly holder: Pick<ConfigHolder, 'get' | 'installDelta' | 'installWhole'>;
   readonly position: Pick<KindPosition, 'getEra'>;
   readonly log: EventLog;
   /** Returns the nodes to ask; empty when this node reads from the store. */
   readonly listSources: () => readonly ConfigSource[];
 }
 
-/** Returns the first answer that is useful, or undefined when there is none. */
-async function findFirst(
-  answers: readonly Promise<ConfigAnswer | undefined>[],
-  isUseful: (answer: ConfigAnswer) => boolean,
-): Promise<ConfigAnswer | undefined> {
-  return new Promise((resolve) => {
-    let open = answers.length;
-    const handle = (answer: ConfigAnswer | undefined) => {
-      open -= 1;
-      if (answer && isUseful(answer)) resolve(answer);
-      else if (open === 0) resolve(undefined);
-    };
-    for (const answer of answers) void answer.then(handle);
-    if (open === 0) resolve(undefined);
-  });
+/** Answer of a source, undefined if it gave none. */
+interface Reply {
+  readonly source: ConfigSource;
+  readonly answer: ConfigAnswer | undefined;
+}
+
+/** Answer of a source that can send its version whole. */
+type Offer = Extract<ConfigAnswer, { kind: 'unknown' }>;
+
+function isLaterOffer(offer: Offer, held: ConfigAnswer | undefined): boolean {
+  if (held?.kind !== 'unknown') return true;
+  const [version, heldVersion] = [offer.version ?? NO_VERSION, held.version ?? NO_VERSION];
+  return version > heldVersion || (version === heldVersion && offer.revision > held.revision);
+}
+
+function rankAnswer(
+  answer: ConfigAnswer | undefined,
+  held: ConfigAnswer | undefined,
+  { version, revision, canConfirm }: ConfigRequest,
+): ReplyRank {
+  switch (answer?.kind) {
+    case undefined:
+      return 'useless';
+    case 'changed':
+    case 'whole':
+      return 'best';
+    case 'unchanged':
+      return canConfirm && answer.revision > revision ? 'best' : 'useless';
+    case 'unknown': {
+      const isOffer = (answer.version ?? NO_VERSION) > version;
+      return isOffer && isLaterOffer(answer, held) ? 'better' : 'useless';
+    }
+    default:
+      throw new Error(`unknown answer ${JSON.stringify(answer satisfies never)}`);
+  }
 }
 
 export class ConfigFetcher {
@@ -51,10 +73,11 @@
    * rejects.
    */
   async fetch(revision: number, canConfirm: boolean): Promise<number | undefined> {
+    if (!this.options.holder.get()) return undefined;
     let answer = await this.request(revision, canConfirm);
     if (answer?.kind === 'unchanged') return answer.revision;
     let reached: number | undefined;
-    while (answer?.kind === 'changed' && this.options.holder.installDelta(answer.delta)) {
+    while (answer && this.install(answer)) {
       reached = answer.revision;
       await wait(COALESCE_MS);
       answer = await this.request(reached, false);
@@ -62,20 +85,65 @@
     return reached;
   }
 
-  private async request(revision: number, canConfirm: boolean): Promise<ConfigAnswer | undefined> {
-    const { holder, position } = this.options;
-    const version = holder.get()?.version;
-    if (version === undefined) return undefined;
+  private install(answer: ConfigAnswer): boolean {
+    const { holder } = this.options;
+    switch (answer.kind) {
+      case 'changed':
+        return holder.installDelta(answer.delta);
+      case 'whole':
+        return holder.installWhole(answer.whole);
+      case 'unchanged':
+      case 'unknown':
+        return false;
+      default:
+        throw new Error(`unknown answer ${JSON.stringify(answer satisfies never)}`);
+    }
+  }
+
+  private request(revision: number, canConfirm: boolean): Promise<ConfigAnswer | undefined> {
+    const { holder, listSources } = this.options;
+    const version = holder.get()?.version ?? NO_VERSION;
+    const request = { version, revision, canConfirm, waitMs: SOURCE_WAIT_MS };
+    return this.ask(listSources(), request);
+  }
+
+  /**
+   * Returns the best answer of the sources. A whole version is requested from one source only, once
+   * it is known which of them can send it, since two would use the link twice.
+   */
+  private async ask(
+    sources: readonly ConfigSource[],
+    request: ConfigRequest,
+  ): Promise<ConfigAnswer | undefined> {
+    const { position } = this.options;
     const era = position.getEra();
-    const request: ConfigRequest = { version, revision, era, canConfirm, waitMs: SOURCE_WAIT_MS };
-    const answers = this.options.listSources().map((source) => this.send(source, request));
-    const answer = await findFirst(answers, ({ kind, revision: synced }) => {
-      if (kind === 'unchanged') return canConfirm && synced > revision;
-      return kind === 'changed';
-    });
+    const sent = { ...request, era };
+    const replies = sources.map(async (source): Promise<Reply> => ({
+      source,
+      answer: await this.send(source, sent),
+    }));
+    const rankReply = (reply: Reply, held: Reply | undefined) =>
+      rankAnswer(reply.answer, held?.answer, request);
+    const best = await findBestReply(replies, rankReply);
+    const answer =
+      best?.answer?.kind === 'unknown'
+        ? await this.requestWhole(best.source, sent, best.answer)
+        : best?.answer;
     return era === position.getEra() ? answer : undefined;
   }
 
+  private async requestWhole(
+    source: ConfigSource,
+    request: ConfigRequest,
+    offer: Offer,
+  ): Promise<ConfigAnswer | undefined> {
+    const answer = await this.send(source, { ...request, waitMs: 0, canBeWhole: true });
+    if (answer?.kind !== 'whole') return answer?.kind === 'changed' ? answer : undefined;
+    // The message is encoded once, so that the source may have read further since then.
+    const revision = answer.whole.version === offer.version ? offer.revision : answer.revision;
+    return { ...answer, revision };
+  }
+
   private send(source: ConfigSource, request: ConfigRequest): Promise<ConfigAnswer | undefined> {
     return source.requestConfig(request, ({ step, peer, message }) =>
       this.options.log.write('warn', 'config-answer-invalid', { step, peer, reason: message }),
--- a/src/mesh/configHolder.ts
+++ b/src/mesh/configHolder.ts
@@ -1,9 +1,13 @@
 /** Holds the installed configuration. Its version never decreases. */
+import type { Result } from 'neverthrow';
+import type { StepError } from '../errors.js';
+import { NO_VERSION } from '../types/ids.js';
 import { applyDelta, type ConfigDelta } from './configDelta.js';
 import type { EventLog } from './eventLog.js';
 import type { MeshConfig } from './model.js';
 import type { StoredObject, StoreEvent, StoreList } from './store.js';
 import type { KindListener } from './watchKind.js';
+import { restoreWhole, type WholeConfig } from './wholeConfig.js';
 
 /** Options of the holder. */
 export interface ConfigHolderOptions {
@@ -48,12 +52,26 @@
   installDelta(delta: ConfigDelta): boolean {
     if (!this.config) return false;
     const applied = applyDelta(this.config, delta);
-    if (applied.isErr()) {
-      const { step, message } = applied.error;
-      this.options.log.write('warn', 'config-delta-refused', { step, reason: message });
+    return this.installReceived(applied, delta.revision, 'config-delta-refused');
+  }
+
+  /** Installs a version that another node has sent whole; returns false if it is refused. */
+  installWhole(whole: WholeConfig): boolean {
+    const restored = restoreWhole(whole, this.config?.version ?? NO_VERSION);
+    return this.installReceived(restored, whole.revision, 'config-whole-refused');
+  }
+
+  private installReceived(
+    received: Result<MeshConfig, StepError>,
+    revision: number,
+    refusalEvent: string,
+  ): boolean {
+    if (received.isErr()) {
+      const { step, peer, message } = received.error;
+      this.options.log.write('warn', refusalEvent, { step, peer, reason: message });
       return false;
     }
-    this.install(applied.value, delta.revision, 'peer');
+    this.install(received.value, revision, 'peer');
     return true;
   }
 
--- a/src/mesh/routeTable.ts
+++ b/src/mesh/routeTable.ts
@@ -1,5 +1,6 @@
 /** Table of the routes of a configuration, grouped for matching. */
-import type { MeshRoute } from './model.js';
+import type { RouteName } from '../types/ids.js';
+import type { MeshConfig, MeshRoute } from './model.js';
 
 /** Groups routes by host and sorts those of each host by descending prefix length. */
 export function buildRouteTable(
@@ -16,3 +17,12 @@
   }
   return table;
 }
+
+/** Returns the routes of a configuration by name. */
+export function mapRoutes({ routes }: MeshConfig): Map<RouteName, MeshRoute> {
+  const byName = new Map<RouteName, MeshRoute>();
+  for (const ofHost of routes.values()) {
+    for (const route of ofHost) byName.set(route.name, route);
+  }
+  return byName;
+}
--- a/test/mesh/configFetcher.test.ts
+++ b/test/mesh/configFetcher.test.ts
@@ -21,6 +21,7 @@
 import { KindPosition } from '../../src/mesh/kindPosition.js';
 import { StoreEra } from '../../src/mesh/storeEra.js';
 import type { MeshConfig } from '../../src/mesh/model.js';
+import type { WholeConfig } from '../../src/mesh/wholeConfig.js';
 import { brandText, brandVersion } from '../../src/types/ids.js';
 import { waitMs as wait } from '../../src/utils/backoff.js';
 
@@ -66,6 +67,8 @@
 
 const DELTA = { fromVersion: 4, toVersion: 5, revision: 12 } as unknown as ConfigDelta;
 
+const WHOLE = { version: 5, revision: 12 } as unknown as WholeConfig;
+
 function createAnswers(installed: { version: number }) {
   const position = new KindPosition();
   const listeners: (() => void)[] = [];
@@ -76,6 +79,7 @@
     },
     history: {
       findChanges: (version) => (version === 4 && installed.version === 5 ? DELTA : undefined),
+      findWhole: () => WHOLE,
     },
     position,
   });
@@ -111,8 +115,30 @@
   assert.equal(answer.kind, 'unknown');
 });
 
+test('a version that the history does not bridge is offered, and sent on demand', async () => {
+  const { answers, position } = createAnswers({ version: 5 });
+  position.recordSynced(30);
+  const request = { ...REQUEST, version: brandVersion(2) };
+  assert.deepEqual(await answers.answer(request), { kind: 'unknown', revision: 30, version: 5 });
+  const whole = await answers.answer({ ...request, canBeWhole: true });
+  assert.deepEqual(whole, { kind: 'whole', revision: 30, whole: WHOLE });
+  for (const refused of [{ version: brandVersion(6) }, { era: 7 }]) {
+    const answer = await answers.answer({ ...request, canBeWhole: true, ...refused });
+    assert.deepEqual(answer, { kind: 'unknown', revision: 30 });
+  }
+});
+
 test('malformed answers are errors', async () => {
-  for (const text of ['', '{', 'null', '{"kind":"changed","revision":1}', '{"revision":1}']) {
+  for (const text of [
+    '',
+    '{',
+    'null',
+    '{"kind":"changed","revision":1}',
+    '{"revision":1}',
+    '{"kind":"whole","revision":1}',
+    '{"kind":"unknown","revision":1,"version":"2"}',
+    '{"kind":"whole","revision":1,"whole":{"version":2,"revision":1,"routeCount":1}}',
+  ]) {
     assert.ok((await decodeConfigAnswer(await deflate(text))).isErr(), text);
   }
   assert.ok((await decodeConfigAnswer(Buffer.from('not deflated'))).isErr());
@@ -139,28 +165,51 @@
 
 type Source = ConfigSource['requestConfig'];
 
-async function runFetch(
+interface FetcherFixture {
+  readonly fetcher: ConfigFetcher;
+  readonly installed: number[];
+  readonly lines: string[];
+}
+
+/** Creates a fetcher of a node with version `version`. */
+function createFetcher(
   sources: readonly Source[],
-  canConfirm: boolean,
+  version = 4,
   onInstall: () => void = () => {},
   era = new StoreEra(),
-) {
+): FetcherFixture {
   const installed: number[] = [];
   const lines: string[] = [];
+  const install = (installedVersion: number) => {
+    installed.push(installedVersion);
+    onInstall();
+    return true;
+  };
+  const listed = sources.map((requestConfig) => ({ requestConfig }));
   const fetcher = new ConfigFetcher({
     holder: {
-      get: () => ({ version: 4 }) as unknown as MeshConfig,
-      installDelta: ({ toVersion }) => {
-        installed.push(toVersion);
-        onInstall();
-        return true;
+      get: () => {
+        const current = installed.at(-1) ?? version;
+        return current === 0 ? undefined : ({ version: current } as unknown as MeshConfig);
       },
+      installDelta: ({ toVersion }) => install(toVersion),
+      installWhole: ({ version: wholeVersion }) => install(wholeVersion),
     },
     position: new KindPosition(era),
     log: { write: (_level, event, fields) => lines.push(`${event} ${JSON.stringify(fields)}`) },
-    listSources: () => sources.map((requestConfig) => ({ requestConfig })),
+    listSources: () => listed,
   });
-  return { reached: await fetcher.fetch(10, canConfirm), installed, lines };
+  return { fetcher, installed, lines };
+}
+
+async function runFetch(
+  sources: readonly Source[],
+  canConfirm: boolean,
+  onInstall: () => void = () => {},
+  era = new StoreEra(),
+) {
+  const { fetcher, installed } = createFetcher(sources, 4, onInstall, era);
+  return { reached: await fetcher.fetch(10, canConfirm), installed };
 }
 
 /** Source that returns the given answers in turn, then none. */
@@ -207,12 +256,67 @@
   assert.equal((await runFetch([], true)).reached, undefined);
 });
 
+/** Source without a history: it offers version 5, sends it on demand, and counts that. */
+function createRestarted(): { readonly source: Source; countSent(): number } {
+  let sent = 0;
+  const source: Source = async ({ version, canBeWhole }) => {
+    if (version >= 5) return { kind: 'unchanged', revision: 30 };
+    if (canBeWhole !== true) return { kind: 'unknown', revision: 30, version: WHOLE.version };
+    sent += 1;
+    return { kind: 'whole', revision: 12, whole: WHOLE };
+  };
+  return { source, countSent: () => sent };
+}
+
+const SILENT: Source = () => new Promise(() => {});
+
+test('one of two restarted sources sends its version whole', async () => {
+  const sources = [createRestarted(), createRestarted()];
+  const { reached, installed } = await runFetch(
+    sources.map(({ source }) => source),
+    false,
+  );
+  assert.equal(reached, 30);
+  assert.deepEqual(installed, [5]);
+  const sent = sources.map(({ countSent }) => countSent());
+  assert.deepEqual(sent.sort(), [0, 1]);
+});
+
+test('a source that is silent does not keep another from sending its version whole', async () => {
+  const { source } = createRestarted();
+  const { fetcher, installed } = createFetcher([SILENT, source]);
+  void fetcher.fetch(10, false);
+  while (installed.length === 0) await wait(5);
+  assert.deepEqual(installed, [5]);
+});
+
+test('changes are preferred to a whole version that is offered sooner', async () => {
+  const { source, countSent } = createRestarted();
+  const behind: Source = async (request) => {
+    await wait(5);
+    return request.version === 4 ? CHANGED : undefined;
+  };
+  assert.deepEqual((await runFetch([source, behind], false)).installed, [5]);
+  assert.equal(countSent(), 0);
+});
+
+test('a source without a later version is not asked for a whole one', async () => {
+  const asked: unknown[] = [];
+  const source: Source = async ({ canBeWhole }) => {
+    asked.push(canBeWhole);
+    return { kind: 'unknown', revision: 30, version: brandVersion(4) };
+  };
+  assert.equal((await runFetch([source], true)).reached, undefined);
+  assert.deepEqual(asked, [undefined]);
+});
+
 test('an invalid answer of a source is logged with step, peer and reason', async () => {
   const source: Source = async (_request, onInvalid) => {
     onInvalid(buildError('invalid', 'config.decodeAnswer', 'a-2', 'malformed answer'));
     return undefined;
   };
-  const { lines } = await runFetch([source], false);
+  const { fetcher, lines } = createFetcher([source]);
+  await fetcher.fetch(10, false);
   const fields = { step: 'config.decodeAnswer', peer: 'a-2', reason: 'malformed answer' };
   assert.deepEqual(lines, [`config-answer-invalid ${JSON.stringify(fields)}`]);
 });
--- a/test/mesh/slowLinks.test.ts
+++ b/test/mesh/slowLinks.test.ts
@@ -2,7 +2,13 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { type FleetRoute } from '../../standins/mesh/configuration.js';
-import { MeshFleet, sendToHost, wait, type FleetHost } from '../../standins/mesh/meshFleet.js';
+import {
+  MeshFleet,
+  restartNode,
+  sendToHost,
+  wait,
+  type FleetHost,
+} from '../../standins/mesh/meshFleet.js';
 
 /** About 60 KB, which take 0.5 s at the bandwidth of the slow hosts. */
 const IDLE_ROUTES: readonly FleetRoute[] = Array.from({ length: 250 }, (_, index) => ({
@@ -21,11 +27,19 @@
   return [...IDLE_ROUTES, { prefix: '/read/' }, { prefix: `/new-${index}/` }];
 }
 
-/** Waits until a host serves the route of `buildRoutes(index)` and returns the time it took. */
-async function waitUntilServed(host: FleetHost, index: number): Promise<number> {
+/**
+ * Waits until a host serves the route of `buildRoutes(index)` and returns the time it took.
+ * `onTry` runs before each try.
+ */
+async function waitUntilServed(
+  host: FleetHost,
+  index: number,
+  onTry: (id: string) => Promise<unknown> = async () => {},
+): Promise<number> {
   const startedAtMs = performance.now();
   for (let tries = 0; performance.now() - startedAtMs < 3 * APPLY_BOUND_MS; tries += 1) {
     const id = `s-${host.settings.nodeId}-${index}-${tries}`;
+    await onTry(`t-${id}`);
     const { status } = await sendToHost(host, { path: `/new-${index}/`, id });
     if (status === 200) break;
     await wait(POLL_INTERVAL_MS);
@@ -101,3 +115,27 @@
     assert.ok(carried < CONFIG_BYTES / 2, `${carried} bytes for each host`);
   });
 });
+
+/** Ends the nodes of the fast hosts, which are the sources, and waits until `begin` is done. */
+async function replaceSources(fleet: MeshFleet, begin: () => void): Promise<void> {
+  const sources = fleet.hosts.filter(({ link }) => link === undefined);
+  await Promise.all(sources.map(({ node }) => node.close()));
+  begin();
+  await Promise.all(sources.map(restartNode));
+  await Promise.all(sources.map((host) => waitUntilServed(host, 1)));
+}
+
+test('sources that restarted do not make slow hosts read the whole configuration', async () => {
+  await withSlowHosts(async (fleet, slow) => {
+    // The slow hosts learn of the version from calls, once the sources have no history.
+    fleet.store.stallWatches();
+    await replaceSources(fleet, () => fleet.configure(2, buildRoutes(1)));
+    const before = countCarried(slow);
+    const served = slow.map((host) =>
+      waitUntilServed(host, 1, (id) => sendToHost(host, { path: '/read/', id })),
+    );
+    await Promise.all(served);
+    const carried = (countCarried(slow) - before) / slow.length;
+    assert.ok(carried < CONFIG_BYTES / 2, `${carried} bytes for each host`);
+  });
+});
