Start a host with a slow link from a source of its data centre

A node that has no version yet waits up to 0.4 s for the list of the nodes, which it reads from the store at the same time anyway. It then asks the sources that have faster links than its own for the first version, for 0.4 s at the most, so that sources that start at the same moment are used too; a source without a version holds its answer until it has one. The latest of the offered versions is taken. The store is watched at once from the revision that the source has read up to, so a later change is seen even if the source is behind. The node lists the store as before when no source has a faster link, none answers, none has a version, or the era rises meanwhile. Silent sources cost 0.4 s, or 0.7 s when one ends after its offer.

Ruled out: following the changes of the source before the first watch. A source that is cut off from the store would keep the host on an old version.

--- a/src/mesh/bestReply.ts
+++ b/src/mesh/bestReply.ts
@@ -11,31 +11,36 @@
 
 /**
  * Resolves with the first reply of rank `best`; soon after the first one of rank `better`, with the
- * last of these; with undefined when there is none.
+ * last of these; with undefined when there is none, at the latest after `limitMs` if it is given.
  */
 export function findBestReply<Reply>(
   replies: readonly Promise<Reply>[],
   rankReply: ReplyRanking<Reply>,
+  limitMs?: number,
 ): Promise<Reply | undefined> {
   return new Promise((resolve) => {
-    let timer: NodeJS.Timeout | undefined;
+    const timers: NodeJS.Timeout[] = [];
     let held: Reply | undefined;
     let open = replies.length;
     const settle = (reply: Reply | undefined) => {
-      clearTimeout(timer);
+      for (const timer of timers) clearTimeout(timer);
       resolve(reply);
     };
+    const settleAfter = (delayMs: number) => {
+      timers.push(setTimeout(() => settle(held), delayMs));
+    };
     const handle = (reply: Reply) => {
       open -= 1;
       const rank = rankReply(reply, held);
       if (rank === 'best') settle(reply);
       if (rank === 'better') {
-        timer ??= setTimeout(() => settle(held), BETTER_REPLY_WAIT_MS);
+        if (held === undefined) settleAfter(BETTER_REPLY_WAIT_MS);
         held = reply;
       }
       if (open === 0) settle(held);
     };
     for (const reply of replies) void reply.then(handle);
     if (open === 0) settle(undefined);
+    else if (limitMs !== undefined) settleAfter(limitMs);
   });
 }
--- a/src/mesh/configFetcher.ts
+++ b/src/mesh/configFetcher.ts
@@ -7,6 +7,7 @@
 import type { EventLog } from './eventLog.js';
 import type { KindPosition } from './kindPosition.js';
 import type { PeerCalls } from './peerCalls.js';
+import type { FirstPosition } from './watchKind.js';
 
 /** Time for which a source may wait for a change before it answers. */
 const SOURCE_WAIT_MS = 600;
@@ -14,6 +15,15 @@
 /** Pause between two requests, so that changes in quick succession share an answer. */
 const COALESCE_MS = 150;
 
+/** Time for which a starting node waits for the list of the nodes. */
+const NODES_WAIT_MS = 400;
+
+/** Time for which a starting node waits for a source that has a version. */
+const START_WAIT_MS = 400;
+
+/** Interval at which a starting node checks for nodes, and asks sources that are starting too. */
+const START_INTERVAL_MS = 50;
+
 /** A node that answers requests for changes. */
 export type ConfigSource = Pick<PeerCalls, 'requestConfig'>;
 
@@ -24,6 +34,8 @@
   readonly log: EventLog;
   /** Returns the nodes to ask; empty when this node reads from the store. */
   readonly listSources: () => readonly ConfigSource[];
+  /** Returns the nodes to ask for the first version; undefined while no nodes are known. */
+  readonly listStartSources: () => readonly ConfigSource[] | undefined;
 }
 
 /** Answer of a source, undefined if it gave none. */
@@ -85,6 +97,22 @@
     return reached;
   }
 
+  /**
+   * Installs the first version, for a node that has none, and returns the position that it
+   * reached; undefined when the store has to be read. Sources that have no version yet are awaited
+   * for a short time. Later changes are left to the store, since the source may be behind. Never
+   * rejects.
+   */
+  async fetchFirst(): Promise<FirstPosition | undefined> {
+    const { position, listStartSources } = this.options;
+    const endsAtMs = performance.now() + NODES_WAIT_MS;
+    while (!listStartSources() && performance.now() < endsAtMs) await wait(START_INTERVAL_MS);
+    const era = position.getEra();
+    const answer = await this.requestFirst();
+    if (!answer || era !== position.getEra() || !this.install(answer)) return undefined;
+    return { revision: answer.revision, era };
+  }
+
   private install(answer: ConfigAnswer): boolean {
     const { holder } = this.options;
     switch (answer.kind) {
@@ -107,6 +135,19 @@
     return this.ask(listSources(), request);
   }
 
+  private async requestFirst(): Promise<ConfigAnswer | undefined> {
+    const endsAtMs = performance.now() + START_WAIT_MS;
+    for (;;) {
+      const sources = this.options.listStartSources() ?? [];
+      const waitMs = Math.floor(endsAtMs - performance.now());
+      if (sources.length === 0 || waitMs <= 0) return undefined;
+      const request = { version: NO_VERSION, revision: 0, canConfirm: false, waitMs };
+      const answer = await this.ask(sources, request, waitMs);
+      if (answer) return answer;
+      await wait(START_INTERVAL_MS);
+    }
+  }
+
   /**
    * Returns the best answer of the sources. A whole version is requested from one source only, once
    * it is known which of them can send it, since two would use the link twice.
@@ -114,6 +155,7 @@
   private async ask(
     sources: readonly ConfigSource[],
     request: ConfigRequest,
+    limitMs?: number,
   ): Promise<ConfigAnswer | undefined> {
     const { position } = this.options;
     const era = position.getEra();
@@ -124,7 +166,7 @@
     }));
     const rankReply = (reply: Reply, held: Reply | undefined) =>
       rankAnswer(reply.answer, held?.answer, request);
-    const best = await findBestReply(replies, rankReply);
+    const best = await findBestReply(replies, rankReply, limitMs);
     const answer =
       best?.answer?.kind === 'unknown'
         ? await this.requestWhole(best.source, sent, best.answer)
--- a/src/mesh/configSources.ts
+++ b/src/mesh/configSources.ts
@@ -46,3 +46,15 @@
   if (localSources.length > 0) return localSources;
   return sorted.filter(({ nodeId }) => nodeId !== own.nodeId).slice(0, SOURCES_PER_DATA_CENTRE);
 }
+
+/**
+ * Returns the nodes that a starting node asks for the whole version. Empty when no source has a
+ * faster link, since none then reads the version from the store sooner than this node.
+ */
+export function listStartSources<Node extends SourceNode>(
+  own: SourceNode,
+  nodes: readonly Node[],
+): readonly Node[] {
+  const others = nodes.filter(({ nodeId }) => nodeId !== own.nodeId);
+  return listConfigSources(own, others).filter(({ linkMbps }) => linkMbps > own.linkMbps);
+}
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -14,7 +14,12 @@
 import { ConfigFetcher } from './configFetcher.js';
 import { ConfigHistory } from './configHistory.js';
 import { ConfigHolder } from './configHolder.js';
-import { computeMaxResponseBytes, listConfigSources, type SourceNode } from './configSources.js';
+import {
+  computeMaxResponseBytes,
+  listConfigSources,
+  listStartSources,
+  type SourceNode,
+} from './configSources.js';
 import { Directory } from './directory.js';
 import type { EventLog } from './eventLog.js';
 import type { HeaderNames } from './headers.js';
@@ -235,6 +240,11 @@
       const candidates = listResponding().map(toSourceNode);
       return listConfigSources(getSettings(), candidates).map(({ calls }) => calls);
     },
+    listStartSources: () => {
+      if (!nodes.hasReceivedList()) return undefined;
+      const candidates = listResponding().map(toSourceNode);
+      return listStartSources(getSettings(), candidates).map(({ calls }) => calls);
+    },
   });
   const watchOptions = {
     store,
@@ -257,6 +267,7 @@
       getMaxBytes: () =>
         config.get() ? computeMaxResponseBytes(getSettings().linkMbps) : undefined,
       fetch: (revision, canConfirm) => fetcher.fetch(revision, canConfirm),
+      fetchFirst: () => fetcher.fetchFirst(),
     },
   });
   void watchKind({
--- a/src/mesh/watchKind.ts
+++ b/src/mesh/watchKind.ts
@@ -22,6 +22,12 @@
   applyEvent(event: StoreEvent): void;
 }
 
+/** Revision up to which a node that has just started has all objects, and its era. */
+export interface FirstPosition {
+  readonly revision: number;
+  readonly era: number;
+}
+
 /** Where a node with a low-bandwidth link gets changes, so that it need not read whole objects. */
 export interface ChangeSource {
   /** Returns the size up to which the response of a watch is read, in bytes; undefined for any. */
@@ -31,6 +37,8 @@
    * the store has to be read. `canConfirm` is true when there may be no change.
    */
   readonly fetch: (revision: number, canConfirm: boolean) => Promise<number | undefined>;
+  /** Gets the objects for a node that has just started; undefined as for `fetch`. */
+  readonly fetchFirst: () => Promise<FirstPosition | undefined>;
 }
 
 /** Options of a watch. */
@@ -83,9 +91,11 @@
 export async function watchKind(options: WatchKindOptions): Promise<void> {
   const { store, kind, position, log, isStopped } = options;
   const invalidObjectLog = new InvalidObjectLog(log, 'object-invalid');
-  let revision: number | undefined;
+  const first = await options.source?.fetchFirst();
+  let revision = first?.revision;
   /** Era that `revision` belongs to. */
-  let era = position.getEra();
+  let era = first?.era ?? position.getEra();
+  if (first && era === position.getEra()) position.recordList(first.revision);
   let failures = 0;
   const recordFailure = async (step: string, reason: string): Promise<void> => {
     if (failures === 0) log.write('warn', 'store-lost', { step, peer: kind, reason });
--- a/test/mesh/configFetcher.test.ts
+++ b/test/mesh/configFetcher.test.ts
@@ -16,13 +16,14 @@
 import {
   computeMaxResponseBytes,
   listConfigSources,
+  listStartSources,
   type SourceNode,
 } from '../../src/mesh/configSources.js';
 import { KindPosition } from '../../src/mesh/kindPosition.js';
 import { StoreEra } from '../../src/mesh/storeEra.js';
 import type { MeshConfig } from '../../src/mesh/model.js';
 import type { WholeConfig } from '../../src/mesh/wholeConfig.js';
-import { brandText, brandVersion } from '../../src/types/ids.js';
+import { brandText, brandVersion, NO_VERSION } from '../../src/types/ids.js';
 import { waitMs as wait } from '../../src/utils/backoff.js';
 
 const deflate = promisify<InputType, Buffer>(deflateRaw);
@@ -53,6 +54,14 @@
   assert.deepEqual(listNames(NODES[0]!, []), []);
 });
 
+test('a node that starts asks only sources whose links are faster than its own', () => {
+  const names = (own: SourceNode) => listStartSources(own, NODES).map(({ nodeId }) => nodeId);
+  assert.deepEqual(names(NODES[0]!), ['a-2', 'a-4']);
+  assert.deepEqual(names(NODES[1]!), [], 'another link is as fast');
+  assert.deepEqual(names(NODES[6]!), [], 'no link of the data centre is faster');
+  assert.deepEqual(names(buildNode('a-9', 'a', 1000)), []);
+});
+
 test('a response may use a link for 50 ms', () => {
   assert.equal(computeMaxResponseBytes(5), 31_250);
   assert.equal(computeMaxResponseBytes(1000), 6_250_000);
@@ -128,6 +137,16 @@
   }
 });
 
+test('a node that starts waits for a source that starts', async () => {
+  const installed = { version: 0 };
+  const { answers, position, install } = createAnswers(installed);
+  const pending = answers.answer({ ...REQUEST, version: NO_VERSION, waitMs: 1500 });
+  installed.version = 5;
+  position.recordSynced(30);
+  install();
+  assert.deepEqual(await pending, { kind: 'unknown', revision: 30, version: 5 });
+});
+
 test('malformed answers are errors', async () => {
   for (const text of [
     '',
@@ -173,7 +192,7 @@
 
 /** Creates a fetcher of a node with version `version`. */
 function createFetcher(
-  sources: readonly Source[],
+  sources: readonly Source[] | undefined,
   version = 4,
   onInstall: () => void = () => {},
   era = new StoreEra(),
@@ -185,7 +204,7 @@
     onInstall();
     return true;
   };
-  const listed = sources.map((requestConfig) => ({ requestConfig }));
+  const listed = sources?.map((requestConfig) => ({ requestConfig }));
   const fetcher = new ConfigFetcher({
     holder: {
       get: () => {
@@ -197,7 +216,8 @@
     },
     position: new KindPosition(era),
     log: { write: (_level, event, fields) => lines.push(`${event} ${JSON.stringify(fields)}`) },
-    listSources: () => listed,
+    listSources: () => listed ?? [],
+    listStartSources: () => listed,
   });
   return { fetcher, installed, lines };
 }
@@ -310,6 +330,52 @@
   assert.deepEqual(asked, [undefined]);
 });
 
+test('a node that starts gets the first version from a source, even one that starts', async () => {
+  const { source } = createRestarted();
+  let tries = 0;
+  const starting: Source = async (request, onInvalid) => {
+    tries += 1;
+    return tries < 3 ? undefined : source(request, onInvalid);
+  };
+  for (const first of [source, starting]) {
+    const { fetcher, installed } = createFetcher([first], 0);
+    assert.deepEqual(await fetcher.fetchFirst(), { revision: 30, era: 0 });
+    assert.deepEqual(installed, [5]);
+  }
+});
+
+test('a node that starts takes the latest of the versions that its sources have', async () => {
+  const { source } = createRestarted();
+  const behind: Source = async () => ({ kind: 'unknown', revision: 99, version: brandVersion(4) });
+  const late: Source = async (request, onInvalid) => {
+    await wait(5);
+    return source(request, onInvalid);
+  };
+  const { fetcher, installed } = createFetcher([behind, late], 0);
+  assert.deepEqual(await fetcher.fetchFirst(), { revision: 30, era: 0 });
+  assert.deepEqual(installed, [5]);
+});
+
+test('a node that starts reads the store when no source answers or no node is known', async () => {
+  for (const sources of [[SILENT, SILENT], [async () => undefined], [], undefined]) {
+    const { fetcher, installed } = createFetcher(sources, 0);
+    assert.equal(await fetcher.fetchFirst(), undefined);
+    assert.deepEqual(installed, []);
+  }
+});
+
+test('a first version of an era that is over is not installed', async () => {
+  const era = new StoreEra();
+  const { source } = createRestarted();
+  const restored: Source = async (request, onInvalid) => {
+    if (request.canBeWhole === true) era.observe(2);
+    return source(request, onInvalid);
+  };
+  const { fetcher, installed } = createFetcher([restored], 0, undefined, era);
+  assert.equal(await fetcher.fetchFirst(), undefined);
+  assert.deepEqual(installed, []);
+});
+
 test('an invalid answer of a source is logged with step, peer and reason', async () => {
   const source: Source = async (_request, onInvalid) => {
     onInvalid(buildError('invalid', 'config.decodeAnswer', 'a-2', 'malformed answer'));
--- a/test/mesh/slowLinks.test.ts
+++ b/test/mesh/slowLinks.test.ts
@@ -139,3 +139,28 @@
     assert.ok(carried < CONFIG_BYTES / 2, `${carried} bytes for each host`);
   });
 });
+
+test('a slow host that starts does not read the whole configuration from the store', async () => {
+  await withSlowHosts(async (fleet, [known]) => {
+    const before = countCarried([known!]);
+    await known!.node.close();
+    await restartNode(known!);
+    const added = await fleet.addHost('pads', 'a', { linkMbps: SLOW_LINK_MBPS });
+    await Promise.all([known!, added].map((host) => waitUntilServed(host, 0)));
+    await wait(QUIET_MS);
+    const carried = [countCarried([known!]) - before, countCarried([added])];
+    assert.ok(Math.max(...carried) < CONFIG_BYTES / 2, `${carried.join(', ')} bytes`);
+  });
+});
+
+test('a slow host that starts while its sources are gone reads the store', async () => {
+  await withSlowHosts(async (fleet, [known]) => {
+    for (const { node, link } of fleet.hosts) if (!link) await node.close();
+    const before = countCarried([known!]);
+    await known!.node.close();
+    await restartNode(known!);
+    const servedAfterMs = await waitUntilServed(known!, 0);
+    assert.ok(servedAfterMs < 3 * APPLY_BOUND_MS, `${servedAfterMs} ms`);
+    assert.ok(countCarried([known!]) - before > CONFIG_BYTES / 2);
+  });
+});
--- a/test/mesh/watches.test.ts
+++ b/test/mesh/watches.test.ts
@@ -199,7 +199,11 @@
     getWaitMs: () => 25_000,
     getPauseMs: () => 0,
     isStopped: () => isStopped,
-    source: { getMaxBytes: () => undefined, fetch: async () => 50 },
+    source: {
+      getMaxBytes: () => undefined,
+      fetch: async () => 50,
+      fetchFirst: async () => undefined,
+    },
   });
   await wait(50);
   assert.equal(position.getLatestChange(), 4);
