Let the hosts with the fastest links renew their watches often

Found while building the start from a source: the position that a source names is that of its last response of the store. A watch that waits does not move it, and most nodes wait 25 s, longer than the store keeps its history (20 s). A host that starts from such a position gets 410 for its first watch, no source can confirm the version beyond it, and the host lists the whole configuration after all.

The primary watchers, which renew their watches every 3.3 s, are now the nodes with the fastest links instead of the first by identifier: one of the two sources of each data centre is a primary watcher. The number of calls stays the same, and where all links are equal so does the choice.

The stand-in store can forget its history without cutting watches for it.

--- a/src/mesh/primaryWatchers.ts
+++ b/src/mesh/primaryWatchers.ts
@@ -33,14 +33,22 @@
 export interface WatchingNode {
   readonly nodeId: NodeId;
   readonly dataCentre: DataCentre;
+  /** Bandwidth of the link of its host; records of older builds lack it. */
+  readonly linkMbps?: number | undefined;
+}
+
+function compareWatchers(one: WatchingNode, other: WatchingNode): number {
+  const linkOrder = (other.linkMbps ?? 0) - (one.linkMbps ?? 0);
+  return linkOrder || (one.nodeId < other.nodeId ? -1 : 1);
 }
 
 /**
- * Returns the primary watchers: the first node of each data centre by identifier, and further nodes
- * up to the minimum number.
+ * Returns the primary watchers: the node with the fastest link of each data centre, and further
+ * nodes up to the minimum number. They are sources of the configuration, so that one source knows
+ * a revision that the history of the store still covers.
  */
 export function listPrimaryWatchers(nodes: readonly WatchingNode[]): ReadonlySet<NodeId> {
-  const sorted = [...nodes].sort((a, b) => (a.nodeId < b.nodeId ? -1 : 1));
+  const sorted = [...nodes].sort(compareWatchers);
   const primaryWatchers = new Set<NodeId>();
   const dataCentres = new Set<DataCentre>();
   for (const { nodeId, dataCentre } of sorted) {
--- a/standins/mesh/storeServer.ts
+++ b/standins/mesh/storeServer.ts
@@ -173,10 +173,15 @@
 
   /** Compacts the change history and closes the connections of all pending watches. */
   compactHistory(): void {
-    this.oldestWatchableRevision = this.revision;
+    this.forgetHistory();
     this.closeWatches();
   }
 
+  /** Compacts the change history; pending watches go on. */
+  forgetHistory(): void {
+    this.oldestWatchableRevision = this.revision;
+  }
+
   private closeWatches(): void {
     for (const { response, timer } of this.watches) {
       clearTimeout(timer);
--- a/test/mesh/slowLinks.test.ts
+++ b/test/mesh/slowLinks.test.ts
@@ -20,6 +20,9 @@
 /** Time within which a version is in force after its write was acknowledged. */
 const APPLY_BOUND_MS = 2500;
 
+/** Hosts of one data centre that renew their watches every few seconds. */
+const PRIMARY_WATCHERS = 3;
+
 const POLL_INTERVAL_MS = 25;
 const QUIET_MS = 1500;
 
@@ -153,6 +156,32 @@
   });
 });
 
+test('a slow host that starts long after the last change does not read it whole', async () => {
+  const fleet = new MeshFleet();
+  await fleet.start(buildRoutes(0));
+  try {
+    for (const linkMbps of [SLOW_LINK_MBPS, SLOW_LINK_MBPS, SLOW_LINK_MBPS, undefined, undefined]) {
+      await fleet.addHost('pads', 'a', { linkMbps });
+    }
+    await fleet.waitForRecords();
+    await Promise.all(fleet.hosts.map((host) => waitUntilServed(host, 0)));
+    await wait(QUIET_MS);
+    fleet.store.put('other', 'x', {});
+    const { calls } = fleet.store;
+    const callsBefore = calls.length;
+    const listRenewed = () => calls.slice(callsBefore).filter((call) => call === 'GET config');
+    while (listRenewed().length < PRIMARY_WATCHERS) await wait(POLL_INTERVAL_MS);
+    fleet.store.forgetHistory();
+    const added = await fleet.addHost('pads', 'a', { linkMbps: SLOW_LINK_MBPS });
+    await waitUntilServed(added, 0);
+    await wait(QUIET_MS);
+    const carried = countCarried([added]);
+    assert.ok(carried < CONFIG_BYTES / 2, `${carried} bytes`);
+  } finally {
+    await fleet.close();
+  }
+});
+
 test('a slow host that starts while its sources are gone reads the store', async () => {
   await withSlowHosts(async (fleet, [known]) => {
     for (const { node, link } of fleet.hosts) if (!link) await node.close();
--- a/test/mesh/watches.test.ts
+++ b/test/mesh/watches.test.ts
@@ -40,6 +40,14 @@
   assert.equal(listPrimaryWatchers(buildNodes({ a: 9 })).size, 3);
 });
 
+test('the hosts with the fastest links are primary watchers', () => {
+  const nodes = buildNodes({ a: 3, b: 3, c: 3 }).map((node) => ({
+    ...node,
+    linkMbps: node.nodeId.endsWith('2') ? 100 : 5,
+  }));
+  assert.deepEqual([...listPrimaryWatchers(nodes)].sort(), ['a-2', 'b-2', 'c-2']);
+});
+
 test('a fleet of 85 nodes renews its watches less than five times per second', () => {
   const nodes = buildNodes({ a: 22, b: 21, c: 21, d: 21 });
   const perSecond = nodes
