Compare routes of two versions by their fields instead of by their JSON

Each node computes the difference of each version that it installs.

The comparison now ends at once for a route that both versions share, and reads the fields of the others. The list of fields is checked by the compiler against MeshRoute. New tests change each field of a route in turn; they pass on the code before as well, since the result is the same.

--- a/src/mesh/configDelta.ts
+++ b/src/mesh/configDelta.ts
@@ -27,6 +27,37 @@
   readonly routeCount: number;
 }
 
+/** All fields that a single comparison covers. */
+const PLAIN_FIELDS = Object.keys({
+  name: true,
+  host: true,
+  pathPrefix: true,
+  isIdempotent: true,
+  timeoutMs: true,
+  objectiveMs: true,
+  maxAttempts: true,
+  priority: true,
+} satisfies Record<Exclude<keyof MeshRoute, 'targets'>, true>) as Exclude<
+  keyof MeshRoute,
+  'targets'
+>[];
+
+function hasSameTargets({ targets }: MeshRoute, { targets: others }: MeshRoute): boolean {
+  if (targets.length !== others.length) return false;
+  return targets.every(({ service, weight }, index) => {
+    const other = others[index]!;
+    return service === other.service && weight === other.weight;
+  });
+}
+
+function isSameRoute(before: MeshRoute, after: MeshRoute): boolean {
+  // Versions that a delta leads to share the routes that it does not change.
+  if (before === after) return true;
+  return (
+    PLAIN_FIELDS.every((field) => before[field] === after[field]) && hasSameTargets(before, after)
+  );
+}
+
 /** Returns the changes from `before` to `after`, which is stored at `revision`. */
 export function diffConfigs(before: MeshConfig, after: MeshConfig, revision: number): ConfigDelta {
   const removed = mapRoutes(before);
@@ -34,7 +65,7 @@
   const routesAfter = mapRoutes(after);
   for (const [name, route] of routesAfter) {
     const known = removed.get(name);
-    if (!known || JSON.stringify(known) !== JSON.stringify(route)) routes.push(route);
+    if (!known || !isSameRoute(known, route)) routes.push(route);
     removed.delete(name);
   }
   return {
--- a/test/mesh/configDelta.test.ts
+++ b/test/mesh/configDelta.test.ts
@@ -78,3 +78,33 @@
   assert.equal(history.findChanges(brandVersion(1)), undefined);
   assert.equal(history.findChanges(brandVersion(7)), undefined);
 });
+
+const CHANGES: readonly Partial<MeshRoute>[] = [
+  { host: 'other.example' },
+  { pathPrefix: '/other/' },
+  { targets: [{ service: brandText('pads'), weight: 2 }] },
+  { targets: [{ service: brandText('decks'), weight: 1 }] },
+  { targets: [1, 2].map((weight) => ({ service: brandText('pads'), weight })) },
+  { isIdempotent: false },
+  { timeoutMs: 2 },
+  { objectiveMs: 501 },
+  { maxAttempts: 3 },
+  { priority: 1 },
+];
+for (const change of CHANGES) {
+  test(`a delta holds a route whose only change is ${JSON.stringify(change)}`, () => {
+    const route = buildRoute(0, 1);
+    const [before, after] = [route, { ...route, ...change }].map((one, index) => {
+      const routes = buildRouteTable([one]);
+      return { version: brandVersion(index + 1), routes, limits: LIMITS };
+    });
+    assert.deepEqual(diffConfigs(before!, after!, 1).routes, [
+      after!.routes.values().next().value![0],
+    ]);
+  });
+}
+
+test('a delta leaves out a route that was decoded again without a change', () => {
+  const { routes } = diffConfigs(buildConfig(1, [1, 1]), buildConfig(2, [1, 1]), 1);
+  assert.deepEqual(routes, []);
+});
