Compare the names of headers by length first, build no empty list of connection options

getHeader lower-cased each name of a message for each look-up, some eleven times for each request at a host, and filterHeaders built a set also without a Connection header. The result is unchanged: names of headers are ASCII, whose length does not depend on case.

--- a/src/mesh/headers.ts
+++ b/src/mesh/headers.ts
@@ -36,13 +36,24 @@
 export function getHeader(headers: readonly string[], name: string): string | undefined {
   const lowerCaseName = name.toLowerCase();
   for (let index = 0; index + 1 < headers.length; index += 2) {
-    if (headers[index]!.toLowerCase() === lowerCaseName) return headers[index + 1];
+    const other = headers[index]!;
+    // Case changes no length of a header name, and most names differ in length.
+    if (other.length === name.length && other.toLowerCase() === lowerCaseName) {
+      return headers[index + 1];
+    }
   }
   return undefined;
 }
 
 const EMPTY_NAMES: ReadonlySet<string> = new Set();
 
+/** Returns the headers that the header `connection` lists, in lower case. */
+function listConnectionOptions(headers: readonly string[]): ReadonlySet<string> {
+  const text = getHeader(headers, 'connection');
+  if (text === undefined) return EMPTY_NAMES;
+  return new Set(text.split(',').map((name) => name.trim().toLowerCase()));
+}
+
 /**
  * Returns the headers without hop-by-hop headers, including those that `connection` lists, and
  * without those in `removed` (lower-case names).
@@ -51,9 +62,7 @@
   headers: readonly string[],
   removed: ReadonlySet<string> = EMPTY_NAMES,
 ): string[] {
-  const connectionOptions = new Set(
-    (getHeader(headers, 'connection') ?? '').split(',').map((name) => name.trim().toLowerCase()),
-  );
+  const connectionOptions = listConnectionOptions(headers);
   const kept: string[] = [];
   for (let index = 0; index + 1 < headers.length; index += 2) {
     const name = headers[index]!.toLowerCase();
