Write log lines of level info together, four times a second at most

Each line took a system call of its own: in a steady state of 35 calls a second in and 35 out, 875 write calls in 8 s, of which a third was the log, and 5.5% of the busy time of the node in a CPU profile (formatting included).

Lines of level info now wait up to 250 ms for others; warnings and errors are written at once, after the lines that wait, so their order stays. Lines that wait are written when the process exits. Only a process that is killed loses those of its last 250 ms, which are of level info.

--- a/src/mesh/eventLog.ts
+++ b/src/mesh/eventLog.ts
@@ -10,6 +10,9 @@
 /** Limit on bytes that are buffered for a slow reader. */
 const MAX_BUFFERED_BYTES = 256 * 1024;
 
+/** Time for which lines of level `info` wait for others, so that they share a write. */
+const FLUSH_INTERVAL_MS = 250;
+
 /** Destination of log lines. */
 export interface LogOutput {
   readonly writableLength: number;
@@ -20,11 +23,24 @@
   write(level: 'info' | 'warn' | 'error', event: string, fields?: LogFields): void;
 }
 
-/** Creates a log whose lines all include the fields in `common`. */
+/**
+ * Creates a log whose lines all include the fields in `common`. Lines of level `info` are written
+ * together; those of other levels at once, after the waiting ones. None waits when the process
+ * exits, unless it is killed.
+ */
 export function createEventLog(common: LogFields, output: LogOutput = process.stdout): EventLog {
   let second = 0;
   let lines = 0;
   let dropped = 0;
+  let waiting = '';
+  let timer: NodeJS.Timeout | undefined;
+  const flush = () => {
+    clearTimeout(timer);
+    timer = undefined;
+    if (waiting !== '') output.write(waiting);
+    waiting = '';
+  };
+  process.on('exit', flush);
   return {
     write(level, event, fields = {}) {
       const now = Math.floor(performance.now() / 1000);
@@ -39,9 +55,9 @@
       }
       const droppedCount = dropped === 0 ? undefined : dropped;
       dropped = 0;
-      output.write(
-        `${formatEvent(level, event, { ...common, ...fields, dropped: droppedCount })}\n`,
-      );
+      waiting += `${formatEvent(level, event, { ...common, ...fields, dropped: droppedCount })}\n`;
+      if (level === 'info') timer ??= setTimeout(flush, FLUSH_INTERVAL_MS).unref();
+      else flush();
     },
   };
 }
