--- a/test/mesh/callMonitor.test.ts
+++ b/test/mesh/callMonitor.test.ts
@@ -2,10 +2,11 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { CallMonitor } from '../../src/mesh/callMonitor.js';
-import { createEventLog } from '../../src/mesh/eventLog.js';
+import type { EventLog } from '../../src/mesh/eventLog.js';
 import { MeshMetrics } from '../../src/mesh/meshMetrics.js';
 import type { CallMetadata, RunReport } from '../../src/mesh/model.js';
 import { brandText } from '../../src/types/ids.js';
+import { formatEvent } from '../../src/utils/formatEvent.js';
 
 const REPORT: RunReport = {
   result: { kind: 'answered', response: { status: 200, headers: [], body: Buffer.alloc(0) } },
@@ -29,7 +30,11 @@
 function createMonitor() {
   const metrics = new MeshMetrics();
   const lines: string[] = [];
-  const log = createEventLog({}, { writableLength: 0, write: (text) => lines.push(text) > 0 });
+  const log: EventLog = {
+    write: (level, event, fields = {}) => {
+      lines.push(formatEvent(level, event, fields));
+    },
+  };
   return { metrics, lines, monitor: new CallMonitor({ metrics, log, getLagMs: () => 7 }) };
 }
 
