Do not learn the clock of a process from an exchange that was held up itself

What happened: the first call to a process on a full link was held up, refused with the clock, and sent again under a clock that contained the delay, so that it seemed new although it was under way as long again (review of the fix: started 824 ms after its caller left, deadline 902 ms too long). Cause: the upper bound of the offset is as wide as the round trip from which it was taken. Change: an exchange with a round trip of more than 200 ms does not tell the clock.

--- a/src/mesh/clockOffset.ts
+++ b/src/mesh/clockOffset.ts
@@ -15,6 +15,12 @@
 /** Drift of two clocks within two windows, by which a message may seem older than it is. */
 const MAX_DRIFT_MS = 10;
 
+/**
+ * Round trip from which an exchange does not tell the clock: the message may have been held up for
+ * most of it, and one that is held up as long would not seem old.
+ */
+const MAX_ROUND_TRIP_MS = 200;
+
 /** Times of one exchange on the clock of the process that responded, in milliseconds. */
 export interface ClockReading {
   /** Names the process, and distinguishes its clocks before and after it stood still. */
@@ -56,11 +62,12 @@
     const { clockId, receivedAtMs, respondedAtMs } = reading;
     // The request may have been sent before the own clock stood still.
     if (this.forgetAfterSuspension()) return;
+    const upperMs = receivedAtMs - sentAtMs;
     const lowerMs = respondedAtMs - returnedAtMs;
     const isContradiction = lowerMs > this.getUpperMs(returnedAtMs) + MAX_DRIFT_MS;
     if (clockId !== this.clockId || isContradiction) this.windows = [];
     this.clockId = clockId;
-    this.recordUpper(receivedAtMs - sentAtMs, returnedAtMs);
+    if (upperMs - lowerMs <= MAX_ROUND_TRIP_MS) this.recordUpper(upperMs, returnedAtMs);
   }
 
   /** Returns the latest instant on the other clock that `nowMs` can be; undefined if unknown. */
--- a/test/mesh/clockOffset.test.ts
+++ b/test/mesh/clockOffset.test.ts
@@ -61,6 +61,14 @@
   assert.ok(ageMs >= 1500 - 2 - MAX_DRIFT_MS, `known up to the shortest way: ${ageMs}`);
 });
 
+test('an exchange that was held up itself does not tell the clock', () => {
+  const clocks = new Clocks();
+  clocks.exchange(1500, 1);
+  assert.equal(clocks.measureAge(1500), undefined);
+  clocks.exchange(2, 1);
+  assert.ok(clocks.measureAge(1500)! >= 1500 - 2 - MAX_DRIFT_MS);
+});
+
 test('a message is not taken for old after the own process stood still', () => {
   const clocks = new Clocks();
   clocks.exchange(1, 1);
--- a/test/mesh/heldUpCalls.test.ts
+++ b/test/mesh/heldUpCalls.test.ts
@@ -291,6 +291,21 @@
   }, false);
 });
 
+test('a call that is held up like the first one to its process is not started', async () => {
+  await withLink(async (setup) => {
+    const { link, send } = setup;
+    link.setState({ kind: 'delayed', delayMs: 600 });
+    const cancellation = new Cancellation();
+    const sent = send(HELD_CALL, { isIdempotent: true, remainingMs: 6000 }, cancellation);
+    await wait(1300);
+    cancellation.cancel();
+    await sent;
+    await link.waitUntilEmpty();
+    link.setState({ kind: 'open' });
+    await assertNotStarted(setup);
+  }, false);
+});
+
 test('the first call to a process is run once and answered', async () => {
   await withLink(async ({ instance, send }) => {
     const { result } = await send(HELD_CALL, { isIdempotent: false, remainingMs: 4000 });
