Count a refusal for the age of a call as a lack of room

A host that reads calls late refuses them by their age and reports a load without them, so that it seemed idle and got more calls than others.

--- a/src/mesh/refusalReason.ts
+++ b/src/mesh/refusalReason.ts
@@ -1,9 +1,17 @@
 /** Classifies the reasons why a request was not run. */
 import type { RefusalReason } from './model.js';
 
-/** Returns true for refusals that mean that the instance has no room for the request now. */
+const CAPACITY_REFUSALS: ReadonlySet<string> = new Set<RefusalReason>([
+  'overloaded',
+  'limited',
+  // The way to the host, or the host itself, takes so long that its instance seems idle.
+  'delayed',
+  'clock-unknown',
+]);
+
+/** Returns true for refusals that mean that the host has no room for the request now. */
 export function isCapacityRefusal(reason: string): boolean {
-  return reason === 'overloaded' || reason === 'limited';
+  return CAPACITY_REFUSALS.has(reason);
 }
 
 /** Returns true for refusals that mean that the instance is temporarily unavailable. */
--- /dev/null
+++ b/test/mesh/refusalReason.test.ts
@@ -0,0 +1,26 @@
+/** Which refusals keep further requests off a host. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { RefusalReason } from '../../src/mesh/model.js';
+import { isCapacityRefusal, isInstanceUnavailable } from '../../src/mesh/refusalReason.js';
+
+const REASONS: Readonly<Record<RefusalReason, 'capacity' | 'unavailable' | 'neither'>> = {
+  overloaded: 'capacity',
+  limited: 'capacity',
+  delayed: 'capacity',
+  'clock-unknown': 'capacity',
+  deadline: 'neither',
+  cancelled: 'neither',
+  leaving: 'unavailable',
+  'no-instance': 'unavailable',
+  unreachable: 'unavailable',
+  shed: 'unavailable',
+  mismatch: 'unavailable',
+};
+
+for (const [reason, effect] of Object.entries(REASONS)) {
+  test(`a host that refuses as ${reason} does not attract more calls than it should`, () => {
+    assert.equal(isCapacityRefusal(reason), effect === 'capacity');
+    assert.equal(isInstanceUnavailable(reason as RefusalReason), effect === 'unavailable');
+  });
+}
