Escape what a header cannot hold in the messages between nodes

Callers would see: no answer from another host on a route whose name holds U+010D or U+010A (the low byte is sent, a line end), and a process that ends when the reason of a failed run holds U+007F, which writeHead refuses. Cause: the headers are JSON texts, and JSON.stringify escapes control characters below U+0020 only. Evidence: test/mesh/oddMessages on the code before: 3 of the 5 new cases fail (the others hold ASCII or what JSON.stringify escapes anyway): not ok 15 - a header between nodes can hold "r\u010d\u010a" not ok 16 - a header between nodes can hold "a\u007fb\u0000" not ok 18 - a header between nodes can hold "\u2028" Why this works: all that is not visible ASCII is written as \uXXXX, which each reader of JSON takes, so nodes of the code before read it, too.

--- a/src/mesh/peerMessages.ts
+++ b/src/mesh/peerMessages.ts
@@ -45,6 +45,9 @@
   CLOCK_HEADER,
 ]);
 
+/** Characters that `JSON.stringify` leaves as they are and a header cannot hold. */
+const NOT_ASCII = /[\u007f-\uffff]/g;
+
 /**
  * Wire format of the call metadata, a JSON array without field names to keep the header short.
  * Times are the remaining milliseconds, since `performance.now` differs between processes.
@@ -98,6 +101,14 @@
   return attemptId.split('.', 1)[0]!;
 }
 
+/** Formats a message as JSON of visible ASCII characters and blanks, which any header can hold. */
+function formatHeaderJson(message: object): string {
+  return JSON.stringify(message).replace(
+    NOT_ASCII,
+    (unit) => `\\u${unit.charCodeAt(0).toString(16).padStart(4, '0')}`,
+  );
+}
+
 /** Encodes the metadata of a call for a header. */
 export function encodeMetadata(
   metadata: CallMetadata,
@@ -113,7 +124,9 @@
     Math.floor(metadata.deadlineAtMs - nowMs),
     Math.floor(metadata.objectiveAtMs - nowMs),
   ];
-  return JSON.stringify(resumedProcessId === undefined ? message : [...message, resumedProcessId]);
+  return formatHeaderJson(
+    resumedProcessId === undefined ? message : [...message, resumedProcessId],
+  );
 }
 
 /** True for a remaining time; it is negative once the instant has passed. */
@@ -280,7 +293,7 @@
   };
   const message: ResultMessage =
     result.kind === 'answered' ? { ...common, kind: 'answered' } : { ...common, ...result };
-  return JSON.stringify(message);
+  return formatHeaderJson(message);
 }
 
 /** Decodes a result and its load; undefined when the text is missing or malformed. */
--- a/test/mesh/oddMessages.test.ts
+++ b/test/mesh/oddMessages.test.ts
@@ -1,13 +1,19 @@
 /** Messages between nodes with values that cannot be meant: they end no process and no call. */
 import assert from 'node:assert/strict';
-import { createServer } from 'node:http';
+import { createServer, validateHeaderValue } from 'node:http';
 import { test } from 'node:test';
 import { applyDelta, type ConfigDelta } from '../../src/mesh/configDelta.js';
 import { decodeConfigRequest } from '../../src/mesh/configAnswers.js';
 import { KindPosition } from '../../src/mesh/kindPosition.js';
 import type { CallMetadata, HttpResponse, MeshConfig } from '../../src/mesh/model.js';
 import { PeerCalls } from '../../src/mesh/peerCalls.js';
-import { decodeMetadata, decodeResult, RESULT_HEADER } from '../../src/mesh/peerMessages.js';
+import {
+  decodeMetadata,
+  decodeResult,
+  encodeMetadata,
+  encodeResult,
+  RESULT_HEADER,
+} from '../../src/mesh/peerMessages.js';
 import { RevisionExchange } from '../../src/mesh/revisionExchange.js';
 import { Cancellation } from '../../src/mesh/signal.js';
 import { brandText, brandVersion } from '../../src/types/ids.js';
@@ -48,6 +54,27 @@
   assert.equal(decodeMetadata(JSON.stringify(terms), 'q-1', 1000)?.metadata.deadlineAtMs, 980);
 });
 
+for (const text of ['r\u010d\u010a', 'a\u007fb\u0000', '\ud800', '\u2028', '"\\']) {
+  test(`a header between nodes can hold ${JSON.stringify(text)}`, () => {
+    const sent: CallMetadata = {
+      attemptId: 'p.1',
+      requestId: 'q-1',
+      route: brandText(text),
+      instanceId: brandText('i-1'),
+      isIdempotent: true,
+      priority: 0,
+      deadlineAtMs: 2000,
+      objectiveAtMs: 1500,
+    };
+    const terms = encodeMetadata(sent, undefined, 1000);
+    assert.match(terms, /^[\x20-\x7e]+$/);
+    assert.deepEqual(decodeMetadata(terms, 'q-1', 1000)?.metadata, sent);
+    const report = encodeResult({ result: { kind: 'unknown', reason: text }, load: undefined });
+    validateHeaderValue(RESULT_HEADER, report);
+    assert.deepEqual(decodeResult(report, RESPONSE)?.result, { kind: 'unknown', reason: text });
+  });
+}
+
 for (const text of ['null', '{', '7', '[]', '{}', NESTED, `{"kind":${NESTED}}`]) {
   test(`the result ${text.slice(0, 20)} of a node is no answer`, () => {
     const decoded = decodeResult(text, RESPONSE);
