--- a/test/mesh/oddRecords.test.ts
+++ b/test/mesh/oddRecords.test.ts
@@ -7,12 +7,13 @@
 import type { EventLog } from '../../src/mesh/eventLog.js';
 import { LocalInstance } from '../../src/mesh/localInstance.js';
 import { NodeListener } from '../../src/mesh/nodeListener.js';
-import type { PublishedNode } from '../../src/mesh/nodeRecord.js';
+import { NODE_KIND, type PublishedNode } from '../../src/mesh/nodeRecord.js';
 import { Publisher } from '../../src/mesh/publisher.js';
 import { RevisionExchange } from '../../src/mesh/revisionExchange.js';
 import type { MeshStore } from '../../src/mesh/store.js';
 import { brandText } from '../../src/types/ids.js';
 import { waitMs as wait } from '../../src/utils/backoff.js';
+import { MeshFleet, sendToHost } from '../../standins/mesh/meshFleet.js';
 import { buildNested } from '../../standins/mesh/oddValues.js';
 
 const OWN = 'own';
@@ -164,3 +165,29 @@
   await Promise.race([publisher.sync(), wait(5000)]);
   assert.deepEqual(written, [7]);
 });
+
+test('records that name the address or the instance of another node cost no request', async () => {
+  const fleet = new MeshFleet();
+  await fleet.start([{ prefix: '/read/' }]);
+  try {
+    const caller = await fleet.addHost('guide');
+    const host = await fleet.addHost('pads');
+    await fleet.waitForRecords();
+    const { nodeId, ports } = host.settings;
+    const stored = fleet.store.get(NODE_KIND, nodeId) as PublishedNode;
+    const sameInstance = { ...stored.record, nodeId: 'same-instance' };
+    const sameAddress = { ...buildRecord('same-address'), address: ports.peers };
+    fleet.store.put(NODE_KIND, 'same-instance', { record: sameInstance });
+    fleet.store.put(NODE_KIND, 'same-address', { record: sameAddress });
+    fleet.store.put(NODE_KIND, 'same-node', stored);
+    await fleet.waitForRecords();
+    for (let index = 0; index < 60; index += 1) {
+      const response = await sendToHost(caller, { path: '/read/', id: `q-${index}` });
+      assert.equal(response.status, 200);
+    }
+    assert.equal(new Set(host.instance.runs.map(({ requestId }) => requestId)).size, 60);
+    assert.equal(host.instance.runs.length, 60);
+  } finally {
+    await fleet.close();
+  }
+});
