--- a/src/mesh/configFetcher.ts
+++ b/src/mesh/configFetcher.ts
@@ -132,7 +132,7 @@
     const { holder, listSources } = this.options;
     const version = holder.get()?.version ?? NO_VERSION;
     const request = { version, revision, canConfirm, waitMs: SOURCE_WAIT_MS };
-    return this.ask(listSources(), request);
+    return this.requestBest(listSources(), request);
   }
 
   private async requestFirst(): Promise<ConfigAnswer | undefined> {
@@ -142,7 +142,7 @@
       const waitMs = Math.floor(endsAtMs - performance.now());
       if (sources.length === 0 || waitMs <= 0) return undefined;
       const request = { version: NO_VERSION, revision: 0, canConfirm: false, waitMs };
-      const answer = await this.ask(sources, request, waitMs);
+      const answer = await this.requestBest(sources, request, waitMs);
       if (answer) return answer;
       await wait(START_INTERVAL_MS);
     }
@@ -152,7 +152,7 @@
    * Returns the best answer of the sources. A whole version is requested from one source only, once
    * it is known which of them can send it, since two would use the link twice.
    */
-  private async ask(
+  private async requestBest(
     sources: readonly ConfigSource[],
     request: ConfigRequest,
     limitMs?: number,
