Check the routes and limits of a change that another node sends

A node of another build could send routes that lack a field, and the host installed them. Whole versions are checked since they are sent; deltas now are too. A delta that is refused makes the host read the store, as before.

--- a/src/mesh/configDelta.ts
+++ b/src/mesh/configDelta.ts
@@ -7,7 +7,7 @@
 import { buildError, type StepError } from '../errors.js';
 import type { ConfigVersion, RouteName } from '../types/ids.js';
 import { isCount } from '../utils/boundedValues.js';
-import { isCallerLimits, isMeshRoute } from './configGuards.js';
+import { checkContent } from './configContent.js';
 import type { CallerLimits, MeshConfig, MeshRoute } from './model.js';
 import { buildRouteTable, mapRoutes } from './routeTable.js';
 
@@ -100,9 +100,8 @@
   if (!isCount(delta.toVersion) || delta.toVersion <= base.version) {
     return refuse(`leads to version ${delta.toVersion}, installed is ${base.version}`);
   }
-  if (!delta.routes.every(isMeshRoute) || !isCallerLimits(delta.limits)) {
-    return refuse('holds a route or limit that is not usable');
-  }
+  const checked = checkContent(delta, STEP);
+  if (checked.isErr()) return err(checked.error);
   const byName = mapRoutes(base);
   for (const name of delta.removed) byName.delete(name);
   for (const route of delta.routes) byName.set(route.name, route);
--- a/src/mesh/configGuards.ts
+++ b/src/mesh/configGuards.ts
@@ -14,7 +14,7 @@
 export function isMeshRoute(value: unknown): value is MeshRoute {
   const route = (value ?? {}) as Partial<MeshRoute>;
   return (
-    [route.name, route.host, route.pathPrefix].every((text) => typeof text === 'string') &&
+    [route.name, route.host, route.pathPrefix].every(isName) &&
     Array.isArray(route.targets) &&
     route.targets.every(isRouteTarget) &&
     typeof route.isIdempotent === 'boolean' &&
--- a/test/mesh/configDelta.test.ts
+++ b/test/mesh/configDelta.test.ts
@@ -68,6 +68,20 @@
   assert.ok(applyDelta(buildConfig(2, [1, 1, 1]), delta).isErr());
 });
 
+test('a delta of another build with an invalid route or invalid limits is refused', () => {
+  const base = buildConfig(2, [1, 1]);
+  const delta = diffConfigs(base, buildConfig(3, [1, 2]), 7);
+  const [route] = delta.routes;
+  const { timeoutMs, ...lacking } = route!;
+  for (const invalid of [lacking, { ...route, targets: 'pads' }, null]) {
+    const routes = [invalid as unknown as MeshRoute];
+    assert.ok(applyDelta(base, { ...delta, routes }).isErr(), JSON.stringify(invalid));
+  }
+  const limits = { ...LIMITS, idleTimeoutMs: timeoutMs.toString() as unknown as number };
+  assert.ok(applyDelta(base, { ...delta, limits }).isErr());
+  assert.ok(applyDelta(base, delta).isOk());
+});
+
 test('the history answers from any version that it has seen, and from no other', () => {
   const history = new ConfigHistory();
   const configs = [2, 3, 7].map((version) => buildConfig(version, [version, 1]));
