Start without waiting for the list of the nodes where the link is fast

A starting node waited up to 0.4 s for the list of the nodes before it read its first version, also with a link that carries it in a few milliseconds, as on the small sites. A link that carries 384 KB within the 50 ms that a response may use is now used at once. Evidence: the new case of test/mesh/configFetcher; configFetcher, slowLinks, configDelta, oddMessages: 105 pass.

--- a/src/mesh/configSources.ts
+++ b/src/mesh/configSources.ts
@@ -13,6 +13,9 @@
 /** Time for which one response of the store may use the link of the host. */
 const MAX_LINK_USE_MS = 50;
 
+/** Size of a large configuration; a host whose link carries it in time reads it from the store. */
+const LARGE_CONFIG_BYTES = 384 * 1024;
+
 /** A node that is ready and responds. */
 export interface SourceNode {
   readonly nodeId: NodeId;
@@ -53,8 +56,10 @@
  */
 export function listStartSources<Node extends SourceNode>(
   own: SourceNode,
-  nodes: readonly Node[],
-): readonly Node[] {
+  nodes: readonly Node[] | undefined,
+): readonly Node[] | undefined {
+  if (computeMaxResponseBytes(own.linkMbps) >= LARGE_CONFIG_BYTES) return [];
+  if (!nodes) return undefined;
   const others = nodes.filter(({ nodeId }) => nodeId !== own.nodeId);
   return listConfigSources(own, others).filter(({ linkMbps }) => linkMbps > own.linkMbps);
 }
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -241,9 +241,8 @@
       return listConfigSources(getSettings(), candidates).map(({ calls }) => calls);
     },
     listStartSources: () => {
-      if (!nodes.hasReceivedList()) return undefined;
-      const candidates = listResponding().map(toSourceNode);
-      return listStartSources(getSettings(), candidates).map(({ calls }) => calls);
+      const candidates = nodes.hasReceivedList() ? listResponding().map(toSourceNode) : undefined;
+      return listStartSources(getSettings(), candidates)?.map(({ calls }) => calls);
     },
   });
   const watchOptions = {
--- a/test/mesh/configFetcher.test.ts
+++ b/test/mesh/configFetcher.test.ts
@@ -55,13 +55,18 @@
 });
 
 test('a node that starts asks only sources whose links are faster than its own', () => {
-  const names = (own: SourceNode) => listStartSources(own, NODES).map(({ nodeId }) => nodeId);
+  const names = (own: SourceNode) => listStartSources(own, NODES)?.map(({ nodeId }) => nodeId);
   assert.deepEqual(names(NODES[0]!), ['a-2', 'a-4']);
   assert.deepEqual(names(NODES[1]!), [], 'another link is as fast');
   assert.deepEqual(names(NODES[6]!), [], 'no link of the data centre is faster');
   assert.deepEqual(names(buildNode('a-9', 'a', 1000)), []);
 });
 
+test('a starting node waits for the list of the nodes only with a link that is slow', () => {
+  assert.equal(listStartSources(buildNode('a-9', 'a', 5), undefined), undefined);
+  assert.deepEqual(listStartSources(buildNode('a-9', 'a', 1000), undefined), []);
+});
+
 test('a response may use a link for 50 ms', () => {
   assert.equal(computeMaxResponseBytes(5), 31_250);
   assert.equal(computeMaxResponseBytes(1000), 6_250_000);
