Relay a 408, 429 or 503 of an instance only if it states that it did not run the request

A caller takes these statuses as a promise that its request was not run.

Cause: classifyResponse knew a refusal by that header alone, and passed any other status on as the answer. PROTOCOL.md: 'No other response states this.'

Evidence: on the code before, the rows for 408, 429 and 503 fail with + 'answered' - 'unknown' while the instance ran the request. Ruled out: 421, which counts as a refusal by its status (RULES.md) and is not relayed.

Such a response is now unknown: 502 for the caller, or a further attempt within the budget for an idempotent request.

--- a/src/mesh/instanceClient.ts
+++ b/src/mesh/instanceClient.ts
@@ -31,6 +31,9 @@
 /** Largest response body of an instance; the memory of a node holds one for each slot. */
 const MAX_BODY_BYTES = 8 * 1024 * 1024;
 
+/** Statuses that tell a caller that its request was not run. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 429, 503]);
+
 const TIMEOUT = 'timeout';
 
 /** Builds the result of a request that the instance did not run. */
@@ -159,6 +162,10 @@
     if (status === 421) return buildRefusal('mismatch', true);
     this.onNotice(readInstanceNotice(headers, this.names), instanceId);
     if (getHeader(headers, this.names.notExecuted) !== undefined) return buildRefusal('shed', true);
+    // The instance may have run the request, so its status must not reach the caller.
+    if (NOT_RUN_STATUSES.has(status)) {
+      return { kind: 'unknown', reason: `${status} without a statement that it was not run` };
+    }
     const isSigned = getHeader(headers, this.names.signature) !== undefined;
     if (status < 300 && !isSigned) return { kind: 'unknown', reason: 'unsigned response' };
     return { kind: 'answered', response };
--- a/test/mesh/instanceClient.test.ts
+++ b/test/mesh/instanceClient.test.ts
@@ -40,6 +40,24 @@
   await instance.close();
 });
 
+for (const status of [408, 429, 503]) {
+  test(`a ${status} that does not state that the request was not run is unknown`, async () => {
+    const instance = new InstanceServer('i-1');
+    const port = await instance.listen();
+    const client = new InstanceClient({ host: '127.0.0.1', port }, HEADER_NAMES, () => {});
+    instance.fault = { kind: 'fail', status };
+    const result = await client.run(
+      buildRequest('a'),
+      buildMetadata('a', false),
+      new Cancellation(),
+    );
+    assert.equal(instance.runs.length, 1);
+    assert.equal(result.kind, 'unknown');
+    client.close();
+    await instance.close();
+  });
+}
+
 const HEAD = 'HTTP/1.1 200 OK\r\n';
 const ENDLESS = [
   { name: 'a header line', head: `${HEAD}X-Long: `, repeated: 'x' },
