Refuse a response whose framing is in doubt

Cause: http-parser-js ignores an encoding that it doesn't know, so that the body counts as one that ends with the connection; it takes the last of two encodings, prefers chunks to a length, and compares repeated lengths as JavaScript numbers ('3' and '0x3' are equal).

Evidence: on the code before, five rows of the table fail, each with + 'answered' - 'unknown' (two lengths, one in another notation; a length and chunks; an encoding before chunks; chunks and another encoding; an unknown encoding). Ruled out: repeated lengths that differ as numbers were refused before.

The framing headers are read as a whole before the body: lengths are digits only, an encoding is exactly 'chunked', once, without a length beside it. Otherwise the result is unknown and the connection is closed.

--- a/src/mesh/httpConnection.ts
+++ b/src/mesh/httpConnection.ts
@@ -8,7 +8,7 @@
 import type { PeerAddress } from '../types/interfaces.js';
 import type { HttpRequest, HttpResponse } from './model.js';
 import { getHeader } from './headers.js';
-import { createResponseParser } from './responseParser.js';
+import { createResponseParser, explainInvalidFraming } from './responseParser.js';
 
 /** Largest response body that is read, in bytes. */
 const MAX_RESPONSE_BYTES = 32 * 1024 * 1024;
@@ -194,9 +194,9 @@
     const { pending } = this;
     if (!pending) throw new Error('response without a request');
     validateHeaders(info.headers);
+    const fault = explainInvalidFraming(info.headers);
+    if (fault !== undefined) throw new Error(fault);
     const length = getHeader(info.headers, 'content-length');
-    // The parser never completes a message whose length is not a number.
-    if (length !== undefined && !/^\d+$/.test(length)) throw new Error('invalid length');
     const isInterim = info.statusCode < 200;
     if (isInterim) pending.onInterim?.();
     const isMismatched = !isInterim && !pending.isMatching(info.headers);
--- a/src/mesh/responseParser.ts
+++ b/src/mesh/responseParser.ts
@@ -1,4 +1,4 @@
-/** Response parser of `http-parser-js` with strict validation of header lines and chunk sizes. */
+/** Response parser of `http-parser-js`, strict with header lines, framing and chunk sizes. */
 import { HTTPParser, type HTTPParserJS } from 'http-parser-js';
 
 /** Members of the parser that are missing from its type declarations. */
@@ -35,6 +35,23 @@
   headers.push(match[1]!, match[2]!.trim());
 }
 
+/** Returns why the end of a body is in doubt; undefined if it is not. */
+export function explainInvalidFraming(headers: readonly string[]): string | undefined {
+  const lengths: string[] = [];
+  const encodings: string[] = [];
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    const name = headers[index]!.toLowerCase();
+    if (name === 'content-length') lengths.push(headers[index + 1]!);
+    if (name === 'transfer-encoding') encodings.push(headers[index + 1]!.toLowerCase());
+  }
+  // The parser never completes a message whose length is not a number.
+  if (!lengths.every((length) => /^\d+$/.test(length))) return 'invalid length';
+  if (encodings.length === 0) return undefined;
+  if (lengths.length > 0) return 'length and transfer encoding';
+  // The parser takes a body with any other encoding for one that ends with the connection.
+  return encodings.length > 1 || encodings[0] !== 'chunked' ? 'invalid encoding' : undefined;
+}
+
 /** Creates a parser for the responses of one connection. */
 export function createResponseParser(): HTTPParserJS {
   const parser = new HTTPParser(HTTPParser.RESPONSE);
--- a/test/mesh/truncatedResponses.test.ts
+++ b/test/mesh/truncatedResponses.test.ts
@@ -162,12 +162,37 @@
     name: 'two lengths',
     head: `${START}${IDENTITY}Content-Length: 3\r\nContent-Length: 30`,
   },
+  {
+    name: 'two lengths, one in another notation',
+    head: `${START}${IDENTITY}Content-Length: 3\r\nContent-Length: 0x3`,
+  },
+  {
+    name: 'a length and chunks',
+    head: `${START}${IDENTITY}Content-Length: 30\r\nTransfer-Encoding: chunked`,
+    body: '3\r\nthe\r\n0\r\n\r\n',
+  },
+  {
+    name: 'an encoding before chunks',
+    head: `${START}${IDENTITY}Transfer-Encoding: gzip, chunked`,
+    body: '3\r\nthe\r\n0\r\n\r\n',
+  },
+  {
+    name: 'chunks and another encoding',
+    head: `${START}${IDENTITY}Transfer-Encoding: chunked\r\nTransfer-Encoding: identity`,
+    body: '3\r\nthe\r\n0\r\n\r\n',
+  },
+  {
+    name: 'an unknown encoding',
+    head: `${START}${IDENTITY}Transfer-Encoding: chunke`,
+    body: '3\r\nthe\r\n0\r\n\r\n',
+  },
 ] as const;
 
-for (const { name, head } of DOUBTFUL_HEADS) {
+for (const { name, head, ...rest } of DOUBTFUL_HEADS) {
   test(`a response with ${name} is unknown to the client`, async () => {
     await withInstance(async (exchange) => {
-      const result = await exchange(buildCut(`${head}\r\n\r\nthe`, 'fin'));
+      const body = 'body' in rest ? rest.body : 'the';
+      const result = await exchange(buildCut(`${head}\r\n\r\n${body}`, 'fin'));
       assert.equal(result.kind, 'unknown');
     });
   });
