Refuse a status line whose status has more than three digits

A faulty instance's bytes could reach a caller as a success: 'HTTP/1.1 2000 OK' was read as status 200 with the reason '0 OK'.

Cause: the pattern of http-parser-js ends the status after three digits and takes the rest for the reason. It also takes any version, and 000.

Evidence: on the code before, the row of the table fails with + 'answered' - 'unknown' Ruled out: a status line that is cut short, or has no status, was refused before (rows of the same table).

The status line is now version 1.0 or 1.1, three digits from 100 on, and either its end or a space; anything else is malformed.

--- a/src/mesh/responseParser.ts
+++ b/src/mesh/responseParser.ts
@@ -4,10 +4,39 @@
 /** Members of the parser that are missing from its type declarations. */
 interface ParserInternals {
   state: string;
-  body_bytes: number;
+  body_bytes: number | null;
+  info: {
+    versionMajor: number;
+    versionMinor: number;
+    statusCode: number;
+    statusMessage: string;
+  };
   consumeLine(): string | undefined;
 }
 
+const STATUS_LINE = /^HTTP\/(1)\.([01]) ([1-9]\d{2})(?: (.*))?$/;
+
+/** Returns true for a status whose responses have no body, whatever their headers say. */
+function isBodiless(status: number): boolean {
+  return status < 200 || status === 204 || status === 304;
+}
+
+/** Replaces the library's function, which reads a status of more digits as its first three. */
+function readStatusLine(this: ParserInternals): void {
+  const line = this.consumeLine();
+  // Empty lines before a status line are skipped.
+  if (line === undefined || line === '') return;
+  const match = STATUS_LINE.exec(line);
+  if (!match) throw new Error('invalid status line');
+  const [, versionMajor, versionMinor, statusCode, statusMessage = ''] = match;
+  this.info.versionMajor = Number(versionMajor);
+  this.info.versionMinor = Number(versionMinor);
+  this.info.statusCode = Number(statusCode);
+  this.info.statusMessage = statusMessage;
+  if (isBodiless(this.info.statusCode)) this.body_bytes = 0;
+  this.state = 'HEADER';
+}
+
 const CHUNK_HEADER = /^[0-9a-f]{1,8}[ \t]*(;.*)?$/i;
 
 /** Replaces the library's function, which treats a non-numeric chunk size as the last chunk. */
@@ -55,5 +84,9 @@
 /** Creates a parser for the responses of one connection. */
 export function createResponseParser(): HTTPParserJS {
   const parser = new HTTPParser(HTTPParser.RESPONSE);
-  return Object.assign(parser, { BODY_CHUNKHEAD: readChunkHeader, parseHeader });
+  return Object.assign(parser, {
+    RESPONSE_LINE: readStatusLine,
+    BODY_CHUNKHEAD: readChunkHeader,
+    parseHeader,
+  });
 }
--- a/test/mesh/truncatedResponses.test.ts
+++ b/test/mesh/truncatedResponses.test.ts
@@ -149,6 +149,7 @@
 /** Heads whose framing is in doubt; each would let a cut body pass for a whole one. */
 const DOUBTFUL_HEADS = [
   { name: 'a status line cut short', head: `HTTP/1.1 20\r\n${IDENTITY}Content-Length: 3` },
+  { name: 'a status of four digits', head: `HTTP/1.1 2000 OK\r\n${IDENTITY}Content-Length: 3` },
   { name: 'a status line without a status', head: `HTTP/1.1\r\n${IDENTITY}Content-Length: 3` },
   { name: 'a length whose name is cut short', head: `${START}${IDENTITY}Content-Len` },
   { name: 'a length whose name ends with a space', head: `${START}${IDENTITY}Content-Length : 30` },
