Read no body after an interim response, a 204 or a 304

An instance's 304 with the length of the body that it leaves out was never complete, so that its caller waited until the deadline; an interim response with a length took the first bytes of the response behind it.

Cause: http-parser-js knows the statuses without a body, but a length in the head replaces that.

Evidence: on the code before, three rows of the table fail (the interim response, the 304 and the 204 with a length) with undefined !== '' for the body that was never reported. Ruled out: a 204 without a length.

The connection tells the parser to skip the body of these statuses.

--- a/src/mesh/httpConnection.ts
+++ b/src/mesh/httpConnection.ts
@@ -8,7 +8,7 @@
 import type { PeerAddress } from '../types/interfaces.js';
 import type { HttpRequest, HttpResponse } from './model.js';
 import { getHeader } from './headers.js';
-import { createResponseParser, explainInvalidFraming } from './responseParser.js';
+import { createResponseParser, explainInvalidFraming, isBodiless } from './responseParser.js';
 
 /** Largest response body that is read, in bytes. */
 const MAX_RESPONSE_BYTES = 32 * 1024 * 1024;
@@ -215,7 +215,7 @@
     if (isMismatched || (!isInterim && !info.shouldKeepAlive)) this.isReusable = false;
     const seconds = /timeout=(\d+)/.exec(getHeader(info.headers, 'keep-alive') ?? '')?.[1];
     if (seconds !== undefined) this.peerIdleTimeoutMs = Number(seconds) * 1000;
-    return pending.isHead;
+    return pending.isHead || isBodiless(info.statusCode);
   }
 
   private handleMessage(): void {
--- a/src/mesh/responseParser.ts
+++ b/src/mesh/responseParser.ts
@@ -17,7 +17,7 @@
 const STATUS_LINE = /^HTTP\/(1)\.([01]) ([1-9]\d{2})(?: (.*))?$/;
 
 /** Returns true for a status whose responses have no body, whatever their headers say. */
-function isBodiless(status: number): boolean {
+export function isBodiless(status: number): boolean {
   return status < 200 || status === 204 || status === 304;
 }
 
--- a/test/mesh/httpConnection.test.ts
+++ b/test/mesh/httpConnection.test.ts
@@ -149,6 +149,32 @@
     body: 'own',
     canReuse: true,
   },
+  {
+    name: 'an interim response with a length',
+    bytes: `HTTP/1.1 103 Early Hints\r\nContent-Length: 3\r\n\r\n${buildResponse('1', 'own')}`,
+    body: 'own',
+    canReuse: true,
+  },
+  {
+    name: 'a 304 with the length of the body that it leaves out',
+    bytes: 'HTTP/1.1 304 Not Modified\r\nId: 1\r\nContent-Length: 9\r\n\r\n',
+    end: 'fin',
+    body: '',
+    canReuse: true,
+  },
+  {
+    name: 'a 204 with a length',
+    bytes: 'HTTP/1.1 204 No Content\r\nId: 1\r\nContent-Length: 9\r\n\r\n',
+    end: 'fin',
+    body: '',
+    canReuse: true,
+  },
+  {
+    name: 'a 204 without a length',
+    bytes: 'HTTP/1.1 204 No Content\r\nId: 1\r\n\r\n',
+    body: '',
+    canReuse: true,
+  },
   {
     name: 'Connection: close',
     bytes: `${HEAD}Connection: close\r\nContent-Length: 3\r\n\r\nown`,
