Select the frequent timeouts of a route without a copy of all counts

RequestAges.record copied the counts of a route into an array of pairs and computed the least frequent count that matters for each of them, on each request of a caller. It now computes that once and copies the few pairs that pass.

--- a/src/mesh/requestAges.ts
+++ b/src/mesh/requestAges.ts
@@ -48,9 +48,9 @@
 /** Returns the initial timeouts, longest first. */
 function listInitialTimeouts({ counts, total }: TimeoutCounts): number[] {
   const initial: number[] = [];
-  const frequent = [...counts].filter(
-    ([, count]) => count >= Math.max(MIN_COUNT, total * MIN_SHARE),
-  );
+  const minCount = Math.max(MIN_COUNT, total * MIN_SHARE);
+  const frequent: [ms: number, count: number][] = [];
+  for (const entry of counts) if (entry[1] >= minCount) frequent.push(entry);
   for (const [ms, count] of frequent.sort(([a], [b]) => b - a)) {
     const longer = initial.at(-1);
     const isDistinct = longer === undefined || ms * MIN_TIMEOUT_RATIO < longer;
