Read what has arrived before starting a request after the event loop was blocked

What happened: a node without processor time reads a request before the end of its connection that lies behind it, and the response of a running request before the end of the caller whose queued request it starts. Both were sent to instances 0.7 s after their callers had left (GONE). In the record of the incident the event loop of sidecar-bavaria-south-c-9, the host of the users' example, was late by up to 699 ms. Cause: after a delay the loop reads events in no useful order, and a decision was taken at the first of them. The tests of the peer port share their parts now; test/mesh/cutPeerResults lets the first call tell the clock before it cuts results, which it counted as the first result before.

--- a/src/mesh/callPort.ts
+++ b/src/mesh/callPort.ts
@@ -5,6 +5,7 @@
 import type { CallOutcome, PendingCall } from './pendingCall.js';
 import type { EventLog } from './eventLog.js';
 import { filterHeaders, getHeader, type HeaderNames } from './headers.js';
+import type { LoopMonitor } from './loopMonitor.js';
 import type { MeshMetrics } from './meshMetrics.js';
 import type { CallerLimits, HttpResponse, MeshConfig, MeshSettings } from './model.js';
 import { OpenRequests } from './openRequests.js';
@@ -27,6 +28,7 @@
   readonly getSettings: () => MeshSettings;
   readonly getConfig: () => MeshConfig | undefined;
   readonly router: CallRouter;
+  readonly loop: Pick<LoopMonitor, 'waitForArrivals'>;
   readonly names: HeaderNames;
   readonly log: EventLog;
   readonly metrics: MeshMetrics;
@@ -195,6 +197,7 @@
         timing: undefined,
       },
     };
+    await options.loop.waitForArrivals();
     const outcome = await router.run(call);
     writeOutcome(response, call, outcome);
   };
--- a/src/mesh/localRunner.ts
+++ b/src/mesh/localRunner.ts
@@ -7,6 +7,7 @@
 import { buildRefusal, InstanceClient } from './instanceClient.js';
 import type { InstanceNotice } from './instanceNotice.js';
 import { LimitMonitor } from './limitMonitor.js';
+import type { LoopMonitor } from './loopMonitor.js';
 import type { LocalInstance } from './localInstance.js';
 import type {
   CallMetadata,
@@ -37,6 +38,7 @@
 }
 
 export interface RunnerOptions {
+  readonly loop: Pick<LoopMonitor, 'waitForArrivals'>;
   readonly instance: LocalInstance;
   readonly getAddress: () => PeerAddress;
   readonly names: HeaderNames;
@@ -64,6 +66,8 @@
 
   private isStopping = false;
 
+  private isStartDeferred = false;
+
   /** Instance that the limit applies to. */
   private limitedInstance: Pick<Heartbeat, 'instanceId' | 'startedAtMs'> | undefined;
 
@@ -288,7 +292,22 @@
     this.refuseQueued('unreachable');
   }
 
+  /** Starts queued requests, whose callers may have left while the event loop was blocked. */
   private startNext(): void {
+    if (this.isStartDeferred) return;
+    const arrivals = this.options.loop.waitForArrivals();
+    if (!arrivals) {
+      this.startQueued();
+      return;
+    }
+    this.isStartDeferred = true;
+    void arrivals.then(() => {
+      this.isStartDeferred = false;
+      this.startQueued();
+    });
+  }
+
+  private startQueued(): void {
     for (;;) {
       const item = this.queue.dequeue(performance.now());
       if (!item) break;
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -26,6 +26,7 @@
 import { KindPosition } from './kindPosition.js';
 import { LocalInstance } from './localInstance.js';
 import { LocalRunner } from './localRunner.js';
+import { LoopMonitor } from './loopMonitor.js';
 import { MeshMetrics } from './meshMetrics.js';
 import type { MeshConfig, MeshSettings } from './model.js';
 import { NodeListener } from './nodeListener.js';
@@ -118,8 +119,10 @@
 
   const getDesired = () => buildPublishedNode(instance, getSettings(), processId, isStopping);
   const publisher = new Publisher(nodeId, store, log, getDesired);
+  const loop = new LoopMonitor();
   const runner = new LocalRunner({
     instance,
+    loop,
     getAddress: () => getSettings().instanceAddress,
     names,
     log,
@@ -158,6 +161,7 @@
   });
   const getConfig = () => config.get();
   const callPort = createCallPort({
+    loop,
     getSettings,
     getConfig,
     router,
@@ -184,8 +188,9 @@
     history,
     position: positions.config,
   });
-  const nodeMonitor = startNodeMonitor({
+  startNodeMonitor({
     store,
+    loop,
     metrics,
     log,
     countOpen: () => callPort.countOpen(),
@@ -199,7 +204,8 @@
     seen,
     configAnswers,
     detector,
-    monitor: new CallMonitor({ metrics, log, getLagMs: () => nodeMonitor.getLagMs() }),
+    loop,
+    monitor: new CallMonitor({ metrics, log, getLagMs: () => loop.getLagMs() }),
   });
   const announcementPort = createAnnouncementPort({
     instance,
@@ -280,7 +286,7 @@
   log.write('info', 'started', { service: settings.service, process: processId });
 
   const closeComponents = () => {
-    nodeMonitor.stop();
+    loop.stop();
     recordPruner.stop();
     positions.config.endWait();
     positions.nodes.endWait();
--- a/src/mesh/nodeMonitor.ts
+++ b/src/mesh/nodeMonitor.ts
@@ -3,6 +3,7 @@
  * link of the host, and delays of the event loop.
  */
 import type { EventLog } from './eventLog.js';
+import type { LoopMonitor } from './loopMonitor.js';
 import type { MeshMetrics } from './meshMetrics.js';
 import type { MeshStore, StoreCall } from './store.js';
 
@@ -12,15 +13,13 @@
 /** Transfer time from which a response of the store gets a log line. */
 const SLOW_TRANSFER_MS = 200;
 
-/** Interval of the timer whose delay is the delay of the event loop. */
-const LAG_CHECK_MS = 500;
-
-/** Number of checks for each `node-load` line. */
+/** Number of checks of the event loop for each `node-load` line. */
 const CHECKS_PER_LINE = 10;
 
 /** Options of the monitor. */
 export interface NodeMonitorOptions {
   readonly store: Pick<MeshStore, 'onCall'>;
+  readonly loop: Pick<LoopMonitor, 'onCheck'>;
   readonly metrics: MeshMetrics;
   readonly log: EventLog;
   /** Returns the number of requests of callers without a response. */
@@ -31,13 +30,6 @@
   readonly countUnsentBytes: () => number;
 }
 
-/** The running monitor. */
-export interface NodeMonitor {
-  /** Returns the delay of the event loop at its latest check, or now if that is greater. */
-  getLagMs(): number;
-  stop(): void;
-}
-
 function recordStoreCall({ metrics, log }: NodeMonitorOptions, call: StoreCall): void {
   const { step, kind, bytes, firstByteMs, totalMs, failure } = call;
   const labels = `step="${step}",kind="${kind}"`;
@@ -59,8 +51,8 @@
 }
 
 /** Starts the monitor. */
-export function startNodeMonitor(options: NodeMonitorOptions): NodeMonitor {
-  const { store, metrics, log, countOpen, countRunning, countUnsentBytes } = options;
+export function startNodeMonitor(options: NodeMonitorOptions): void {
+  const { store, loop, metrics, log, countOpen, countRunning, countUnsentBytes } = options;
   let storeCalls = 0;
   let storeBytes = 0;
   store.onCall((call) => {
@@ -69,14 +61,9 @@
     recordStoreCall(options, call);
   });
   let checks = 0;
-  let lagMs = 0;
   let maxLagMs = 0;
   let maxUnsentBytes = 0;
-  let expectedAtMs = performance.now() + LAG_CHECK_MS;
-  const timer = setInterval(() => {
-    const nowMs = performance.now();
-    lagMs = Math.max(0, nowMs - expectedAtMs);
-    expectedAtMs = nowMs + LAG_CHECK_MS;
+  loop.onCheck((lagMs) => {
     metrics.recordLatency('event_loop_lag', lagMs);
     maxLagMs = Math.max(maxLagMs, lagMs);
     maxUnsentBytes = Math.max(maxUnsentBytes, countUnsentBytes());
@@ -95,10 +82,5 @@
     maxUnsentBytes = 0;
     storeCalls = 0;
     storeBytes = 0;
-  }, LAG_CHECK_MS);
-  timer.unref();
-  return {
-    getLagMs: () => Math.max(lagMs, performance.now() - expectedAtMs),
-    stop: () => clearInterval(timer),
-  };
+  });
 }
--- a/src/mesh/peerPort.ts
+++ b/src/mesh/peerPort.ts
@@ -10,6 +10,7 @@
 import { buildRefusal } from './instanceClient.js';
 import { readBody } from './readBody.js';
 import type { LocalRunner } from './localRunner.js';
+import type { LoopMonitor } from './loopMonitor.js';
 import type { HttpRequest, RunReport, RunResult } from './model.js';
 import {
   CLOCK_HEADER,
@@ -59,6 +60,7 @@
   readonly seen: RevisionExchange;
   readonly configAnswers: Pick<ConfigAnswers, 'answer'>;
   readonly monitor: CallMonitor;
+  readonly loop: Pick<LoopMonitor, 'waitForArrivals'>;
   readonly detector?: SuspensionDetector;
 }
 
@@ -106,7 +108,7 @@
 
 /** Creates the server of the port; the caller binds it. */
 export function createPeerPort(options: PeerPortOptions): Server {
-  const { runner, processId, names, seen, configAnswers, monitor } = options;
+  const { runner, processId, names, seen, configAnswers, monitor, loop } = options;
   const { detector = new SuspensionDetector() } = options;
   const runs = new Map<string, Run>();
 
@@ -194,6 +196,8 @@
       response.destroy();
       return;
     }
+    await loop.waitForArrivals();
+    if (response.destroyed) return;
     const run = getOrCreateRun(
       {
         method: message.method ?? 'GET',
--- a/test/mesh/cutPeerResults.test.ts
+++ b/test/mesh/cutPeerResults.test.ts
@@ -12,6 +12,7 @@
 import { brandText } from '../../src/types/ids.js';
 import { closeServer, openServer } from '../../standins/http.js';
 import { CUT_ENDINGS, writeCut } from '../../standins/mesh/instanceServer.js';
+import { CALM_LOOP, SILENT_MONITOR } from './peerPortParts.js';
 
 const NO_REVISIONS = new RevisionExchange([]);
 const REQUEST = { method: 'POST', path: '/x', headers: ['Host', 'h'], body: Buffer.from('body') };
@@ -55,6 +56,8 @@
     names: HEADER_NAMES,
     seen: NO_REVISIONS,
     configAnswers: { answer: async () => ({ kind: 'unchanged', revision: 0 }) },
+    monitor: SILENT_MONITOR,
+    loop: CALM_LOOP,
   });
   const port = await openServer(server, '127.0.0.1', 0);
   const sockets = new Set<Socket>();
@@ -86,6 +89,11 @@
     return (await calls.send(REQUEST, metadata, 'p-1', new Cancellation(), () => {})).result;
   };
   try {
+    // The first call to a process tells its clock; what is cut is the result of a later one.
+    await node.send('p.0');
+    calls.close();
+    runs.length = 0;
+    node.connections = 0;
     await run(node);
   } finally {
     calls.close();
--- a/test/mesh/heldUpCalls.test.ts
+++ b/test/mesh/heldUpCalls.test.ts
@@ -5,11 +5,9 @@
 import { join } from 'node:path';
 import { test } from 'node:test';
 import { CONFIG_KIND, CONFIG_NAME, HEADER_NAMES } from '../../platform/names.js';
-import { CallMonitor } from '../../src/mesh/callMonitor.js';
 import { SILENT_LOG } from '../../src/mesh/eventLog.js';
 import { LocalInstance } from '../../src/mesh/localInstance.js';
 import { LocalRunner } from '../../src/mesh/localRunner.js';
-import { MeshMetrics } from '../../src/mesh/meshMetrics.js';
 import type { CallMetadata } from '../../src/mesh/model.js';
 import { PeerCalls, type PeerReport } from '../../src/mesh/peerCalls.js';
 import { createPeerPort } from '../../src/mesh/peerPort.js';
@@ -24,6 +22,7 @@
 import { sendHttp, wait } from '../../standins/mesh/meshFleet.js';
 import { startNodeProcess, writeSettings } from '../../standins/mesh/nodeProcess.js';
 import { StoreServer } from '../../standins/mesh/storeServer.js';
+import { CALM_LOOP, SILENT_MONITOR } from './peerPortParts.js';
 
 const HOST = '127.0.0.1';
 const INSTANCE_ID = 'i-1';
@@ -31,12 +30,6 @@
 const HELD_CALL = 'held';
 const NO_REVISIONS = new RevisionExchange([]);
 
-const MONITOR = new CallMonitor({
-  metrics: new MeshMetrics(),
-  log: SILENT_LOG,
-  getLagMs: () => 0,
-});
-
 /** Time for which a call is held up. */
 const HELD_MS = 1500;
 
@@ -122,6 +115,7 @@
   });
   return new LocalRunner({
     instance,
+    loop: CALM_LOOP,
     getAddress: () => ({ host: HOST, port: instancePort }),
     names: HEADER_NAMES,
     log: SILENT_LOG,
@@ -140,7 +134,8 @@
     names: HEADER_NAMES,
     seen: NO_REVISIONS,
     configAnswers: { answer: async () => ({ kind: 'unchanged', revision: 0 }) },
-    monitor: MONITOR,
+    monitor: SILENT_MONITOR,
+    loop: CALM_LOOP,
   });
   const link = new HeldLink(await openServer(server, HOST, 0));
   const calls = new PeerCalls({ host: HOST, port: await link.listen() }, NO_REVISIONS);
--- a/test/mesh/peerCalls.test.ts
+++ b/test/mesh/peerCalls.test.ts
@@ -4,11 +4,8 @@
 import { connect, createServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
 import { test } from 'node:test';
-import { CallMonitor } from '../../src/mesh/callMonitor.js';
 import type { ConfigDelta } from '../../src/mesh/configDelta.js';
-import { SILENT_LOG } from '../../src/mesh/eventLog.js';
 import type { LocalRunner } from '../../src/mesh/localRunner.js';
-import { MeshMetrics } from '../../src/mesh/meshMetrics.js';
 import type { CallMetadata, RunReport } from '../../src/mesh/model.js';
 import { PeerCalls } from '../../src/mesh/peerCalls.js';
 import { createPeerPort } from '../../src/mesh/peerPort.js';
@@ -19,15 +16,10 @@
 import { brandText, brandVersion } from '../../src/types/ids.js';
 import { closeServer, openServer } from '../../standins/http.js';
 import { SlowLink } from '../../standins/mesh/slowLink.js';
+import { CALM_LOOP, SILENT_MONITOR } from './peerPortParts.js';
 
 const NO_REVISIONS = new RevisionExchange([]);
 
-const MONITOR = new CallMonitor({
-  metrics: new MeshMetrics(),
-  log: SILENT_LOG,
-  getLagMs: () => 0,
-});
-
 const REQUEST = { method: 'POST', path: '/x', headers: ['Host', 'h'], body: Buffer.from('body') };
 
 function buildMetadata(attemptId: string, remainingMs = 2000): CallMetadata {
@@ -114,7 +106,8 @@
       names: HEADER_NAMES,
       seen: NO_REVISIONS,
       configAnswers: { answer: async () => ({ kind: 'unchanged', revision: 0 }) },
-      monitor: MONITOR,
+      monitor: SILENT_MONITOR,
+      loop: CALM_LOOP,
     });
     const port = await openServer(server, '127.0.0.1', 0);
     const proxy = await openProxy(port, fault);
@@ -208,7 +201,8 @@
     names: HEADER_NAMES,
     seen: NO_REVISIONS,
     configAnswers: { answer: async () => ({ kind: 'changed', revision: 3, delta }) },
-    monitor: MONITOR,
+    monitor: SILENT_MONITOR,
+    loop: CALM_LOOP,
   });
   const link = new SlowLink(await openServer(server, '127.0.0.1', 0), 25_000);
   const calls = new PeerCalls({ host: '127.0.0.1', port: await link.listen() }, NO_REVISIONS);
