Close a connection with the start of another response behind a complete one

A faulty instance that writes the start of an earlier refusal right behind a response, and then the response to the next request of the connection, made the caller of that one be told that it was not run (REFUSED, TWICE), although it ran and its own response followed.

Cause: bytes behind a response in the same packet stayed in the parser while the connection went back to the pool. The next response was read as their continuation: its status line became the value of a header of the refusal, its identifier that of the refusal, which so passed for proven.

Evidence: on the code before, the new test fails with + 'notRun' - 'answered' Ruled out: a whole response behind a complete one closed the connection before, as did bytes that arrive later on an idle connection.

The connection is closed unless the parser is between two responses when the last one is complete.

--- a/src/mesh/httpConnection.ts
+++ b/src/mesh/httpConnection.ts
@@ -8,7 +8,12 @@
 import type { PeerAddress } from '../types/interfaces.js';
 import type { HttpRequest, HttpResponse } from './model.js';
 import { getHeader } from './headers.js';
-import { createResponseParser, explainInvalidFraming, isBodiless } from './responseParser.js';
+import {
+  createResponseParser,
+  explainInvalidFraming,
+  isBetweenResponses,
+  isBodiless,
+} from './responseParser.js';
 
 /** Largest response body that is read, in bytes. */
 const MAX_RESPONSE_BYTES = 32 * 1024 * 1024;
@@ -242,6 +247,7 @@
     }
     const fault = runParser(() => this.parser.execute(chunk));
     if (fault) this.fail(`malformed response: ${fault.message}`);
+    else if (!this.pending && !isBetweenResponses(this.parser)) this.fail('bytes after a response');
     else if (this.receivedBytes - this.bodyBytes > MAX_FRAMING_BYTES) {
       this.fail('too many bytes outside the body');
     }
--- a/src/mesh/responseParser.ts
+++ b/src/mesh/responseParser.ts
@@ -4,6 +4,8 @@
 /** Members of the parser that are missing from its type declarations. */
 interface ParserInternals {
   state: string;
+  /** Start of a line whose end was not received. */
+  line: string;
   body_bytes: number | null;
   info: {
     versionMajor: number;
@@ -81,6 +83,12 @@
   return encodings.length > 1 || encodings[0] !== 'chunked' ? 'invalid encoding' : undefined;
 }
 
+/** Returns true when the parser holds no bytes of a response that is not complete. */
+export function isBetweenResponses(parser: HTTPParserJS): boolean {
+  const { state, line } = parser as unknown as ParserInternals;
+  return state === 'RESPONSE_LINE' && line === '';
+}
+
 /** Creates a parser for the responses of one connection. */
 export function createResponseParser(): HTTPParserJS {
   const parser = new HTTPParser(HTTPParser.RESPONSE);
--- a/test/mesh/repeatedRefusals.test.ts
+++ b/test/mesh/repeatedRefusals.test.ts
@@ -161,6 +161,19 @@
   });
 });
 
+test('the start of a refusal right behind a response is not joined with the next one', async () => {
+  const start = `HTTP/1.1 503 Status\r\n${NOT_EXECUTED}\r\nX-Note: `;
+  for (const text of [start, 'HTTP/1.1 503 Status\r\n', 'H']) {
+    await withInstance(async (exchange, instance) => {
+      const first = buildScript((socket, id) => socket.write(buildOwn(id) + text, 'latin1'));
+      assert.equal((await exchange('r-1', first)).kind, 'answered');
+      const second = buildScript((socket, id) => socket.write(buildOwn(id), 'latin1'));
+      assert.equal((await exchange('r-2', second)).kind, 'answered');
+      assert.equal(instance.runs.length, 2);
+    });
+  }
+});
+
 test('a request without an identifier is sent on a new connection', async () => {
   await withInstance(async (exchange) => {
     const sockets = new Set<Socket>();
