Refuse a head whose line was cut and joined with a later status line

A faulty instance that writes the start of a response, stops within a line of its head, and later writes the response to the request that waits, made the caller be told that its request was not run (REFUSED), or get a failure's body as a success (MIXED).

Cause: the two are one head to the parser: the status of the first, and the identifier, the signature and the body of the second, which so pass for proven, also on the first request of a connection.

A line of a head with a status line in it is malformed. 'Via: HTTP/1.1 name' stays valid, as no status follows the version.

--- a/src/mesh/responseParser.ts
+++ b/src/mesh/responseParser.ts
@@ -16,6 +16,11 @@
   consumeLine(): string | undefined;
 }
 
+/** Returns true for a line that was cut and joined with the status line of a later response. */
+function hasLaterStatus(line: string): boolean {
+  return line.includes('HTTP/1.', 1) && /.HTTP\/1\.[01] [1-9]\d{2}/.test(line);
+}
+
 const STATUS_LINE = /^HTTP\/(1)\.([01]) ([1-9]\d{2})(?: (.*))?$/;
 
 /** Returns true for a status whose responses have no body, whatever their headers say. */
@@ -29,7 +34,7 @@
   // Empty lines before a status line are skipped.
   if (line === undefined || line === '') return;
   const match = STATUS_LINE.exec(line);
-  if (!match) throw new Error('invalid status line');
+  if (!match || hasLaterStatus(line)) throw new Error('invalid status line');
   const [, versionMajor, versionMinor, statusCode, statusMessage = ''] = match;
   this.info.versionMajor = Number(versionMajor);
   this.info.versionMinor = Number(versionMinor);
@@ -62,7 +67,7 @@
 /** Replaces the library's function, which skips a malformed line, even one with the length. */
 function parseHeader(line: string, headers: string[]): void {
   const match = HEADER_LINE.exec(line);
-  if (!match) throw new Error('invalid header line');
+  if (!match || hasLaterStatus(line)) throw new Error('invalid header line');
   headers.push(match[1]!, match[2]!.trim());
 }
 
--- a/test/mesh/repeatedRefusals.test.ts
+++ b/test/mesh/repeatedRefusals.test.ts
@@ -174,6 +174,26 @@
   }
 });
 
+const CUT_STARTS = [
+  { name: 'a 503', start: `HTTP/1.1 503 Status\r\n${NOT_EXECUTED}\r\nX-Note: a` },
+  { name: 'a 421', start: `HTTP/1.1 421 Status\r\n${NOT_EXECUTED}\r\nX-Note: ` },
+  { name: 'a success', start: 'HTTP/1.1 200 OK\r\nX-Note: ' },
+  { name: 'the status line of a success', start: 'HTTP/1.1 200 O' },
+] as const;
+
+for (const { name, start } of CUT_STARTS) {
+  test(`${name} that is cut and joined with the response behind it is unknown`, async () => {
+    await withInstance(async (exchange) => {
+      await exchange('r-1', { kind: 'none' });
+      const fault = buildScript((socket, id) => {
+        const own = buildResponse(500, [formatId(id), SIGNATURE], 'failed');
+        socket.write(start + own, 'latin1');
+      });
+      assert.equal((await exchange('r-2', fault)).kind, 'unknown');
+    });
+  });
+}
+
 test('a request without an identifier is sent on a new connection', async () => {
   await withInstance(async (exchange) => {
     const sockets = new Set<Socket>();
