Offer a call to one instance only while its service accepts too few

What callers got: late answers and none, on hosts whose processors were busy with refusals. From 11 s on 11 to 16 of 66 hosts used their whole processor share, calls lay unread for up to 2 s, and callers left. Cause: a call that was refused for lack of room was offered to up to three more instances, however many of these offers had been refused just before. Change: a token bucket for each service and priority, as in the retry throttling of gRPC (A6): calls are offered on while fewer than a third of the offers are refused, and once they are more, each call is offered once and refused at once with the time to come back. Ruled out: fewer offers always, which costs calls where only some instances are full.

--- a/src/mesh/callRouter.ts
+++ b/src/mesh/callRouter.ts
@@ -10,6 +10,7 @@
 import type { MeshMetrics } from './meshMetrics.js';
 import type { CallMetadata, HttpResponse, MeshSettings, RunReport, RunResult } from './model.js';
 import { chooseInstance } from './instanceSelection.js';
+import type { OverloadThrottle } from './overloadThrottle.js';
 import type { PeerNode } from './peerNode.js';
 import { isCapacityRefusal, isInstanceUnavailable } from './refusalReason.js';
 import type { RetryBudget } from './retryBudget.js';
@@ -30,6 +31,7 @@
   readonly directory: Directory;
   readonly runner: LocalRunner;
   readonly retryBudget: RetryBudget;
+  readonly overloadThrottle: OverloadThrottle;
   readonly targets: TargetChooser;
   readonly log: EventLog;
   readonly metrics: MeshMetrics;
@@ -70,14 +72,16 @@
   }
 
   private async runAttempts(call: PendingCall): Promise<CallOutcome> {
-    const { targets, retryBudget } = this.options;
+    const { targets, retryBudget, overloadThrottle } = this.options;
     const { trace } = call;
     const service = targets.choose(call.route);
     if (service === undefined) return { kind: 'notRun', reason: 'no-target', retryAfterMs: 0 };
     retryBudget.recordRequest(service, call.startedAtMs);
     const progress = new AttemptProgress(call.route);
+    const { priority } = call.route;
     for (let sendIndex = 0; sendIndex < MAX_SENDS; sendIndex += 1) {
       if (call.cancellation.isCancelled() || isAtDeadline(call)) break;
+      if (sendIndex > 0 && !overloadThrottle.canOfferAgain(service, priority)) break;
       const chosen = this.choose(call, service, progress, sendIndex === 0);
       if (!chosen) break;
       if (progress.countArrivals() > 0 && !this.takeRetry(call, service)) break;
@@ -86,6 +90,7 @@
       const canRetry = () => !isLastSend && this.canRetry(call, service, progress);
       const { result, timing } = await this.send(chosen, call, canRetry);
       trace.timing = timing;
+      overloadThrottle.record(service, priority, result);
       if (result.kind === 'notRun') this.recordRefusal(result, chosen, call);
       if (result.kind === 'answered') this.recordNotice(result.response, chosen, call);
       const outcome = progress.apply(result);
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -32,6 +32,7 @@
 import { NodeListener } from './nodeListener.js';
 import { startNodeMonitor } from './nodeMonitor.js';
 import { buildPublishedNode, NODE_KIND } from './nodeRecord.js';
+import { OverloadThrottle } from './overloadThrottle.js';
 import type { PeerNode } from './peerNode.js';
 import { createPeerPort } from './peerPort.js';
 import { Publisher } from './publisher.js';
@@ -139,6 +140,7 @@
     directory,
     runner,
     retryBudget: new RetryBudget(settings.retryBudget),
+    overloadThrottle: new OverloadThrottle(),
     targets,
     log,
     metrics,
