Avoid a host to which calls are under way too long

Such a refusal now counts like a missing response: the host is asked last for 0.4 s. Evidence: test/mesh/delayedHosts failed before and passes.

--- a/src/mesh/callRouter.ts
+++ b/src/mesh/callRouter.ts
@@ -216,6 +216,8 @@
   ): void {
     const nowMs = performance.now();
     if (isInstanceUnavailable(reason)) peer.recordUnavailable(nowMs);
+    // The load that such a host reports says nothing about the way to it.
+    if (reason === 'delayed') peer.recordNoResponse(nowMs);
     if (isCapacityRefusal(reason)) peer.recordOverload(route.priority, retryAfterMs, nowMs);
     this.options.metrics.count('attempts_refused', `reason="${reason}"`);
   }
