Close the connection of a pipelining caller after its last response when a node stops

What callers saw: no response to requests that instances were running, behind a response with `Connection: close` of a stopping node (LOST). Cause: each response after the start of the stop closed its connection, also with requests behind it. Change: only the response without requests behind it does. Evidence: one of four tests of test/mesh/pipeliningCallers failed before; all pass.

--- a/src/mesh/callPort.ts
+++ b/src/mesh/callPort.ts
@@ -55,9 +55,9 @@
   return bytes;
 }
 
-function writeResponse(response: ServerResponse, source: HttpResponse, isClosing: boolean): void {
+function writeResponse(response: ServerResponse, source: HttpResponse, isLast: boolean): void {
   const headers = filterHeaders(source.headers);
-  if (isClosing) headers.push('Connection', 'close');
+  if (isLast) headers.push('Connection', 'close');
   const hasBody = source.status !== 204 && source.status !== 304;
   if (hasBody) headers.push('Content-Length', String(source.body.length));
   response.writeHead(source.status, headers);
@@ -68,7 +68,7 @@
 function refuse(
   response: ServerResponse,
   status: number,
-  isClosing: boolean,
+  isLast: boolean,
   requestId: string,
   names: HeaderNames,
   retryAfterMs?: number,
@@ -82,7 +82,7 @@
     );
     headers.push('Retry-After', (boundedMs / 1000).toFixed(3));
   }
-  if (isClosing || status === 413 || status === 431) headers.push('Connection', 'close');
+  if (isLast || status === 413 || status === 431) headers.push('Connection', 'close');
   response.writeHead(status, headers);
   response.end();
 }
@@ -101,6 +101,10 @@
     ...NODE_HEADERS,
   ]);
 
+  /** True when the connection closes after a response; not before the requests behind it. */
+  const isLastResponse = ({ req }: ServerResponse) =>
+    isClosing && openRequests.countOn(req.socket) <= 1;
+
   const writeOutcome = (response: ServerResponse, call: PendingCall, outcome: CallOutcome) => {
     const elapsedMs = performance.now() - call.startedAtMs;
     const { sends, instance, loadAgeMs, sendTrace, timing } = call.trace;
@@ -125,16 +129,17 @@
     log.write('info', 'call-ended', fields);
     metrics.count('calls', `outcome="${outcome.kind}"`);
     if (response.destroyed || response.req.socket.destroyed) return;
+    const isLast = isLastResponse(response);
     switch (outcome.kind) {
       case 'answered':
         metrics.recordLatency('call', elapsedMs);
-        writeResponse(response, outcome.response, isClosing);
+        writeResponse(response, outcome.response, isLast);
         break;
       case 'notRun':
-        refuse(response, 503, isClosing, call.requestId, names, outcome.retryAfterMs);
+        refuse(response, 503, isLast, call.requestId, names, outcome.retryAfterMs);
         break;
       case 'unknown':
-        refuse(response, isAtDeadline(call) ? 504 : 502, isClosing, call.requestId, names);
+        refuse(response, isAtDeadline(call) ? 504 : 502, isLast, call.requestId, names);
         break;
       default:
         throw new Error(`unknown outcome ${JSON.stringify(outcome satisfies never)}`);
@@ -154,7 +159,7 @@
       log.write('info', 'call-refused', { request: requestId, status, config: config?.version });
       metrics.count('refusals', `status="${status}"`);
       message.resume();
-      refuse(response, status, isClosing, requestId, names, retryAfterMs);
+      refuse(response, status, isLastResponse(response), requestId, names, retryAfterMs);
     };
     if (!config || isRefusing) {
       writeRefusal(503, NOT_SERVING_RETRY_MS);
