Send a queued call again whose connection was reset while its caller is there

Since queued calls end with their connection, one whose connection is reset came back as not run, and with one instance left its caller got 503. Such a call is now sent again under a new identifier, once; the refusal holds for the first one. Evidence: test/mesh/queuedResets failed before and passes.

--- a/src/mesh/peerCalls.ts
+++ b/src/mesh/peerCalls.ts
@@ -91,9 +91,13 @@
   isSettled: boolean;
 }
 
-/** Returns true when the call was not started because its age could not be told. */
-function isClockUnknown({ result }: PeerReport): boolean {
-  return result.kind === 'notRun' && result.reason === 'clock-unknown';
+/**
+ * Returns true when the call was not run for a reason that a second attempt takes away: its age
+ * could not be told, or it was queued when its connection was reset.
+ */
+function canAttemptAgain({ result }: PeerReport): boolean {
+  if (result.kind !== 'notRun') return false;
+  return result.reason === 'clock-unknown' || result.reason === 'cancelled';
 }
 
 function isAnyResponse(): boolean {
@@ -146,8 +150,8 @@
   ): Promise<PeerReport> {
     const options = { request, processId, cancellation, onUnresponsive, canRetry };
     const report = await this.sendAttempt({ ...options, metadata });
-    if (!isClockUnknown(report) || cancellation.isCancelled()) return report;
-    // The refusal told the clock. It also holds for the first identifier from now on.
+    if (!canAttemptAgain(report) || cancellation.isCancelled()) return report;
+    // The refusal holds for the first identifier from now on.
     const attemptId = `${metadata.attemptId}${SECOND_ATTEMPT_SUFFIX}`;
     return this.sendAttempt({ ...options, metadata: { ...metadata, attemptId } });
   }
--- /dev/null
+++ b/test/mesh/queuedResets.test.ts
@@ -0,0 +1,138 @@
+/** Queued calls whose connection is reset although their caller is still there. */
+import assert from 'node:assert/strict';
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
+import { once } from 'node:events';
+import { test } from 'node:test';
+import { HEADER_NAMES } from '../../platform/names.js';
+import { SILENT_LOG } from '../../src/mesh/eventLog.js';
+import { LocalInstance } from '../../src/mesh/localInstance.js';
+import { LocalRunner } from '../../src/mesh/localRunner.js';
+import type { CallMetadata } from '../../src/mesh/model.js';
+import { PeerCalls } from '../../src/mesh/peerCalls.js';
+import { createPeerPort } from '../../src/mesh/peerPort.js';
+import { RevisionExchange } from '../../src/mesh/revisionExchange.js';
+import { Cancellation } from '../../src/mesh/signal.js';
+import { brandText } from '../../src/types/ids.js';
+import { closeServer, openServer } from '../../standins/http.js';
+import { InstanceServer } from '../../standins/mesh/instanceServer.js';
+import { wait } from '../../standins/mesh/meshFleet.js';
+import { CALM_LOOP, SILENT_MONITOR } from './peerPortParts.js';
+
+const HOST = '127.0.0.1';
+const INSTANCE_ID = 'i-1';
+const PROCESS_ID = 'p-1';
+const NO_REVISIONS = new RevisionExchange([]);
+const EXECUTION_MS = 400;
+function createRunner(instancePort: number): LocalRunner {
+  const instance = new LocalInstance();
+  instance.applyHeartbeat({
+    instanceId: brandText(INSTANCE_ID),
+    service: brandText('pads'),
+    address: { host: HOST, port: instancePort },
+    startedAtMs: 1,
+    state: 'ready',
+    slots: 1,
+    warmupMs: 0,
+    sequence: 1,
+  });
+  return new LocalRunner({
+    instance,
+    loop: CALM_LOOP,
+    getAddress: () => ({ host: HOST, port: instancePort }),
+    names: HEADER_NAMES,
+    log: SILENT_LOG,
+    onLeaving: () => {},
+    onMismatch: () => {},
+  });
+}
+
+/** Opens a proxy whose client connections can be reset. */
+async function openProxy(targetPort: number) {
+  const clients = new Set<Socket>();
+  const proxy = createServer((client) => {
+    clients.add(client);
+    const server = connect({ port: targetPort, host: HOST });
+    for (const [source, target] of [
+      [client, server],
+      [server, client],
+    ] as const) {
+      source.on('error', () => {});
+      source.on('data', (bytes: Buffer) => target.write(bytes));
+      source.once('close', () => target.resetAndDestroy());
+    }
+    client.once('close', () => clients.delete(client));
+  });
+  proxy.listen(0, HOST);
+  await once(proxy, 'listening');
+  return {
+    port: (proxy.address() as AddressInfo).port,
+    resetAll() {
+      for (const client of clients) client.resetAndDestroy();
+    },
+    close() {
+      for (const client of clients) client.destroy();
+      proxy.close();
+    },
+  };
+}
+
+function buildMetadata(id: string): CallMetadata {
+  const deadlineAtMs = performance.now() + 4000;
+  return {
+    attemptId: `origin.${id}`,
+    requestId: id,
+    route: brandText('route'),
+    instanceId: brandText(INSTANCE_ID),
+    isIdempotent: false,
+    priority: 0,
+    deadlineAtMs,
+    objectiveAtMs: deadlineAtMs,
+  };
+}
+
+test('a queued call whose connection is reset is still answered by the only instance', async () => {
+  const instance = new InstanceServer(INSTANCE_ID);
+  const runner = createRunner(await instance.listen());
+  const server = createPeerPort({
+    runner,
+    processId: PROCESS_ID,
+    names: HEADER_NAMES,
+    seen: NO_REVISIONS,
+    configAnswers: { answer: async () => ({ kind: 'unchanged', revision: 0 }) },
+    monitor: SILENT_MONITOR,
+    loop: CALM_LOOP,
+  });
+  const proxy = await openProxy(await openServer(server, HOST, 0));
+  const calls = new PeerCalls({ host: HOST, port: proxy.port }, NO_REVISIONS);
+  const send = (id: string) =>
+    calls.send(
+      {
+        method: 'GET',
+        path: '/',
+        headers: ['Host', 'h', HEADER_NAMES.requestId, id],
+        body: Buffer.alloc(0),
+      },
+      buildMetadata(id),
+      PROCESS_ID,
+      new Cancellation(),
+      () => {},
+      () => false,
+    );
+  assert.equal((await send('before')).result.kind, 'answered');
+  instance.executionTimeMs = EXECUTION_MS;
+  const running = send('running');
+  while (instance.runningRequests === 0) await wait(5);
+  const queued = send('queued');
+  while ((runner.getLoad()?.inFlight ?? 0) < 2) await wait(5);
+  proxy.resetAll();
+  const reports = await Promise.all([running, queued]);
+  calls.close();
+  proxy.close();
+  runner.close();
+  await closeServer(server);
+  await instance.close();
+  const kinds = reports.map(({ result }) =>
+    result.kind === 'notRun' ? result.reason : result.kind,
+  );
+  assert.deepEqual(kinds, ['answered', 'answered']);
+});
