Treat a response as unsigned whose signature would not be forwarded

A faulty instance that lists the signature in its `Connection` header made its 200 reach the caller without a signature (MIXED): the header was seen, then dropped as one that concerns the connection only. Evidence: the new test of test/mesh/instanceClient failed before (answered in place of unknown) and passes.

--- a/src/mesh/headers.ts
+++ b/src/mesh/headers.ts
@@ -54,6 +54,11 @@
   return new Set(text.split(',').map((name) => name.trim().toLowerCase()));
 }
 
+/** True when the header `connection` lists a header, which is then not forwarded. */
+export function isConnectionOption(headers: readonly string[], name: string): boolean {
+  return listConnectionOptions(headers).has(name.toLowerCase());
+}
+
 /**
  * Returns the headers without hop-by-hop headers, including those that `connection` lists, and
  * without those in `removed` (lower-case names).
--- a/src/mesh/instanceClient.ts
+++ b/src/mesh/instanceClient.ts
@@ -1,7 +1,7 @@
 /** Sends requests to the local instance and classifies its responses. */
 import type { InstanceId } from '../types/ids.js';
 import type { PeerAddress } from '../types/interfaces.js';
-import { getHeader, type HeaderNames } from './headers.js';
+import { getHeader, isConnectionOption, type HeaderNames } from './headers.js';
 import type { HttpConnection } from './httpConnection.js';
 import { ConnectionPool } from './connectionPool.js';
 import { readInstanceNotice, type InstanceNotice } from './instanceNotice.js';
@@ -166,7 +166,9 @@
     if (NOT_RUN_STATUSES.has(status)) {
       return { kind: 'unknown', reason: `${status} without a statement that it was not run` };
     }
-    const isSigned = getHeader(headers, this.names.signature) !== undefined;
+    const { signature } = this.names;
+    const isSigned =
+      getHeader(headers, signature) !== undefined && !isConnectionOption(headers, signature);
     if (status < 300 && !isSigned) return { kind: 'unknown', reason: 'unsigned response' };
     return { kind: 'answered', response };
   }
--- a/test/mesh/instanceClient.test.ts
+++ b/test/mesh/instanceClient.test.ts
@@ -58,6 +58,20 @@
   });
 }
 
+test('a response whose signature would not be forwarded counts as unsigned', async () => {
+  const instance = new InstanceServer('i-1');
+  const port = await instance.listen();
+  const client = new InstanceClient({ host: '127.0.0.1', port }, HEADER_NAMES, () => {});
+  const text =
+    `HTTP/1.1 200 OK\r\n${HEADER_NAMES.requestId}: a\r\n${HEADER_NAMES.signature}: s\r\n` +
+    `Connection: ${HEADER_NAMES.signature}\r\nContent-Length: 0\r\n\r\n`;
+  instance.fault = { kind: 'bytes', text, isLast: true };
+  const result = await client.run(buildRequest('a'), buildMetadata('a', false), new Cancellation());
+  assert.deepEqual(result, { kind: 'unknown', reason: 'unsigned response' });
+  client.close();
+  await instance.close();
+});
+
 const HEAD = 'HTTP/1.1 200 OK\r\n';
 const ENDLESS = [
   { name: 'a header line', head: `${HEAD}X-Long: `, repeated: 'x' },
