Take no deadline of a caller that no timer takes

A deadline of 1e308 ms went into the estimate of how long callers have waited, where it could make the other requests of its route look late. It now counts as none. Found on reading; no test shows it.

--- a/src/mesh/callPort.ts
+++ b/src/mesh/callPort.ts
@@ -1,6 +1,7 @@
 /** Serves the requests of callers on this host and of the local instance. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { isAmount, MAX_DURATION_MS } from '../utils/boundedValues.js';
 import { isAtDeadline, type CallRouter } from './callRouter.js';
 import type { CallOutcome, PendingCall } from './pendingCall.js';
 import type { EventLog } from './eventLog.js';
@@ -183,7 +184,7 @@
     const headers = filterHeaders(rawHeaders, strippedRequestHeaders);
     headers.push(names.callerService, options.getSettings().service);
     const receivedDeadlineMs = Number(getHeader(rawHeaders, names.deadline));
-    const hasDeadline = Number.isFinite(receivedDeadlineMs) && receivedDeadlineMs > 0;
+    const hasDeadline = isAmount(receivedDeadlineMs, MAX_DURATION_MS) && receivedDeadlineMs > 0;
     const remainingMs = hasDeadline ? receivedDeadlineMs : route.timeoutMs;
     const ageMs = hasDeadline ? ages.record(route.name, receivedDeadlineMs) : 0;
     const call: PendingCall = {
