Handle a refusal of a node of a later build whose reason is not known here

Such a reason made the router throw, and the caller got 502 for a call that was not run. It now counts as unreachable. The new test of test/mesh/refusalReason was not run on the code before.

--- a/src/mesh/peerMessages.ts
+++ b/src/mesh/peerMessages.ts
@@ -17,6 +17,7 @@
   RunResult,
   RunTiming,
 } from './model.js';
+import { isRefusalReason } from './refusalReason.js';
 
 /** Request header with the metadata of a call. */
 export const METADATA_HEADER = 'mesh-terms';
@@ -274,7 +275,8 @@
       const { kind, reason, retryAfterMs, hasArrived } = message;
       if (typeof reason !== 'string') return unreadable;
       const waitMs = isAmount(retryAfterMs, MAX_DURATION_MS) ? retryAfterMs : 0;
-      return { kind, reason, retryAfterMs: waitMs, hasArrived: hasArrived === true };
+      const knownReason = isRefusalReason(reason) ? reason : 'unreachable';
+      return { kind, reason: knownReason, retryAfterMs: waitMs, hasArrived: hasArrived === true };
     }
     case 'unknown':
       return typeof message.reason === 'string'
--- a/src/mesh/refusalReason.ts
+++ b/src/mesh/refusalReason.ts
@@ -1,6 +1,25 @@
 /** Classifies the reasons why a request was not run. */
 import type { RefusalReason } from './model.js';
 
+const REASONS: Readonly<Record<RefusalReason, true>> = {
+  overloaded: true,
+  limited: true,
+  deadline: true,
+  delayed: true,
+  'clock-unknown': true,
+  leaving: true,
+  'no-instance': true,
+  unreachable: true,
+  shed: true,
+  mismatch: true,
+  cancelled: true,
+};
+
+/** True for the reasons of this build; a node of a later build may know others. */
+export function isRefusalReason(reason: unknown): reason is RefusalReason {
+  return typeof reason === 'string' && Object.hasOwn(REASONS, reason);
+}
+
 const CAPACITY_REFUSALS: ReadonlySet<string> = new Set<RefusalReason>([
   'overloaded',
   'limited',
--- a/test/mesh/refusalReason.test.ts
+++ b/test/mesh/refusalReason.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { RefusalReason } from '../../src/mesh/model.js';
+import { decodeResult } from '../../src/mesh/peerMessages.js';
 import { isCapacityRefusal, isInstanceUnavailable } from '../../src/mesh/refusalReason.js';
 
 const REASONS: Readonly<Record<RefusalReason, 'capacity' | 'unavailable' | 'neither'>> = {
@@ -24,3 +25,11 @@
     assert.equal(isInstanceUnavailable(reason as RefusalReason), effect === 'unavailable');
   });
 }
+
+test('a reason of a later build is a refusal that this build can handle', () => {
+  const text = JSON.stringify({ kind: 'notRun', reason: 'moved', retryAfterMs: 5 });
+  const response = { status: 503, headers: [], body: Buffer.alloc(0) };
+  const result = decodeResult(text, response)?.result;
+  assert.equal(result?.kind, 'notRun');
+  assert.ok(result?.kind === 'notRun' && result.reason in REASONS);
+});
