--- a/test/mesh/heldUpCalls.test.ts
+++ b/test/mesh/heldUpCalls.test.ts
@@ -5,9 +5,6 @@
 import { join } from 'node:path';
 import { test } from 'node:test';
 import { CONFIG_KIND, CONFIG_NAME, HEADER_NAMES } from '../../platform/names.js';
-import { SILENT_LOG } from '../../src/mesh/eventLog.js';
-import { LocalInstance } from '../../src/mesh/localInstance.js';
-import { LocalRunner } from '../../src/mesh/localRunner.js';
 import type { CallMetadata } from '../../src/mesh/model.js';
 import { PeerCalls, type PeerReport } from '../../src/mesh/peerCalls.js';
 import { createPeerPort } from '../../src/mesh/peerPort.js';
@@ -19,10 +16,11 @@
 import { buildConfiguration } from '../../standins/mesh/configuration.js';
 import { HeldLink } from '../../standins/mesh/heldLink.js';
 import { InstanceServer, type InstanceRun } from '../../standins/mesh/instanceServer.js';
-import { sendHttp, wait } from '../../standins/mesh/meshFleet.js';
+import { wait } from '../../standins/mesh/meshFleet.js';
 import { startNodeProcess, writeSettings } from '../../standins/mesh/nodeProcess.js';
 import { StoreServer } from '../../standins/mesh/storeServer.js';
-import { CALM_LOOP, SILENT_MONITOR } from './peerPortParts.js';
+import { CALM_LOOP, createRunner, SILENT_MONITOR } from './peerPortParts.js';
+import { announceInstance, waitUntilReady } from './nodeProcessParts.js';
 
 const HOST = '127.0.0.1';
 const INSTANCE_ID = 'i-1';
@@ -101,29 +99,6 @@
   }
 }
 
-function createRunner(instancePort: number): LocalRunner {
-  const instance = new LocalInstance();
-  instance.applyHeartbeat({
-    instanceId: brandText(INSTANCE_ID),
-    service: brandText('pads'),
-    address: { host: HOST, port: instancePort },
-    startedAtMs: 1,
-    state: 'ready',
-    slots: 1,
-    warmupMs: 0,
-    sequence: 1,
-  });
-  return new LocalRunner({
-    instance,
-    loop: CALM_LOOP,
-    getAddress: () => ({ host: HOST, port: instancePort }),
-    names: HEADER_NAMES,
-    log: SILENT_LOG,
-    onLeaving: () => {},
-    onMismatch: () => {},
-  });
-}
-
 /** Connects a sender and the node of an instance by a link that can be held. */
 async function withLink(run: (setup: Setup) => Promise<void>, isClockKnown = true): Promise<void> {
   const instance = new InstanceServer(INSTANCE_ID);
@@ -152,29 +127,6 @@
   }
 }
 
-async function waitUntilReady(port: number): Promise<void> {
-  for (let tries = 0; tries < 500; tries += 1) {
-    const response = await sendHttp(port, { path: '/readyz', id: '' }).catch(() => undefined);
-    if (response?.status === 200) return;
-    await wait(30);
-  }
-  throw new Error('the node was not ready within 15 s');
-}
-
-async function announceInstance(port: number, instancePort: number): Promise<void> {
-  const body = JSON.stringify({
-    Service: 'pads',
-    Address: `${HOST}:${instancePort}`,
-    Capacity: 4,
-    State: 'ready',
-    Sequence: 1,
-    born: 1,
-  });
-  const path = `/instances/${INSTANCE_ID}/heartbeat`;
-  const { status } = await sendHttp(port, { path, id: '', method: 'POST', body });
-  assert.equal(status, 200);
-}
-
 /** Runs a function in a setup with a node process, its instance and a sender. */
 async function withNodeProcess(
   run: (setup: Omit<Setup, 'link'>, pid: number) => Promise<void>,
@@ -197,7 +149,7 @@
   const calls = new PeerCalls({ host: HOST, port: peers }, NO_REVISIONS);
   try {
     await waitUntilReady(ready);
-    await announceInstance(control, options.instancePort);
+    await announceInstance(control, options.instancePort, 4);
     const processId = /event=started .*process=(\S+)/.exec(node.getOutput())?.[1] ?? '';
     const send = createSend(calls, processId);
     await sendUnheldCalls(send, 'before');
--- a/test/mesh/peerPortParts.ts
+++ b/test/mesh/peerPortParts.ts
@@ -1,7 +1,11 @@
 /** Parts of a peer port that tests do not look at. */
+import { HEADER_NAMES } from '../../platform/names.js';
 import { CallMonitor } from '../../src/mesh/callMonitor.js';
 import { SILENT_LOG } from '../../src/mesh/eventLog.js';
+import { LocalInstance } from '../../src/mesh/localInstance.js';
+import { LocalRunner } from '../../src/mesh/localRunner.js';
 import { MeshMetrics } from '../../src/mesh/meshMetrics.js';
+import { brandText } from '../../src/types/ids.js';
 
 /** An event loop that is never blocked. */
 export const CALM_LOOP = { waitForArrivals: () => undefined };
@@ -11,3 +15,28 @@
   log: SILENT_LOG,
   getLagMs: () => 0,
 });
+
+/** Creates the runner of the instance `i-1`, which has one slot. */
+export function createRunner(instancePort: number): LocalRunner {
+  const address = { host: '127.0.0.1', port: instancePort };
+  const instance = new LocalInstance();
+  instance.applyHeartbeat({
+    instanceId: brandText('i-1'),
+    service: brandText('pads'),
+    address,
+    startedAtMs: 1,
+    state: 'ready',
+    slots: 1,
+    warmupMs: 0,
+    sequence: 1,
+  });
+  return new LocalRunner({
+    instance,
+    loop: CALM_LOOP,
+    getAddress: () => address,
+    names: HEADER_NAMES,
+    log: SILENT_LOG,
+    onLeaving: () => {},
+    onMismatch: () => {},
+  });
+}
--- a/test/mesh/queuedResets.test.ts
+++ b/test/mesh/queuedResets.test.ts
@@ -4,9 +4,6 @@
 import { once } from 'node:events';
 import { test } from 'node:test';
 import { HEADER_NAMES } from '../../platform/names.js';
-import { SILENT_LOG } from '../../src/mesh/eventLog.js';
-import { LocalInstance } from '../../src/mesh/localInstance.js';
-import { LocalRunner } from '../../src/mesh/localRunner.js';
 import type { CallMetadata } from '../../src/mesh/model.js';
 import { PeerCalls } from '../../src/mesh/peerCalls.js';
 import { createPeerPort } from '../../src/mesh/peerPort.js';
@@ -16,35 +13,13 @@
 import { closeServer, openServer } from '../../standins/http.js';
 import { InstanceServer } from '../../standins/mesh/instanceServer.js';
 import { wait } from '../../standins/mesh/meshFleet.js';
-import { CALM_LOOP, SILENT_MONITOR } from './peerPortParts.js';
+import { CALM_LOOP, createRunner, SILENT_MONITOR } from './peerPortParts.js';
 
 const HOST = '127.0.0.1';
 const INSTANCE_ID = 'i-1';
 const PROCESS_ID = 'p-1';
 const NO_REVISIONS = new RevisionExchange([]);
 const EXECUTION_MS = 400;
-function createRunner(instancePort: number): LocalRunner {
-  const instance = new LocalInstance();
-  instance.applyHeartbeat({
-    instanceId: brandText(INSTANCE_ID),
-    service: brandText('pads'),
-    address: { host: HOST, port: instancePort },
-    startedAtMs: 1,
-    state: 'ready',
-    slots: 1,
-    warmupMs: 0,
-    sequence: 1,
-  });
-  return new LocalRunner({
-    instance,
-    loop: CALM_LOOP,
-    getAddress: () => ({ host: HOST, port: instancePort }),
-    names: HEADER_NAMES,
-    log: SILENT_LOG,
-    onLeaving: () => {},
-    onMismatch: () => {},
-  });
-}
 
 /** Opens a proxy whose client connections can be reset. */
 async function openProxy(targetPort: number) {
--- a/test/mesh/unreadDepartures.test.ts
+++ b/test/mesh/unreadDepartures.test.ts
@@ -13,6 +13,7 @@
 import { sendHttp, wait } from '../../standins/mesh/meshFleet.js';
 import { startNodeProcess, writeSettings } from '../../standins/mesh/nodeProcess.js';
 import { StoreServer } from '../../standins/mesh/storeServer.js';
+import { announceInstance, waitUntilReady } from './nodeProcessParts.js';
 
 const HOST = '127.0.0.1';
 const INSTANCE_ID = 'i-1';
@@ -41,29 +42,6 @@
   readonly unblock: () => void;
 }
 
-async function waitUntilReady(port: number): Promise<void> {
-  for (let tries = 0; tries < 500; tries += 1) {
-    const response = await sendHttp(port, { path: '/readyz', id: '' }).catch(() => undefined);
-    if (response?.status === 200) return;
-    await wait(30);
-  }
-  throw new Error('the node was not ready within 15 s');
-}
-
-async function announceInstance(port: number, instancePort: number): Promise<void> {
-  const body = JSON.stringify({
-    Service: 'pads',
-    Address: `${HOST}:${instancePort}`,
-    Capacity: 1,
-    State: 'ready',
-    Sequence: 1,
-    born: 1,
-  });
-  const path = `/instances/${INSTANCE_ID}/heartbeat`;
-  const { status } = await sendHttp(port, { path, id: '', method: 'POST', body });
-  assert.equal(status, 200);
-}
-
 async function waitUntilServed(port: number): Promise<void> {
   for (let tries = 0; tries < 200; tries += 1) {
     const { status } = await sendHttp(port, { path: '/', id: `warm-${tries}` });
@@ -93,7 +71,7 @@
   const [callPort = 0, , ready = 0, control = 0] = options.ports;
   try {
     await waitUntilReady(ready);
-    await announceInstance(control, options.instancePort);
+    await announceInstance(control, options.instancePort, 1);
     await waitUntilServed(callPort);
     await run({
       instance,
