Load only the histogram of hdr-histogram-js that is used

A start loaded the whole package with its WebAssembly build, a deflate library and a base64 decoder.

--- a/src/mesh/meshMetrics.ts
+++ b/src/mesh/meshMetrics.ts
@@ -1,15 +1,22 @@
 /** Counters, gauges and latency histograms of a node in the Prometheus text format. */
-import { build, type Histogram } from 'hdr-histogram-js';
+// The entry point of the package also loads its WebAssembly build.
+import int32Histogram from 'hdr-histogram-js/dist/Int32Histogram.js';
 
 /** Upper bound of recorded latencies, in milliseconds; higher values are recorded as this value. */
 const MAX_LATENCY_MS = 60_000;
 
+const LOWEST_LATENCY_MS = 1;
+
+const SIGNIFICANT_DIGITS = 2;
+
+const { default: Int32Histogram } = int32Histogram;
+
 const QUANTILES = [50, 90, 99, 99.9];
 
 export class MeshMetrics {
   private readonly counters = new Map<string, number>();
 
-  private readonly histograms = new Map<string, Histogram>();
+  private readonly histograms = new Map<string, InstanceType<typeof Int32Histogram>>();
 
   private readonly gauges = new Map<string, () => number>();
 
@@ -28,12 +35,7 @@
   recordLatency(name: string, latencyMs: number): void {
     let histogram = this.histograms.get(name);
     if (!histogram) {
-      histogram = build({
-        lowestDiscernibleValue: 1,
-        highestTrackableValue: MAX_LATENCY_MS,
-        numberOfSignificantValueDigits: 2,
-        bitBucketSize: 32,
-      });
+      histogram = new Int32Histogram(LOWEST_LATENCY_MS, MAX_LATENCY_MS, SIGNIFICANT_DIGITS);
       this.histograms.set(name, histogram);
     }
     histogram.recordValue(Math.min(MAX_LATENCY_MS, Math.max(1, Math.round(latencyMs))));
