Let callers of the platform soak leave early, and check that nothing runs for them long after

A request must not reach an instance more than half a second after its caller closed its connection, under all faults of the soak.

--- a/soak/platform/callers.ts
+++ b/soak/platform/callers.ts
@@ -1,5 +1,6 @@
 /** Callers of the soak on the platform. They reuse a connection until the server closes it. */
 import { Agent } from 'node:http';
+import { connect } from 'node:net';
 import { sendHttp, wait, type FleetResponse } from '../../standins/mesh/meshFleet.js';
 import { CALL_PORT_INDEX } from '../../standins/mesh/nodeProcess.js';
 import type { PlatformChecker } from './checker.js';
@@ -12,6 +13,10 @@
 const VERSION_CHECK_SHARE = 0.1;
 const SAFE_REQUEST_BOUND = 0.55;
 
+/** Share of the requests whose callers leave before their response, and when they do. */
+const DEPARTURE_SHARE = 0.08;
+const MAX_DEPARTURE_MS = 300;
+
 /** Maximum time until a version is in force on a host without faults. */
 const APPLY_LIMIT_MS = 2000;
 
@@ -72,6 +77,21 @@
     return typeof response === 'string' ? undefined : response;
   };
 
+  /** Sends a request on a connection of its own and closes it before the response may come. */
+  const sendAndLeave = async (host: SoakHost, path: string): Promise<void> => {
+    sentCount += 1;
+    const isSafe = !path.startsWith('/book/');
+    const request = { id: `s-${sentCount}`, isSafe, host: host.options.name };
+    checker.recordSent(request);
+    const socket = connect(host.options.ports[CALL_PORT_INDEX]!, '127.0.0.1');
+    socket.on('error', () => {});
+    const headers = `Host: mesh.example\r\nX-Lycheelane-Request-Attempt-Id: ${request.id}`;
+    socket.write(`${isSafe ? 'GET' : 'DELETE'} ${path} HTTP/1.1\r\n${headers}\r\n\r\n`);
+    await wait(random() * MAX_DEPARTURE_MS);
+    socket.destroy();
+    checker.recordDeparture(request);
+  };
+
   const isRecovered = ({ options }: SoakHost, nowMs: number): boolean => {
     const hostFaultAtMs = faultTimes.lastHostFaultAtMs.get(options.name) ?? -Infinity;
     return nowMs - Math.max(hostFaultAtMs, faultTimes.lastStoreFaultAtMs) > RECOVERY_MS;
@@ -107,8 +127,10 @@
     const agent = new Agent({ keepAlive: true, maxSockets: 1 });
     while (!isStopped) {
       const draw = random();
+      const path = draw < SAFE_REQUEST_BOUND ? '/read/' : '/book/';
       if (draw < VERSION_CHECK_SHARE) await checkVersion(host, agent);
-      else await send(host, draw < SAFE_REQUEST_BOUND ? '/read/' : '/book/', agent);
+      else if (random() < DEPARTURE_SHARE) await sendAndLeave(host, path);
+      else await send(host, path, agent);
       await wait(random() * MAX_THINK_TIME_MS);
     }
     agent.destroy();
--- a/soak/platform/checker.ts
+++ b/soak/platform/checker.ts
@@ -13,6 +13,7 @@
   'version late on a calm host',
   'run at an instance that has left',
   'request to an instance that says that it leaves',
+  'request run after its caller had left',
   'instance over its limit',
   'planned stop beyond its limit',
   'host does not serve at the end',
@@ -23,6 +24,9 @@
 /** Maximum time until a node has read a request. */
 const MAX_READ_DELAY_MS = 200;
 
+/** Time after which a request whose caller has left must not reach an instance. */
+const DEPARTURE_LIMIT_MS = 500;
+
 /** Statuses that guarantee that a request has not run and will not run. */
 const NOT_EXECUTED_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -62,6 +66,9 @@
 
   private readonly runCounts = new Map<string, number>();
 
+  /** Time at which callers left without waiting for their responses, by request. */
+  private readonly departedAtMs = new Map<string, number>();
+
   /** Time at which a host passed on that an instance leaves, by host and instance. */
   private readonly leavingPassedAtMs = new Map<string, Map<string, number>>();
 
@@ -125,9 +132,17 @@
     }
   }
 
+  /** Records that the caller of a request has closed its connection. */
+  recordDeparture({ id }: SentRequest, nowMs = performance.now()): void {
+    this.departedAtMs.set(id, nowMs);
+  }
+
   /** Records a run that an instance reported. */
-  recordRun(id: string): void {
+  recordRun(id: string, atMs = performance.now()): void {
     this.runCounts.set(id, (this.runCounts.get(id) ?? 0) + 1);
+    const lateMs = atMs - (this.departedAtMs.get(id) ?? Infinity);
+    if (lateMs <= DEPARTURE_LIMIT_MS) return;
+    this.add('request run after its caller had left', `${id}: ${Math.round(lateMs)} ms`);
   }
 
   private recordLeaving(host: string, instanceId: string, nowMs: number): void {
--- a/soak/platform/main.ts
+++ b/soak/platform/main.ts
@@ -137,7 +137,7 @@
   await callers.stop();
   await checkServing();
   for (const { instance } of fleet.hosts) {
-    for (const { requestId } of instance.runs) checker.recordRun(requestId);
+    for (const { requestId, atMs } of instance.runs) checker.recordRun(requestId, atMs);
   }
   checker.finish();
   await fleet.stop();
--- a/test/soak/platformChecker.test.ts
+++ b/test/soak/platformChecker.test.ts
@@ -79,6 +79,22 @@
     violation: 'request unknown to its caller ran',
     record: (checker) => checker.recordRun('forged'),
   },
+  {
+    name: 'a run long after its caller left',
+    violation: 'request run after its caller had left',
+    record: (checker) => {
+      checker.recordDeparture(REQUEST, 1000);
+      checker.recordRun('r', 1600);
+    },
+  },
+  {
+    name: 'a run that began while its caller was leaving',
+    violation: undefined,
+    record: (checker) => {
+      checker.recordDeparture(REQUEST, 1000);
+      checker.recordRun('r', 1400);
+    },
+  },
   {
     name: 'a cut after a planned stop had read the request',
     violation: 'request cut by a planned stop',
