Reset the connection of a call when its run has begun, not after 50 ms

The reset now comes as the run begins, and the first call, which tells the clock, goes over a sound connection, so that the fault meets the call itself as before.

--- a/test/mesh/peerCalls.test.ts
+++ b/test/mesh/peerCalls.test.ts
@@ -35,16 +35,20 @@
   };
 }
 
-/** Opens a proxy that resets its first connection or forwards no response on it. */
+/**
+ * Opens a proxy that resets the first connection after `arm` was called, or forwards no response on
+ * it. Earlier connections are sound.
+ */
 async function openProxy(
   port: number,
   fault: 'reset-on-request' | 'reset-on-response' | 'no-response',
 ) {
   const sockets = new Set<Socket>();
-  let connections = 0;
+  let isArmed = false;
+  let faulty: Socket | undefined;
   const proxy = createServer((client) => {
-    connections += 1;
-    const isFirst = connections === 1;
+    const isFirst = isArmed && faulty === undefined;
+    if (isFirst) faulty = client;
     const server = connect(port, '127.0.0.1');
     for (const socket of [client, server]) {
       sockets.add(socket);
@@ -59,13 +63,16 @@
       if (!isFirst || fault === 'reset-on-request') client.write(chunk);
       else if (fault === 'reset-on-response') client.resetAndDestroy();
     });
-    if (isFirst && fault === 'reset-on-response') setTimeout(() => client.resetAndDestroy(), 50);
   });
   await new Promise<void>((resolve) => {
     proxy.listen(0, '127.0.0.1', resolve);
   });
   return {
     port: (proxy.address() as AddressInfo).port,
+    arm() {
+      isArmed = true;
+    },
+    resetFaulty: () => faulty?.resetAndDestroy(),
     close() {
       for (const socket of sockets) socket.destroy();
       proxy.close();
@@ -89,9 +96,11 @@
 for (const { fault, processId, kind, runs } of CASES) {
   test(`a call over a connection with ${fault} to process ${processId} is ${kind}`, async () => {
     let runCount = 0;
+    let onRun = () => {};
     const runner = {
       async run(): Promise<RunReport> {
         runCount += 1;
+        onRun();
         await new Promise((resolve) => {
           setTimeout(resolve, 150);
         });
@@ -112,13 +121,15 @@
     const port = await openServer(server, '127.0.0.1', 0);
     const proxy = await openProxy(port, fault);
     const calls = new PeerCalls({ host: '127.0.0.1', port: proxy.port }, NO_REVISIONS);
-    const { result } = await calls.send(
-      REQUEST,
-      buildMetadata('c-1'),
-      processId,
-      new Cancellation(),
-      () => {},
-    );
+    const send = (id: string) =>
+      calls.send(REQUEST, buildMetadata(id), processId, new Cancellation(), () => {});
+    // The first call to a process tells its clock; the fault is on the way of a later one.
+    assert.equal((await send('c-0')).result.kind, 'answered');
+    calls.close();
+    runCount = 0;
+    proxy.arm();
+    if (fault === 'reset-on-response') onRun = () => proxy.resetFaulty();
+    const { result } = await send('c-1');
     assert.equal(result.kind, kind);
     if (result.kind === 'answered') assert.equal(result.response.body.toString(), 'done');
     assert.equal(runCount, runs);
