Refuse requests that a stopping node could not finish

Cause: a node that stops takes requests of other hosts until 1.5 s before its end, or until its own callers have no open request, whatever their runs need. Runs of up to 7 s were passed on to the instance and cut when the process ended, with 502 for the sender, also for requests that may run only once.

Change: from the start of a stop the runner compares the time that few runs of the route exceed (RunTimes.getHighMs, a maximum that decays by 1 % for each shorter run), times 1.5, with the time until the process ends. What may not end before, by its deadline either, is refused as not run before it starts, so that another instance gets it. A route without a completed run is judged by its deadline alone.

Ruled out: a larger constant reserve, which refuses short runs that still fit and does not cover long ones.

Before: test/mesh/lateRequests on has 502 for request 24, which the instance ran, and 502 although another instance is free. After: both pass; each request is answered 200 or refused as not run.

--- a/src/mesh/localRunner.ts
+++ b/src/mesh/localRunner.ts
@@ -32,6 +32,9 @@
 /** Retry time while the instance drains, starts or does not accept connections, in milliseconds. */
 const UNAVAILABLE_RETRY_MS = 300;
 
+/** Factor by which the high estimate of a run time is multiplied before the end of a stop. */
+const RUN_RESERVE_FACTOR = 1.5;
+
 interface QueuedRequest extends AdmissionItem {
   readonly start: () => void;
   readonly refuse: (reason: RefusalReason, retryAfterMs: number) => void;
@@ -66,6 +69,9 @@
 
   private isStopping = false;
 
+  /** End of the runs of a planned stop; undefined while none is under way. */
+  private stopAtMs: number | undefined;
+
   private isStartDeferred = false;
 
   /** Instance that the limit applies to. */
@@ -98,7 +104,7 @@
       startedAtMs = performance.now();
       onStart();
     };
-    const refusal = this.checkInstance(metadata.instanceId);
+    const refusal = this.check(metadata);
     const result = refusal ?? (await this.admit(request, metadata, cancellation, recordStart));
     const endedAtMs = performance.now();
     const timing = {
@@ -125,6 +131,11 @@
     return this.queue.countRunning();
   }
 
+  /** Refuses from now on the requests whose runs may not have ended at `stopAtMs`. */
+  planStop(stopAtMs: number): void {
+    this.stopAtMs = stopAtMs;
+  }
+
   /** Refuses queued requests and all new ones. */
   stopAccepting(): void {
     this.isStopping = true;
@@ -179,6 +190,21 @@
     if (isLeaving) this.options.onLeaving(instanceId);
   }
 
+  private check(metadata: CallMetadata): RunResult | undefined {
+    return this.endsBeforeStop(metadata)
+      ? this.checkInstance(metadata.instanceId)
+      : buildRefusal('leaving', false, UNAVAILABLE_RETRY_MS);
+  }
+
+  /** Returns true when a run that starts now ends before a planned stop, or at its deadline. */
+  private endsBeforeStop({ route, deadlineAtMs }: CallMetadata): boolean {
+    const { stopAtMs } = this;
+    if (stopAtMs === undefined || deadlineAtMs <= stopAtMs) return true;
+    const highMs = this.times.getHighMs(route);
+    if (highMs === undefined) return false;
+    return performance.now() + highMs * RUN_RESERVE_FACTOR <= stopAtMs;
+  }
+
   private checkInstance(instanceId: InstanceId): RunResult | undefined {
     const state = this.options.instance.getState();
     if (this.isStopping) return buildRefusal('leaving', false, UNAVAILABLE_RETRY_MS);
@@ -250,7 +276,7 @@
     cancellation: Cancellation,
   ): Promise<RunResult> {
     const startedAtMs = performance.now();
-    const refusal = this.checkInstance(metadata.instanceId);
+    const refusal = this.check(metadata);
     if (!refusal) this.limitMonitor.recordStart(getOriginProcess(metadata), startedAtMs);
     const result = refusal ?? (await this.client.run(request, metadata, cancellation));
     this.queue.releaseSlot();
--- a/src/mesh/runTimes.ts
+++ b/src/mesh/runTimes.ts
@@ -9,12 +9,29 @@
 /** Maximum number of routes with a mean of their own, which bounds memory use. */
 const MAX_ROUTES = 256;
 
+/** Share by which the high estimate of a route falls towards each shorter run. */
+const HIGH_DECAY = 0.01;
+
 /** Expected run time before the first run has completed. */
 const INITIAL_MEAN_MS = 100;
 
+/** Run times of one route. */
+interface RouteTimes {
+  readonly meanMs: number;
+  /** Time that few runs exceed. */
+  readonly highMs: number;
+}
+
+function advanceTimes({ meanMs, highMs }: RouteTimes, runMs: number): RouteTimes {
+  return {
+    meanMs: meanMs + (runMs - meanMs) * ROUTE_WEIGHT,
+    highMs: Math.max(runMs, highMs + (runMs - highMs) * HIGH_DECAY),
+  };
+}
+
 /** Moving averages of one instance. */
 export class RunTimes {
-  private readonly byRoute = new Map<string, number>();
+  private readonly byRoute = new Map<string, RouteTimes>();
 
   private meanMs = INITIAL_MEAN_MS;
 
@@ -22,7 +39,13 @@
 
   /** Returns the expected run time of a route, or of all routes if the route is unknown. */
   getMeanMs(route?: string): number {
-    return (route === undefined ? undefined : this.byRoute.get(route)) ?? this.meanMs;
+    const times = route === undefined ? undefined : this.byRoute.get(route);
+    return times?.meanMs ?? this.meanMs;
+  }
+
+  /** Returns the time that few runs of a route exceed; undefined before its first run. */
+  getHighMs(route: string): number | undefined {
+    return this.byRoute.get(route)?.highMs;
   }
 
   /** Returns the failure rate of recent runs, from 0 to 1. */
@@ -36,11 +59,8 @@
     // The duration of a failed run is no estimate for successful ones; it may have failed early.
     if (hasFailed) return;
     this.meanMs += (runMs - this.meanMs) * OVERALL_WEIGHT;
-    const routeMeanMs = this.byRoute.get(route);
-    if (routeMeanMs === undefined && this.byRoute.size >= MAX_ROUTES) this.byRoute.clear();
-    this.byRoute.set(
-      route,
-      routeMeanMs === undefined ? runMs : routeMeanMs + (runMs - routeMeanMs) * ROUTE_WEIGHT,
-    );
+    const known = this.byRoute.get(route);
+    if (!known && this.byRoute.size >= MAX_ROUTES) this.byRoute.clear();
+    this.byRoute.set(route, known ? advanceTimes(known, runMs) : { meanMs: runMs, highMs: runMs });
   }
 }
--- a/src/mesh/stopNode.ts
+++ b/src/mesh/stopNode.ts
@@ -13,7 +13,7 @@
 /** Share of the stop limit after which the process exits even if requests are still open. */
 const STOP_DEADLINE_SHARE = 0.88;
 
-/** Time before the end that is reserved for requests running on the instance. */
+/** Time before the end after which the instance gets no new requests, however short. */
 const RUN_RESERVE_MS = 1500;
 
 /** Time before the end that is reserved for the responses to cancelled requests. */
@@ -28,7 +28,7 @@
     CallPort,
     'countOpen' | 'closeAfterResponses' | 'refuseNew' | 'cancelOpen'
   >;
-  readonly runner: Pick<LocalRunner, 'countRunning' | 'stopAccepting'>;
+  readonly runner: Pick<LocalRunner, 'countRunning' | 'planStop' | 'stopAccepting'>;
   readonly log: EventLog;
   /** Publishes to the other nodes that this node is leaving. */
   readonly publishLeaving: () => void;
@@ -46,6 +46,7 @@
   const limitMs = options.stopLimitMs * STOP_DEADLINE_SHARE;
   const endAtMs = performance.now() + limitMs;
   log.write('info', 'stopping', { limitMs, open: callPort.countOpen() });
+  runner.planStop(endAtMs - FLUSH_MS);
   callPort.closeAfterResponses();
   await waitMs(Math.min(ACCEPT_PERIOD_MS, limitMs / 2));
   // The port stays open, so that callers without another node get a refusal with a retry time.
