Get changes from two sources of a large data centre instead of the store

Cause: each node watches both kinds of the store itself, so that each change of a record or of the configuration costs a call of every node, and the pause that bounds this stops growing at 83 nodes.

Change: in a data centre with ten ready nodes or more, the two with the fastest links read the store (StoreContact tells whether they do, and since when). The others wait at one of them for changes of node records (mesh-nodes) and of the configuration (mesh-config with mustBeCurrent), half of them at each. A source that does not answer, does not read the store, stops, or is behind what other nodes have seen is left for the other one for 3 s, then for the store; a node whose candidates are left becomes a source itself. Nothing new has to last: a source keeps the latest change of each record.

Ruled out: longer pauses, which delay the second of two changes by seconds; serializable reads, which cost a tenth but may be seconds old, so that a departed instance could come back; records of called services only, which saves bytes but no call.

After: at most 12, with a killed, a stopping and a cut source, half-open connections and a new era of the store beside it.

--- a/src/mesh/configAnswers.ts
+++ b/src/mesh/configAnswers.ts
@@ -1,24 +1,19 @@
 /** Answers the requests of other nodes for changes of the configuration. */
-import { promisify } from 'node:util';
-import { deflateRaw, inflateRaw, type InputType, type ZlibOptions } from 'node:zlib';
 import { err, ok, type Result } from 'neverthrow';
-import { buildError, toStepError, type StepError } from '../errors.js';
+import { buildError, type StepError } from '../errors.js';
 import { NO_VERSION, type ConfigVersion } from '../types/ids.js';
 import type { ConfigDelta } from './configDelta.js';
 import type { ConfigHistory } from './configHistory.js';
 import type { ConfigHolder } from './configHolder.js';
+import { decodeDeflated, encodeDeflated } from './deflatedJson.js';
 import type { KindPosition } from './kindPosition.js';
+import { LongPolls } from './longPolls.js';
+import type { StoreContact } from './storeContact.js';
 import type { WholeConfig } from './wholeConfig.js';
 
 /** Upper bound of the wait that another node can request. */
 const MAX_WAIT_MS = 2000;
 
-const deflate = promisify<InputType, Buffer>(deflateRaw);
-const inflate = promisify<InputType, ZlibOptions, Buffer>(inflateRaw);
-
-/** Limit on the decoded size of an answer, in bytes. */
-const MAX_ANSWER_BYTES = 32 * 1024 * 1024;
-
 /** A request for changes, as sent in one header. */
 export interface ConfigRequest {
   /** Version that is installed at the requesting node. */
@@ -33,6 +28,8 @@
   readonly waitMs: number;
   /** True when the answer may be a whole version; requests of older builds lack it. */
   readonly canBeWhole?: boolean | undefined;
+  /** True when only a node that reads the store itself may answer; older builds lack it. */
+  readonly mustBeCurrent?: boolean | undefined;
 }
 
 /**
@@ -69,17 +66,9 @@
   }
 }
 
-/** Messages with whole versions, each encoded once for all nodes that request it. */
-const encodedWholes = new WeakMap<WholeConfig, Promise<Buffer>>();
-
-/** Encodes an answer as the body of a response: deflated JSON, since routes resemble each other. */
+/** Encodes an answer as the body of a response. A whole version is encoded once for all nodes. */
 export function encodeConfigAnswer(answer: ConfigAnswer): Promise<Buffer> {
-  if (answer.kind !== 'whole') return deflate(JSON.stringify(answer));
-  const known = encodedWholes.get(answer.whole);
-  if (known) return known;
-  const encoded = deflate(JSON.stringify(answer));
-  encodedWholes.set(answer.whole, encoded);
-  return encoded;
+  return encodeDeflated(answer, answer.kind === 'whole' ? answer.whole : answer);
 }
 
 /** Decodes the answer of the node `peer`. */
@@ -89,13 +78,9 @@
 ): Promise<Result<ConfigAnswer, StepError>> {
   const step = 'config.decodeAnswer';
   const refuse = () => err(buildError('invalid', step, peer, 'malformed answer'));
-  let answer: ConfigAnswer;
-  try {
-    const json = await inflate(body, { maxOutputLength: MAX_ANSWER_BYTES });
-    answer = JSON.parse(json.toString('utf8')) as ConfigAnswer;
-  } catch (thrown) {
-    return err(toStepError(thrown, step, peer));
-  }
+  const decoded = await decodeDeflated(body, step, peer);
+  if (decoded.isErr()) return err(decoded.error);
+  const answer = decoded.value as ConfigAnswer;
   if (!Number.isSafeInteger(answer?.revision)) return refuse();
   switch (answer.kind) {
     case 'unchanged':
@@ -123,51 +108,44 @@
   readonly holder: Pick<ConfigHolder, 'get' | 'onInstall'>;
   readonly history: Pick<ConfigHistory, 'findChanges' | 'findWhole'>;
   readonly position: Pick<KindPosition, 'getEra' | 'getSyncedRevision' | 'onSynced'>;
-}
-
-/** A request whose answer is not due yet. */
-interface Waiting {
-  readonly request: ConfigRequest;
-  readonly resolve: () => void;
+  readonly contact: Pick<StoreContact, 'isCurrent' | 'onLost'>;
 }
 
 /** Answers requests at once, or when the awaited change arrives. */
 export class ConfigAnswers {
-  private readonly waiting = new Set<Waiting>();
+  private readonly polls = new LongPolls<ConfigRequest>((request) => this.isDue(request));
+
+  /** Latest answer, which most requests after a change share. */
+  private shared: { readonly key: string; readonly answer: ConfigAnswer } | undefined;
 
   constructor(private readonly options: ConfigAnswersOptions) {
-    options.holder.onInstall(() => this.checkWaiting());
-    options.position.onSynced(() => this.checkWaiting());
+    const check = () => this.polls.scheduleCheck();
+    options.holder.onInstall(check);
+    options.position.onSynced(check);
+    options.contact.onLost(check);
   }
 
   /** Resolves with the answer, at the latest after the wait of the request. */
   async answer(request: ConfigRequest): Promise<ConfigAnswer> {
-    if (!this.isDue(request)) await this.waitUntilDue(request);
-    return this.build(request);
-  }
-
-  private waitUntilDue(request: ConfigRequest): Promise<void> {
-    return new Promise((resolve) => {
-      const waiting: Waiting = { request, resolve };
-      this.waiting.add(waiting);
-      setTimeout(() => this.end(waiting), Math.min(MAX_WAIT_MS, request.waitMs));
-    });
-  }
-
-  private end(waiting: Waiting): void {
-    this.waiting.delete(waiting);
-    waiting.resolve();
+    await this.polls.wait(request, Math.min(MAX_WAIT_MS, request.waitMs));
+    return this.share(request);
   }
 
   private isDue(request: ConfigRequest): boolean {
     const { version, revision, canConfirm } = request;
     const { holder, position } = this.options;
+    if (this.isOutdated(request)) return true;
     if (!this.isInEra(request)) return false;
     const installedVersion = holder.get()?.version ?? 0;
     if (installedVersion > version) return true;
     return canConfirm && installedVersion === version && position.getSyncedRevision() > revision;
   }
 
+  /** Returns true when the request needs a node that reads the store, which this one does not. */
+  private isOutdated({ mustBeCurrent }: ConfigRequest): boolean {
+    return mustBeCurrent === true && !this.options.contact.isCurrent(performance.now());
+  }
+
   /** Returns true when the store has been read here in the era of the request. */
   private isInEra({ era }: ConfigRequest): boolean {
     const { position } = this.options;
@@ -175,11 +153,22 @@
     return isSameEra && position.getSyncedRevision() > 0;
   }
 
+  /** Returns the answer, the same object for requests in the same situation. */
+  private share(request: ConfigRequest): ConfigAnswer {
+    const { holder, position } = this.options;
+    const { version, canBeWhole } = request;
+    const reached = [position.getEra(), position.getSyncedRevision(), holder.get()?.version];
+    const situation = [...reached, version, canBeWhole];
+    const key = `${situation.join()},${this.isOutdated(request) || !this.isInEra(request)}`;
+    if (this.shared?.key !== key) this.shared = { key, answer: this.build(request) };
+    return this.shared.answer;
+  }
+
   private build(request: ConfigRequest): ConfigAnswer {
     const { version } = request;
     const { holder, history, position } = this.options;
     const revision = position.getSyncedRevision();
-    if (!this.isInEra(request)) return { kind: 'unknown', revision };
+    if (this.isOutdated(request) || !this.isInEra(request)) return { kind: 'unknown', revision };
     if (holder.get()?.version === version) return { kind: 'unchanged', revision };
     const delta = history.findChanges(version);
     if (delta) return { kind: 'changed', revision, delta };
@@ -189,10 +178,4 @@
     if (whole) return { kind: 'whole', revision, whole };
     return { kind: 'unknown', revision, version: installedVersion };
   }
-
-  private checkWaiting(): void {
-    for (const waiting of [...this.waiting]) {
-      if (this.isDue(waiting.request)) this.end(waiting);
-    }
-  }
 }
--- a/src/mesh/configFetcher.ts
+++ b/src/mesh/configFetcher.ts
@@ -1,4 +1,5 @@
 /** Gets changes of the configuration from other nodes instead of whole versions from the store. */
+import type { StepError } from '../errors.js';
 import { waitMs as wait } from '../utils/backoff.js';
 import { NO_VERSION } from '../types/ids.js';
 import { findBestReply, type ReplyRank } from './bestReply.js';
@@ -7,11 +8,15 @@
 import type { EventLog } from './eventLog.js';
 import type { KindPosition } from './kindPosition.js';
 import type { PeerCalls } from './peerCalls.js';
+import type { Cancellation } from './signal.js';
 import type { FirstPosition } from './watchKind.js';
 
 /** Time for which a source may wait for a change before it answers. */
 const SOURCE_WAIT_MS = 600;
 
+/** Time for which a followed source may wait for a change. */
+const FOLLOW_WAIT_MS = 2000;
+
 /** Pause between two requests, so that changes in quick succession share an answer. */
 const COALESCE_MS = 150;
 
@@ -113,6 +118,30 @@
     return { revision: answer.revision, era };
   }
 
+  /**
+   * Waits at a source that reads the store for the changes after `revision`, and installs them.
+   * Returns the revision that was reached; undefined when the source has no usable answer. Never
+   * rejects.
+   */
+  async follow(
+    source: ConfigSource,
+    revision: number,
+    cancellation: Cancellation,
+  ): Promise<number | undefined> {
+    const { holder, position } = this.options;
+    const version = holder.get()?.version;
+    if (version === undefined) return undefined;
+    const era = position.getEra();
+    const conditions = { canConfirm: true, mustBeCurrent: true, waitMs: FOLLOW_WAIT_MS };
+    const request = { version, revision, era, ...conditions };
+    const first = await this.send(source, request, cancellation);
+    const isOffer = first?.kind === 'unknown' && (first.version ?? NO_VERSION) > version;
+    const answer = isOffer ? await this.requestWhole(source, request, first) : first;
+    if (!answer || era !== position.getEra()) return undefined;
+    const hasReached = answer.kind === 'unchanged' || this.install(answer);
+    return hasReached ? Math.max(revision, answer.revision) : undefined;
+  }
+
   private install(answer: ConfigAnswer): boolean {
     const { holder } = this.options;
     switch (answer.kind) {
@@ -186,9 +215,13 @@
     return { ...answer, revision };
   }
 
-  private send(source: ConfigSource, request: ConfigRequest): Promise<ConfigAnswer | undefined> {
-    return source.requestConfig(request, ({ step, peer, message }) =>
-      this.options.log.write('warn', 'config-answer-invalid', { step, peer, reason: message }),
-    );
+  private send(
+    source: ConfigSource,
+    request: ConfigRequest,
+    cancellation?: Cancellation,
+  ): Promise<ConfigAnswer | undefined> {
+    const logInvalid = ({ step, peer, message }: StepError) =>
+      this.options.log.write('warn', 'config-answer-invalid', { step, peer, reason: message });
+    return source.requestConfig(request, logInvalid, cancellation);
   }
 }
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -14,14 +14,16 @@
 import { ConfigFetcher } from './configFetcher.js';
 import { ConfigHistory } from './configHistory.js';
 import { ConfigHolder } from './configHolder.js';
-import {
-  computeMaxResponseBytes,
-  listConfigSources,
-  listStartSources,
-  type SourceNode,
-} from './configSources.js';
+import { computeMaxResponseBytes, listConfigSources, listStartSources } from './configSources.js';
 import { Directory } from './directory.js';
 import type { EventLog } from './eventLog.js';
+import { chooseWatchRole } from './followedSources.js';
+import {
+  createConfigFollower,
+  createNodesFollower,
+  toSourceNode,
+  type NodeFollower,
+} from './followers.js';
 import type { HeaderNames } from './headers.js';
 import { KindPosition } from './kindPosition.js';
 import { LocalInstance } from './localInstance.js';
@@ -29,11 +31,12 @@
 import { LoopMonitor } from './loopMonitor.js';
 import { MeshMetrics } from './meshMetrics.js';
 import type { MeshConfig, MeshSettings } from './model.js';
+import { NodeAnswers } from './nodeAnswers.js';
+import { NodeHistory } from './nodeHistory.js';
 import { NodeListener } from './nodeListener.js';
 import { startNodeMonitor } from './nodeMonitor.js';
 import { buildPublishedNode, NODE_KIND } from './nodeRecord.js';
 import { OverloadThrottle } from './overloadThrottle.js';
-import type { PeerNode } from './peerNode.js';
 import { createPeerPort } from './peerPort.js';
 import { Publisher } from './publisher.js';
 import { RetryBudget } from './retryBudget.js';
@@ -42,6 +45,7 @@
 import { createMetricsPort, createReadyPort } from './statusPorts.js';
 import { stopNode } from './stopNode.js';
 import type { MeshStore } from './store.js';
+import { StoreContact } from './storeContact.js';
 import { SuspensionDetector } from './suspensionDetector.js';
 import { listRouteNames, TargetChooser } from './targets.js';
 import { watchKind } from './watchKind.js';
@@ -94,11 +98,6 @@
   );
 }
 
-function toSourceNode({ record, calls }: PeerNode): SourceNode & Pick<PeerNode, 'calls'> {
-  const { nodeId, dataCentre, linkMbps = 0 } = record;
-  return { nodeId, dataCentre, linkMbps, calls };
-}
-
 /** Starts a node. Throws when a port cannot be bound. */
 export async function startMeshNode(options: NodeOptions): Promise<MeshNode> {
   const { adapter, getSettings, log } = options;
@@ -112,6 +111,8 @@
     config: new KindPosition(store.era),
     nodes: new KindPosition(store.era),
   };
+  const contacts = { config: new StoreContact(), nodes: new StoreContact() };
+  const nodeHistory = new NodeHistory();
   const seen = new RevisionExchange([positions.config, positions.nodes], store.era);
   const detector = new SuspensionDetector();
   const directory = new Directory(nodeId, log, seen, detector);
@@ -184,11 +185,18 @@
     publisher.forgetStoredState();
     directory.forgetRevisions();
     history.forgetRevisions();
+    nodeHistory.forget();
   });
   const configAnswers = new ConfigAnswers({
     holder: config,
     history,
     position: positions.config,
+    contact: contacts.config,
+  });
+  const nodeAnswers = new NodeAnswers({
+    history: nodeHistory,
+    position: positions.nodes,
+    contact: contacts.nodes,
   });
   startNodeMonitor({
     store,
@@ -204,7 +212,7 @@
     processId,
     names,
     seen,
-    configAnswers,
+    changeAnswers: { configAnswers, nodeAnswers },
     detector,
     loop,
     monitor: new CallMonitor({ metrics, log, getLagMs: () => loop.getLagMs() }),
@@ -253,22 +261,32 @@
       return listStartSources(getSettings(), candidates)?.map(({ calls }) => calls);
     },
   });
-  const watchOptions = {
-    store,
+  const followerOptions = {
     log,
-    getWaitMs: () => {
-      const records = listResponding().map(({ record }) => record);
-      return chooseWatchWaitMs(nodeId, records);
-    },
-    isStopped: () => isStopping,
+    own: getSettings,
+    listNodes: () => listResponding().map(toSourceNode),
+    chooseRole: chooseWatchRole,
   };
   const { configKind } = adapter;
+  const configFollower = createConfigFollower({ ...followerOptions, kind: configKind }, fetcher);
+  const nodesFollower = createNodesFollower(
+    { ...followerOptions, kind: NODE_KIND },
+    positions.nodes,
+  );
+  const chooseWaitMs = (follower: NodeFollower) => {
+    const records = listResponding().map(({ record }) => record);
+    return chooseWatchWaitMs(nodeId, records, follower.getRole().kind);
+  };
+  const watchOptions = { store, log, isStopped: () => isStopping };
   void watchKind({
     ...watchOptions,
     kind: configKind,
+    getWaitMs: () => chooseWaitMs(configFollower),
     getPauseMs: () => CONFIG_PAUSE_MS,
     listener: config,
     position: positions.config,
+    contact: contacts.config,
+    follow: (revision, interruption) => configFollower.follow(revision, interruption),
     source: {
       // Without an installed version there is nothing to which a change could be applied.
       getMaxBytes: () =>
@@ -280,9 +298,21 @@
   void watchKind({
     ...watchOptions,
     kind: NODE_KIND,
-    getPauseMs: () => chooseChangePauseMs(directory.countNodes()),
-    listener: nodes,
+    getWaitMs: () => chooseWaitMs(nodesFollower),
+    getPauseMs: () => chooseChangePauseMs(directory.countNodes(), nodesFollower.getRole().kind),
+    listener: {
+      applyList(list) {
+        nodeHistory.applyList(list);
+        nodes.applyList(list);
+      },
+      applyEvent(event) {
+        nodeHistory.applyEvent(event);
+        nodes.applyEvent(event);
+      },
+    },
     position: positions.nodes,
+    contact: contacts.nodes,
+    follow: (revision, interruption) => nodesFollower.follow(revision, interruption),
   });
   const recordPruner = startRecordPruner(directory, store, log);
   log.write('info', 'started', { service: settings.service, process: processId });
@@ -300,6 +330,7 @@
   return {
     async stop() {
       isStopping = true;
+      for (const contact of Object.values(contacts)) contact.recordLost();
       const publishLeaving = () => {
         void publisher.sync();
       };
--- a/src/mesh/peerCalls.ts
+++ b/src/mesh/peerCalls.ts
@@ -2,6 +2,7 @@
  * Sends calls to the nodes of other instances. A call whose connection fails or does not respond is
  * resumed on a new connection with the same attempt identifier, so that its response is not lost.
  */
+import type { Result } from 'neverthrow';
 import { buildError, type StepError } from '../errors.js';
 import type { PeerAddress } from '../types/interfaces.js';
 import { formatHostPort } from '../utils/address.js';
@@ -16,6 +17,12 @@
 import { buildRefusal } from './instanceClient.js';
 import type { HttpConnection } from './httpConnection.js';
 import { startInactivityTimer } from './inactivityTimer.js';
+import {
+  decodeNodesAnswer,
+  encodeNodesRequest,
+  type NodesAnswer,
+  type NodesRequest,
+} from './nodeAnswers.js';
 import { ClockOffset } from './clockOffset.js';
 import { ConnectionPool } from './connectionPool.js';
 import type { CallMetadata, HttpRequest, RunReport } from './model.js';
@@ -27,6 +34,7 @@
   encodeMetadata,
   encodeSentTime,
   NODE_HEADERS,
+  NODES_HEADER,
   RESULT_HEADER,
   SEEN_HEADER,
   METADATA_HEADER,
@@ -50,8 +58,8 @@
 /** Time after the deadline of a call for which its result is accepted. */
 const DEADLINE_GRACE_MS = 150;
 
-/** Time without data after the wait of a request for configuration changes. */
-const CONFIG_ANSWER_TIMEOUT_MS = 300;
+/** Time without data after the wait of a request for changes. */
+const POLL_ANSWER_TIMEOUT_MS = 300;
 
 /** Distinguishes the second attempt at a node, after the first one told its clock. */
 const SECOND_ATTEMPT_SUFFIX = '.1';
@@ -73,6 +81,16 @@
   readonly hasResponded: boolean;
 }
 
+interface PollOptions {
+  readonly step: string;
+  /** Header that carries the request. */
+  readonly header: string;
+  readonly text: string;
+  /** Time for which the node may hold its answer back. */
+  readonly waitMs: number;
+  readonly cancellation: Cancellation | undefined;
+}
+
 interface SendOptions {
   /** Called when the node does not respond to a probe while the call is in progress. */
   readonly onUnresponsive: () => void;
@@ -160,37 +178,66 @@
    * Requests changes of the configuration; undefined when the node gives no answer. `onInvalid` is
    * called when it gives one that cannot be used.
    */
-  async requestConfig(
+  requestConfig(
     request: ConfigRequest,
     onInvalid: (error: StepError) => void,
+    cancellation?: Cancellation,
   ): Promise<ConfigAnswer | undefined> {
+    const { waitMs: pollMs } = request;
+    const message = { header: CONFIG_HEADER, text: encodeConfigRequest(request) };
+    const poll = { step: 'config.request', ...message, waitMs: pollMs, cancellation };
+    return this.poll(poll, decodeConfigAnswer, onInvalid);
+  }
+
+  /** Requests changes of the node records, as `requestConfig` does those of the configuration. */
+  requestNodes(
+    request: NodesRequest,
+    onInvalid: (error: StepError) => void,
+    cancellation?: Cancellation,
+  ): Promise<NodesAnswer | undefined> {
+    const { waitMs: pollMs } = request;
+    const message = { header: NODES_HEADER, text: encodeNodesRequest(request) };
+    const poll = { step: 'nodes.request', ...message, waitMs: pollMs, cancellation };
+    return this.poll(poll, decodeNodesAnswer, onInvalid);
+  }
+
+  /** Returns the bytes of the calls in progress that wait in their connections. */
+  countUnsentBytes(): number {
+    return countUnsentBytes(this.active);
+  }
+
+  close(): void {
+    this.pool.close();
+  }
+
+  private async poll<Answer>(
+    { step, header, text, waitMs: pollMs, cancellation }: PollOptions,
+    decode: (body: Buffer, peer: string) => Promise<Result<Answer, StepError>>,
+    onInvalid: (error: StepError) => void,
+  ): Promise<Answer | undefined> {
     const connection =
       this.pool.takeIdle(MAX_IDLE_MS) ?? (await this.pool.connect(CONNECT_TIMEOUT_MS));
     if (typeof connection === 'string') return undefined;
-    const stopTimer = startInactivityTimer(connection, request.waitMs, CONFIG_ANSWER_TIMEOUT_MS);
-    const headers = ['Host', this.host, CONFIG_HEADER, encodeConfigRequest(request)];
+    const stopTimer = startInactivityTimer(connection, pollMs, POLL_ANSWER_TIMEOUT_MS);
+    let hasEnded = false;
+    cancellation?.onCancel(() => {
+      if (!hasEnded) connection.abort('cancelled');
+    });
+    const headers = ['Host', this.host, header, text];
     const message = { method: 'GET', path: '/', headers, body: EMPTY_BODY };
     const result = await connection.exchange(message, isAnyResponse);
+    hasEnded = true;
     stopTimer();
     if (result.kind !== 'response') return undefined;
     this.pool.release(connection);
     const { status, body } = result.response;
     if (status !== 200) {
-      onInvalid(buildError('refused', 'config.request', this.host, `status ${status}`));
+      onInvalid(buildError('refused', step, this.host, `status ${status}`));
       return undefined;
     }
-    const answer = await decodeConfigAnswer(body, this.host);
+    const answer = await decode(body, this.host);
     if (answer.isErr()) onInvalid(answer.error);
-    return answer.unwrapOr(undefined);
-  }
-
-  /** Returns the bytes of the calls in progress that wait in their connections. */
-  countUnsentBytes(): number {
-    return countUnsentBytes(this.active);
-  }
-
-  close(): void {
-    this.pool.close();
+    return answer.isOk() ? answer.value : undefined;
   }
 
   private sendAttempt(options: SendOptions): Promise<PeerReport> {
--- a/src/mesh/peerMessages.ts
+++ b/src/mesh/peerMessages.ts
@@ -31,6 +31,9 @@
 /** Request header that asks a node for changes of the configuration. */
 export const CONFIG_HEADER = 'mesh-config';
 
+/** Request header that asks a node for changes of the node records. */
+export const NODES_HEADER = 'mesh-nodes';
+
 /**
  * Header of calls with the time at which they were sent, on the clock of the receiving process, and
  * of responses with the clock of the process that responds.
@@ -43,6 +46,7 @@
   RESULT_HEADER,
   SEEN_HEADER,
   CONFIG_HEADER,
+  NODES_HEADER,
   CLOCK_HEADER,
 ]);
 
--- a/src/mesh/peerPort.ts
+++ b/src/mesh/peerPort.ts
@@ -5,8 +5,8 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { CallMonitor } from './callMonitor.js';
+import { answerChangeRequest, type ChangeAnswers, type ChangeReply } from './changeRequests.js';
 import { filterHeaders, getHeader, type HeaderNames } from './headers.js';
-import { decodeConfigRequest, encodeConfigAnswer, type ConfigAnswers } from './configAnswers.js';
 import { buildRefusal } from './instanceClient.js';
 import { readBody } from './readBody.js';
 import type { LocalRunner } from './localRunner.js';
@@ -14,7 +14,6 @@
 import type { HttpRequest, RunReport, RunResult } from './model.js';
 import {
   CLOCK_HEADER,
-  CONFIG_HEADER,
   encodeClockReading,
   encodeResult,
   NODE_HEADERS,
@@ -58,7 +57,7 @@
   readonly processId: string;
   readonly names: HeaderNames;
   readonly seen: RevisionExchange;
-  readonly configAnswers: Pick<ConfigAnswers, 'answer'>;
+  readonly changeAnswers: ChangeAnswers;
   readonly monitor: CallMonitor;
   readonly loop: Pick<LoopMonitor, 'waitForArrivals'>;
   readonly detector?: SuspensionDetector;
@@ -91,24 +90,21 @@
     : report;
 }
 
-/** Answers a request of another node for changes of the configuration. */
-async function serveConfigRequest(
-  text: string,
+async function writeChangeReply(
   response: ServerResponse,
-  configAnswers: Pick<ConfigAnswers, 'answer'>,
+  reply: Exclude<ChangeReply, undefined>,
 ): Promise<void> {
-  const request = decodeConfigRequest(text);
-  if (!request) {
+  if (reply === 'malformed') {
     response.writeHead(400).end();
     return;
   }
-  const body = await encodeConfigAnswer(await configAnswers.answer(request));
+  const body = await reply;
   response.writeHead(200, { 'Content-Length': body.length }).end(body);
 }
 
 /** Creates the server of the port; the caller binds it. */
 export function createPeerPort(options: PeerPortOptions): Server {
-  const { runner, processId, names, seen, configAnswers, monitor, loop } = options;
+  const { runner, processId, names, seen, changeAnswers, monitor, loop } = options;
   const { detector = new SuspensionDetector() } = options;
   const runs = new Map<string, Run>();
 
@@ -175,10 +171,10 @@
 
   const serve = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
     const receivedAtMs = performance.now();
-    const configRequest = getHeader(message.rawHeaders, CONFIG_HEADER);
-    if (configRequest !== undefined) {
+    const changeReply = answerChangeRequest(message.rawHeaders, changeAnswers);
+    if (changeReply !== undefined) {
       message.resume();
-      await serveConfigRequest(configRequest, response, configAnswers);
+      await writeChangeReply(response, changeReply);
       return;
     }
     // After a suspension the clock is another one, on which no earlier message has its time.
--- a/src/mesh/primaryWatchers.ts
+++ b/src/mesh/primaryWatchers.ts
@@ -7,6 +7,7 @@
  * node makes a call for each change, unless changes share a call.
  */
 import type { DataCentre, NodeId } from '../types/ids.js';
+import type { WatchRole } from './followedSources.js';
 
 /**
  * Bounds of the pause after a change before the next watch. Changes that come within it share a
@@ -63,14 +64,26 @@
   return primaryWatchers;
 }
 
-/** Returns the pause of a node after a change, in milliseconds. */
-export function chooseChangePauseMs(nodeCount: number): number {
+/** Returns the pause of a node after a change, in milliseconds; few nodes are sources. */
+export function chooseChangePauseMs(
+  nodeCount: number,
+  role: WatchRole<unknown>['kind'] = 'independent',
+): number {
   const { min, max } = PAUSE_BOUNDS_MS;
+  if (role === 'source') return min;
   return Math.min(max, Math.max(min, nodeCount * PAUSE_PER_NODE_MS));
 }
 
-/** Returns how long the next watch of a node waits in one call, in milliseconds. */
-export function chooseWatchWaitMs(ownId: NodeId, nodes: readonly WatchingNode[]): number {
+/**
+ * Returns how long the next watch of a node waits in one call, in milliseconds. Other nodes rely on
+ * a source, and a follower reads the store only while its sources fail.
+ */
+export function chooseWatchWaitMs(
+  ownId: NodeId,
+  nodes: readonly WatchingNode[],
+  role: WatchRole<unknown>['kind'] = 'independent',
+): number {
+  if (role !== 'independent') return PRIMARY_WAIT_MS;
   const primaryWatchers = listPrimaryWatchers(nodes);
   return primaryWatchers.has(ownId) || primaryWatchers.size < MIN_PRIMARY_WATCHERS
     ? PRIMARY_WAIT_MS
--- /dev/null
+++ b/src/mesh/storeContact.ts
@@ -0,0 +1,38 @@
+/**
+ * Tells whether this node reads the changes of a kind from the store itself and has done so
+ * recently. Only then may other nodes rely on it for changes. It reads no clock.
+ */
+
+/**
+ * Time after a response of the store for which this node counts as current. It is longer than a
+ * watch of a source takes, its timeout included.
+ */
+const MAX_SILENCE_MS = 5000;
+
+/** Contact of one watch with the store. */
+export class StoreContact {
+  private readAtMs = -Infinity;
+
+  private readonly listeners: (() => void)[] = [];
+
+  /** Registers a listener that is called when this node stops reading the store. */
+  onLost(listener: () => void): void {
+    this.listeners.push(listener);
+  }
+
+  /** Records a response of the store that brought this node up to date. */
+  recordRead(nowMs: number): void {
+    this.readAtMs = nowMs;
+  }
+
+  /** Records that a call has failed, that another node is read instead, or that this one stops. */
+  recordLost(): void {
+    if (this.readAtMs === -Infinity) return;
+    this.readAtMs = -Infinity;
+    for (const listener of this.listeners) listener();
+  }
+
+  isCurrent(nowMs: number): boolean {
+    return nowMs - this.readAtMs <= MAX_SILENCE_MS;
+  }
+}
--- a/src/mesh/watchKind.ts
+++ b/src/mesh/watchKind.ts
@@ -7,7 +7,9 @@
 import type { EventLog } from './eventLog.js';
 import { InvalidObjectLog } from './invalidObjectLog.js';
 import type { KindPosition } from './kindPosition.js';
+import type { FollowedChanges } from './changeFollower.js';
 import { Cancellation } from './signal.js';
+import type { StoreContact } from './storeContact.js';
 import type { MeshStore, StoreChanges, StoreEvent, StoreList, InvalidObject } from './store.js';
 
 /** Wait of the first watch after a failure; it is short so that recovery is detected early. */
@@ -54,6 +56,13 @@
   readonly getPauseMs: () => number;
   readonly isStopped: () => boolean;
   readonly source?: ChangeSource;
+  /** Waits for changes at another node; undefined when the store has to be read. */
+  readonly follow?: (
+    revision: number,
+    interruption: Cancellation,
+  ) => Promise<FollowedChanges | undefined>;
+  /** Told whether this node reads the store, on which other nodes may rely. */
+  readonly contact?: StoreContact;
 }
 
 function logInvalid(log: InvalidObjectLog, invalid: readonly InvalidObject[] = []): void {
@@ -87,6 +96,32 @@
   position.recordSynced(changes.revision);
 }
 
+/** Follows another node for one answer; returns the revision reached, undefined without one. */
+async function followChanges(
+  options: WatchKindOptions,
+  revision: number,
+): Promise<number | undefined> {
+  const { follow, position } = options;
+  if (!follow) return undefined;
+  const era = position.getEra();
+  const interruption = new Cancellation();
+  position.setInterrupt(() => interruption.cancel());
+  const followed = await follow(revision, interruption);
+  position.setInterrupt(undefined);
+  if (!followed || era !== position.getEra()) return undefined;
+  options.contact?.recordLost();
+  switch (followed.kind) {
+    case 'changes':
+      applyChanges(options, followed.changes);
+      return Math.max(revision, followed.changes.revision);
+    case 'list':
+      applyList(options, followed.list);
+      return followed.list.revision;
+    default:
+      throw new Error(`unknown answer ${JSON.stringify(followed satisfies never)}`);
+  }
+}
+
 /** Watches a kind until `isStopped` returns true. Never throws. */
 export async function watchKind(options: WatchKindOptions): Promise<void> {
   const { store, kind, position, log, isStopped } = options;
@@ -99,6 +134,7 @@
   let failures = 0;
   const recordFailure = async (step: string, reason: string): Promise<void> => {
     if (failures === 0) log.write('warn', 'store-lost', { step, peer: kind, reason });
+    options.contact?.recordLost();
     failures += 1;
     await wait(computeDelayMs(BACKOFF, failures));
   };
@@ -108,6 +144,7 @@
       log.write('info', 'store-regained', { peer: kind, failures, revision, era: currentEra });
     }
     failures = 0;
+    options.contact?.recordRead(performance.now());
   };
   while (!isStopped()) {
     if (era !== position.getEra()) {
@@ -128,6 +165,10 @@
       revision = listed.value.revision;
       era = position.getEra();
     }
+    const followed = await followChanges(options, revision);
+    if (isStopped()) return;
+    if (followed !== undefined) revision = followed;
+    if (followed !== undefined || era !== position.getEra()) continue;
     const interruption = new Cancellation();
     position.setInterrupt(() => interruption.cancel());
     const waitMs = failures === 0 ? options.getWaitMs() : RECOVERY_WATCH_MS;
--- a/test/mesh/configFetcher.test.ts
+++ b/test/mesh/configFetcher.test.ts
@@ -22,6 +22,7 @@
 import { KindPosition } from '../../src/mesh/kindPosition.js';
 import { StoreEra } from '../../src/mesh/storeEra.js';
 import type { MeshConfig } from '../../src/mesh/model.js';
+import { StoreContact } from '../../src/mesh/storeContact.js';
 import type { WholeConfig } from '../../src/mesh/wholeConfig.js';
 import { brandText, brandVersion, NO_VERSION } from '../../src/types/ids.js';
 import { waitMs as wait } from '../../src/utils/backoff.js';
@@ -96,6 +97,7 @@
       findWhole: () => WHOLE,
     },
     position,
+    contact: new StoreContact(),
   });
   return { answers, position, install: () => listeners.forEach((listener) => listener()) };
 }
--- a/test/mesh/cutPeerResults.test.ts
+++ b/test/mesh/cutPeerResults.test.ts
@@ -2,19 +2,16 @@
 import assert from 'node:assert/strict';
 import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
 import { test } from 'node:test';
-import { HEADER_NAMES } from '../../platform/names.js';
 import type { LocalRunner } from '../../src/mesh/localRunner.js';
 import type { CallMetadata, RunReport, RunResult } from '../../src/mesh/model.js';
 import { PeerCalls } from '../../src/mesh/peerCalls.js';
 import { createPeerPort } from '../../src/mesh/peerPort.js';
-import { RevisionExchange } from '../../src/mesh/revisionExchange.js';
 import { Cancellation } from '../../src/mesh/signal.js';
 import { brandText } from '../../src/types/ids.js';
 import { closeServer, openServer } from '../../standins/http.js';
 import { CUT_ENDINGS, writeCut } from '../../standins/mesh/instanceServer.js';
-import { CALM_LOOP, SILENT_MONITOR } from './peerPortParts.js';
+import { NO_REVISIONS, PEER_PORT_PARTS } from './peerPortParts.js';
 
-const NO_REVISIONS = new RevisionExchange([]);
 const REQUEST = { method: 'POST', path: '/x', headers: ['Host', 'h'], body: Buffer.from('body') };
 const DEADLINE_MS = 10_000;
 
@@ -53,11 +50,7 @@
   const server = createPeerPort({
     runner: runner as unknown as LocalRunner,
     processId: 'p-1',
-    names: HEADER_NAMES,
-    seen: NO_REVISIONS,
-    configAnswers: { answer: async () => ({ kind: 'unchanged', revision: 0 }) },
-    monitor: SILENT_MONITOR,
-    loop: CALM_LOOP,
+    ...PEER_PORT_PARTS,
   });
   const port = await openServer(server, '127.0.0.1', 0);
   const sockets = new Set<Socket>();
--- a/test/mesh/delayedHosts.test.ts
+++ b/test/mesh/delayedHosts.test.ts
@@ -11,17 +11,15 @@
 import { createPeerPort } from '../../src/mesh/peerPort.js';
 import type { PendingCall } from '../../src/mesh/pendingCall.js';
 import { RetryBudget } from '../../src/mesh/retryBudget.js';
-import { RevisionExchange } from '../../src/mesh/revisionExchange.js';
 import { Cancellation } from '../../src/mesh/signal.js';
 import { TargetChooser } from '../../src/mesh/targets.js';
 import { brandText } from '../../src/types/ids.js';
 import { closeServer, openServer } from '../../standins/http.js';
 import { HeldLink } from '../../standins/mesh/heldLink.js';
 import { OverloadThrottle } from '../../src/mesh/overloadThrottle.js';
-import { CALM_LOOP, SILENT_MONITOR } from './peerPortParts.js';
+import { NO_REVISIONS, PEER_PORT_PARTS } from './peerPortParts.js';
 
 const HOST = '127.0.0.1';
-const NO_REVISIONS = new RevisionExchange([]);
 const METRICS = new MeshMetrics();
 const SLOTS = 4;
 
@@ -72,11 +70,7 @@
   const server = createPeerPort({
     runner: runner as unknown as LocalRunner,
     processId: name,
-    names: HEADER_NAMES,
-    seen: NO_REVISIONS,
-    configAnswers: { answer: async () => ({ kind: 'unchanged', revision: 0 }) },
-    monitor: SILENT_MONITOR,
-    loop: CALM_LOOP,
+    ...PEER_PORT_PARTS,
   });
   return { server, port: await openServer(server, HOST, 0) };
 }
--- /dev/null
+++ b/test/mesh/followers.test.ts
@@ -0,0 +1,160 @@
+/**
+ * A data centre with many nodes: its sources read the store, the others get changes from them, and
+ * read the store themselves when their sources fail.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { CONFIG_KIND } from '../../platform/names.js';
+import { NODE_KIND } from '../../src/mesh/nodeRecord.js';
+import {
+  MeshFleet,
+  sendToHost,
+  updateHost,
+  wait,
+  type FleetHost,
+} from '../../standins/mesh/meshFleet.js';
+import { ROUTES } from './withFleet.js';
+
+const HOST_COUNT = 12;
+
+/** Time within which a version is in force after its write was acknowledged. */
+const APPLY_BOUND_MS = 2000;
+
+/** Covers the start of all hosts and one poll of a source. */
+const SETTLE_MS = 2500;
+
+const POLL_INTERVAL_MS = 25;
+
+/** Bandwidth of the two hosts that are the sources. */
+const SOURCE_LINK_MBPS = 2000;
+
+interface LargeFleet {
+  readonly fleet: MeshFleet;
+  readonly sources: readonly FleetHost[];
+  readonly followers: readonly FleetHost[];
+}
+
+async function withLargeFleet(run: (large: LargeFleet) => Promise<void>): Promise<void> {
+  const fleet = new MeshFleet();
+  await fleet.start(ROUTES);
+  try {
+    for (let index = 0; index < HOST_COUNT; index += 1) {
+      const linkMbps = index < 2 ? SOURCE_LINK_MBPS : undefined;
+      await fleet.addHost('pads', 'a', linkMbps === undefined ? {} : { linkMbps });
+    }
+    await fleet.waitForRecords();
+    await wait(SETTLE_MS);
+    await run({ fleet, sources: fleet.hosts.slice(0, 2), followers: fleet.hosts.slice(2) });
+  } finally {
+    await fleet.close();
+  }
+}
+
+function configureRoute(fleet: MeshFleet, index: number): void {
+  fleet.configure(index + 1, [...ROUTES, { prefix: `/new-${index}/` }]);
+}
+
+/** Returns the time after which a host serves the route of `configureRoute(fleet, index)`. */
+async function measureApplyMs(host: FleetHost, index: number): Promise<number> {
+  const startedAtMs = performance.now();
+  for (let tries = 0; performance.now() - startedAtMs < 3 * APPLY_BOUND_MS; tries += 1) {
+    const id = `a-${host.settings.nodeId}-${index}-${tries}`;
+    const { status } = await sendToHost(host, { path: `/new-${index}/`, id });
+    if (status === 200) break;
+    await wait(POLL_INTERVAL_MS);
+  }
+  return performance.now() - startedAtMs;
+}
+
+async function assertApplied(hosts: readonly FleetHost[], index: number): Promise<void> {
+  const times = await Promise.all(hosts.map((host) => measureApplyMs(host, index)));
+  assert.ok(Math.max(...times) <= APPLY_BOUND_MS, `${times.map(Math.round).join(', ')} ms`);
+}
+
+function countCalls({ store }: MeshFleet, kind: string): number {
+  return store.calls.filter((call) => call === `GET ${kind}`).length;
+}
+
+test('the calls of a change do not grow with the fleet', async () => {
+  await withLargeFleet(async ({ fleet }) => {
+    const configCalls = countCalls(fleet, CONFIG_KIND);
+    for (const index of [1, 2, 3]) {
+      configureRoute(fleet, index);
+      await assertApplied(fleet.hosts, index);
+    }
+    const callsOfChanges = countCalls(fleet, CONFIG_KIND) - configCalls;
+    assert.ok(callsOfChanges <= HOST_COUNT, `${callsOfChanges} calls for three versions`);
+    const nodeCalls = countCalls(fleet, NODE_KIND);
+    updateHost(fleet.hosts[5]!, { slots: 7 });
+    await wait(SETTLE_MS);
+    const callsOfRecord = countCalls(fleet, NODE_KIND) - nodeCalls;
+    assert.ok(callsOfRecord <= HOST_COUNT / 2, `${callsOfRecord} calls for a record`);
+  });
+});
+
+test('followers know an instance that joins, and one that leaves', async () => {
+  await withLargeFleet(async ({ fleet, followers }) => {
+    const joined = await fleet.addHost('books');
+    await fleet.waitForRecords();
+    fleet.configure(2, [...ROUTES, { prefix: '/books/', service: 'books' }]);
+    await wait(SETTLE_MS);
+    const ask = (id: string) =>
+      Promise.all(
+        followers.map((host, index) => sendToHost(host, { path: '/books/', id: `${id}-${index}` })),
+      );
+    for (const { status } of await ask('joined')) assert.equal(status, 200);
+    updateHost(joined, { state: 'draining' });
+    await wait(SETTLE_MS);
+    for (const { status } of await ask('left')) assert.equal(status, 503);
+  });
+});
+
+test('a change is in force in time when a source was killed', async () => {
+  await withLargeFleet(async ({ fleet, sources: [killed, kept], followers }) => {
+    await killed!.node.close();
+    configureRoute(fleet, 1);
+    await assertApplied([kept!, ...followers], 1);
+  });
+});
+
+test('a change is in force in time while a source stops as planned', async () => {
+  await withLargeFleet(async ({ fleet, sources: [stopped, kept], followers }) => {
+    const hasStopped = stopped!.node.stop();
+    configureRoute(fleet, 1);
+    await assertApplied([kept!, ...followers], 1);
+    await hasStopped;
+  });
+});
+
+test('a change is in force in time when both sources have lost the store', async () => {
+  await withLargeFleet(async ({ fleet, sources, followers }) => {
+    for (const { link } of sources) await link!.close();
+    await wait(SETTLE_MS);
+    configureRoute(fleet, 1);
+    await assertApplied(followers, 1);
+  });
+});
+
+test('a change is in force in time when the connections of the sources are half-open', async () => {
+  await withLargeFleet(async ({ fleet, followers }) => {
+    fleet.store.stallWatches();
+    configureRoute(fleet, 1);
+    const startedAtMs = performance.now();
+    const times = await Promise.all(followers.map((host) => measureApplyMs(host, 1)));
+    // The watch of a source waits for 3.3 s, and its answer is missed a second later.
+    const boundMs = 3300 + 1000 + APPLY_BOUND_MS;
+    assert.ok(performance.now() - startedAtMs <= boundMs, `${times.map(Math.round).join()} ms`);
+  });
+});
+
+test('followers take part in a new era of the store', async () => {
+  await withLargeFleet(async ({ fleet, followers }) => {
+    const copy = fleet.store.copyState();
+    configureRoute(fleet, 1);
+    await assertApplied(followers, 1);
+    fleet.store.restoreState(copy);
+    await wait(SETTLE_MS);
+    configureRoute(fleet, 2);
+    await assertApplied(followers, 2);
+  });
+});
--- a/test/mesh/heldUpCalls.test.ts
+++ b/test/mesh/heldUpCalls.test.ts
@@ -8,7 +8,6 @@
 import type { CallMetadata } from '../../src/mesh/model.js';
 import { PeerCalls, type PeerReport } from '../../src/mesh/peerCalls.js';
 import { createPeerPort } from '../../src/mesh/peerPort.js';
-import { RevisionExchange } from '../../src/mesh/revisionExchange.js';
 import { Cancellation } from '../../src/mesh/signal.js';
 import { brandText } from '../../src/types/ids.js';
 import { closeServer, openServer } from '../../standins/http.js';
@@ -19,14 +18,13 @@
 import { wait } from '../../standins/mesh/meshFleet.js';
 import { startNodeProcess, writeSettings } from '../../standins/mesh/nodeProcess.js';
 import { StoreServer } from '../../standins/mesh/storeServer.js';
-import { CALM_LOOP, createRunner, SILENT_MONITOR } from './peerPortParts.js';
+import { createRunner, NO_REVISIONS, PEER_PORT_PARTS } from './peerPortParts.js';
 import { announceInstance, waitUntilReady } from './nodeProcessParts.js';
 
 const HOST = '127.0.0.1';
 const INSTANCE_ID = 'i-1';
 const PROCESS_ID = 'p-1';
 const HELD_CALL = 'held';
-const NO_REVISIONS = new RevisionExchange([]);
 
 /** Time for which a call is held up. */
 const HELD_MS = 1500;
@@ -106,11 +104,7 @@
   const server = createPeerPort({
     runner,
     processId: PROCESS_ID,
-    names: HEADER_NAMES,
-    seen: NO_REVISIONS,
-    configAnswers: { answer: async () => ({ kind: 'unchanged', revision: 0 }) },
-    monitor: SILENT_MONITOR,
-    loop: CALM_LOOP,
+    ...PEER_PORT_PARTS,
   });
   const link = new HeldLink(await openServer(server, HOST, 0));
   const calls = new PeerCalls({ host: HOST, port: await link.listen() }, NO_REVISIONS);
--- a/test/mesh/lateNews.test.ts
+++ b/test/mesh/lateNews.test.ts
@@ -8,17 +8,15 @@
 import type { CallMetadata, HttpRequest, RunReport } from '../../src/mesh/model.js';
 import { PeerCalls } from '../../src/mesh/peerCalls.js';
 import { createPeerPort } from '../../src/mesh/peerPort.js';
-import { RevisionExchange } from '../../src/mesh/revisionExchange.js';
 import { Cancellation } from '../../src/mesh/signal.js';
 import { brandText } from '../../src/types/ids.js';
 import { closeServer, openServer } from '../../standins/http.js';
 import { HeldLink } from '../../standins/mesh/heldLink.js';
 import { wait } from '../../standins/mesh/meshFleet.js';
-import { CALM_LOOP, SILENT_MONITOR } from './peerPortParts.js';
+import { NO_REVISIONS, PEER_PORT_PARTS } from './peerPortParts.js';
 
 const HOST = '127.0.0.1';
 const PROCESS_ID = 'p-1';
-const NO_REVISIONS = new RevisionExchange([]);
 const DEADLINE_MS = 4000;
 
 /** Time that each message of a held-up exchange is under way. */
@@ -80,11 +78,7 @@
   const server = createPeerPort({
     runner: createRecordingRunner(runs),
     processId: PROCESS_ID,
-    names: HEADER_NAMES,
-    seen: NO_REVISIONS,
-    configAnswers: { answer: async () => ({ kind: 'unchanged', revision: 0 }) },
-    monitor: SILENT_MONITOR,
-    loop: CALM_LOOP,
+    ...PEER_PORT_PARTS,
   });
   const link = new HeldLink(await openServer(server, HOST, 0));
   const calls = new PeerCalls({ host: HOST, port: await link.listen() }, NO_REVISIONS);
--- a/test/mesh/peerCalls.test.ts
+++ b/test/mesh/peerCalls.test.ts
@@ -10,15 +10,11 @@
 import { PeerCalls } from '../../src/mesh/peerCalls.js';
 import { createPeerPort } from '../../src/mesh/peerPort.js';
 import { RESULT_HEADER } from '../../src/mesh/peerMessages.js';
-import { RevisionExchange } from '../../src/mesh/revisionExchange.js';
 import { Cancellation } from '../../src/mesh/signal.js';
-import { HEADER_NAMES } from '../../platform/names.js';
 import { brandText, brandVersion } from '../../src/types/ids.js';
 import { closeServer, openServer } from '../../standins/http.js';
 import { SlowLink } from '../../standins/mesh/slowLink.js';
-import { CALM_LOOP, SILENT_MONITOR } from './peerPortParts.js';
-
-const NO_REVISIONS = new RevisionExchange([]);
+import { NO_REVISIONS, PEER_PORT_PARTS } from './peerPortParts.js';
 
 const REQUEST = { method: 'POST', path: '/x', headers: ['Host', 'h'], body: Buffer.from('body') };
 
@@ -112,11 +108,7 @@
     const server = createPeerPort({
       runner: runner as unknown as LocalRunner,
       processId: 'p-1',
-      names: HEADER_NAMES,
-      seen: NO_REVISIONS,
-      configAnswers: { answer: async () => ({ kind: 'unchanged', revision: 0 }) },
-      monitor: SILENT_MONITOR,
-      loop: CALM_LOOP,
+      ...PEER_PORT_PARTS,
     });
     const port = await openServer(server, '127.0.0.1', 0);
     const proxy = await openProxy(port, fault);
@@ -209,11 +201,11 @@
   const server = createPeerPort({
     runner: {} as LocalRunner,
     processId: 'p-1',
-    names: HEADER_NAMES,
-    seen: NO_REVISIONS,
-    configAnswers: { answer: async () => ({ kind: 'changed', revision: 3, delta }) },
-    monitor: SILENT_MONITOR,
-    loop: CALM_LOOP,
+    ...PEER_PORT_PARTS,
+    changeAnswers: {
+      ...PEER_PORT_PARTS.changeAnswers,
+      configAnswers: { answer: async () => ({ kind: 'changed', revision: 3, delta }) },
+    },
   });
   const link = new SlowLink(await openServer(server, '127.0.0.1', 0), 25_000);
   const calls = new PeerCalls({ host: '127.0.0.1', port: await link.listen() }, NO_REVISIONS);
--- a/test/mesh/peerPortParts.ts
+++ b/test/mesh/peerPortParts.ts
@@ -5,6 +5,8 @@
 import { LocalInstance } from '../../src/mesh/localInstance.js';
 import { LocalRunner } from '../../src/mesh/localRunner.js';
 import { MeshMetrics } from '../../src/mesh/meshMetrics.js';
+import type { PeerPortOptions } from '../../src/mesh/peerPort.js';
+import { RevisionExchange } from '../../src/mesh/revisionExchange.js';
 import { brandText } from '../../src/types/ids.js';
 
 /** An event loop that is never blocked. */
@@ -16,6 +18,21 @@
   getLagMs: () => 0,
 });
 
+/** Watch positions of a node that has read nothing. */
+export const NO_REVISIONS = new RevisionExchange([]);
+
+/** Options of a peer port but for its runner and process. */
+export const PEER_PORT_PARTS: Omit<PeerPortOptions, 'runner' | 'processId'> = {
+  names: HEADER_NAMES,
+  seen: NO_REVISIONS,
+  changeAnswers: {
+    configAnswers: { answer: async () => ({ kind: 'unchanged', revision: 0 }) },
+    nodeAnswers: { answer: async () => ({ kind: 'unknown' }) },
+  },
+  monitor: SILENT_MONITOR,
+  loop: CALM_LOOP,
+};
+
 /** Creates the runner of the instance `i-1`, which has one slot. */
 export function createRunner(instancePort: number): LocalRunner {
   const address = { host: '127.0.0.1', port: instancePort };
--- a/test/mesh/queuedResets.test.ts
+++ b/test/mesh/queuedResets.test.ts
@@ -7,18 +7,16 @@
 import type { CallMetadata } from '../../src/mesh/model.js';
 import { PeerCalls } from '../../src/mesh/peerCalls.js';
 import { createPeerPort } from '../../src/mesh/peerPort.js';
-import { RevisionExchange } from '../../src/mesh/revisionExchange.js';
 import { Cancellation } from '../../src/mesh/signal.js';
 import { brandText } from '../../src/types/ids.js';
 import { closeServer, openServer } from '../../standins/http.js';
 import { InstanceServer } from '../../standins/mesh/instanceServer.js';
 import { wait } from '../../standins/mesh/meshFleet.js';
-import { CALM_LOOP, createRunner, SILENT_MONITOR } from './peerPortParts.js';
+import { createRunner, NO_REVISIONS, PEER_PORT_PARTS } from './peerPortParts.js';
 
 const HOST = '127.0.0.1';
 const INSTANCE_ID = 'i-1';
 const PROCESS_ID = 'p-1';
-const NO_REVISIONS = new RevisionExchange([]);
 const EXECUTION_MS = 400;
 
 /** Opens a proxy whose client connections can be reset. */
@@ -71,11 +69,7 @@
   const server = createPeerPort({
     runner,
     processId: PROCESS_ID,
-    names: HEADER_NAMES,
-    seen: NO_REVISIONS,
-    configAnswers: { answer: async () => ({ kind: 'unchanged', revision: 0 }) },
-    monitor: SILENT_MONITOR,
-    loop: CALM_LOOP,
+    ...PEER_PORT_PARTS,
   });
   const proxy = await openProxy(await openServer(server, HOST, 0));
   const calls = new PeerCalls({ host: HOST, port: proxy.port }, NO_REVISIONS);
--- a/test/mesh/secondAttempts.test.ts
+++ b/test/mesh/secondAttempts.test.ts
@@ -3,21 +3,18 @@
 import { once } from 'node:events';
 import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
 import { test } from 'node:test';
-import { HEADER_NAMES } from '../../platform/names.js';
 import type { LocalRunner } from '../../src/mesh/localRunner.js';
 import type { RunReport } from '../../src/mesh/model.js';
 import { PeerCalls, type PeerReport } from '../../src/mesh/peerCalls.js';
 import { createPeerPort } from '../../src/mesh/peerPort.js';
-import { RevisionExchange } from '../../src/mesh/revisionExchange.js';
 import { Cancellation } from '../../src/mesh/signal.js';
 import { brandText } from '../../src/types/ids.js';
 import { closeServer, openServer } from '../../standins/http.js';
 import { wait } from '../../standins/mesh/meshFleet.js';
-import { CALM_LOOP, SILENT_MONITOR } from './peerPortParts.js';
+import { NO_REVISIONS, PEER_PORT_PARTS } from './peerPortParts.js';
 
 const HOST = '127.0.0.1';
 const PROCESS_ID = 'p-1';
-const NO_REVISIONS = new RevisionExchange([]);
 const DEADLINE_MS = 4000;
 const RUN_MS = 100;
 
@@ -78,11 +75,7 @@
   const server = createPeerPort({
     runner: runner as unknown as LocalRunner,
     processId: PROCESS_ID,
-    names: HEADER_NAMES,
-    seen: NO_REVISIONS,
-    configAnswers: { answer: async () => ({ kind: 'unchanged', revision: 0 }) },
-    monitor: SILENT_MONITOR,
-    loop: CALM_LOOP,
+    ...PEER_PORT_PARTS,
   });
   const proxy = await openProxy(await openServer(server, HOST, 0), first);
   const calls = new PeerCalls({ host: HOST, port: proxy.port }, NO_REVISIONS);
