--- a/test/mesh/lateRequests.test.ts
+++ b/test/mesh/lateRequests.test.ts
@@ -51,7 +51,7 @@
     const entry = await fleet.addHost('guide');
     const target = await fleet.addHost('pads', 'a', { slots: 100 });
     const other = await fleet.addHost('pads', 'a', { slots: 100 });
-    await fleet.waitForInstances('/read/', ['i-1', 'i-2']);
+    await fleet.waitForRecords();
     for (const { instance } of [target, other]) instance.executionTimeMs = RUN_MS;
     const deadlineMs = 20_000;
     const send = (id: string) =>
