Start short runs of a priority first, and judge room by route

A refused hold also kept look-ups from being offered for 20 to 150 ms, as both have priority 1.

Change: requests of one priority start by class of run time (powers of two), shorter ones first; each class behind the first keeps the minimum share of run time that lower priorities have. A refusal for lack of room counts for its route and lower priorities, in PeerNode and OverloadThrottle, no longer for other routes of the priority.

Ruled out: order by objective (the holds that have waited come first again once they fill the instance); a higher priority for calls of instances, which cannot be told from those of callers.

--- a/src/mesh/admission.ts
+++ b/src/mesh/admission.ts
@@ -49,17 +49,22 @@
 const MIN_REMAINING_RUN_SHARE = 0.5;
 
 /**
- * Minimum shares of the run time of the instance for the second, third and further priorities in
- * the queue. Without them, higher priorities that fill the instance starve the lower ones, and work
+ * Minimum shares of the run time of the instance for the second, third and further groups in the
+ * queue. Without them, groups that come first and fill the instance starve the others, and work
  * that other services have done for the requests that depend on them is wasted.
  */
 const MIN_RUN_TIME_SHARES: readonly number[] = [0.3, 0.1, 0.05];
 
-/** Factor by which the recorded run time of each priority decays at every start. */
+/** Largest run time class; it bounds the number that identifies a group. */
+const MAX_RUN_CLASS = 31;
+
+/** Factor by which the recorded run time of each group decays at every start. */
 const RUN_TIME_DECAY = 0.97;
 
 interface QueueEntry<Item> {
   readonly item: Item;
+  /** Group of the request; a lower number starts first. */
+  readonly group: number;
   /** True when the request is expected to miss its latency objective. */
   isLate: boolean;
   /** Position in the order of arrival. */
@@ -74,18 +79,26 @@
   readonly cause: Extract<RefusalReason, 'overloaded' | 'limited'>;
 }
 
-/** Sorts requests that can meet their objective first, then by priority, then by arrival. */
+/**
+ * Returns the group of a request: its priority, and in it the class of its run time, each class up
+ * to twice as long as the one before. Shorter runs start first, so that a given number of slots
+ * serves more callers; calls that the runs of other services wait for are mostly short.
+ */
+function getGroup({ priority, expectedRunMs }: AdmissionItem): number {
+  const runClass = Math.floor(Math.log2(Math.max(1, expectedRunMs)));
+  return priority * (MAX_RUN_CLASS + 1) + Math.min(MAX_RUN_CLASS, runClass);
+}
+
+/** Sorts requests that can meet their objective first, then by group, then by arrival. */
 function compareEntries(a: QueueEntry<AdmissionItem>, b: QueueEntry<AdmissionItem>): number {
   return (
-    Number(a.isLate) - Number(b.isLate) ||
-    a.item.priority - b.item.priority ||
-    a.arrivalIndex - b.arrivalIndex
+    Number(a.isLate) - Number(b.isLate) || a.group - b.group || a.arrivalIndex - b.arrivalIndex
   );
 }
 
 /**
- * Returns the minimum share of run time of a priority. The index counts the queued priorities below
- * the highest one, from 0.
+ * Returns the minimum share of run time of a group. The index counts the queued groups behind the
+ * first one, from 0.
  */
 function getMinShare(index: number): number {
   return MIN_RUN_TIME_SHARES[Math.min(index, MIN_RUN_TIME_SHARES.length - 1)]!;
@@ -97,7 +110,7 @@
 
   private running = 0;
 
-  /** Expected run time of recently started requests by priority, with exponential decay. */
+  /** Expected run time of recently started requests by group, with exponential decay. */
   private readonly startedMs = new Map<number, number>();
 
   private arrivals = 0;
@@ -132,6 +145,7 @@
     const remainingMs = item.deadlineAtMs - nowMs;
     const entry: QueueEntry<Item> = {
       item,
+      group: getGroup(item),
       isLate: false,
       arrivalIndex: this.arrivals,
       lateExpiryAtMs: nowMs + remainingMs * MAX_LATE_WAIT_SHARE,
@@ -212,59 +226,58 @@
 
   /**
    * Returns the expected queueing time of a request: until the requests ahead of it have run, or
-   * until its turn within the minimum share of its priority, whichever is shorter, and not before
+   * until its turn within the minimum share of its group, whichever is shorter, and not before
    * the limit of the instance allows it. The safety factor applies to the first estimate only.
    */
   private estimateWait(entry: QueueEntry<Item>, nowMs: number, safetyFactor = 1): ExpectedWait {
-    const { priority, expectedRunMs } = entry.item;
+    const { expectedRunMs } = entry.item;
     let aheadMs = expectedRunMs;
-    let samePriorityMs = expectedRunMs;
+    let sameGroupMs = expectedRunMs;
     let ahead = 0;
-    let samePriority = 0;
-    const higherPriorities = new Set<number>();
+    let sameGroup = 0;
+    const firstGroups = new Set<number>();
     for (const queued of this.queue) {
-      const { item } = queued;
-      if (item.priority < priority) higherPriorities.add(item.priority);
-      if (item.priority === priority) {
-        samePriorityMs += item.expectedRunMs;
-        samePriority += 1;
+      const { item, group } = queued;
+      if (group < entry.group) firstGroups.add(group);
+      if (group === entry.group) {
+        sameGroupMs += item.expectedRunMs;
+        sameGroup += 1;
       }
       if (compareEntries(queued, entry) <= 0) {
         aheadMs += item.expectedRunMs;
         ahead += 1;
       }
     }
-    const share = higherPriorities.size === 0 ? 1 : getMinShare(higherPriorities.size - 1);
-    const runWaitMs = Math.min(aheadMs * safetyFactor, samePriorityMs / share) / this.slots;
-    const limitWaitMs = this.limit.estimateWaitMs(Math.min(ahead, samePriority / share), nowMs);
+    const share = firstGroups.size === 0 ? 1 : getMinShare(firstGroups.size - 1);
+    const runWaitMs = Math.min(aheadMs * safetyFactor, sameGroupMs / share) / this.slots;
+    const limitWaitMs = this.limit.estimateWaitMs(Math.min(ahead, sameGroup / share), nowMs);
     return limitWaitMs > runWaitMs
       ? { waitMs: limitWaitMs, cause: 'limited' }
       : { waitMs: runWaitMs, cause: 'overloaded' };
   }
 
   /**
-   * Returns the index of the next request to start: the first request of a priority that is below
-   * its minimum share of run time, or else the first in the queue.
+   * Returns the index of the next request to start: the first request of a group that is below its
+   * minimum share of run time, or else the first in the queue.
    */
   private findNextIndex(): number {
-    const priorities = [...new Set(this.queue.map(({ item }) => item.priority))].sort(
-      (a, b) => a - b,
-    );
+    const groups = [...new Set(this.queue.map(({ group }) => group))].sort((a, b) => a - b);
     let totalMs = 0;
     for (const ms of this.startedMs.values()) totalMs += ms;
-    for (const [index, priority] of priorities.slice(1).entries()) {
-      const priorityMs = this.startedMs.get(priority) ?? 0;
-      if (priorityMs >= totalMs * getMinShare(index)) continue;
-      return this.queue.findIndex(({ item }) => item.priority === priority);
+    for (const [index, group] of groups.slice(1).entries()) {
+      const groupMs = this.startedMs.get(group) ?? 0;
+      if (groupMs >= totalMs * getMinShare(index)) continue;
+      return this.queue.findIndex((entry) => entry.group === group);
     }
     return 0;
   }
 
-  private recordStart({ priority, expectedRunMs }: Item, nowMs: number): void {
+  private recordStart(item: Item, nowMs: number): void {
     this.running += 1;
     this.limit.recordStart(nowMs);
+    const group = getGroup(item);
     for (const [known, ms] of this.startedMs) this.startedMs.set(known, ms * RUN_TIME_DECAY);
-    this.startedMs.set(priority, (this.startedMs.get(priority) ?? 0) + expectedRunMs);
+    this.startedMs.set(group, (this.startedMs.get(group) ?? 0) + item.expectedRunMs);
   }
 
   /** Moves requests that can no longer meet their objective behind those that can. */
--- a/src/mesh/attemptProgress.ts
+++ b/src/mesh/attemptProgress.ts
@@ -19,6 +19,8 @@
   /** Outcome of an attempt that ran or may have run, used when no retry gives a better one. */
   private executedOutcome: CallOutcome | undefined;
 
+  private wasRefusedForRoom = false;
+
   private refusal: Extract<CallOutcome, { kind: 'notRun' }> = {
     kind: 'notRun',
     reason: 'no-instance',
@@ -41,6 +43,7 @@
 
   /** Applies the result of an attempt; returns the outcome of the request once it is final. */
   apply(result: RunResult): CallOutcome | undefined {
+    this.wasRefusedForRoom = result.kind === 'notRun' && isCapacityRefusal(result.reason);
     switch (result.kind) {
       case 'answered':
         this.arrivals += 1;
@@ -59,6 +62,11 @@
     }
   }
 
+  /** Returns true when the latest attempt was refused for lack of room. */
+  isRefusedForRoom(): boolean {
+    return this.wasRefusedForRoom;
+  }
+
   /** Records that instances were skipped because they recently refused requests as overloaded. */
   recordOverload(): void {
     this.applyRefusal({ reason: 'overloaded', retryAfterMs: DEFAULT_RETRY_MS });
--- a/src/mesh/callRouter.ts
+++ b/src/mesh/callRouter.ts
@@ -78,10 +78,10 @@
     if (service === undefined) return { kind: 'notRun', reason: 'no-target', retryAfterMs: 0 };
     retryBudget.recordRequest(service, call.startedAtMs);
     const progress = new AttemptProgress(call.route);
-    const { priority } = call.route;
+    const route = call.route.name;
     for (let sendIndex = 0; sendIndex < MAX_SENDS; sendIndex += 1) {
       if (call.cancellation.isCancelled() || isAtDeadline(call)) break;
-      if (sendIndex > 0 && !overloadThrottle.canOfferAgain(service, priority)) break;
+      if (progress.isRefusedForRoom() && !overloadThrottle.canOfferAgain(service, route)) break;
       const chosen = this.choose(call, service, progress, sendIndex === 0);
       if (!chosen) break;
       if (progress.countArrivals() > 0 && !this.takeRetry(call, service)) break;
@@ -90,7 +90,7 @@
       const canRetry = () => !isLastSend && this.canRetry(call, service, progress);
       const { result, timing } = await this.send(chosen, call, canRetry);
       trace.timing = timing;
-      overloadThrottle.record(service, priority, result);
+      overloadThrottle.record(service, route, result);
       if (result.kind === 'notRun') this.recordRefusal(result, chosen, call);
       if (result.kind === 'answered') this.recordNotice(result.response, chosen, call);
       const outcome = progress.apply(result);
@@ -115,7 +115,7 @@
   private listCandidates({ route }: PendingCall, service: ServiceName): PeerCandidate[] {
     const { directory, getSettings } = this.options;
     const { dataCentre } = getSettings();
-    return directory.listCandidates(service, dataCentre, route.priority, performance.now());
+    return directory.listCandidates(service, dataCentre, route, performance.now());
   }
 
   /** Returns the instance to send a call to next; undefined when none is left. */
@@ -218,7 +218,7 @@
     if (isInstanceUnavailable(reason)) peer.recordUnavailable(nowMs);
     // The load that such a host reports says nothing about the way to it.
     if (reason === 'delayed') peer.recordNoResponse(nowMs);
-    if (isCapacityRefusal(reason)) peer.recordOverload(route.priority, retryAfterMs, nowMs);
+    if (isCapacityRefusal(reason)) peer.recordOverload(route, retryAfterMs, nowMs);
     this.options.metrics.count('attempts_refused', `reason="${reason}"`);
   }
 
--- a/src/mesh/directory.ts
+++ b/src/mesh/directory.ts
@@ -3,7 +3,7 @@
 import type { EventLog } from './eventLog.js';
 import type { NodeRecord } from './model.js';
 import { PeerCalls } from './peerCalls.js';
-import { PeerNode } from './peerNode.js';
+import { PeerNode, type RoutePriority } from './peerNode.js';
 import type { Candidate } from './instanceSelection.js';
 import type { RevisionExchange } from './revisionExchange.js';
 import { SuspensionDetector } from './suspensionDetector.js';
@@ -82,11 +82,11 @@
     }
   }
 
-  /** Returns the nodes whose instances may get a call of the given priority. */
+  /** Returns the nodes whose instances may get a call of the given route. */
   listCandidates(
     service: ServiceName,
     ownDataCentre: string,
-    priority: number,
+    route: RoutePriority,
     nowMs: number,
   ): PeerCandidate[] {
     const candidates: PeerCandidate[] = [];
@@ -100,7 +100,7 @@
         load: peer.getLoad(nowMs, this.countNodes()),
         isUnreachable: peer.isUnreachable(nowMs),
         // The local instance is always asked: asking it needs no network call.
-        isFull: !this.isOwn(peer) && peer.isOverloaded(priority, nowMs),
+        isFull: !this.isOwn(peer) && peer.isOverloaded(route, nowMs),
       });
     }
     return candidates;
--- a/src/mesh/overloadThrottle.ts
+++ b/src/mesh/overloadThrottle.ts
@@ -6,11 +6,11 @@
  * another refusal, and the messages take the processor time of the hosts that the answered calls
  * need. While some instances have room, calls are offered on as before.
  *
- * A token bucket for each service and priority, as in the retry throttling of gRPC (proposal A6): a
+ * A token bucket for each service and route, as in the retry throttling of gRPC (proposal A6): a
  * refusal takes a token, an accepted call returns a share of one, and calls are offered on while
  * more than half of the tokens are there.
  */
-import type { ServiceName } from '../types/ids.js';
+import type { RouteName, ServiceName } from '../types/ids.js';
 import type { RunResult } from './model.js';
 import { isCapacityRefusal } from './refusalReason.js';
 
@@ -20,25 +20,25 @@
 const TOKENS_PER_ACCEPTED_CALL = 0.5;
 
 export class OverloadThrottle {
-  private readonly tokens = new Map<ServiceName, Map<number, number>>();
+  private readonly tokens = new Map<ServiceName, Map<RouteName, number>>();
 
   /** Records the result of offering a call to an instance. */
-  record(service: ServiceName, priority: number, result: RunResult): void {
+  record(service: ServiceName, route: RouteName, result: RunResult): void {
     const isRefused = result.kind === 'notRun';
     if (isRefused && !isCapacityRefusal(result.reason) && result.reason !== 'deadline') return;
     const change = isRefused ? -1 : TOKENS_PER_ACCEPTED_CALL;
-    const tokens = this.getTokens(service, priority) + change;
-    const ofService = this.tokens.get(service) ?? new Map<number, number>();
-    ofService.set(priority, Math.min(MAX_TOKENS, Math.max(0, tokens)));
+    const tokens = this.getTokens(service, route) + change;
+    const ofService = this.tokens.get(service) ?? new Map<RouteName, number>();
+    ofService.set(route, Math.min(MAX_TOKENS, Math.max(0, tokens)));
     this.tokens.set(service, ofService);
   }
 
   /** Returns true when a call that an instance has refused may be offered to another one. */
-  canOfferAgain(service: ServiceName, priority: number): boolean {
-    return this.getTokens(service, priority) > MAX_TOKENS / 2;
+  canOfferAgain(service: ServiceName, route: RouteName): boolean {
+    return this.getTokens(service, route) > MAX_TOKENS / 2;
   }
 
-  private getTokens(service: ServiceName, priority: number): number {
-    return this.tokens.get(service)?.get(priority) ?? MAX_TOKENS;
+  private getTokens(service: ServiceName, route: RouteName): number {
+    return this.tokens.get(service)?.get(route) ?? MAX_TOKENS;
   }
 }
--- a/src/mesh/peerNode.ts
+++ b/src/mesh/peerNode.ts
@@ -1,6 +1,6 @@
 /** State of a node as observed by this node: its record, its load, and whether it responds. */
-import type { InstanceId } from '../types/ids.js';
-import type { InstanceLoad, NodeRecord } from './model.js';
+import type { InstanceId, RouteName } from '../types/ids.js';
+import type { InstanceLoad, MeshRoute, NodeRecord } from './model.js';
 import type { PeerCalls } from './peerCalls.js';
 import { projectLimitState } from './requestLimit.js';
 
@@ -19,6 +19,14 @@
 /** Age after which a load report counts as outdated. */
 const MAX_LOAD_AGE_MS = 3000;
 
+/** What of a route decides whether an instance has room for its requests. */
+export type RoutePriority = Pick<MeshRoute, 'name' | 'priority'>;
+
+interface Overload {
+  readonly priority: number;
+  readonly untilMs: number;
+}
+
 /** A node of the mesh. */
 export class PeerNode {
   private outstanding = 0;
@@ -35,8 +43,8 @@
 
   private unavailableUntilMs = -Infinity;
 
-  /** End of the time for which the instance is overloaded, by priority of the refused request. */
-  private readonly overloadedUntilMs = new Map<number, number>();
+  /** Refusals of the instance for lack of room, by the route of the refused request. */
+  private readonly overloads = new Map<RouteName, Overload>();
 
   /** Record of the instance that said that it leaves. */
   private leaving: NodeRecord | undefined;
@@ -109,15 +117,19 @@
   }
 
   /** Records that the instance refused a request as overloaded and asked to wait for `waitMs`. */
-  recordOverload(priority: number, waitMs: number, nowMs: number): void {
+  recordOverload({ name, priority }: RoutePriority, waitMs: number, nowMs: number): void {
     const overloadedMs = Math.min(OVERLOADED_MS.max, Math.max(OVERLOADED_MS.min, waitMs));
-    this.overloadedUntilMs.set(priority, nowMs + overloadedMs);
+    this.overloads.set(name, { priority, untilMs: nowMs + overloadedMs });
   }
 
-  /** True for a short time after the instance refused a request of equal or higher priority. */
-  isOverloaded(priority: number, nowMs: number): boolean {
-    for (const [refusedPriority, untilMs] of this.overloadedUntilMs) {
-      if (refusedPriority <= priority && nowMs < untilMs) return true;
+  /**
+   * True for a short time after the instance refused a request of the route, or of a higher
+   * priority. Other routes of the same priority may have room, since their runs may be shorter.
+   */
+  isOverloaded({ name, priority }: RoutePriority, nowMs: number): boolean {
+    for (const [refusedRoute, overload] of this.overloads) {
+      if (nowMs >= overload.untilMs) this.overloads.delete(refusedRoute);
+      else if (refusedRoute === name || overload.priority < priority) return true;
     }
     return false;
   }
--- a/test/mesh/admission.test.ts
+++ b/test/mesh/admission.test.ts
@@ -136,43 +136,82 @@
   assert.ok(maxWaitMs <= 1500);
 });
 
-test('a higher priority that fills the instance does not starve a lower one', () => {
-  const slots = 6;
-  const queue = new AdmissionQueue<Item & { readonly atMs: number }>(slots);
-  const served = [0, 0];
-  const sent = [0, 0];
-  const ends: { readonly atMs: number; readonly priority: number }[] = [];
-  const start = (item: Item, nowMs: number) => {
-    ends.push({ atMs: nowMs + item.expectedRunMs, priority: item.priority });
-    served[item.priority]! += 1;
+/** Requests of one route at one instance. Times are in milliseconds. */
+interface Workload {
+  readonly priority: number;
+  readonly expectedRunMs: number;
+  readonly intervalMs: number;
+  readonly objectiveMs: number;
+  readonly deadlineMs: number;
+}
+
+interface WorkloadItem extends Item {
+  readonly workload: number;
+}
+
+/** Plays 20 s of constant load on one instance; returns the served share of each workload. */
+function playWorkloads(slots: number, workloads: readonly Workload[]): readonly number[] {
+  const queue = new AdmissionQueue<WorkloadItem>(slots);
+  const served = workloads.map(() => 0);
+  const sent = workloads.map(() => 0);
+  const ends: number[] = [];
+  const start = (item: WorkloadItem, nowMs: number) => {
+    ends.push(nowMs + item.expectedRunMs);
+    served[item.workload]! += 1;
   };
-  const workloads = [
-    { priority: 0, expectedRunMs: 84, intervalMs: 12, objectiveMs: 250, deadlineMs: 800 },
-    { priority: 1, expectedRunMs: 30, intervalMs: 6, objectiveMs: 120, deadlineMs: 400 },
-  ];
   for (let nowMs = 0; nowMs < 20_000; nowMs += 1) {
-    for (const end of ends.filter(({ atMs }) => atMs <= nowMs)) {
-      ends.splice(ends.indexOf(end), 1);
+    for (const endAtMs of ends.filter((atMs) => atMs <= nowMs)) {
+      ends.splice(ends.indexOf(endAtMs), 1);
       queue.releaseSlot();
     }
     for (let next = queue.dequeue(nowMs); next; next = queue.dequeue(nowMs)) start(next, nowMs);
     queue.removeExpired(nowMs);
-    for (const { priority, expectedRunMs, intervalMs, objectiveMs, deadlineMs } of workloads) {
+    for (const [workload, load] of workloads.entries()) {
+      const { priority, expectedRunMs, intervalMs, objectiveMs, deadlineMs } = load;
       if (nowMs % intervalMs !== 0) continue;
-      sent[priority]! += 1;
+      sent[workload]! += 1;
       const item = {
         ...buildItem('x', { priority, expectedRunMs }),
         objectiveAtMs: nowMs + objectiveMs,
         deadlineAtMs: nowMs + deadlineMs,
-        atMs: nowMs,
+        workload,
       };
       if (queue.admit(item, nowMs).kind === 'start') start(item, nowMs);
     }
   }
-  const shares = served.map((count, priority) => count / sent[priority]!);
+  return served.map((count, workload) => count / sent[workload]!);
+}
+
+test('a higher priority that fills the instance does not starve a lower one', () => {
+  const shares = playWorkloads(6, [
+    { priority: 0, expectedRunMs: 84, intervalMs: 12, objectiveMs: 250, deadlineMs: 800 },
+    { priority: 1, expectedRunMs: 30, intervalMs: 6, objectiveMs: 120, deadlineMs: 400 },
+  ]);
   const [first = 0, second = 0] = shares;
   // Priority 0 needs 7 slots (84 ms / 12 ms) and priority 1 needs 5 (30 ms / 6 ms) of the 6.
   assert.ok(first >= second - 0.05, `served ${shares.join()}`);
   assert.ok(second >= 0.25 * first, `served ${shares.join()}`);
   assert.ok(first * 7 + second * 5 >= 0.9 * 6, `served ${shares.join()}`);
 });
+
+test('long runs that fill an instance leave room for the short calls that others wait for', () => {
+  const shares = playWorkloads(12, [
+    { priority: 1, expectedRunMs: 150, intervalMs: 10, objectiveMs: 400, deadlineMs: 1000 },
+    { priority: 1, expectedRunMs: 22, intervalMs: 4, objectiveMs: 100, deadlineMs: 250 },
+  ]);
+  const [long = 0, short = 0] = shares;
+  // The long runs need 15 slots (150 ms / 10 ms) and the short ones 5.5 (22 ms / 4 ms) of the 12.
+  assert.ok(short >= 0.95, `served ${shares.join()}`);
+  assert.ok(long >= 0.9 * (6.5 / 15), `served ${shares.join()}`);
+});
+
+test('short runs that fill an instance do not starve long ones of the same priority', () => {
+  const shares = playWorkloads(12, [
+    { priority: 1, expectedRunMs: 150, intervalMs: 30, objectiveMs: 400, deadlineMs: 1000 },
+    { priority: 1, expectedRunMs: 22, intervalMs: 1, objectiveMs: 100, deadlineMs: 250 },
+  ]);
+  const [long = 0, short = 0] = shares;
+  // The long runs need 5 slots and the short ones 22 of the 12; the long ones get 0.3 at least.
+  assert.ok(long >= 0.9 * (3.6 / 5), `served ${shares.join()}`);
+  assert.ok(short >= 0.9 * (7 / 22), `served ${shares.join()}`);
+});
--- a/test/mesh/oddRecords.test.ts
+++ b/test/mesh/oddRecords.test.ts
@@ -11,7 +11,7 @@
 import { Publisher } from '../../src/mesh/publisher.js';
 import { RevisionExchange } from '../../src/mesh/revisionExchange.js';
 import type { MeshStore } from '../../src/mesh/store.js';
-import { brandText } from '../../src/types/ids.js';
+import { brandText, type RouteName } from '../../src/types/ids.js';
 import { waitMs as wait } from '../../src/utils/backoff.js';
 import { MeshFleet, sendToHost } from '../../standins/mesh/meshFleet.js';
 import { buildNested } from '../../standins/mesh/oddValues.js';
@@ -33,6 +33,8 @@
   };
 }
 
+const ROUTE = { name: brandText<RouteName>('read'), priority: 0 };
+
 function setUp() {
   const lines: string[] = [];
   const log: EventLog = { write: (_level, event) => lines.push(event) };
@@ -49,7 +51,7 @@
   });
   const listUsed = () =>
     directory
-      .listCandidates(brandText('pads'), 'a', 0, performance.now())
+      .listCandidates(brandText('pads'), 'a', ROUTE, performance.now())
       .map(({ peer }) => peer.record.nodeId as string);
   return { listener, listUsed, lines, instance, directory };
 }
--- a/test/mesh/overloadThrottle.test.ts
+++ b/test/mesh/overloadThrottle.test.ts
@@ -5,9 +5,11 @@
 import { RequestLimit } from '../../src/mesh/requestLimit.js';
 import type { RefusalReason, RunResult } from '../../src/mesh/model.js';
 import { OverloadThrottle } from '../../src/mesh/overloadThrottle.js';
-import { brandText, type ServiceName } from '../../src/types/ids.js';
+import { brandText, type RouteName, type ServiceName } from '../../src/types/ids.js';
 
 const SERVICE = brandText<ServiceName>('guide');
+const ROUTE = brandText<RouteName>('read');
+const OTHER_ROUTE = brandText<RouteName>('book');
 const INSTANCES = 18;
 const NODES = 24;
 const SLOTS = 6;
@@ -98,14 +100,14 @@
     tried.add(index);
     const queue = queues[index]!;
     const finish = (result: RunResult) => {
-      throttle.record(SERVICE, 0, result);
+      throttle.record(SERVICE, ROUTE, result);
       if (result.kind === 'answered') {
         served += 1;
         if (timeline.nowMs - startedAtMs <= OBJECTIVE_MS) inTime += 1;
         return;
       }
       refusedOffers += 1;
-      const canGoOn = tried.size < MAX_OFFERS && throttle.canOfferAgain(SERVICE, 0);
+      const canGoOn = tried.size < MAX_OFFERS && throttle.canOfferAgain(SERVICE, ROUTE);
       if (canGoOn) timeline.add(3, () => offer(throttle, startedAtMs, tried));
     };
     const item: PlayedItem = {
@@ -171,29 +173,32 @@
   });
 }
 
-test('a priority with too little room does not keep another one from being offered on', () => {
+test('a route with too little room does not keep another one from being offered on', () => {
   const throttle = new OverloadThrottle();
   for (let index = 0; index < 100; index += 1) {
-    throttle.record(SERVICE, 2, buildRefusal('overloaded'));
+    throttle.record(SERVICE, OTHER_ROUTE, buildRefusal('overloaded'));
   }
-  assert.equal(throttle.canOfferAgain(SERVICE, 2), false);
-  assert.equal(throttle.canOfferAgain(SERVICE, 0), true);
+  assert.equal(throttle.canOfferAgain(SERVICE, OTHER_ROUTE), false);
+  assert.equal(throttle.canOfferAgain(SERVICE, ROUTE), true);
 });
 
 test('calls are offered on again soon after the service has room', () => {
   const throttle = new OverloadThrottle();
   for (let index = 0; index < 1000; index += 1) {
-    throttle.record(SERVICE, 0, buildRefusal('overloaded'));
+    throttle.record(SERVICE, ROUTE, buildRefusal('overloaded'));
   }
   let accepted = 0;
-  for (; !throttle.canOfferAgain(SERVICE, 0); accepted += 1) throttle.record(SERVICE, 0, ANSWER);
+  while (!throttle.canOfferAgain(SERVICE, ROUTE)) {
+    throttle.record(SERVICE, ROUTE, ANSWER);
+    accepted += 1;
+  }
   assert.ok(accepted <= 30, `${accepted} calls`);
 });
 
 test('refusals that do not come from a lack of room do not count', () => {
   const throttle = new OverloadThrottle();
   for (let index = 0; index < 100; index += 1) {
-    throttle.record(SERVICE, 0, buildRefusal('leaving'));
+    throttle.record(SERVICE, ROUTE, buildRefusal('leaving'));
   }
-  assert.equal(throttle.canOfferAgain(SERVICE, 0), true);
+  assert.equal(throttle.canOfferAgain(SERVICE, ROUTE), true);
 });
--- a/test/mesh/recordPruner.test.ts
+++ b/test/mesh/recordPruner.test.ts
@@ -7,7 +7,7 @@
 import type { NodeRecord } from '../../src/mesh/model.js';
 import { RECORD_EXPIRY_MS, pruneExpiredRecords } from '../../src/mesh/recordPruner.js';
 import { RevisionExchange } from '../../src/mesh/revisionExchange.js';
-import { brandText } from '../../src/types/ids.js';
+import { brandText, type RouteName } from '../../src/types/ids.js';
 
 function buildRecord(name: string): NodeRecord {
   return {
@@ -28,7 +28,8 @@
   for (const [index, name] of Object.keys(noResponseMs).entries()) {
     directory.update(buildRecord(name), 10 + index);
   }
-  const nodes = directory.listCandidates(brandText('pads'), 'a', 0, 0);
+  const route = { name: brandText<RouteName>('read'), priority: 0 };
+  const nodes = directory.listCandidates(brandText('pads'), 'a', route, 0);
   for (const { peer } of nodes) {
     for (const atMs of noResponseMs[peer.record.nodeId] ?? []) peer.recordNoResponse(atMs);
   }
