Compare two random instances of a large data centre

Cause: an instance without a load report counts as one with runs of 100 ms. At 195 nodes a pair has a call every 7 to 27 s, so that nodes mostly choose among instances that they do not know, whatever their speed; and those that they know they all rank in the same way.

Change: an instance without a report is expected to be like the mean of those with one; of a data centre with more than 8 candidates, and of all others together, two random ones that respond are compared. Smaller groups are compared whole, as before.

--- a/src/mesh/instanceSelection.ts
+++ b/src/mesh/instanceSelection.ts
@@ -55,9 +55,15 @@
 /** Cost of an instance whose node does not respond; it is selected only as a last resort. */
 const UNREACHABLE_COST_MS = 60_000;
 
-/** Expected run time on an instance that has not reported its load. */
+/** Expected run time while no instance of the service has reported its load. */
 const DEFAULT_MEAN_MS = 100;
 
+/** Number of instances of a data centre up to which all of them are compared. */
+const MAX_COMPARED = 8;
+
+/** Number of random instances that are compared of a larger data centre, and of all others. */
+const SAMPLE_SIZE = 2;
+
 /**
  * Expected wait at an instance with a free slot, as a share of its mean run time and in proportion
  * to the slots in use, so that emptier instances are preferred before the others are full.
@@ -70,10 +76,29 @@
 /** Random relative cost increase, so that nodes do not all select the same instance. */
 const COST_JITTER = 0.15;
 
+/**
+ * Returns the expected run time on an instance without a load report: the mean of the others. A
+ * lower one would send the requests of all nodes to the instances that they know least.
+ */
+export function estimateUnknownMeanMs(candidates: readonly Candidate[]): number {
+  let totalMs = 0;
+  let known = 0;
+  for (const { load } of candidates) {
+    if (!load) continue;
+    totalMs += load.meanMs;
+    known += 1;
+  }
+  return known === 0 ? DEFAULT_MEAN_MS : totalMs / known;
+}
+
 /** Returns the expected cost of sending a request to an instance, in milliseconds. */
-export function estimateCostMs(candidate: Candidate, spillOverMs: number): number {
+export function estimateCostMs(
+  candidate: Candidate,
+  spillOverMs: number,
+  unknownMeanMs = DEFAULT_MEAN_MS,
+): number {
   const { load, outstanding, outstandingAtLoad, slots } = candidate;
-  const meanMs = load?.meanMs ?? DEFAULT_MEAN_MS;
+  const meanMs = load?.meanMs ?? unknownMeanMs;
   const sentSinceLoad = Math.max(0, outstanding - outstandingAtLoad);
   const inFlight = Math.max(outstanding, (load?.inFlight ?? 0) + sentSinceLoad);
   const excess = inFlight + 1 - slots;
@@ -102,10 +127,61 @@
   return local.some((candidate) => !candidate.isUnreachable) ? local : candidates;
 }
 
+/** Removes and returns random items, up to `count` of them. */
+function drawRandom<Item>(items: Item[], count: number, random: () => number): Item[] {
+  const drawn: Item[] = [];
+  while (drawn.length < count && items.length > 0) {
+    drawn.push(...items.splice(Math.floor(random() * items.length), 1));
+  }
+  return drawn;
+}
+
 /**
- * Returns the candidate with the lowest expected cost, or occasionally a random one. Candidates are
- * all instances of the service. Those for which `wasTried` returns true are skipped: they have
- * rejected the request or failed to serve it.
+ * Returns the candidates to compare. In a large fleet a node knows the load of an instance from
+ * long ago, or not at all; if it compared all of them, all nodes would select the few that seemed
+ * idle. Instances whose nodes do not respond are drawn only if there are no others.
+ */
+export function drawCompared<Item extends Candidate>(
+  candidates: readonly Item[],
+  random: () => number,
+): Item[] {
+  const compared: Item[] = [];
+  for (const isSameDataCentre of [true, false]) {
+    const group = candidates.filter((item) => item.isSameDataCentre === isSameDataCentre);
+    if (group.length <= MAX_COMPARED) {
+      compared.push(...group);
+      continue;
+    }
+    const responding = group.filter(({ isUnreachable }) => !isUnreachable);
+    compared.push(...drawRandom(responding.length > 0 ? responding : group, SAMPLE_SIZE, random));
+  }
+  return compared;
+}
+
+/** Returns the candidate with the lowest expected cost; undefined if there are none. */
+export function findCheapest<Item extends Candidate>(
+  candidates: readonly Item[],
+  spillOverMs: number,
+  unknownMeanMs: number,
+  random: () => number,
+): Item | undefined {
+  let best: Item | undefined;
+  let bestMs = Infinity;
+  for (const candidate of candidates) {
+    const jitter = 1 + random() * COST_JITTER;
+    const costMs = estimateCostMs(candidate, spillOverMs, unknownMeanMs) * jitter;
+    if (costMs < bestMs) {
+      best = candidate;
+      bestMs = costMs;
+    }
+  }
+  return best;
+}
+
+/**
+ * Returns the cheapest of the compared candidates, or occasionally a random one. Candidates are all
+ * instances of the service. Those for which `wasTried` returns true are skipped: they have rejected
+ * the request or failed to serve it.
  */
 export function chooseInstance<Item extends Candidate>(
   candidates: readonly Item[],
@@ -123,14 +199,6 @@
     if (!sampled.isUnreachable) return sampled;
   }
   const spillOverMs = request.objectiveMs * policy.waitShare;
-  let best: Item | undefined;
-  let bestMs = Infinity;
-  for (const candidate of allowed) {
-    const costMs = estimateCostMs(candidate, spillOverMs) * (1 + random() * COST_JITTER);
-    if (costMs < bestMs) {
-      best = candidate;
-      bestMs = costMs;
-    }
-  }
-  return best;
+  const unknownMeanMs = estimateUnknownMeanMs(candidates);
+  return findCheapest(drawCompared(allowed, random), spillOverMs, unknownMeanMs, random);
 }
