Announce large bodies, and send them to a host in turn

Change: a body of 16 KiB or more is sent once the node has asked for it (Expect: 100-continue). BodyTransfers gives the turns, by the admission queue with the time that the link needs: one at a time for a slow link, one for each 10 Mbit/s for a faster one; what cannot arrive in time is refused before it uses the link, and so is what the instance has no room for. A call is known from its head on, so that a probe attaches to it. Announced bodies count in the load that a node reports.

Ruled out: fewer connections between nodes, which would hold up the small calls behind the bodies.

--- a/src/mesh/admission.ts
+++ b/src/mesh/admission.ts
@@ -135,35 +135,18 @@
 
   /** Starts, queues or rejects a request. Call `releaseSlot` when a started request has ended. */
   admit(item: Item, nowMs: number): AdmissionDecision {
-    if (item.deadlineAtMs <= nowMs) {
-      return { kind: 'refused', reason: 'deadline', retryAfterMs: 0 };
+    const { decision, entry } = this.decide(item, nowMs);
+    if (decision.kind === 'start') this.recordStart(item, nowMs);
+    if (decision.kind === 'queued') {
+      this.arrivals += 1;
+      this.insert(entry);
     }
-    if (this.running < this.slots && this.queue.length === 0 && this.limit.canStart(nowMs)) {
-      this.recordStart(item, nowMs);
-      return { kind: 'start' };
-    }
-    const remainingMs = item.deadlineAtMs - nowMs;
-    const entry: QueueEntry<Item> = {
-      item,
-      group: getGroup(item),
-      isLate: false,
-      arrivalIndex: this.arrivals,
-      lateExpiryAtMs: nowMs + remainingMs * MAX_LATE_WAIT_SHARE,
-    };
-    const conservativeMs =
-      this.estimateWait(entry, nowMs, ESTIMATE_SAFETY_FACTOR).waitMs +
-      item.expectedRunMs * ESTIMATE_SAFETY_FACTOR;
-    entry.isLate = nowMs + conservativeMs > item.objectiveAtMs;
-    const { waitMs, cause } = this.estimateWait(entry, nowMs);
-    const isQueueFull = this.queue.length >= this.slots * MAX_QUEUED_PER_SLOT;
-    const isDeadlineMissed = waitMs + item.expectedRunMs > remainingMs;
-    const isLateTooLong = entry.isLate && nowMs + waitMs > entry.lateExpiryAtMs;
-    if (isQueueFull || isDeadlineMissed || isLateTooLong) {
-      return { kind: 'refused', reason: cause, retryAfterMs: waitMs };
-    }
-    this.arrivals += 1;
-    this.insert(entry);
-    return { kind: 'queued' };
+    return decision;
+  }
+
+  /** Returns the decision that `admit` would take, and changes nothing. */
+  assess(item: Item, nowMs: number): AdmissionDecision {
+    return this.decide(item, nowMs).decision;
   }
 
   /** Frees the slot of a started request. */
@@ -224,6 +207,38 @@
     return true;
   }
 
+  private decide(
+    item: Item,
+    nowMs: number,
+  ): { readonly decision: AdmissionDecision; readonly entry: QueueEntry<Item> } {
+    const remainingMs = item.deadlineAtMs - nowMs;
+    const entry: QueueEntry<Item> = {
+      item,
+      group: getGroup(item),
+      isLate: false,
+      arrivalIndex: this.arrivals,
+      lateExpiryAtMs: nowMs + remainingMs * MAX_LATE_WAIT_SHARE,
+    };
+    if (remainingMs <= 0) {
+      return { decision: { kind: 'refused', reason: 'deadline', retryAfterMs: 0 }, entry };
+    }
+    if (this.running < this.slots && this.queue.length === 0 && this.limit.canStart(nowMs)) {
+      return { decision: { kind: 'start' }, entry };
+    }
+    const conservativeMs =
+      this.estimateWait(entry, nowMs, ESTIMATE_SAFETY_FACTOR).waitMs +
+      item.expectedRunMs * ESTIMATE_SAFETY_FACTOR;
+    entry.isLate = nowMs + conservativeMs > item.objectiveAtMs;
+    const { waitMs, cause } = this.estimateWait(entry, nowMs);
+    const isQueueFull = this.queue.length >= this.slots * MAX_QUEUED_PER_SLOT;
+    const isDeadlineMissed = waitMs + item.expectedRunMs > remainingMs;
+    const isLateTooLong = entry.isLate && nowMs + waitMs > entry.lateExpiryAtMs;
+    if (isQueueFull || isDeadlineMissed || isLateTooLong) {
+      return { decision: { kind: 'refused', reason: cause, retryAfterMs: waitMs }, entry };
+    }
+    return { decision: { kind: 'queued' }, entry };
+  }
+
   /**
    * Returns the expected queueing time of a request: until the requests ahead of it have run, or
    * until its turn within the minimum share of its group, whichever is shorter, and not before
--- a/src/mesh/followedSources.ts
+++ b/src/mesh/followedSources.ts
@@ -11,7 +11,7 @@
  * Number of ready nodes of a data centre from which on only its sources watch the store. In a
  * smaller one a failed source would delay the changes for a gain of few calls.
  */
-const MIN_NODES = 10;
+const MIN_NODES = 6;
 
 /** How a node gets changes. */
 export type WatchRole<Node> =
--- a/src/mesh/httpConnection.ts
+++ b/src/mesh/httpConnection.ts
@@ -38,12 +38,16 @@
   readonly onInterim?: (() => void) | undefined;
   /** Size from which the body is not read, in bytes. */
   readonly maxBytes?: number | undefined;
+  /** True when the body is sent only once the server asks for it. */
+  readonly isAnnounced?: boolean | undefined;
 }
 
 interface PendingExchange extends ExchangeOptions {
   readonly isHead: boolean;
   readonly isMatching: (headers: readonly string[]) => boolean;
   readonly resolve: (result: ExchangeResult) => void;
+  /** Announced body that the server has not asked for yet. */
+  unsentBody: Buffer | undefined;
 }
 
 /** Head of a response as the parser reports it. */
@@ -62,16 +66,31 @@
   bytes: number;
 }
 
-/** Encodes a request; a body is always sent with `Content-Length`. */
-export function encodeRequest(request: HttpRequest): Buffer {
+/** Request header by which a client sends the body only once the server asks for it. */
+const EXPECT_HEADERS = ['Expect', '100-continue'];
+
+const CONTINUE_STATUS = 100;
+
+/** Encodes the head of a request; a body is always sent with `Content-Length`. */
+function encodeHead(request: HttpRequest): Buffer {
   let head = `${request.method} ${request.path} HTTP/1.1\r\n`;
   for (let index = 0; index + 1 < request.headers.length; index += 2) {
     head += `${request.headers[index]}: ${request.headers[index + 1]}\r\n`;
   }
   const hasBody = request.body.length > 0 || !/^(GET|HEAD|DELETE)$/.test(request.method);
   if (hasBody) head += `Content-Length: ${request.body.length}\r\n`;
-  const headBytes = Buffer.from(`${head}\r\n`, 'latin1');
-  return hasBody ? Buffer.concat([headBytes, request.body]) : headBytes;
+  return Buffer.from(`${head}\r\n`, 'latin1');
+}
+
+/** Encodes a request; a body is always sent with `Content-Length`. */
+export function encodeRequest(request: HttpRequest): Buffer {
+  const head = encodeHead(request);
+  return request.body.length > 0 ? Buffer.concat([head, request.body]) : head;
+}
+
+/** Encodes the head of a request whose body follows when the server asks for it. */
+function encodeAnnouncement(request: HttpRequest): Buffer {
+  return encodeHead({ ...request, headers: [...request.headers, ...EXPECT_HEADERS] });
 }
 
 /** Throws if a header cannot be forwarded; the parser accepts control characters in values. */
@@ -165,8 +184,10 @@
     this.firstReceivedAtMs = undefined;
     this.sentRequests += 1;
     return new Promise((resolve) => {
-      this.pending = { ...options, isHead: request.method === 'HEAD', isMatching, resolve };
-      this.socket.write(encodeRequest(request));
+      const unsentBody = options.isAnnounced ? request.body : undefined;
+      const isHead = request.method === 'HEAD';
+      this.pending = { ...options, isHead, isMatching, resolve, unsentBody };
+      this.socket.write(unsentBody ? encodeAnnouncement(request) : encodeRequest(request));
     });
   }
 
@@ -203,7 +224,9 @@
     if (fault !== undefined) throw new Error(fault);
     const length = getHeader(info.headers, 'content-length');
     const isInterim = info.statusCode < 200;
-    if (isInterim) pending.onInterim?.();
+    if (isInterim) this.handleInterim(info.statusCode, pending);
+    // The server still expects the body, in whose place it would read the next request.
+    else if (pending.unsentBody) this.isReusable = false;
     const isMismatched = !isInterim && !pending.isMatching(info.headers);
     if (length !== undefined && Number(length) > (pending.maxBytes ?? Infinity)) {
       this.endTooLarge();
@@ -223,6 +246,14 @@
     return pending.isHead || isBodiless(info.statusCode);
   }
 
+  private handleInterim(status: number, pending: PendingExchange): void {
+    const exchange = pending;
+    pending.onInterim?.();
+    if (status !== CONTINUE_STATUS || !exchange.unsentBody) return;
+    this.socket.write(exchange.unsentBody);
+    exchange.unsentBody = undefined;
+  }
+
   private handleMessage(): void {
     const { incoming, pending } = this;
     this.incoming = undefined;
--- a/src/mesh/localRunner.ts
+++ b/src/mesh/localRunner.ts
@@ -50,6 +50,8 @@
   readonly onLeaving: (instanceId: InstanceId) => void;
   /** Called when a different instance responds at the address. */
   readonly onMismatch: (instanceId: InstanceId) => void;
+  /** Returns the expected time until the announced bodies have arrived, in milliseconds. */
+  readonly getPendingTransferMs?: () => number;
 }
 
 export class LocalRunner {
@@ -118,10 +120,12 @@
   getLoad(): InstanceLoad | undefined {
     const state = this.options.instance.getState();
     if (state.kind !== 'ready') return undefined;
+    const { slots } = state.heartbeat;
+    const meanMs = this.times.getMeanMs();
     return {
-      slots: state.heartbeat.slots,
-      inFlight: this.queue.countRunning() + this.queue.countQueued(),
-      meanMs: this.times.getMeanMs(),
+      slots,
+      inFlight: this.countInFlight(slots, meanMs),
+      meanMs,
       failures: this.times.getFailureRate(),
       limit: this.limit.getState(this.queue.countQueued(), performance.now()),
     };
@@ -131,6 +135,24 @@
     return this.queue.countRunning();
   }
 
+  /** Returns the refusal that a request would get now, before its body arrives; else undefined. */
+  checkRoom(metadata: CallMetadata): RunResult | undefined {
+    const refusal = this.check(metadata);
+    if (refusal) return refusal;
+    const item = this.buildItem(metadata);
+    const decision = this.queue.assess(
+      { ...item, start: () => {}, refuse: () => {} },
+      performance.now(),
+    );
+    if (decision.kind !== 'refused') return undefined;
+    return buildRefusal(decision.reason, false, decision.retryAfterMs);
+  }
+
+  /** Returns the expected run time of a route, in milliseconds. */
+  getMeanMs(route: string): number {
+    return this.times.getMeanMs(route);
+  }
+
   /** Refuses from now on the requests whose runs may not have ended at `stopAtMs`. */
   planStop(stopAtMs: number): void {
     this.stopAtMs = stopAtMs;
@@ -227,6 +249,18 @@
     }
   }
 
+  /** Returns the requests at the instance; bodies on their way count by the time they take. */
+  private countInFlight(slots: number, meanMs: number): number {
+    const pendingMs = this.options.getPendingTransferMs?.() ?? 0;
+    const pending = Math.ceil((pendingMs * slots) / Math.max(1, meanMs));
+    return this.queue.countRunning() + this.queue.countQueued() + pending;
+  }
+
+  private buildItem(metadata: CallMetadata): AdmissionItem {
+    const { priority, route, objectiveAtMs, deadlineAtMs } = metadata;
+    return { priority, expectedRunMs: this.times.getMeanMs(route), objectiveAtMs, deadlineAtMs };
+  }
+
   private admit(
     request: HttpRequest,
     metadata: CallMetadata,
@@ -235,10 +269,7 @@
   ): Promise<RunResult> {
     return new Promise((resolve) => {
       const item: QueuedRequest = {
-        priority: metadata.priority,
-        expectedRunMs: this.times.getMeanMs(metadata.route),
-        objectiveAtMs: metadata.objectiveAtMs,
-        deadlineAtMs: metadata.deadlineAtMs,
+        ...this.buildItem(metadata),
         start: () => {
           onStart();
           void this.start(request, metadata, cancellation).then(resolve);
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -7,6 +7,7 @@
 import { listen } from '../utils/listen.js';
 import { unwrap } from '../utils/unwrap.js';
 import { createAnnouncementPort, type Announcement } from './announcements.js';
+import { BodyTransfers } from './bodyTransfers.js';
 import { createCallPort } from './callPort.js';
 import { CallMonitor } from './callMonitor.js';
 import { CallRouter } from './callRouter.js';
@@ -122,7 +123,9 @@
   const getDesired = () => buildPublishedNode(instance, getSettings(), processId, isStopping);
   const publisher = new Publisher(nodeId, store, log, getDesired);
   const loop = new LoopMonitor();
+  const transfers = new BodyTransfers(settings.linkMbps);
   const runner = new LocalRunner({
+    getPendingTransferMs: () => transfers.getPendingMs(),
     instance,
     loop,
     getAddress: () => getSettings().instanceAddress,
@@ -209,6 +212,7 @@
   });
   const peerPort = createPeerPort({
     runner,
+    transfers,
     processId,
     names,
     seen,
--- a/src/mesh/peerCalls.ts
+++ b/src/mesh/peerCalls.ts
@@ -61,6 +61,9 @@
 /** Time without data after the wait of a request for changes. */
 const POLL_ANSWER_TIMEOUT_MS = 300;
 
+/** Size from which a body is sent only once the node has asked for it. */
+const MIN_ANNOUNCED_BYTES = 16 * 1024;
+
 /** Distinguishes the second attempt at a node, after the first one told its clock. */
 const SECOND_ATTEMPT_SUFFIX = '.1';
 
@@ -339,6 +342,7 @@
     const body = resumedProcessId === undefined ? request.body : EMPTY_BODY;
     const result = await connection.exchange({ ...request, headers, body }, isAnyResponse, {
       onInterim,
+      isAnnounced: body.length >= MIN_ANNOUNCED_BYTES,
     });
     state.connections.delete(connection);
     this.active.delete(connection);
--- a/src/mesh/peerPort.ts
+++ b/src/mesh/peerPort.ts
@@ -7,6 +7,7 @@
 import type { CallMonitor } from './callMonitor.js';
 import { answerChangeRequest, type ChangeAnswers, type ChangeReply } from './changeRequests.js';
 import { filterHeaders, getHeader, type HeaderNames } from './headers.js';
+import type { BodyTransfers, TransferTurn } from './bodyTransfers.js';
 import { buildRefusal } from './instanceClient.js';
 import { readBody } from './readBody.js';
 import type { LocalRunner } from './localRunner.js';
@@ -41,6 +42,14 @@
 /** Largest body of a call between nodes, in bytes. */
 const MAX_BODY_BYTES = 96 * 1024 * 1024;
 
+/** A message of another node. */
+interface Arrival {
+  readonly message: IncomingMessage;
+  readonly response: ServerResponse;
+  /** True when its body is sent only once this node asks for it. */
+  readonly isAnnounced: boolean;
+}
+
 interface Run {
   readonly report: Promise<RunReport>;
   /** Returns true once the request has got a slot of the instance. */
@@ -54,6 +63,7 @@
 
 export interface PeerPortOptions {
   readonly runner: LocalRunner;
+  readonly transfers: BodyTransfers;
   readonly processId: string;
   readonly names: HeaderNames;
   readonly seen: RevisionExchange;
@@ -104,7 +114,7 @@
 
 /** Creates the server of the port; the caller binds it. */
 export function createPeerPort(options: PeerPortOptions): Server {
-  const { runner, processId, names, seen, changeAnswers, monitor, loop } = options;
+  const { runner, transfers, processId, names, seen, changeAnswers, monitor, loop } = options;
   const { detector = new SuspensionDetector() } = options;
   const runs = new Map<string, Run>();
 
@@ -149,15 +159,57 @@
     }, RESUME_TIMEOUT_MS);
   };
 
-  const getOrCreateRun = (request: HttpRequest, call: ReceivedCall): Run => {
+  /** Waits until the body of an announced call may be sent; returns the refusal if it may not. */
+  const awaitTurn = async (
+    message: IncomingMessage,
+    response: ServerResponse,
+    { metadata }: ReceivedCall,
+    cancellation: Cancellation,
+  ): Promise<TransferTurn> => {
+    const result = runner.checkRoom(metadata);
+    if (result) return { kind: 'refused', result };
+    const runMs = runner.getMeanMs(metadata.route);
+    const body = {
+      bytes: Number(message.headers['content-length'] ?? 0),
+      priority: metadata.priority,
+      objectiveAtMs: metadata.objectiveAtMs - runMs,
+      deadlineAtMs: metadata.deadlineAtMs - runMs,
+    };
+    const turn = await transfers.announce(body, cancellation);
+    if (turn.kind === 'granted') response.writeContinue();
+    return turn;
+  };
+
+  const receive = async (
+    { message, response, isAnnounced }: Arrival,
+    call: ReceivedCall,
+    cancellation: Cancellation,
+    onStart: () => void,
+  ): Promise<RunReport> => {
+    const buildReport = (result: RunResult) => ({ result, load: runner.getLoad() });
+    const turn = isAnnounced ? await awaitTurn(message, response, call, cancellation) : undefined;
+    if (turn?.kind === 'refused') return buildReport(turn.result);
+    const body = await readBody(message, MAX_BODY_BYTES);
+    turn?.end();
+    if (typeof body === 'string') return buildReport(buildRefusal('unreachable', false));
+    await loop.waitForArrivals();
+    if (cancellation.isCancelled()) return buildReport(buildRefusal('cancelled', false));
+    const request: HttpRequest = {
+      method: message.method ?? 'GET',
+      path: message.url ?? '/',
+      headers: filterHeaders(message.rawHeaders, NODE_HEADERS),
+      body,
+    };
+    return runner.run(request, call.metadata, cancellation, onStart);
+  };
+
+  const getOrCreateRun = (arrival: Arrival, call: ReceivedCall): Run => {
     const { metadata, resumedProcessId, ageRefusal } = call;
     const existing = runs.get(metadata.attemptId);
     if (existing) return existing;
     if (resumedProcessId === undefined) {
       return ageRefusal === undefined
-        ? addRun(call, (cancellation, onStart) =>
-            runner.run(request, metadata, cancellation, onStart),
-          )
+        ? addRun(call, (cancellation, onStart) => receive(arrival, call, cancellation, onStart))
         : addResult(call, buildRefusal(ageRefusal, false, DELAYED_RETRY_MS));
     }
     // Only the process that the call was first sent to can tell that it did not arrive. The refusal
@@ -169,7 +221,8 @@
     return addResult(call, result);
   };
 
-  const serve = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
+  const serve = async (arrival: Arrival): Promise<void> => {
+    const { message, response } = arrival;
     const receivedAtMs = performance.now();
     const changeReply = answerChangeRequest(message.rawHeaders, changeAnswers);
     if (changeReply !== undefined) {
@@ -187,22 +240,7 @@
     }
     const receivedRevisions = getHeader(message.rawHeaders, SEEN_HEADER);
     seen.apply(receivedRevisions);
-    const body = await readBody(message, MAX_BODY_BYTES);
-    if (typeof body === 'string') {
-      response.destroy();
-      return;
-    }
-    await loop.waitForArrivals();
-    if (response.destroyed) return;
-    const run = getOrCreateRun(
-      {
-        method: message.method ?? 'GET',
-        path: message.url ?? '/',
-        headers: filterHeaders(message.rawHeaders, NODE_HEADERS),
-        body,
-      },
-      call,
-    );
+    const run = getOrCreateRun(arrival, call);
     // Tells the node that resumes a call that this process is alive, since the run may take long.
     if (call.resumedProcessId !== undefined) response.writeProcessing();
     run.listeners += 1;
@@ -218,6 +256,9 @@
     if (isDetached) return;
     const reading = { clockId, receivedAtMs, respondedAtMs: performance.now() };
     const nodeHeaders = [CLOCK_HEADER, encodeClockReading(reading)];
+    // The body of a refused call is not read, and the next request could not be told from it.
+    if (!message.complete && arrival.isAnnounced) nodeHeaders.push('Connection', 'close');
+    else message.resume();
     if (receivedRevisions !== undefined) nodeHeaders.push(SEEN_HEADER, seen.format());
     writeReport(response, addTransit(report, call.transitMs), nodeHeaders);
     response.once('finish', () => {
@@ -227,7 +268,10 @@
   };
 
   const server = createServer({ keepAlive: true, noDelay: true }, (message, response) => {
-    void serve(message, response);
+    void serve({ message, response, isAnnounced: false });
+  });
+  server.on('checkContinue', (message: IncomingMessage, response: ServerResponse) => {
+    void serve({ message, response, isAnnounced: true });
   });
   server.keepAliveTimeout = IDLE_TIMEOUT_MS;
   server.requestTimeout = 0;
--- a/standins/mesh/configuration.ts
+++ b/standins/mesh/configuration.ts
@@ -16,7 +16,7 @@
   readonly prefix: string;
   readonly service?: string;
   readonly backends?: readonly { readonly Service: string; readonly Weight: number }[];
-  readonly kind?: 'safe' | 'unsafe';
+  readonly kind?: 'safe' | 'unsafe' | 'upload';
   readonly timeoutMs?: number;
   readonly objectiveMs?: number;
   readonly attempts?: number;
--- a/test/mesh/peerPortParts.ts
+++ b/test/mesh/peerPortParts.ts
@@ -1,5 +1,6 @@
 /** Parts of a peer port that tests do not look at. */
 import { HEADER_NAMES } from '../../platform/names.js';
+import { BodyTransfers } from '../../src/mesh/bodyTransfers.js';
 import { CallMonitor } from '../../src/mesh/callMonitor.js';
 import { SILENT_LOG } from '../../src/mesh/eventLog.js';
 import { LocalInstance } from '../../src/mesh/localInstance.js';
@@ -23,6 +24,7 @@
 
 /** Options of a peer port but for its runner and process. */
 export const PEER_PORT_PARTS: Omit<PeerPortOptions, 'runner' | 'processId'> = {
+  transfers: new BodyTransfers(1000),
   names: HEADER_NAMES,
   seen: NO_REVISIONS,
   changeAnswers: {
