Let a node that cannot read the store follow the others

Cause: a source reads the store only; one that the store turns away, or that is cut off from it, got no changes although the other source of its data centre has them.

Ruled out: to let the followed source be chosen by all nodes alike, which needs an agreement.

Before: a host whose way to the store is closed does not get the version (it reads nothing else).

--- a/src/mesh/changeFollower.ts
+++ b/src/mesh/changeFollower.ts
@@ -54,6 +54,11 @@
     );
   }
 
+  /** Records that this node cannot read the store, so that it follows others for a while. */
+  recordStoreLost(): void {
+    this.avoidedUntilMs.set(this.options.own().nodeId, performance.now() + AVOID_MS);
+  }
+
   /**
    * Waits for the changes after a revision; undefined when the store has to be read. `interruption`
    * is cancelled when other nodes have seen later changes, which the source should have had.
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -290,7 +290,7 @@
     listener: config,
     position: positions.config,
     contact: contacts.config,
-    follow: (revision, interruption) => configFollower.follow(revision, interruption),
+    follower: configFollower,
     source: {
       // Without an installed version there is nothing to which a change could be applied.
       getMaxBytes: () =>
@@ -316,7 +316,7 @@
     },
     position: positions.nodes,
     contact: contacts.nodes,
-    follow: (revision, interruption) => nodesFollower.follow(revision, interruption),
+    follower: nodesFollower,
   });
   const recordPruner = startRecordPruner(directory, store, log);
   log.write('info', 'started', { service: settings.service, process: processId });
--- a/src/mesh/watchKind.ts
+++ b/src/mesh/watchKind.ts
@@ -7,7 +7,7 @@
 import type { EventLog } from './eventLog.js';
 import { InvalidObjectLog } from './invalidObjectLog.js';
 import type { KindPosition } from './kindPosition.js';
-import type { FollowedChanges } from './changeFollower.js';
+import type { NodeFollower } from './followers.js';
 import { Cancellation } from './signal.js';
 import type { StoreContact } from './storeContact.js';
 import type { MeshStore, StoreChanges, StoreEvent, StoreList, InvalidObject } from './store.js';
@@ -56,11 +56,8 @@
   readonly getPauseMs: () => number;
   readonly isStopped: () => boolean;
   readonly source?: ChangeSource;
-  /** Waits for changes at another node; undefined when the store has to be read. */
-  readonly follow?: (
-    revision: number,
-    interruption: Cancellation,
-  ) => Promise<FollowedChanges | undefined>;
+  /** Gets the changes from other nodes where these read the store. */
+  readonly follower?: Pick<NodeFollower, 'follow' | 'recordStoreLost'>;
   /** Told whether this node reads the store, on which other nodes may rely. */
   readonly contact?: StoreContact;
 }
@@ -101,12 +98,12 @@
   options: WatchKindOptions,
   revision: number,
 ): Promise<number | undefined> {
-  const { follow, position } = options;
-  if (!follow) return undefined;
+  const { follower, position } = options;
+  if (!follower) return undefined;
   const era = position.getEra();
   const interruption = new Cancellation();
   position.setInterrupt(() => interruption.cancel());
-  const followed = await follow(revision, interruption);
+  const followed = await follower.follow(revision, interruption);
   position.setInterrupt(undefined);
   if (!followed || era !== position.getEra()) return undefined;
   options.contact?.recordLost();
@@ -135,6 +132,7 @@
   const recordFailure = async (step: string, reason: string): Promise<void> => {
     if (failures === 0) log.write('warn', 'store-lost', { step, peer: kind, reason });
     options.contact?.recordLost();
+    options.follower?.recordStoreLost();
     failures += 1;
     await wait(computeDelayMs(BACKOFF, failures));
   };
--- a/test/mesh/followers.test.ts
+++ b/test/mesh/followers.test.ts
@@ -135,6 +135,15 @@
   });
 });
 
+test('a source that has lost the store gets the changes from the other one', async () => {
+  await withLargeFleet(async ({ fleet, sources: [lost] }) => {
+    await lost!.link!.close();
+    await wait(SETTLE_MS);
+    configureRoute(fleet, 1);
+    await assertApplied(fleet.hosts, 1);
+  });
+});
+
 test('a change is in force in time when the connections of the sources are half-open', async () => {
   await withLargeFleet(async ({ fleet, followers }) => {
     fleet.store.stallWatches();
