Carry the packets of a slow link in turn over all ticks

Cause: the stand-in began each tick with the same connection; at 1 Mbit/s a tick carries less than a packet, so that one body held up the heads of all other calls, which were refused as delayed. Change: a connection that has sent a packet goes to the end. The checks of the test are the same.

--- a/standins/mesh/slowLink.ts
+++ b/standins/mesh/slowLink.ts
@@ -68,21 +68,28 @@
     }
   }
 
-  /** Carries the bytes of one tick: a packet of each connection in turn. */
+  /** Carries the bytes of one tick: a packet of each connection in turn, over all ticks. */
   private forward(): void {
     let left = Math.ceil((this.bytesPerS * TICK_MS) / 1000);
-    for (let carried = -1; left > 0 && carried !== 0;) {
-      carried = 0;
-      for (const transfer of this.transfers) carried += this.carry(transfer, left - carried);
-      left -= carried;
+    while (left > 0) {
+      const transfer = this.findPending();
+      if (!transfer) return;
+      left -= this.carry(transfer, left);
+      this.transfers.delete(transfer);
+      this.transfers.add(transfer);
     }
   }
 
+  /** Returns the connection with bytes to carry whose last packet is the longest ago. */
+  private findPending(): Transfer | undefined {
+    for (const transfer of this.transfers) if (transfer.pending.length > 0) return transfer;
+    return undefined;
+  }
+
   /** Carries a packet of one connection, of at most `maxBytes`, and returns its size. */
   private carry(carrying: Transfer, maxBytes: number): number {
     const transfer = carrying;
     const bytes = transfer.pending.subarray(0, Math.min(PACKET_BYTES, maxBytes));
-    if (bytes.length === 0) return 0;
     transfer.pending = transfer.pending.subarray(bytes.length);
     transfer.receiver.write(bytes);
     if (transfer.pending.length <= WINDOW_BYTES) transfer.sender.resume();
