Give the run time classes of a priority equal minimum shares

Change: the classes of one priority share its part equally; lower priorities keep 0.3, 0.1 and 0.05.

--- a/src/mesh/admission.ts
+++ b/src/mesh/admission.ts
@@ -49,9 +49,10 @@
 const MIN_REMAINING_RUN_SHARE = 0.5;
 
 /**
- * Minimum shares of the run time of the instance for the second, third and further groups in the
- * queue. Without them, groups that come first and fill the instance starve the others, and work
- * that other services have done for the requests that depend on them is wasted.
+ * Minimum shares of the run time of the instance for the second, third and further priorities in
+ * the queue. Without them, higher priorities that fill the instance starve the lower ones, and work
+ * that other services have done for the requests that depend on them is wasted. The groups of one
+ * priority have equal parts of its share.
  */
 const MIN_RUN_TIME_SHARES: readonly number[] = [0.3, 0.1, 0.05];
 
@@ -79,6 +80,9 @@
   readonly cause: Extract<RefusalReason, 'overloaded' | 'limited'>;
 }
 
+/** Number of run time classes of a priority. */
+const RUN_CLASSES = MAX_RUN_CLASS + 1;
+
 /**
  * Returns the group of a request: its priority, and in it the class of its run time, each class up
  * to twice as long as the one before. Shorter runs start first, so that a given number of slots
@@ -86,7 +90,27 @@
  */
 function getGroup({ priority, expectedRunMs }: AdmissionItem): number {
   const runClass = Math.floor(Math.log2(Math.max(1, expectedRunMs)));
-  return priority * (MAX_RUN_CLASS + 1) + Math.min(MAX_RUN_CLASS, runClass);
+  return priority * RUN_CLASSES + Math.min(MAX_RUN_CLASS, runClass);
+}
+
+/** Returns the minimum share of run time of each of the groups, which are in ascending order. */
+function computeMinShares(groups: readonly number[]): ReadonlyMap<number, number> {
+  const ofPriority = new Map<number, number[]>();
+  for (const group of groups) {
+    const priority = Math.floor(group / RUN_CLASSES);
+    ofPriority.set(priority, [...(ofPriority.get(priority) ?? []), group]);
+  }
+  const shares = new Map<number, number>();
+  let leftShare = 1;
+  for (const [index, members] of [...ofPriority.values()].entries()) {
+    if (index === 0) continue;
+    const share = MIN_RUN_TIME_SHARES[Math.min(index, MIN_RUN_TIME_SHARES.length) - 1]!;
+    leftShare -= share;
+    for (const group of members) shares.set(group, share / members.length);
+  }
+  const [first = []] = ofPriority.values();
+  for (const group of first) shares.set(group, Math.max(0, leftShare) / first.length);
+  return shares;
 }
 
 /** Sorts requests that can meet their objective first, then by group, then by arrival. */
@@ -96,14 +120,6 @@
   );
 }
 
-/**
- * Returns the minimum share of run time of a group. The index counts the queued groups behind the
- * first one, from 0.
- */
-function getMinShare(index: number): number {
-  return MIN_RUN_TIME_SHARES[Math.min(index, MIN_RUN_TIME_SHARES.length - 1)]!;
-}
-
 /** Slots of one instance and the queue of requests for them. */
 export class AdmissionQueue<Item extends AdmissionItem> {
   private queue: QueueEntry<Item>[] = [];
@@ -250,10 +266,10 @@
     let sameGroupMs = expectedRunMs;
     let ahead = 0;
     let sameGroup = 0;
-    const firstGroups = new Set<number>();
+    const groups = new Set<number>([entry.group]);
     for (const queued of this.queue) {
       const { item, group } = queued;
-      if (group < entry.group) firstGroups.add(group);
+      groups.add(group);
       if (group === entry.group) {
         sameGroupMs += item.expectedRunMs;
         sameGroup += 1;
@@ -263,7 +279,8 @@
         ahead += 1;
       }
     }
-    const share = firstGroups.size === 0 ? 1 : getMinShare(firstGroups.size - 1);
+    const sorted = [...groups].sort((a, b) => a - b);
+    const share = sorted[0] === entry.group ? 1 : computeMinShares(sorted).get(entry.group)!;
     const runWaitMs = Math.min(aheadMs * safetyFactor, sameGroupMs / share) / this.slots;
     const limitWaitMs = this.limit.estimateWaitMs(Math.min(ahead, sameGroup / share), nowMs);
     return limitWaitMs > runWaitMs
@@ -277,11 +294,13 @@
    */
   private findNextIndex(): number {
     const groups = [...new Set(this.queue.map(({ group }) => group))].sort((a, b) => a - b);
+    if (groups.length < 2) return 0;
     let totalMs = 0;
     for (const ms of this.startedMs.values()) totalMs += ms;
-    for (const [index, group] of groups.slice(1).entries()) {
+    const shares = computeMinShares(groups);
+    for (const group of groups.slice(1)) {
       const groupMs = this.startedMs.get(group) ?? 0;
-      if (groupMs >= totalMs * getMinShare(index)) continue;
+      if (groupMs >= totalMs * shares.get(group)!) continue;
       return this.queue.findIndex((entry) => entry.group === group);
     }
     return 0;
