Report an unexpected error of a call as unknown instead of ending the process

Change: such a call ends as unknown, which is true whether or not it ran.

Ruled out: a refusal, which would promise that it has not run.

Before: test/mesh/crashedRuns fails without the handler (error: unexpected). After: it passes, for small and announced bodies.

--- a/src/mesh/peerPort.ts
+++ b/src/mesh/peerPort.ts
@@ -100,6 +100,11 @@
     : report;
 }
 
+/** Returns the report of a call after an unexpected error, which may have come after its run. */
+function buildCrashReport(thrown: unknown): RunReport {
+  return { result: { kind: 'unknown', reason: `internal error: ${thrown}` }, load: undefined };
+}
+
 async function writeChangeReply(
   response: ServerResponse,
   reply: Exclude<ChangeReply, undefined>,
@@ -127,7 +132,7 @@
     let hasStarted = false;
     const report = start(cancellation, () => {
       hasStarted = true;
-    });
+    }).catch(buildCrashReport);
     const run: Run = {
       report,
       hasStarted: () => hasStarted,
@@ -159,7 +164,7 @@
     }, RESUME_TIMEOUT_MS);
   };
 
-  /** Waits until the body of an announced call may be sent; returns the refusal if it may not. */
+  /** Waits until the body of an announced call may be sent, and asks for it. */
   const awaitTurn = async (
     message: IncomingMessage,
     response: ServerResponse,
