Keep the order of the requests of a route, and hold back offers after a wait in vain

Change: a route keeps its class until its mean has left it by half a class; 'deadline' counts as a refusal for lack of room again (isRoomRefusal, which the throttle uses too).

Before: eight requests of a route with means of 240 to 270 ms start as 3, 4, 0, 5, 1, 6, 2, 7 on. After: in their order; test/mesh/admission and furtherOffers pass.

--- a/src/mesh/admission.ts
+++ b/src/mesh/admission.ts
@@ -15,6 +15,8 @@
   readonly priority: number;
   /** Expected run time on this instance. */
   readonly expectedRunMs: number;
+  /** Class of the run time, the same for all requests of a route; by default that of the time. */
+  readonly runClass?: number;
   readonly objectiveAtMs: number;
   readonly deadlineAtMs: number;
 }
@@ -59,6 +61,9 @@
 /** Largest run time class; it bounds the number that identifies a group. */
 const MAX_RUN_CLASS = 31;
 
+/** Part of a class by which a run time has to leave it before the class of its route changes. */
+const RUN_CLASS_HYSTERESIS = 0.5;
+
 /** Factor by which the recorded run time of each group decays at every start. */
 const RUN_TIME_DECAY = 0.97;
 
@@ -83,14 +88,30 @@
 /** Number of run time classes of a priority. */
 const RUN_CLASSES = MAX_RUN_CLASS + 1;
 
+/** Returns the class of a run time; each class goes up to twice the times of the one before. */
+export function computeRunClass(runMs: number): number {
+  return Math.min(MAX_RUN_CLASS, Math.floor(Math.log2(Math.max(1, runMs))));
+}
+
+/**
+ * Returns the class of a route whose mean run time has changed. It stays the same around the bound
+ * of two classes, since later requests of a route would otherwise start before earlier ones.
+ */
+export function updateRunClass(known: number | undefined, meanMs: number): number {
+  if (known === undefined) return computeRunClass(meanMs);
+  const position = Math.log2(Math.max(1, meanMs));
+  const isNear =
+    position >= known - RUN_CLASS_HYSTERESIS && position < known + 1 + RUN_CLASS_HYSTERESIS;
+  return isNear ? known : computeRunClass(meanMs);
+}
+
 /**
- * Returns the group of a request: its priority, and in it the class of its run time, each class up
- * to twice as long as the one before. Shorter runs start first, so that a given number of slots
- * serves more callers; calls that the runs of other services wait for are mostly short.
+ * Returns the group of a request: its priority, and in it the class of its run time. Shorter runs
+ * start first, so that a given number of slots serves more callers; calls that the runs of other
+ * services wait for are mostly short.
  */
-function getGroup({ priority, expectedRunMs }: AdmissionItem): number {
-  const runClass = Math.floor(Math.log2(Math.max(1, expectedRunMs)));
-  return priority * RUN_CLASSES + Math.min(MAX_RUN_CLASS, runClass);
+function getGroup({ priority, expectedRunMs, runClass }: AdmissionItem): number {
+  return priority * RUN_CLASSES + (runClass ?? computeRunClass(expectedRunMs));
 }
 
 /** Returns the minimum share of run time of each of the groups, which are in ascending order. */
--- a/src/mesh/attemptProgress.ts
+++ b/src/mesh/attemptProgress.ts
@@ -2,7 +2,7 @@
 import type { InstanceId } from '../types/ids.js';
 import type { CallOutcome } from './pendingCall.js';
 import type { MeshRoute, RunResult } from './model.js';
-import { isCapacityRefusal } from './refusalReason.js';
+import { isCapacityRefusal, isRoomRefusal } from './refusalReason.js';
 
 /** Retry time when no instance reported one, in milliseconds. */
 const DEFAULT_RETRY_MS = 300;
@@ -43,7 +43,7 @@
 
   /** Applies the result of an attempt; returns the outcome of the request once it is final. */
   apply(result: RunResult): CallOutcome | undefined {
-    this.wasRefusedForRoom = result.kind === 'notRun' && isCapacityRefusal(result.reason);
+    this.wasRefusedForRoom = result.kind === 'notRun' && isRoomRefusal(result.reason);
     switch (result.kind) {
       case 'answered':
         this.arrivals += 1;
--- a/src/mesh/localRunner.ts
+++ b/src/mesh/localRunner.ts
@@ -1,7 +1,7 @@
 /** Runs requests on the local instance: admission, queueing, exchange and load statistics. */
 import type { InstanceId } from '../types/ids.js';
 import type { PeerAddress } from '../types/interfaces.js';
-import { AdmissionQueue, type AdmissionItem } from './admission.js';
+import { AdmissionQueue, computeRunClass, type AdmissionItem } from './admission.js';
 import type { EventLog } from './eventLog.js';
 import type { HeaderNames } from './headers.js';
 import { buildRefusal, InstanceClient } from './instanceClient.js';
@@ -258,7 +258,9 @@
 
   private buildItem(metadata: CallMetadata): AdmissionItem {
     const { priority, route, objectiveAtMs, deadlineAtMs } = metadata;
-    return { priority, expectedRunMs: this.times.getMeanMs(route), objectiveAtMs, deadlineAtMs };
+    const expectedRunMs = this.times.getMeanMs(route);
+    const runClass = this.times.getRunClass(route) ?? computeRunClass(expectedRunMs);
+    return { priority, expectedRunMs, runClass, objectiveAtMs, deadlineAtMs };
   }
 
   private admit(
--- a/src/mesh/overloadThrottle.ts
+++ b/src/mesh/overloadThrottle.ts
@@ -12,7 +12,7 @@
  */
 import type { RouteName, ServiceName } from '../types/ids.js';
 import type { RunResult } from './model.js';
-import { isCapacityRefusal } from './refusalReason.js';
+import { isRoomRefusal } from './refusalReason.js';
 
 const MAX_TOKENS = 20;
 
@@ -25,7 +25,7 @@
   /** Records the result of offering a call to an instance. */
   record(service: ServiceName, route: RouteName, result: RunResult): void {
     const isRefused = result.kind === 'notRun';
-    if (isRefused && !isCapacityRefusal(result.reason) && result.reason !== 'deadline') return;
+    if (isRefused && !isRoomRefusal(result.reason)) return;
     const change = isRefused ? -1 : TOKENS_PER_ACCEPTED_CALL;
     const tokens = this.getTokens(service, route) + change;
     const ofService = this.tokens.get(service) ?? new Map<RouteName, number>();
--- a/src/mesh/refusalReason.ts
+++ b/src/mesh/refusalReason.ts
@@ -33,6 +33,11 @@
   return CAPACITY_REFUSALS.has(reason);
 }
 
+/** Returns true when a request got no slot in time: at once, or after it had waited for one. */
+export function isRoomRefusal(reason: string): boolean {
+  return isCapacityRefusal(reason) || reason === 'deadline';
+}
+
 /** Returns true for refusals that mean that the instance is temporarily unavailable. */
 export function isInstanceUnavailable(reason: RefusalReason): boolean {
   switch (reason) {
--- a/src/mesh/runTimes.ts
+++ b/src/mesh/runTimes.ts
@@ -1,5 +1,7 @@
 /** Run times and failure rate of one instance, as exponentially weighted moving averages. */
 
+import { computeRunClass, updateRunClass } from './admission.js';
+
 /** Weight of the latest run in the mean of its route. */
 const ROUTE_WEIGHT = 0.1;
 
@@ -20,15 +22,22 @@
   readonly meanMs: number;
   /** Time that few runs exceed. */
   readonly highMs: number;
+  readonly runClass: number;
 }
 
-function advanceTimes({ meanMs, highMs }: RouteTimes, runMs: number): RouteTimes {
+function advanceTimes(known: RouteTimes, runMs: number): RouteTimes {
+  const meanMs = known.meanMs + (runMs - known.meanMs) * ROUTE_WEIGHT;
   return {
-    meanMs: meanMs + (runMs - meanMs) * ROUTE_WEIGHT,
-    highMs: Math.max(runMs, highMs + (runMs - highMs) * HIGH_DECAY),
+    meanMs,
+    highMs: Math.max(runMs, known.highMs + (runMs - known.highMs) * HIGH_DECAY),
+    runClass: updateRunClass(known.runClass, meanMs),
   };
 }
 
+function createTimes(runMs: number): RouteTimes {
+  return { meanMs: runMs, highMs: runMs, runClass: computeRunClass(runMs) };
+}
+
 /** Moving averages of one instance. */
 export class RunTimes {
   private readonly byRoute = new Map<string, RouteTimes>();
@@ -43,6 +52,11 @@
     return times?.meanMs ?? this.meanMs;
   }
 
+  /** Returns the class of the run times of a route; undefined before its first run. */
+  getRunClass(route: string): number | undefined {
+    return this.byRoute.get(route)?.runClass;
+  }
+
   /** Returns the time that few runs of a route exceed; undefined before its first run. */
   getHighMs(route: string): number | undefined {
     return this.byRoute.get(route)?.highMs;
@@ -61,6 +75,6 @@
     this.meanMs += (runMs - this.meanMs) * OVERALL_WEIGHT;
     const known = this.byRoute.get(route);
     if (!known && this.byRoute.size >= MAX_ROUTES) this.byRoute.clear();
-    this.byRoute.set(route, known ? advanceTimes(known, runMs) : { meanMs: runMs, highMs: runMs });
+    this.byRoute.set(route, known ? advanceTimes(known, runMs) : createTimes(runMs));
   }
 }
--- a/test/mesh/admission.test.ts
+++ b/test/mesh/admission.test.ts
@@ -1,7 +1,8 @@
 /** Admission control of an instance that receives more requests than it can run. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { AdmissionQueue, type AdmissionItem } from '../../src/mesh/admission.js';
+import { AdmissionQueue, updateRunClass, type AdmissionItem } from '../../src/mesh/admission.js';
+import { RunTimes } from '../../src/mesh/runTimes.js';
 
 interface Item extends AdmissionItem {
   readonly name: string;
@@ -215,3 +216,37 @@
   assert.ok(long >= 0.9 * (3.6 / 5), `served ${shares.join()}`);
   assert.ok(short >= 0.9 * (7 / 22), `served ${shares.join()}`);
 });
+
+test('requests of a route whose mean run time varies around a bound start as they arrive', () => {
+  const times = new RunTimes();
+  const classes = new Set<number | undefined>();
+  for (let runs = 0; runs < 200; runs += 1) {
+    times.record('read', runs % 20 < 10 ? 225 : 290, false);
+    classes.add(times.getRunClass('read'));
+  }
+  assert.equal(classes.size, 1);
+  const queue = new AdmissionQueue<Item>(1);
+  queue.admit(buildItem('running'), 0);
+  for (const [name, expectedRunMs] of [
+    ['first', 260],
+    ['second', 250],
+    ['third', 255],
+  ] as const) {
+    const runClass = times.getRunClass('read')!;
+    queue.admit(buildItem(name, { expectedRunMs, runClass, objectiveAtMs: 5000 }), 0);
+  }
+  const order: string[] = [];
+  for (let count = 0; count < 3; count += 1) {
+    queue.releaseSlot();
+    order.push(queue.dequeue(0)?.name ?? 'none');
+  }
+  assert.deepEqual(order, ['first', 'second', 'third']);
+});
+
+test('the run time class of a route follows a mean that has left it', () => {
+  assert.equal(updateRunClass(undefined, 300), 8);
+  assert.equal(updateRunClass(8, 200), 8);
+  assert.equal(updateRunClass(8, 700), 8);
+  assert.equal(updateRunClass(8, 170), 7);
+  assert.equal(updateRunClass(8, 800), 9);
+});
--- a/test/mesh/furtherOffers.test.ts
+++ b/test/mesh/furtherOffers.test.ts
@@ -13,7 +13,7 @@
 test('only a refusal for lack of room counts as one, and only the latest', () => {
   const progress = new AttemptProgress(ROUTE);
   assert.equal(progress.isRefusedForRoom(), false);
-  for (const reason of ['overloaded', 'limited', 'delayed'] as const) {
+  for (const reason of ['overloaded', 'limited', 'delayed', 'deadline'] as const) {
     progress.apply(buildRefusal(reason));
     assert.equal(progress.isRefusedForRoom(), true, reason);
   }
