Assess a request without the fields that only a queued one needs

Cause: checkRoom built an item with two empty functions only to ask a question, and repeated the default of the run time class that the queue has. Change: assess takes an AdmissionItem, and the queue alone knows the default. Ruled out: a second method for the estimate. Behaviour is the same; the tests of admission, body transfers and late requests pass as before.

--- a/src/mesh/admission.ts
+++ b/src/mesh/admission.ts
@@ -16,7 +16,7 @@
   /** Expected run time on this instance. */
   readonly expectedRunMs: number;
   /** Class of the run time, the same for all requests of a route; by default that of the time. */
-  readonly runClass?: number;
+  readonly runClass?: number | undefined;
   readonly objectiveAtMs: number;
   readonly deadlineAtMs: number;
 }
@@ -182,7 +182,7 @@
   }
 
   /** Returns the decision that `admit` would take, and changes nothing. */
-  assess(item: Item, nowMs: number): AdmissionDecision {
+  assess(item: AdmissionItem, nowMs: number): AdmissionDecision {
     return this.decide(item, nowMs).decision;
   }
 
@@ -244,12 +244,12 @@
     return true;
   }
 
-  private decide(
-    item: Item,
+  private decide<Offered extends AdmissionItem>(
+    item: Offered,
     nowMs: number,
-  ): { readonly decision: AdmissionDecision; readonly entry: QueueEntry<Item> } {
+  ): { readonly decision: AdmissionDecision; readonly entry: QueueEntry<Offered> } {
     const remainingMs = item.deadlineAtMs - nowMs;
-    const entry: QueueEntry<Item> = {
+    const entry: QueueEntry<Offered> = {
       item,
       group: getGroup(item),
       isLate: false,
@@ -281,7 +281,11 @@
    * until its turn within the minimum share of its group, whichever is shorter, and not before
    * the limit of the instance allows it. The safety factor applies to the first estimate only.
    */
-  private estimateWait(entry: QueueEntry<Item>, nowMs: number, safetyFactor = 1): ExpectedWait {
+  private estimateWait(
+    entry: QueueEntry<AdmissionItem>,
+    nowMs: number,
+    safetyFactor = 1,
+  ): ExpectedWait {
     const { expectedRunMs } = entry.item;
     let aheadMs = expectedRunMs;
     let sameGroupMs = expectedRunMs;
--- a/src/mesh/localRunner.ts
+++ b/src/mesh/localRunner.ts
@@ -1,7 +1,7 @@
 /** Runs requests on the local instance: admission, queueing, exchange and load statistics. */
 import type { InstanceId } from '../types/ids.js';
 import type { PeerAddress } from '../types/interfaces.js';
-import { AdmissionQueue, computeRunClass, type AdmissionItem } from './admission.js';
+import { AdmissionQueue, type AdmissionItem } from './admission.js';
 import type { EventLog } from './eventLog.js';
 import type { HeaderNames } from './headers.js';
 import { buildRefusal, InstanceClient } from './instanceClient.js';
@@ -139,11 +139,7 @@
   checkRoom(metadata: CallMetadata): RunResult | undefined {
     const refusal = this.check(metadata);
     if (refusal) return refusal;
-    const item = this.buildItem(metadata);
-    const decision = this.queue.assess(
-      { ...item, start: () => {}, refuse: () => {} },
-      performance.now(),
-    );
+    const decision = this.queue.assess(this.buildItem(metadata), performance.now());
     if (decision.kind !== 'refused') return undefined;
     return buildRefusal(decision.reason, false, decision.retryAfterMs);
   }
@@ -259,7 +255,7 @@
   private buildItem(metadata: CallMetadata): AdmissionItem {
     const { priority, route, objectiveAtMs, deadlineAtMs } = metadata;
     const expectedRunMs = this.times.getMeanMs(route);
-    const runClass = this.times.getRunClass(route) ?? computeRunClass(expectedRunMs);
+    const runClass = this.times.getRunClass(route);
     return { priority, expectedRunMs, runClass, objectiveAtMs, deadlineAtMs };
   }
 
