Forget the throttle of routes that no longer exist

Cause: since the overload throttle keeps tokens by route; nothing removed those of routes that a later version has dropped, so that a process grew with each renamed route. Change: evictRoutes after each installation, as for targets and request ages. Ruled out: dropping full buckets only, which keeps those of routes that went while their service was full. Before: the method is missing. After: test/mesh/overloadThrottle, a new case; tokens of routes that stay are kept.

--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -138,13 +138,14 @@
       void publisher.sync();
     },
   });
+  const overloadThrottle = new OverloadThrottle();
   const router = new CallRouter({
     getSettings,
     names,
     directory,
     runner,
     retryBudget: new RetryBudget(settings.retryBudget),
-    overloadThrottle: new OverloadThrottle(),
+    overloadThrottle,
     targets,
     log,
     metrics,
@@ -181,6 +182,7 @@
     positions.config.recordChange(revision);
     const routes = listRouteNames(installed);
     targets.evictRoutes(routes);
+    overloadThrottle.evictRoutes(routes);
     callPort.applyConfig(installed.limits, routes);
   });
   store.era.onRise((era, previous) => {
--- a/src/mesh/overloadThrottle.ts
+++ b/src/mesh/overloadThrottle.ts
@@ -11,6 +11,7 @@
  * more than half of the tokens are there.
  */
 import type { RouteName, ServiceName } from '../types/ids.js';
+import { evictMissing } from '../utils/evictMissing.js';
 import type { RunResult } from './model.js';
 import { isRoomRefusal } from './refusalReason.js';
 
@@ -38,6 +39,11 @@
     return this.getTokens(service, route) > MAX_TOKENS / 2;
   }
 
+  /** Forgets the routes that no longer exist. */
+  evictRoutes(routeNames: ReadonlySet<string>): void {
+    for (const ofService of this.tokens.values()) evictMissing(ofService, routeNames);
+  }
+
   private getTokens(service: ServiceName, route: RouteName): number {
     return this.tokens.get(service)?.get(route) ?? MAX_TOKENS;
   }
--- a/test/mesh/overloadThrottle.test.ts
+++ b/test/mesh/overloadThrottle.test.ts
@@ -202,3 +202,15 @@
   }
   assert.equal(throttle.canOfferAgain(SERVICE, ROUTE), true);
 });
+
+test('a route that no longer exists is forgotten, and the others are not', () => {
+  const throttle = new OverloadThrottle();
+  for (const route of [ROUTE, OTHER_ROUTE]) {
+    for (let index = 0; index < 100; index += 1) {
+      throttle.record(SERVICE, route, buildRefusal('overloaded'));
+    }
+  }
+  throttle.evictRoutes(new Set([ROUTE]));
+  assert.equal(throttle.canOfferAgain(SERVICE, ROUTE), false);
+  assert.equal(throttle.canOfferAgain(SERVICE, OTHER_ROUTE), true);
+});
