Ask an instance whether it has left before a restarted node uses it

Cause: the acknowledgement binds the host, but only the process that gave it knew of it. The next process took a heartbeat that had been sent before, and came 1.7 s late, for the present state.

A process that is killed loses the departure as well, so that the stop is not the cause.

Change: a process that follows an earlier one takes an instance older than itself as unverified, and neither uses nor publishes it, until its health check names it and says that it is not leaving. Where that cannot be asked, or says no, the third heartbeat in a row does. The path of the check is read from the configuration, and travels with the versions that nodes send to each other.

Ways weighed: no acknowledgement without the store; a process that ends only once it has written; copies of departures at other nodes; waiting for more heartbeats at each restart (up to 3 s without any instance when all nodes restart). The check costs one small request a process start.

Tests changed: versions in test/mesh/configDelta have health paths, which must survive all deltas.

--- a/src/mesh/announcements.ts
+++ b/src/mesh/announcements.ts
@@ -37,11 +37,13 @@
   };
   /** Called after each change; resolves when the change is stored. */
   readonly onChange: () => Promise<void>;
+  /** Called after a heartbeat that leaves open whether the instance has left. */
+  readonly onUnverified?: () => void;
 }
 
 /** Creates the server of the port. The caller binds it. */
 export function createAnnouncementPort(options: AnnouncementOptions): Server {
-  const { instance, log, decode, getExpectedInstance, onChange } = options;
+  const { instance, log, decode, getExpectedInstance, onChange, onUnverified } = options;
 
   const publish = async (): Promise<void> => {
     let timer: NodeJS.Timeout | undefined;
@@ -82,6 +84,7 @@
             sequence: heartbeat.sequence,
           });
         }
+        if (instance.getState().kind === 'unverified') onUnverified?.();
         if (outcome !== 'changed') return 200;
         log.write('info', 'instance-changed', {
           instance: heartbeat.instanceId,
--- a/src/mesh/configContent.ts
+++ b/src/mesh/configContent.ts
@@ -4,22 +4,26 @@
  */
 import { err, ok, type Result } from 'neverthrow';
 import { buildError, type StepError } from '../errors.js';
-import { isCallerLimits, isMeshRoute } from './configGuards.js';
-import type { CallerLimits, MeshRoute } from './model.js';
+import { isCallerLimits, isHealthPath, isMeshRoute } from './configGuards.js';
+import type { CallerLimits, HealthPath, MeshRoute } from './model.js';
 
 /** Parts of a configuration that a node sends to another one. */
 export interface ConfigContent {
   readonly routes: readonly MeshRoute[];
   readonly limits: CallerLimits;
+  /** Undefined if they are unchanged, or if the node is of an earlier build. */
+  readonly healthPaths?: readonly HealthPath[] | undefined;
 }
 
 /** Checks each route and the limits; the error names the first invalid part. */
 export function checkContent(
-  { routes, limits }: ConfigContent,
+  { routes, limits, healthPaths = [] }: ConfigContent,
   step: string,
 ): Result<void, StepError> {
   const refuse = (part: string) => err(buildError('invalid', step, 'peer', `invalid ${part}`));
   const index = routes.findIndex((route) => !isMeshRoute(route));
   if (index >= 0) return refuse(`route at ${index}`);
-  return isCallerLimits(limits) ? ok() : refuse('limits');
+  if (!isCallerLimits(limits)) return refuse('limits');
+  const areUsable = Array.isArray(healthPaths) && healthPaths.every(isHealthPath);
+  return areUsable ? ok() : refuse('health paths');
 }
--- a/src/mesh/configDelta.ts
+++ b/src/mesh/configDelta.ts
@@ -7,22 +7,19 @@
 import { buildError, type StepError } from '../errors.js';
 import type { ConfigVersion, RouteName } from '../types/ids.js';
 import { isCount } from '../utils/boundedValues.js';
-import { checkContent } from './configContent.js';
-import type { CallerLimits, MeshConfig, MeshRoute } from './model.js';
+import { checkContent, type ConfigContent } from './configContent.js';
+import type { HealthPath, MeshConfig, MeshRoute } from './model.js';
 import { buildRouteTable, mapRoutes } from './routeTable.js';
 
 const STEP = 'config.applyDelta';
 
-/** Changes from one version to a later one. */
-export interface ConfigDelta {
+/** Changes from one version to a later one; `routes` are those that were added or changed. */
+export interface ConfigDelta extends ConfigContent {
   readonly fromVersion: ConfigVersion;
   readonly toVersion: ConfigVersion;
   /** Revision of the stored object with `toVersion`. */
   readonly revision: number;
-  /** Routes that were added or changed. */
-  readonly routes: readonly MeshRoute[];
   readonly removed: readonly RouteName[];
-  readonly limits: CallerLimits;
   /** Number of routes of `toVersion`, which detects a delta for another base. */
   readonly routeCount: number;
 }
@@ -51,6 +48,17 @@
   );
 }
 
+function hasSameHealthPaths(
+  before: readonly HealthPath[] = [],
+  after: readonly HealthPath[] = [],
+): boolean {
+  if (before.length !== after.length) return false;
+  return before.every(({ service, path }, index) => {
+    const other = after[index]!;
+    return service === other.service && path === other.path;
+  });
+}
+
 /** Returns the changes from `before` to `after`, which is stored at `revision`. */
 export function diffConfigs(before: MeshConfig, after: MeshConfig, revision: number): ConfigDelta {
   const routesBefore = mapRoutes(before);
@@ -67,6 +75,9 @@
     routes,
     removed: [...routesBefore.keys()].filter((name) => !routesAfter.has(name)),
     limits: after.limits,
+    healthPaths: hasSameHealthPaths(before.healthPaths, after.healthPaths)
+      ? undefined
+      : after.healthPaths,
     routeCount: routesAfter.size,
   };
 }
@@ -86,6 +97,7 @@
   return {
     ...second,
     fromVersion: first.fromVersion,
+    healthPaths: second.healthPaths ?? first.healthPaths,
     routes: [...routes.values()],
     removed: [...removed],
   };
@@ -109,5 +121,6 @@
     return refuse(`results in ${byName.size} routes instead of ${delta.routeCount}`);
   }
   const routes = buildRouteTable(byName.values());
-  return ok({ version: delta.toVersion, routes, limits: delta.limits });
+  const { toVersion: version, limits, healthPaths = base.healthPaths } = delta;
+  return ok({ version, routes, limits, healthPaths });
 }
--- a/src/mesh/configGuards.ts
+++ b/src/mesh/configGuards.ts
@@ -1,6 +1,6 @@
 /** Guards for the parts of a configuration that another node sends. */
 import { isAmount, isName, MAX_DURATION_MS } from '../utils/boundedValues.js';
-import type { CallerLimits, MeshRoute, RouteTarget } from './model.js';
+import type { CallerLimits, HealthPath, MeshRoute, RouteTarget } from './model.js';
 
 function isDurationMs(value: unknown): value is number {
   return isAmount(value, MAX_DURATION_MS);
@@ -25,6 +25,16 @@
   );
 }
 
+/** True for a path that can be sent in a request line. */
+export function isRequestPath(value: unknown): value is string {
+  return typeof value === 'string' && /^\/[\x21-\x7e]{0,1023}$/.test(value);
+}
+
+export function isHealthPath(value: unknown): value is HealthPath {
+  const { service, path } = (value ?? {}) as Partial<HealthPath>;
+  return isName(service) && isRequestPath(path);
+}
+
 export function isCallerLimits(value: unknown): value is CallerLimits {
   const limits = (value ?? {}) as Partial<CallerLimits>;
   return (
--- a/src/mesh/headers.ts
+++ b/src/mesh/headers.ts
@@ -6,6 +6,8 @@
   readonly deadline: string;
   readonly signature: string;
   readonly targetInstance: string;
+  /** Response header of a health check: the identifier of the instance. */
+  readonly instanceId: string;
   readonly notExecuted: string;
   readonly callerService: string;
   /** Response header: requests per second that the instance accepts from all nodes together. */
--- /dev/null
+++ b/src/mesh/instanceVerifier.ts
@@ -0,0 +1,81 @@
+/**
+ * Asks the local instance whether it has left while an earlier process of this node ran. That
+ * process may have acknowledged this without being able to store it, and a heartbeat that was sent
+ * before may arrive late.
+ */
+import type { InstanceId } from '../types/ids.js';
+import type { PeerAddress } from '../types/interfaces.js';
+import { formatHostPort } from '../utils/address.js';
+import type { EventLog } from './eventLog.js';
+import { getHeader, type HeaderNames } from './headers.js';
+import { HttpConnection, openSocket } from './httpConnection.js';
+import { startInactivityTimer } from './inactivityTimer.js';
+import type { LocalInstance } from './localInstance.js';
+
+/** The instance is on this host, so a connection that takes longer is not being accepted. */
+const CONNECT_TIMEOUT_MS = 400;
+
+/** Maximum time without data; a health check may wait for a slot of the instance. */
+const RESPONSE_TIMEOUT_MS = 1000;
+
+/** Largest body of a health check that is read, in bytes. */
+const MAX_BODY_BYTES = 64 * 1024;
+
+/** Options of the verifier. */
+export interface InstanceVerifierOptions {
+  readonly instance: LocalInstance;
+  readonly getAddress: () => PeerAddress;
+  /** Returns the path of the health check; undefined while it is not known. */
+  readonly getHealthPath: () => string | undefined;
+  readonly names: Pick<HeaderNames, 'instanceId'>;
+  readonly log: EventLog;
+  /** Called once the instance is ready. */
+  readonly onVerified: () => void;
+}
+
+export class InstanceVerifier {
+  private isAsking = false;
+
+  constructor(private readonly options: InstanceVerifierOptions) {}
+
+  /** Asks the instance if it is unverified. Never rejects. */
+  async verify(): Promise<void> {
+    const { instance, getHealthPath, log, onVerified } = this.options;
+    const state = instance.getState();
+    const path = getHealthPath();
+    if (state.kind !== 'unverified' || path === undefined || this.isAsking) return;
+    this.isAsking = true;
+    const { instanceId, startedAtMs } = state.heartbeat;
+    const answer = await this.ask(path, instanceId);
+    this.isAsking = false;
+    log.write('info', 'instance-asked', { instance: instanceId, path, answer });
+    const current = instance.getState();
+    const isSame =
+      current.kind === 'unverified' &&
+      current.heartbeat.instanceId === instanceId &&
+      current.heartbeat.startedAtMs === startedAtMs;
+    if (answer !== 'present' || !isSame) return;
+    instance.recordVerified();
+    onVerified();
+  }
+
+  /** Returns `present`, or why it is not known whether the instance has left. */
+  private async ask(path: string, instanceId: InstanceId): Promise<string> {
+    const { getAddress, names } = this.options;
+    const address = getAddress();
+    const socket = await openSocket(address, CONNECT_TIMEOUT_MS);
+    if (typeof socket === 'string') return socket;
+    const connection = new HttpConnection(socket, () => {});
+    const stopTimer = startInactivityTimer(connection, 0, RESPONSE_TIMEOUT_MS);
+    const headers = ['Host', formatHostPort(address.host, address.port)];
+    const request = { method: 'GET', path, headers, body: Buffer.alloc(0) };
+    const result = await connection.exchange(request, () => true, { maxBytes: MAX_BODY_BYTES });
+    stopTimer();
+    connection.abort('asked');
+    if (result.kind !== 'response') return result.kind === 'broken' ? result.reason : result.kind;
+    const { status, headers: responseHeaders } = result.response;
+    if (status !== 200) return `status ${status}`;
+    const respondingId = getHeader(responseHeaders, names.instanceId);
+    return respondingId === instanceId ? 'present' : `instance ${respondingId}`;
+  }
+}
--- a/src/mesh/localInstance.ts
+++ b/src/mesh/localInstance.ts
@@ -3,11 +3,22 @@
 import type { Heartbeat } from './model.js';
 
 /**
- * State of the local instance. Only a `ready` instance gets new requests. A `departed` instance has
- * deregistered or was replaced at its address.
+ * Heartbeats, one after the other, that show that an instance has not left. Those that were sent
+ * before it left may arrive later, but not for long.
+ */
+const VERIFYING_HEARTBEATS = 3;
+
+/** Heartbeats that arrive within this time may have been held up together, and count as one. */
+const MIN_HEARTBEAT_GAP_MS = 250;
+
+/**
+ * State of the local instance. Only a `ready` instance gets new requests. An `unverified` instance
+ * may have left while an earlier process of this node ran. A `departed` instance has deregistered
+ * or was replaced at its address.
  */
 export type InstanceState =
   | { readonly kind: 'unknown' }
+  | { readonly kind: 'unverified'; readonly heartbeat: Heartbeat }
   | { readonly kind: 'ready'; readonly heartbeat: Heartbeat }
   | { readonly kind: 'leaving'; readonly heartbeat: Heartbeat }
   | { readonly kind: 'departed'; readonly instanceId: InstanceId };
@@ -26,7 +37,15 @@
 type StateWithHeartbeat = Extract<InstanceState, { heartbeat: Heartbeat }>;
 
 export function hasHeartbeat(state: InstanceState): state is StateWithHeartbeat {
-  return state.kind === 'ready' || state.kind === 'leaving';
+  return state.kind !== 'unknown' && state.kind !== 'departed';
+}
+
+/** Heartbeats of an unverified instance. */
+interface HeartbeatSeries {
+  readonly instanceId: InstanceId;
+  readonly startedAtMs: number;
+  readonly count: number;
+  readonly latestAtMs: number;
 }
 
 function hasSameIdentityAndSlots(before: Heartbeat, after: Heartbeat): boolean {
@@ -46,8 +65,20 @@
 
   private departed: DepartedInstance | undefined;
 
+  /** Heartbeats of the instance that was unverified last. */
+  private series: HeartbeatSeries | undefined;
+
+  /** Latest instance that is known not to have left before this process started. */
+  private verified: Pick<Heartbeat, 'instanceId' | 'startedAtMs'> | undefined;
+
   private readonly leavingListeners: ((instanceId: InstanceId) => void)[] = [];
 
+  /**
+   * Instances that started before `verifiedFromMs` (Unix milliseconds) have to be verified; none if
+   * it is omitted.
+   */
+  constructor(private verifiedFromMs = -Infinity) {}
+
   getState(): InstanceState {
     return this.state;
   }
@@ -58,18 +89,36 @@
     if (this.departed && this.departed.startedAtMs > departed.startedAtMs) return;
     this.departed = departed;
     const { state } = this;
-    if (state.kind === 'ready' && this.hasDeparted(state.heartbeat)) {
+    if (hasHeartbeat(state) && this.hasDeparted(state.heartbeat)) {
       this.state = { kind: 'leaving', heartbeat: state.heartbeat };
     }
   }
 
-  /** Applies a heartbeat, unless a newer heartbeat or a newer instance is known. */
-  applyHeartbeat(heartbeat: Heartbeat): HeartbeatOutcome {
+  /** Records that no earlier process of this node has known an instance. */
+  recordFirstProcess(): void {
+    this.verifiedFromMs = -Infinity;
+    this.recordVerified();
+  }
+
+  /** Records that the unverified instance, if there is one, has not left. */
+  recordVerified(): void {
+    const { state } = this;
+    if (state.kind !== 'unverified') return;
+    this.verified = state.heartbeat;
+    this.state = { kind: 'ready', heartbeat: state.heartbeat };
+  }
+
+  /**
+   * Applies a heartbeat that arrived at `nowMs`, on the `performance.now` scale, unless a newer
+   * heartbeat or a newer instance is known.
+   */
+  applyHeartbeat(heartbeat: Heartbeat, nowMs = performance.now()): HeartbeatOutcome {
     if (this.isStale(heartbeat)) return 'stale';
     const before = this.state;
     const isLeaving = heartbeat.state === 'draining' || this.hasDeparted(heartbeat);
     this.latest = heartbeat;
-    this.state = { kind: isLeaving ? 'leaving' : 'ready', heartbeat };
+    const presentKind = this.isVerified(heartbeat, nowMs) ? 'ready' : 'unverified';
+    this.state = { kind: isLeaving ? 'leaving' : presentKind, heartbeat };
     if (isLeaving) this.departed = heartbeat;
     const isSame =
       hasHeartbeat(before) &&
@@ -129,6 +178,21 @@
     return this.departed;
   }
 
+  /** Returns true when the instance of a heartbeat is known not to have left. */
+  private isVerified({ instanceId, startedAtMs }: Heartbeat, nowMs: number): boolean {
+    if (startedAtMs > this.verifiedFromMs) return true;
+    const isSame = (other: Pick<Heartbeat, 'instanceId' | 'startedAtMs'> | undefined) =>
+      other?.instanceId === instanceId && other.startedAtMs === startedAtMs;
+    if (isSame(this.verified)) return true;
+    const before = isSame(this.series) ? this.series : undefined;
+    if (before && nowMs - before.latestAtMs < MIN_HEARTBEAT_GAP_MS) return false;
+    const count = (before?.count ?? 0) + 1;
+    this.series = { instanceId, startedAtMs, count, latestAtMs: nowMs };
+    if (count < VERIFYING_HEARTBEATS) return false;
+    this.verified = { instanceId, startedAtMs };
+    return true;
+  }
+
   private isStale({ instanceId, startedAtMs, sequence }: Heartbeat): boolean {
     const { latest } = this;
     if (!latest) return false;
--- a/src/mesh/localRunner.ts
+++ b/src/mesh/localRunner.ts
@@ -228,6 +228,7 @@
     if (this.isStopping) return buildRefusal('leaving', false, UNAVAILABLE_RETRY_MS);
     switch (state.kind) {
       case 'unknown':
+      case 'unverified':
         return buildRefusal('no-instance', false, UNAVAILABLE_RETRY_MS);
       case 'leaving':
       case 'departed':
--- a/src/mesh/model.ts
+++ b/src/mesh/model.ts
@@ -74,12 +74,20 @@
   readonly idleTimeoutMs: number;
 }
 
+/** Path at which the instances of a service answer health checks. */
+export interface HealthPath {
+  readonly service: ServiceName;
+  readonly path: string;
+}
+
 /** One version of the configuration. */
 export interface MeshConfig {
   readonly version: ConfigVersion;
   /** Routes by host, sorted by descending prefix length. */
   readonly routes: ReadonlyMap<string, readonly MeshRoute[]>;
   readonly limits: CallerLimits;
+  /** Undefined if a node of an earlier build has sent the version. */
+  readonly healthPaths?: readonly HealthPath[] | undefined;
 }
 
 export interface Heartbeat {
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -27,6 +27,7 @@
   type NodeFollower,
 } from './followers.js';
 import type { HeaderNames } from './headers.js';
+import { InstanceVerifier } from './instanceVerifier.js';
 import { KindPosition } from './kindPosition.js';
 import { LocalInstance } from './localInstance.js';
 import { LocalRunner } from './localRunner.js';
@@ -56,6 +57,9 @@
 /** Pause after a change of the configuration, whose versions are in force within seconds. */
 const CONFIG_PAUSE_MS = 300;
 
+/** Bound of the difference between the clock of this process and that of its instance. */
+const INSTANCE_CLOCK_MARGIN_MS = 1000;
+
 /** Adapter to the platform. */
 export interface NodeAdapter {
   readonly names: HeaderNames;
@@ -108,7 +112,7 @@
   const { nodeId, ports } = settings;
   const processId = randomUUID().slice(0, 8);
   const metrics = new MeshMetrics();
-  const instance = new LocalInstance();
+  const instance = new LocalInstance(Date.now() + INSTANCE_CLOCK_MARGIN_MS);
   const positions = {
     config: new KindPosition(store.era),
     nodes: new KindPosition(store.era),
@@ -168,6 +172,19 @@
     log,
   });
   const getConfig = () => config.get();
+  const verifier = new InstanceVerifier({
+    instance,
+    names,
+    log,
+    getAddress: () => getSettings().instanceAddress,
+    getHealthPath: () => {
+      const { service } = getSettings();
+      return getConfig()?.healthPaths?.find((entry) => entry.service === service)?.path;
+    },
+    onVerified: () => {
+      void applyInstanceChange();
+    },
+  });
   const callPort = createCallPort({
     loop,
     getSettings,
@@ -185,6 +202,7 @@
     targets.evictRoutes(routes);
     overloadThrottle.evictRoutes(routes);
     callPort.applyConfig(installed.limits, routes);
+    void verifier.verify();
   });
   store.era.onRise((era, previous) => {
     log.write('info', 'store-era', { era, previous, config: config.get()?.version });
@@ -233,8 +251,21 @@
       return { address: instanceAddress, service };
     },
     onChange: applyInstanceChange,
+    onUnverified: () => {
+      void verifier.verify();
+    },
+  });
+  const nodes = new NodeListener({
+    ownId: nodeId,
+    instance,
+    publisher,
+    directory,
+    log,
+    onFirstProcess: () => {
+      instance.recordFirstProcess();
+      void applyInstanceChange();
+    },
   });
-  const nodes = new NodeListener({ ownId: nodeId, instance, publisher, directory, log });
   const isReady = () => config.get() !== undefined && nodes.hasReceivedList() && !isStopping;
   const readyPort = createReadyPort(isReady);
   const metricsPort = createMetricsPort(metrics, options.metricsPath);
--- a/src/mesh/nodeListener.ts
+++ b/src/mesh/nodeListener.ts
@@ -16,6 +16,8 @@
   readonly publisher: Publisher;
   readonly directory: Directory;
   readonly log: EventLog;
+  /** Called when the list shows that no earlier process of this node has known an instance. */
+  readonly onFirstProcess: () => void;
 }
 
 /** Listener for the node records. */
@@ -34,11 +36,12 @@
   }
 
   applyList({ objects, revision }: StoreList): void {
-    const { ownId, directory, publisher } = this.options;
+    const { ownId, directory, publisher, onFirstProcess } = this.options;
     const usable = objects.filter((object) => this.applyNode(object));
     const listed = new Set(usable.map(({ name }) => brandText<NodeId>(name)));
     const isOwnListed = objects.some(({ name }) => name === ownId);
     if (!isOwnListed) publisher.recordStoredState(revision, undefined);
+    if (!isOwnListed && !this.isListReceived) onFirstProcess();
     listed.add(ownId);
     directory.markUnlistedExcept(listed, performance.now());
     this.isListReceived = true;
--- a/src/mesh/nodeRecord.ts
+++ b/src/mesh/nodeRecord.ts
@@ -115,8 +115,9 @@
 }
 
 /**
- * Builds the object to store, or undefined while no instance is known. The departed instance stays
- * in the store when the process ends, since the next process needs it to reject late heartbeats.
+ * Builds the object to store, or undefined while no instance is known, or none that is verified.
+ * The departed instance stays in the store when the process ends, since the next process needs it
+ * to reject late heartbeats.
  */
 export function buildPublishedNode(
   instance: LocalInstance,
@@ -125,6 +126,7 @@
   isStopping: boolean,
 ): PublishedNode | undefined {
   const state = instance.getState();
+  if (state.kind === 'unverified') return undefined;
   const departedInstance = instance.getDepartedInstance();
   const heartbeat = hasHeartbeat(state) ? state.heartbeat : undefined;
   const departed = state.kind === 'departed' ? state : departedInstance;
--- a/src/mesh/wholeConfig.ts
+++ b/src/mesh/wholeConfig.ts
@@ -5,19 +5,17 @@
 import { err, ok, type Result } from 'neverthrow';
 import { buildError, type StepError } from '../errors.js';
 import type { ConfigVersion } from '../types/ids.js';
-import { checkContent } from './configContent.js';
-import type { CallerLimits, MeshConfig, MeshRoute } from './model.js';
+import { checkContent, type ConfigContent } from './configContent.js';
+import type { MeshConfig } from './model.js';
 import { buildRouteTable, mapRoutes } from './routeTable.js';
 
 const STEP = 'config.restoreWhole';
 
 /** One version with all its routes. */
-export interface WholeConfig {
+export interface WholeConfig extends ConfigContent {
   readonly version: ConfigVersion;
   /** Revision of the stored object with this version; 0 if it is of an earlier era. */
   readonly revision: number;
-  readonly routes: readonly MeshRoute[];
-  readonly limits: CallerLimits;
   /** Number of routes, which detects routes that are missing or sent twice. */
   readonly routeCount: number;
 }
@@ -25,8 +23,8 @@
 /** Builds the message for a version that is stored at `revision`. */
 export function buildWhole(config: MeshConfig, revision: number): WholeConfig {
   const routes = [...mapRoutes(config).values()];
-  const { version, limits } = config;
-  return { version, revision, routes, limits, routeCount: routes.length };
+  const { version, limits, healthPaths } = config;
+  return { version, revision, routes, limits, healthPaths, routeCount: routes.length };
 }
 
 /** Restores the version of a message, which must be later than the installed version. */
@@ -34,7 +32,7 @@
   whole: WholeConfig,
   installedVersion: ConfigVersion,
 ): Result<MeshConfig, StepError> {
-  const { version, routes, limits, routeCount } = whole;
+  const { version, routes, limits, healthPaths, routeCount } = whole;
   const refuse = (message: string) => err(buildError('invalid', STEP, 'peer', message));
   if (version <= installedVersion) {
     return refuse(`is version ${version}, installed is ${installedVersion}`);
@@ -45,5 +43,5 @@
   if (byName.size !== routeCount || routes.length !== routeCount) {
     return refuse(`has ${byName.size} routes instead of ${routeCount}`);
   }
-  return ok({ version, routes: buildRouteTable(byName.values()), limits });
+  return ok({ version, routes: buildRouteTable(byName.values()), limits, healthPaths });
 }
--- a/standins/mesh/configuration.ts
+++ b/standins/mesh/configuration.ts
@@ -4,6 +4,7 @@
 const DEFAULT_TARGET_LATENCY_MS = 500;
 const DEFAULT_PRIORITY = 1;
 const DEFAULT_MAX_ATTEMPTS = 2;
+const DEFAULT_SERVICE = 'pads';
 const LIMITS_SPEC = {
   MaxHeaderBytes: 16384,
   MaxBodyBytes: 65536,
@@ -11,6 +12,9 @@
   IdleTimeout: '15000ms',
 };
 
+/** Path at which the instances of the stand-in answer health checks. */
+export const HEALTH_PATH = '/healthz';
+
 /** Route definition of a test. */
 export interface FleetRoute {
   readonly prefix: string;
@@ -23,8 +27,13 @@
   readonly priority?: number;
 }
 
+function listServices({ backends, service }: FleetRoute): readonly string[] {
+  return backends ? backends.map(({ Service }) => Service) : [service ?? DEFAULT_SERVICE];
+}
+
 /** Builds the value of the `config/main` object. */
 export function buildConfiguration(version: number, routes: readonly FleetRoute[]): object {
+  const services = new Set(routes.flatMap(listServices));
   return {
     Version: version.toString(16).padStart(8, '0'),
     Resources: [
@@ -39,9 +48,16 @@
           TargetLatency: `${route.objectiveMs ?? DEFAULT_TARGET_LATENCY_MS}ms`,
           Priority: route.priority ?? DEFAULT_PRIORITY,
           MaxAttempts: route.attempts ?? DEFAULT_MAX_ATTEMPTS,
-          ...(route.backends ? { Backends: route.backends } : { Service: route.service ?? 'pads' }),
+          ...(route.backends
+            ? { Backends: route.backends }
+            : { Service: route.service ?? DEFAULT_SERVICE }),
         },
       })),
+      ...[...services].map((service) => ({
+        EntryKind: 'Services',
+        Metadata: { Name: service },
+        Spec: { HealthPath: HEALTH_PATH },
+      })),
       {
         EntryKind: 'Limits',
         Metadata: {},
--- a/standins/mesh/instanceServer.ts
+++ b/standins/mesh/instanceServer.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { closeServer, openServer } from '../http.js';
+import { HEALTH_PATH } from './configuration.js';
 
 /** Fault that an instance injects into its requests. */
 export type InstanceFault =
@@ -57,6 +58,12 @@
   /** True when responses say that the instance leaves. */
   isLeaving = false;
 
+  /** What its health check says; undefined while it does not answer health checks. */
+  health: 'good' | 'bad' | undefined = 'good';
+
+  /** Number of health checks. */
+  healthChecks = 0;
+
   /** Execution time of a request, in milliseconds. */
   executionTimeMs = 0;
 
@@ -93,6 +100,13 @@
     const chunks: Buffer[] = [];
     for await (const chunk of request) chunks.push(chunk as Buffer);
     const { headers, socket } = request;
+    if (request.url === HEALTH_PATH && this.health !== undefined) {
+      this.healthChecks += 1;
+      const isGood = this.health === 'good' && !this.isLeaving;
+      const idHeader = { 'X-Lycheelane-Instance-Id': this.instanceId };
+      response.writeHead(isGood ? 200 : 503, idHeader).end();
+      return;
+    }
     if (headers['x-lycheelane-target-instance'] !== this.instanceId) {
       this.mismatchedRequests += 1;
       response.writeHead(421, { 'X-Lycheelane-Instance-Id': this.instanceId }).end();
--- a/standins/mesh/meshFleet.ts
+++ b/standins/mesh/meshFleet.ts
@@ -141,12 +141,17 @@
   current.node = await startNode(host.settings, SILENT_LOG);
 }
 
+function setHealth(instance: InstanceServer, isGood: boolean): void {
+  Object.assign(instance, { health: isGood ? 'good' : 'bad' });
+}
+
 /** Changes the state and slots that the instance announces, or its heartbeats. */
 export function updateHost(
   host: FleetHost,
   change: Partial<Pick<FleetHost, 'state' | 'isSendingHeartbeats' | 'slots' | 'startedAtMs'>>,
 ): void {
   Object.assign(host, change);
+  if (change.state !== undefined) setHealth(host.instance, change.state === 'ready');
 }
 
 /** Sends a request to the call port of a host. */
@@ -190,6 +195,7 @@
 
 /** Deregisters the instance of a host and returns the status of the response. */
 export function deregister(host: FleetHost): Promise<number> {
+  setHealth(host.instance, false);
   const path = `/instances/${host.instance.instanceId}/deregister`;
   return announce(host, path, JSON.stringify({ born: host.startedAtMs }));
 }
--- a/test/mesh/configDelta.test.ts
+++ b/test/mesh/configDelta.test.ts
@@ -6,7 +6,7 @@
 import { ConfigHistory } from '../../src/mesh/configHistory.js';
 import type { MeshConfig, MeshRoute } from '../../src/mesh/model.js';
 import { buildRouteTable } from '../../src/mesh/routeTable.js';
-import { brandText, brandVersion } from '../../src/types/ids.js';
+import { brandText, brandVersion, type ServiceName } from '../../src/types/ids.js';
 
 const LIMITS = {
   maxHeaderBytes: 16_384,
@@ -34,7 +34,10 @@
   const routes = timeouts.flatMap((timeoutMs, index) =>
     timeoutMs === 0 ? [] : [buildRoute(index, timeoutMs)],
   );
-  return { version: brandVersion(version), routes: buildRouteTable(routes), limits: LIMITS };
+  // The path changes with the first route, so that some deltas leave it out.
+  const healthPaths = [{ service: brandText<ServiceName>('pads'), path: `/h/${timeouts[0]}` }];
+  const table = buildRouteTable(routes);
+  return { version: brandVersion(version), routes: table, limits: LIMITS, healthPaths };
 }
 
 const TIMEOUTS = fc.array(fc.integer({ min: 0, max: 3 }), { minLength: 6, maxLength: 6 });
@@ -56,6 +59,7 @@
 
 test('a delta holds only what changed', () => {
   const delta = diffConfigs(buildConfig(1, [1, 1, 1]), buildConfig(4, [1, 2, 0, 1]), 9);
+  assert.equal(delta.healthPaths, undefined);
   assert.deepEqual(delta.routes.map(({ name }) => name).sort(), ['r-1', 'r-3']);
   assert.deepEqual(delta.removed, ['r-2']);
 });
--- a/test/mesh/oddMessages.test.ts
+++ b/test/mesh/oddMessages.test.ts
@@ -184,6 +184,8 @@
   ['limits of null', { limits: null }],
   ['an idle timeout as text', { limits: { ...LIMITS, idleTimeoutMs: '1s' } }],
   ['a version as text', { toVersion: 'z' }],
+  ['health paths of null', { healthPaths: null }],
+  ['a health path with a line end', { healthPaths: [{ service: 'a', path: '/h\r\nX: y' }] }],
 ];
 for (const [title, change] of ODD_DELTAS) {
   test(`a delta with ${title} is refused as a whole`, () => {
--- a/test/mesh/oddRecords.test.ts
+++ b/test/mesh/oddRecords.test.ts
@@ -48,6 +48,7 @@
     publisher,
     directory,
     log,
+    onFirstProcess: () => {},
   });
   const listUsed = () =>
     directory
