Close a proxied connection that is being ended without a reset

What was seen: test/mesh/silentConnections passed all its tests, and its process did not end (2 of 4 runs at once; a run of all tests stood still for ten minutes). Cause: in the stand-in FaultProxy, a reset of a socket whose end is under way fails in the runtime and leaves the handle open; the process then spins in its teardown (one destroyed, ended and unfinished socket among the active handles, the stack in CleanupHandles). Such a socket is destroyed instead.

--- a/standins/mesh/faultProxy.ts
+++ b/standins/mesh/faultProxy.ts
@@ -87,8 +87,9 @@
   private reset(connection: ProxiedConnection): void {
     if (!this.connections.delete(connection)) return;
     for (const socket of [connection.client, connection.server]) {
-      // `resetAndDestroy` on a connecting socket would wait until the connection is established.
-      if (socket.connecting) socket.destroy();
+      // `resetAndDestroy` on a connecting socket would wait until the connection is established. On
+      // one that is being ended it fails and leaves the handle open, so that the process never ends.
+      if (socket.connecting || socket.writableEnded) socket.destroy();
       else socket.resetAndDestroy();
     }
   }
