--- a/standins/mesh/faultProxy.ts
+++ b/standins/mesh/faultProxy.ts
@@ -87,8 +87,8 @@
   private reset(connection: ProxiedConnection): void {
     if (!this.connections.delete(connection)) return;
     for (const socket of [connection.client, connection.server]) {
-      // `resetAndDestroy` on a connecting socket would wait until the connection is established. On
-      // one that is being ended it fails and leaves the handle open, so that the process never ends.
+      // `resetAndDestroy` on a connecting socket would wait until the connection is established.
+      // On one that is being ended it fails and leaves the handle open, which keeps the process.
       if (socket.connecting || socket.writableEnded) socket.destroy();
       else socket.resetAndDestroy();
     }
