--- a/test/mesh/nodeProcessParts.ts
+++ b/test/mesh/nodeProcessParts.ts
@@ -1,11 +1,51 @@
 /** Steps that tests of a real node process share. */
 import assert from 'node:assert/strict';
+import { mkdtemp, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { CONFIG_KIND, CONFIG_NAME } from '../../platform/names.js';
+import { findFreePorts } from '../../standins/launcher/ports.js';
+import { buildConfiguration } from '../../standins/mesh/configuration.js';
+import { InstanceServer } from '../../standins/mesh/instanceServer.js';
 import { sendHttp, wait } from '../../standins/mesh/meshFleet.js';
+import { writeSettings, type NodeProcessOptions } from '../../standins/mesh/nodeProcess.js';
+import { StoreServer } from '../../standins/mesh/storeServer.js';
 
 const HOST = '127.0.0.1';
 const POLL_INTERVAL_MS = 30;
 const MAX_POLLS = 500;
 
+/** A node process that is not started yet, its store and its instance. */
+export interface ProcessSetup {
+  readonly options: NodeProcessOptions;
+  readonly store: StoreServer;
+  readonly instance: InstanceServer;
+}
+
+/** Runs a function with the settings of a node, its store and its instance. */
+export async function withSetup(run: (setup: ProcessSetup) => Promise<void>): Promise<void> {
+  const store = new StoreServer();
+  const instance = new InstanceServer('i-1');
+  const options: NodeProcessOptions = {
+    folder: await mkdtemp(join(tmpdir(), 'lycheelane-')),
+    name: 'sidecar-a-1',
+    dataCentre: 'a',
+    service: 'pads',
+    storePort: await store.listen(),
+    instancePort: await instance.listen(),
+    ports: await findFreePorts('127.0.0.1', 4),
+  };
+  await writeSettings(options);
+  store.put(CONFIG_KIND, CONFIG_NAME, buildConfiguration(1, [{ prefix: '/read/' }]));
+  try {
+    await run({ options, store, instance });
+  } finally {
+    await instance.close();
+    await store.close();
+    await rm(options.folder, { recursive: true });
+  }
+}
+
 /** Waits until the readiness check of a node passes. */
 export async function waitUntilReady(readyPort: number): Promise<void> {
   for (let tries = 0; tries < MAX_POLLS; tries += 1) {
--- a/test/platform/endlessResponses.test.ts
+++ b/test/platform/endlessResponses.test.ts
@@ -3,22 +3,12 @@
  * process of its host runs out of memory and ends with the requests of all its callers.
  */
 import assert from 'node:assert/strict';
-import { mkdtemp, readFile, rm } from 'node:fs/promises';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
+import { readFile } from 'node:fs/promises';
 import { test } from 'node:test';
-import { CONFIG_KIND, CONFIG_NAME } from '../../platform/names.js';
-import { findFreePorts } from '../../standins/launcher/ports.js';
-import { buildConfiguration } from '../../standins/mesh/configuration.js';
-import { InstanceServer, type InstanceFault } from '../../standins/mesh/instanceServer.js';
+import type { InstanceFault } from '../../standins/mesh/instanceServer.js';
 import { sendHttp } from '../../standins/mesh/meshFleet.js';
-import {
-  readDeployFlags,
-  startNodeProcess,
-  writeSettings,
-} from '../../standins/mesh/nodeProcess.js';
-import { StoreServer } from '../../standins/mesh/storeServer.js';
-import { announceInstance, waitUntilReady } from '../mesh/nodeProcessParts.js';
+import { readDeployFlags, startNodeProcess } from '../../standins/mesh/nodeProcess.js';
+import { announceInstance, waitUntilReady, withSetup } from '../mesh/nodeProcessParts.js';
 
 /** Memory of the smallest host on the users' pages, in MB. */
 const MEMORY_LIMIT_MB = 250;
@@ -57,46 +47,32 @@
   }
 }
 
-async function playEndless(fault: EndlessFault, slots: number): Promise<void> {
-  const store = new StoreServer();
-  const instance = new InstanceServer('i-1');
-  const options = {
-    folder: await mkdtemp(join(tmpdir(), 'lycheelane-')),
-    name: 'sidecar-a-1',
-    dataCentre: 'a',
-    service: 'pads',
-    storePort: await store.listen(),
-    instancePort: await instance.listen(),
-    ports: await findFreePorts('127.0.0.1', 4),
-  };
-  const [calls = 0, , ready = 0, announcements = 0] = options.ports;
-  await writeSettings(options);
-  store.put(CONFIG_KIND, CONFIG_NAME, buildConfiguration(1, [{ prefix: '/read/' }]));
-  const node = startNodeProcess(options, await readDeployFlags());
-  try {
-    await waitUntilReady(ready);
-    await announceInstance(announcements, options.instancePort, slots);
-    assert.equal((await sendHttp(calls, { path: '/read/', id: 'before' })).status, 200);
-    instance.fault = fault;
-    const endAtMs = performance.now() + DURATION_MS;
-    const callers = Array.from({ length: slots }, (_, index) =>
-      sendUntil(calls, endAtMs, `e-${index}`),
-    );
-    while (performance.now() < endAtMs) {
-      assert.equal((await sendHttp(calls, { path: '/none/', id: 'n' })).status, 404);
+function playEndless(fault: EndlessFault, slots: number): Promise<void> {
+  return withSetup(async ({ options, instance }) => {
+    const [calls = 0, , ready = 0, announcements = 0] = options.ports;
+    const node = startNodeProcess(options, await readDeployFlags());
+    try {
+      await waitUntilReady(ready);
+      await announceInstance(announcements, options.instancePort, slots);
+      assert.equal((await sendHttp(calls, { path: '/read/', id: 'before' })).status, 200);
+      Object.assign(instance, { fault });
+      const endAtMs = performance.now() + DURATION_MS;
+      const callers = Array.from({ length: slots }, (_, index) =>
+        sendUntil(calls, endAtMs, `e-${index}`),
+      );
+      while (performance.now() < endAtMs) {
+        assert.equal((await sendHttp(calls, { path: '/none/', id: 'n' })).status, 404);
+      }
+      await Promise.all(callers);
+      const peakMb = await readPeakMb(node.process.pid!);
+      Object.assign(instance, { fault: { kind: 'none' } });
+      assert.equal((await sendHttp(calls, { path: '/read/', id: 'after' })).status, 200);
+      assert.ok(peakMb <= MEMORY_LIMIT_MB, `${Math.round(peakMb)} MB`);
+    } finally {
+      node.process.kill('SIGKILL');
+      await node.exited;
     }
-    await Promise.all(callers);
-    const peakMb = await readPeakMb(node.process.pid!);
-    instance.fault = { kind: 'none' };
-    assert.equal((await sendHttp(calls, { path: '/read/', id: 'after' })).status, 200);
-    assert.ok(peakMb <= MEMORY_LIMIT_MB, `${Math.round(peakMb)} MB`);
-  } finally {
-    node.process.kill('SIGKILL');
-    await node.exited;
-    await instance.close();
-    await store.close();
-    await rm(options.folder, { recursive: true });
-  }
+  });
 }
 
 for (const slots of SLOT_COUNTS) {
--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -1,13 +1,9 @@
 /** Runs a node as a process: settings file, signals, exit codes and log lines. */
 import assert from 'node:assert/strict';
-import { mkdtemp, rm, writeFile } from 'node:fs/promises';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
+import { writeFile } from 'node:fs/promises';
 import { test } from 'node:test';
 import { NODE_KIND } from '../../src/mesh/nodeRecord.js';
 import { CONFIG_KIND, CONFIG_NAME } from '../../platform/names.js';
-import { findFreePorts } from '../../standins/launcher/ports.js';
-import { InstanceServer } from '../../standins/mesh/instanceServer.js';
 import { buildConfiguration } from '../../standins/mesh/configuration.js';
 import { formatNested, RawJson } from '../../standins/mesh/oddValues.js';
 import { sendHttp, wait, type FleetResponse } from '../../standins/mesh/meshFleet.js';
@@ -15,11 +11,11 @@
   buildSettings,
   getSettingsPaths,
   startNodeProcess,
-  writeSettings,
   type NodeProcess,
   type NodeProcessOptions,
 } from '../../standins/mesh/nodeProcess.js';
 import { StoreServer } from '../../standins/mesh/storeServer.js';
+import { withSetup } from '../mesh/nodeProcessParts.js';
 
 async function waitUntil(check: () => Promise<boolean>): Promise<void> {
   for (let tries = 0; tries < 300; tries += 1) {
@@ -33,35 +29,6 @@
   return sendHttp(port, { path, id: 'q-1' }).catch(() => undefined);
 }
 
-interface Setup {
-  readonly options: NodeProcessOptions;
-  readonly store: StoreServer;
-  readonly instance: InstanceServer;
-}
-
-async function withSetup(run: (setup: Setup) => Promise<void>): Promise<void> {
-  const store = new StoreServer();
-  const instance = new InstanceServer('i-1');
-  const options: NodeProcessOptions = {
-    folder: await mkdtemp(join(tmpdir(), 'lycheelane-')),
-    name: 'sidecar-a-1',
-    dataCentre: 'a',
-    service: 'pads',
-    storePort: await store.listen(),
-    instancePort: await instance.listen(),
-    ports: await findFreePorts('127.0.0.1', 4),
-  };
-  await writeSettings(options);
-  store.put(CONFIG_KIND, CONFIG_NAME, buildConfiguration(1, [{ prefix: '/read/' }]));
-  try {
-    await run({ options, store, instance });
-  } finally {
-    await instance.close();
-    await store.close();
-    await rm(options.folder, { recursive: true });
-  }
-}
-
 test('a process serves, reloads its settings and stops on SIGTERM', async () => {
   await withSetup(async ({ options, instance }) => {
     const [calls = 0, , ready = 0, control = 0] = options.ports;
