--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -182,6 +182,28 @@
   assert.equal(typeof decodeConfiguration(configuration), 'object');
 });
 
+const ODD_SERVICES: readonly (readonly [title: string, change: object])[] = [
+  ['no fields', { Metadata: undefined, Spec: undefined }],
+  ['fields that are a list', { Spec: [7] }],
+  ['fields that are text', { Spec: 'healthz' }],
+  ['a name that is a number', { Metadata: { Name: 7 } }],
+  ['metadata that is text', { Metadata: 'pads' }],
+  ['no health path', { Spec: {} }],
+  ['an empty health path', { Spec: { HealthPath: '' } }],
+  ['a health path that is a number', { Spec: { HealthPath: 7 } }],
+  ['a health path that no request line can hold', { Spec: { HealthPath: '/a b' } }],
+];
+for (const [title, change] of ODD_SERVICES) {
+  test(`a service with ${title} has no health path, and the version is used`, () => {
+    const configuration = buildConfiguration(2, [{ prefix: '/a/' }]) as { Resources: object[] };
+    const sound = { Metadata: { Name: 'odd' }, Spec: { HealthPath: '/odd' } };
+    configuration.Resources.push({ EntryKind: 'Services', ...sound, ...change });
+    const config = decodeConfiguration(configuration);
+    assert.ok(typeof config === 'object', String(config));
+    assert.deepEqual(config.healthPaths, [{ service: 'pads', path: '/healthz' }]);
+  });
+}
+
 test('names that objects inherit are plain names of routes, services and hosts', () => {
   for (const name of ['__proto__', 'constructor', 'toString']) {
     const value = buildConfiguration(2, [{ prefix: '/a/', service: name }]);
