Compare instances and lists in one place, and wire the memory for responses in node.ts

The identity of an instance was compared in four places, lists of targets and of health paths in two, and InstanceVerifier opened its connection and named its timeout again. ResponseMemory was computed in the runner, though node.ts is the module that constructs the parts.

--- a/src/mesh/configDelta.ts
+++ b/src/mesh/configDelta.ts
@@ -8,7 +8,7 @@
 import type { ConfigVersion, RouteName } from '../types/ids.js';
 import { isCount } from '../utils/boundedValues.js';
 import { checkContent, type ConfigContent } from './configContent.js';
-import type { HealthPath, MeshConfig, MeshRoute } from './model.js';
+import type { HealthPath, MeshConfig, MeshRoute, RouteTarget } from './model.js';
 import { buildRouteTable, mapRoutes } from './routeTable.js';
 
 const STEP = 'config.applyDelta';
@@ -24,12 +24,22 @@
   readonly routeCount: number;
 }
 
-function hasSameTargets({ targets }: MeshRoute, { targets: others }: MeshRoute): boolean {
-  if (targets.length !== others.length) return false;
-  return targets.every(({ service, weight }, index) => {
-    const other = others[index]!;
-    return service === other.service && weight === other.weight;
-  });
+function hasSameEntries<Entry>(
+  before: readonly Entry[],
+  after: readonly Entry[],
+  isSame: (one: Entry, other: Entry) => boolean,
+): boolean {
+  return (
+    before.length === after.length && before.every((entry, index) => isSame(entry, after[index]!))
+  );
+}
+
+function isSameTarget(one: RouteTarget, other: RouteTarget): boolean {
+  return one.service === other.service && one.weight === other.weight;
+}
+
+function isSameHealthPath(one: HealthPath, other: HealthPath): boolean {
+  return one.service === other.service && one.path === other.path;
 }
 
 function isSameRoute(before: MeshRoute, after: MeshRoute): boolean {
@@ -44,21 +54,10 @@
     before.objectiveMs === after.objectiveMs &&
     before.maxAttempts === after.maxAttempts &&
     before.priority === after.priority &&
-    hasSameTargets(before, after)
+    hasSameEntries(before.targets, after.targets, isSameTarget)
   );
 }
 
-function hasSameHealthPaths(
-  before: readonly HealthPath[] = [],
-  after: readonly HealthPath[] = [],
-): boolean {
-  if (before.length !== after.length) return false;
-  return before.every(({ service, path }, index) => {
-    const other = after[index]!;
-    return service === other.service && path === other.path;
-  });
-}
-
 /** Returns the changes from `before` to `after`, which is stored at `revision`. */
 export function diffConfigs(before: MeshConfig, after: MeshConfig, revision: number): ConfigDelta {
   const routesBefore = mapRoutes(before);
@@ -68,6 +67,8 @@
     const known = routesBefore.get(name);
     if (!known || !isSameRoute(known, route)) routes.push(route);
   }
+  const { healthPaths = [] } = after;
+  const arePathsSame = hasSameEntries(before.healthPaths ?? [], healthPaths, isSameHealthPath);
   return {
     fromVersion: before.version,
     toVersion: after.version,
@@ -75,9 +76,7 @@
     routes,
     removed: [...routesBefore.keys()].filter((name) => !routesAfter.has(name)),
     limits: after.limits,
-    healthPaths: hasSameHealthPaths(before.healthPaths, after.healthPaths)
-      ? undefined
-      : after.healthPaths,
+    healthPaths: arePathsSame ? undefined : after.healthPaths,
     routeCount: routesAfter.size,
   };
 }
--- a/src/mesh/configGuards.ts
+++ b/src/mesh/configGuards.ts
@@ -26,7 +26,7 @@
 }
 
 /** True for a path that can be sent in a request line. */
-export function isRequestPath(value: unknown): value is string {
+function isRequestPath(value: unknown): value is string {
   return typeof value === 'string' && /^\/[\x21-\x7e]{0,1023}$/.test(value);
 }
 
--- a/src/mesh/confirmations.ts
+++ b/src/mesh/confirmations.ts
@@ -13,7 +13,10 @@
 /** Interval between two checks of the age of the evidence. */
 const CHECK_INTERVAL_MS = 200;
 
-/** Time before the evidence is too old at which others are asked; they have renewed theirs then. */
+/**
+ * Time before the evidence is too old at which other nodes are asked. It is shorter than the
+ * reserve of primary watchers, so that these have renewed theirs by then.
+ */
 const ASK_RESERVE_MS = 700;
 
 /** Minimum interval between two questions to the same nodes. */
--- a/src/mesh/instanceClient.ts
+++ b/src/mesh/instanceClient.ts
@@ -11,7 +11,7 @@
 import type { Cancellation } from './signal.js';
 
 /** The instance is on this host, so a connection that takes longer is not being accepted. */
-const CONNECT_TIMEOUT_MS = 400;
+export const CONNECT_TIMEOUT_MS = 400;
 
 /**
  * Maximum idle time of a connection for a non-idempotent request. It is short because an instance
--- a/src/mesh/instanceVerifier.ts
+++ b/src/mesh/instanceVerifier.ts
@@ -6,15 +6,13 @@
 import type { InstanceId } from '../types/ids.js';
 import type { PeerAddress } from '../types/interfaces.js';
 import { formatHostPort } from '../utils/address.js';
+import { ConnectionPool } from './connectionPool.js';
 import type { EventLog } from './eventLog.js';
 import { getHeader, type HeaderNames } from './headers.js';
-import { HttpConnection, openSocket } from './httpConnection.js';
+import { CONNECT_TIMEOUT_MS } from './instanceClient.js';
 import { startInactivityTimer } from './inactivityTimer.js';
 import type { LocalInstance } from './localInstance.js';
 
-/** The instance is on this host, so a connection that takes longer is not being accepted. */
-const CONNECT_TIMEOUT_MS = 400;
-
 /** Maximum time without data; a health check may wait for a slot of the instance. */
 const RESPONSE_TIMEOUT_MS = 1000;
 
@@ -45,27 +43,19 @@
     const path = getHealthPath();
     if (state.kind !== 'unverified' || path === undefined || this.isAsking) return;
     this.isAsking = true;
-    const { instanceId, startedAtMs } = state.heartbeat;
-    const answer = await this.ask(path, instanceId);
+    const { heartbeat } = state;
+    const answer = await this.ask(path, heartbeat.instanceId);
     this.isAsking = false;
-    log.write('info', 'instance-asked', { instance: instanceId, path, answer });
-    const current = instance.getState();
-    const isSame =
-      current.kind === 'unverified' &&
-      current.heartbeat.instanceId === instanceId &&
-      current.heartbeat.startedAtMs === startedAtMs;
-    if (answer !== 'present' || !isSame) return;
-    instance.recordVerified();
-    onVerified();
+    log.write('info', 'instance-asked', { instance: heartbeat.instanceId, path, answer });
+    if (answer === 'present' && instance.recordVerified(heartbeat)) onVerified();
   }
 
   /** Returns `present`, or why it is not known whether the instance has left. */
   private async ask(path: string, instanceId: InstanceId): Promise<string> {
     const { getAddress, names } = this.options;
     const address = getAddress();
-    const socket = await openSocket(address, CONNECT_TIMEOUT_MS);
-    if (typeof socket === 'string') return socket;
-    const connection = new HttpConnection(socket, () => {});
+    const connection = await new ConnectionPool(address).connect(CONNECT_TIMEOUT_MS);
+    if (typeof connection === 'string') return connection;
     const stopTimer = startInactivityTimer(connection, 0, RESPONSE_TIMEOUT_MS);
     const headers = ['Host', formatHostPort(address.host, address.port)];
     const request = { method: 'GET', path, headers, body: Buffer.alloc(0) };
--- a/src/mesh/localInstance.ts
+++ b/src/mesh/localInstance.ts
@@ -33,6 +33,16 @@
   readonly sequence: number;
 }
 
+/** What tells one start of an instance from others. */
+export type InstanceIdentity = Pick<Heartbeat, 'instanceId' | 'startedAtMs'>;
+
+export function isSameInstance(
+  one: InstanceIdentity,
+  other: InstanceIdentity | undefined,
+): boolean {
+  return one.instanceId === other?.instanceId && one.startedAtMs === other.startedAtMs;
+}
+
 /** A state with the latest heartbeat of the instance. */
 type StateWithHeartbeat = Extract<InstanceState, { heartbeat: Heartbeat }>;
 
@@ -41,19 +51,13 @@
 }
 
 /** Heartbeats of an unverified instance. */
-interface HeartbeatSeries {
-  readonly instanceId: InstanceId;
-  readonly startedAtMs: number;
+interface HeartbeatSeries extends InstanceIdentity {
   readonly count: number;
   readonly latestAtMs: number;
 }
 
 function hasSameIdentityAndSlots(before: Heartbeat, after: Heartbeat): boolean {
-  return (
-    before.instanceId === after.instanceId &&
-    before.startedAtMs === after.startedAtMs &&
-    before.slots === after.slots
-  );
+  return isSameInstance(before, after) && before.slots === after.slots;
 }
 
 /** Tracks the local instance. */
@@ -69,7 +73,7 @@
   private series: HeartbeatSeries | undefined;
 
   /** Latest instance that is known not to have left before this process started. */
-  private verified: Pick<Heartbeat, 'instanceId' | 'startedAtMs'> | undefined;
+  private verified: InstanceIdentity | undefined;
 
   private readonly leavingListeners: ((instanceId: InstanceId) => void)[] = [];
 
@@ -97,15 +101,17 @@
   /** Records that no earlier process of this node has known an instance. */
   recordFirstProcess(): void {
     this.verifiedFromMs = -Infinity;
-    this.recordVerified();
+    const { state } = this;
+    if (state.kind === 'unverified') this.recordVerified(state.heartbeat);
   }
 
-  /** Records that the unverified instance, if there is one, has not left. */
-  recordVerified(): void {
+  /** Records that an instance has not left. Returns true if it was unverified and is ready now. */
+  recordVerified(identity: InstanceIdentity): boolean {
     const { state } = this;
-    if (state.kind !== 'unverified') return;
-    this.verified = state.heartbeat;
+    if (state.kind !== 'unverified' || !isSameInstance(identity, state.heartbeat)) return false;
+    this.verified = identity;
     this.state = { kind: 'ready', heartbeat: state.heartbeat };
+    return true;
   }
 
   /**
@@ -179,12 +185,11 @@
   }
 
   /** Returns true when the instance of a heartbeat is known not to have left. */
-  private isVerified({ instanceId, startedAtMs }: Heartbeat, nowMs: number): boolean {
+  private isVerified(heartbeat: Heartbeat, nowMs: number): boolean {
+    const { instanceId, startedAtMs } = heartbeat;
     if (startedAtMs > this.verifiedFromMs) return true;
-    const isSame = (other: Pick<Heartbeat, 'instanceId' | 'startedAtMs'> | undefined) =>
-      other?.instanceId === instanceId && other.startedAtMs === startedAtMs;
-    if (isSame(this.verified)) return true;
-    const before = isSame(this.series) ? this.series : undefined;
+    if (isSameInstance(heartbeat, this.verified)) return true;
+    const before = isSameInstance(heartbeat, this.series) ? this.series : undefined;
     if (before && nowMs - before.latestAtMs < MIN_HEARTBEAT_GAP_MS) return false;
     const count = (before?.count ?? 0) + 1;
     this.series = { instanceId, startedAtMs, count, latestAtMs: nowMs };
--- a/src/mesh/localRunner.ts
+++ b/src/mesh/localRunner.ts
@@ -8,7 +8,7 @@
 import type { InstanceNotice } from './instanceNotice.js';
 import { LimitMonitor } from './limitMonitor.js';
 import type { LoopMonitor } from './loopMonitor.js';
-import type { LocalInstance } from './localInstance.js';
+import { isSameInstance, type InstanceIdentity, type LocalInstance } from './localInstance.js';
 import type {
   CallMetadata,
   Heartbeat,
@@ -20,7 +20,7 @@
 } from './model.js';
 import { getOriginProcess } from './peerMessages.js';
 import { RequestLimit } from './requestLimit.js';
-import { computeResponseLimitBytes, ResponseMemory } from './responseMemory.js';
+import type { ResponseMemory } from './responseMemory.js';
 import { RunTimes } from './runTimes.js';
 import type { Cancellation } from './signal.js';
 
@@ -51,8 +51,8 @@
   readonly onLeaving: (instanceId: InstanceId) => void;
   /** Called when a different instance responds at the address. */
   readonly onMismatch: (instanceId: InstanceId) => void;
-  /** Memory of this process, in MB; undefined for no bound on the responses that it reads. */
-  readonly memoryMb?: number;
+  /** Bounds the responses that are read at the same time; undefined for no bound. */
+  readonly memory?: ResponseMemory;
   /** Returns the expected time until the announced bodies have arrived, in milliseconds. */
   readonly getPendingTransferMs?: () => number;
 }
@@ -66,8 +66,6 @@
 
   private readonly limitMonitor: LimitMonitor;
 
-  private readonly memory: ResponseMemory | undefined;
-
   private client: InstanceClient;
 
   private clientAddress: PeerAddress;
@@ -82,7 +80,7 @@
   private isStartDeferred = false;
 
   /** Instance that the limit applies to. */
-  private limitedInstance: Pick<Heartbeat, 'instanceId' | 'startedAtMs'> | undefined;
+  private limitedInstance: InstanceIdentity | undefined;
 
   private expiryTimer: NodeJS.Timeout | undefined;
 
@@ -91,9 +89,6 @@
   constructor(private readonly options: RunnerOptions) {
     this.limitMonitor = new LimitMonitor(options.log);
     this.limit.reset(performance.now());
-    const { memoryMb } = options;
-    this.memory =
-      memoryMb === undefined ? undefined : new ResponseMemory(computeResponseLimitBytes(memoryMb));
     this.clientAddress = options.getAddress();
     this.client = this.createClient();
   }
@@ -194,16 +189,16 @@
   }
 
   /** Forgets the limit of an instance that was replaced or restarted. */
-  private checkReplacement({ instanceId, startedAtMs }: Heartbeat): void {
-    const current = this.limitedInstance;
-    if (current?.instanceId === instanceId && current.startedAtMs === startedAtMs) return;
-    this.limitedInstance = { instanceId, startedAtMs };
+  private checkReplacement(heartbeat: Heartbeat): void {
+    if (isSameInstance(heartbeat, this.limitedInstance)) return;
+    this.limitedInstance = heartbeat;
     this.limit.reset(performance.now());
   }
 
   private createClient(): InstanceClient {
+    const { names, memory } = this.options;
     const onNotice = (notice: InstanceNotice, id: InstanceId) => this.handleNotice(notice, id);
-    return new InstanceClient(this.clientAddress, this.options.names, onNotice, this.memory);
+    return new InstanceClient(this.clientAddress, names, onNotice, memory);
   }
 
   private handleNotice({ limit, isLeaving }: InstanceNotice, instanceId: InstanceId): void {
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -42,6 +42,7 @@
 import { OverloadThrottle } from './overloadThrottle.js';
 import { createPeerPort } from './peerPort.js';
 import { Publisher } from './publisher.js';
+import { computeResponseLimitBytes, ResponseMemory } from './responseMemory.js';
 import { RetryBudget } from './retryBudget.js';
 import { startRecordPruner } from './recordPruner.js';
 import { RevisionExchange } from './revisionExchange.js';
@@ -130,7 +131,7 @@
   const loop = new LoopMonitor();
   const transfers = new BodyTransfers(settings.linkMbps);
   const runner = new LocalRunner({
-    memoryMb: settings.memoryMb,
+    memory: new ResponseMemory(computeResponseLimitBytes(settings.memoryMb)),
     getPendingTransferMs: () => transfers.getPendingMs(),
     instance,
     loop,
--- a/src/mesh/primaryWatchers.ts
+++ b/src/mesh/primaryWatchers.ts
@@ -21,7 +21,7 @@
 
 /**
  * Time by which the wait of primary watchers is shorter than the age at which their evidence is too
- * old. It covers a slow response, and the interval at which other nodes ask for that evidence.
+ * old. It covers a slow response, and the time that other nodes take to ask for that evidence.
  */
 const PRIMARY_RESERVE_MS = 800;
 
--- a/standins/mesh/meshFleet.ts
+++ b/standins/mesh/meshFleet.ts
@@ -59,7 +59,7 @@
   readonly log?: EventLog;
   /** Bandwidth of the link of the host; applied to the bytes from the store. */
   readonly linkMbps?: number;
-  /** Proxy through which this host alone reaches the store. */
+  /** True when the host reaches the store through a proxy of its own. */
   readonly hasOwnProxy?: boolean;
 }
 
