Start node processes of two more tests from the shared set-up

The set-up stood in test/mesh/heldUpCalls and test/mesh/unreadDepartures too; steps and assertions are the same.

--- a/test/mesh/heldUpCalls.test.ts
+++ b/test/mesh/heldUpCalls.test.ts
@@ -1,25 +1,24 @@
 /** Calls between nodes that are held up on their way, and whose callers leave meanwhile. */
 import assert from 'node:assert/strict';
-import { mkdtemp, rm } from 'node:fs/promises';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
 import { test } from 'node:test';
-import { CONFIG_KIND, CONFIG_NAME, HEADER_NAMES } from '../../platform/names.js';
+import { HEADER_NAMES } from '../../platform/names.js';
 import type { CallMetadata } from '../../src/mesh/model.js';
 import { PeerCalls, type PeerReport } from '../../src/mesh/peerCalls.js';
 import { createPeerPort } from '../../src/mesh/peerPort.js';
 import { Cancellation } from '../../src/mesh/signal.js';
 import { brandText } from '../../src/types/ids.js';
 import { closeServer, openServer } from '../../standins/http.js';
-import { findFreePorts } from '../../standins/launcher/ports.js';
-import { buildConfiguration } from '../../standins/mesh/configuration.js';
 import { HeldLink } from '../../standins/mesh/heldLink.js';
 import { InstanceServer, type InstanceRun } from '../../standins/mesh/instanceServer.js';
 import { wait } from '../../standins/mesh/meshFleet.js';
-import { startNodeProcess, writeSettings } from '../../standins/mesh/nodeProcess.js';
-import { StoreServer } from '../../standins/mesh/storeServer.js';
+import { startNodeProcess } from '../../standins/mesh/nodeProcess.js';
 import { createRunner, NO_REVISIONS, PEER_PORT_PARTS } from './peerPortParts.js';
-import { announceInstance, waitUntilReady } from './nodeProcessParts.js';
+import {
+  announceInstance,
+  waitUntilReady,
+  withSetup,
+  type ProcessSetup,
+} from './nodeProcessParts.js';
 
 const HOST = '127.0.0.1';
 const INSTANCE_ID = 'i-1';
@@ -122,40 +121,27 @@
 }
 
 /** Runs a function in a setup with a node process, its instance and a sender. */
-async function withNodeProcess(
+function withNodeProcess(
   run: (setup: Omit<Setup, 'link'>, pid: number) => Promise<void>,
 ): Promise<void> {
-  const store = new StoreServer();
-  const instance = new InstanceServer(INSTANCE_ID);
-  const options = {
-    folder: await mkdtemp(join(tmpdir(), 'lycheelane-')),
-    name: 'sidecar-a-1',
-    dataCentre: 'a',
-    service: 'pads',
-    storePort: await store.listen(),
-    instancePort: await instance.listen(),
-    ports: await findFreePorts(HOST, 4),
+  const runInSetup = async ({ options, instance }: ProcessSetup): Promise<void> => {
+    const node = startNodeProcess(options);
+    const [, peers = 0, ready = 0, control = 0] = options.ports;
+    const calls = new PeerCalls({ host: HOST, port: peers }, NO_REVISIONS);
+    try {
+      await waitUntilReady(ready);
+      await announceInstance(control, options.instancePort, 4);
+      const processId = /event=started .*process=(\S+)/.exec(node.getOutput())?.[1] ?? '';
+      const send = createSend(calls, processId);
+      await sendUnheldCalls(send, 'before');
+      await run({ instance, send }, node.process.pid!);
+    } finally {
+      calls.close();
+      node.process.kill('SIGKILL');
+      await node.exited;
+    }
   };
-  await writeSettings(options);
-  store.put(CONFIG_KIND, CONFIG_NAME, buildConfiguration(1, [{ prefix: '/' }]));
-  const node = startNodeProcess(options);
-  const [, peers = 0, ready = 0, control = 0] = options.ports;
-  const calls = new PeerCalls({ host: HOST, port: peers }, NO_REVISIONS);
-  try {
-    await waitUntilReady(ready);
-    await announceInstance(control, options.instancePort, 4);
-    const processId = /event=started .*process=(\S+)/.exec(node.getOutput())?.[1] ?? '';
-    const send = createSend(calls, processId);
-    await sendUnheldCalls(send, 'before');
-    await run({ instance, send }, node.process.pid!);
-  } finally {
-    calls.close();
-    node.process.kill('SIGKILL');
-    await node.exited;
-    await instance.close();
-    await store.close();
-    await rm(options.folder, { recursive: true });
-  }
+  return withSetup(runInSetup, [{ prefix: '/' }]);
 }
 
 function findHeldRun(instance: InstanceServer): InstanceRun | undefined {
--- a/test/mesh/nodeProcessParts.ts
+++ b/test/mesh/nodeProcessParts.ts
@@ -5,7 +5,7 @@
 import { join } from 'node:path';
 import { CONFIG_KIND, CONFIG_NAME } from '../../platform/names.js';
 import { findFreePorts } from '../../standins/launcher/ports.js';
-import { buildConfiguration } from '../../standins/mesh/configuration.js';
+import { buildConfiguration, type FleetRoute } from '../../standins/mesh/configuration.js';
 import { InstanceServer } from '../../standins/mesh/instanceServer.js';
 import { sendHttp, wait } from '../../standins/mesh/meshFleet.js';
 import { writeSettings, type NodeProcessOptions } from '../../standins/mesh/nodeProcess.js';
@@ -22,8 +22,11 @@
   readonly instance: InstanceServer;
 }
 
-/** Runs a function with the settings of a node, its store and its instance. */
-export async function withSetup(run: (setup: ProcessSetup) => Promise<void>): Promise<void> {
+/** Runs a function with the settings of a node, its store with these routes, and its instance. */
+export async function withSetup(
+  run: (setup: ProcessSetup) => Promise<void>,
+  routes: readonly FleetRoute[] = [{ prefix: '/read/' }],
+): Promise<void> {
   const store = new StoreServer();
   const instance = new InstanceServer('i-1');
   const options: NodeProcessOptions = {
@@ -33,10 +36,10 @@
     service: 'pads',
     storePort: await store.listen(),
     instancePort: await instance.listen(),
-    ports: await findFreePorts('127.0.0.1', 4),
+    ports: await findFreePorts(HOST, 4),
   };
   await writeSettings(options);
-  store.put(CONFIG_KIND, CONFIG_NAME, buildConfiguration(1, [{ prefix: '/read/' }]));
+  store.put(CONFIG_KIND, CONFIG_NAME, buildConfiguration(1, routes));
   try {
     await run({ options, store, instance });
   } finally {
--- a/test/mesh/unreadDepartures.test.ts
+++ b/test/mesh/unreadDepartures.test.ts
@@ -1,22 +1,19 @@
 /** Callers that leave while the process of a node does not run: their end is read late. */
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
-import { mkdtemp, rm } from 'node:fs/promises';
 import { connect, type Socket } from 'node:net';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
 import { test } from 'node:test';
-import { CONFIG_KIND, CONFIG_NAME } from '../../platform/names.js';
-import { findFreePorts } from '../../standins/launcher/ports.js';
-import { buildConfiguration } from '../../standins/mesh/configuration.js';
-import { InstanceServer, type InstanceRun } from '../../standins/mesh/instanceServer.js';
+import type { InstanceRun, InstanceServer } from '../../standins/mesh/instanceServer.js';
 import { sendHttp, wait } from '../../standins/mesh/meshFleet.js';
-import { startNodeProcess, writeSettings } from '../../standins/mesh/nodeProcess.js';
-import { StoreServer } from '../../standins/mesh/storeServer.js';
-import { announceInstance, waitUntilReady } from './nodeProcessParts.js';
+import { startNodeProcess } from '../../standins/mesh/nodeProcess.js';
+import {
+  announceInstance,
+  waitUntilReady,
+  withSetup,
+  type ProcessSetup,
+} from './nodeProcessParts.js';
 
 const HOST = '127.0.0.1';
-const INSTANCE_ID = 'i-1';
 const UNREAD_CALL = 'unread';
 const DEADLINE_MS = 4000;
 const ROUTE_TIMES = { timeoutMs: 5000, objectiveMs: 3000 };
@@ -51,41 +48,27 @@
   throw new Error('the node did not serve');
 }
 
-async function withNode(kind: 'safe' | 'unsafe', run: (setup: Setup) => Promise<void>) {
-  const store = new StoreServer();
-  const instance = new InstanceServer(INSTANCE_ID);
-  instance.executionTimeMs = EXECUTION_MS;
-  const options = {
-    folder: await mkdtemp(join(tmpdir(), 'lycheelane-')),
-    name: 'sidecar-a-1',
-    dataCentre: 'a',
-    service: 'pads',
-    storePort: await store.listen(),
-    instancePort: await instance.listen(),
-    ports: await findFreePorts(HOST, 4),
+function withNode(kind: 'safe' | 'unsafe', run: (setup: Setup) => Promise<void>): Promise<void> {
+  const runInSetup = async ({ options, instance }: ProcessSetup): Promise<void> => {
+    Object.assign(instance, { executionTimeMs: EXECUTION_MS });
+    const node = startNodeProcess(options);
+    const [callPort = 0, , ready = 0, control = 0] = options.ports;
+    try {
+      await waitUntilReady(ready);
+      await announceInstance(control, options.instancePort, 1);
+      await waitUntilServed(callPort);
+      await run({
+        instance,
+        callPort,
+        block: () => node.process.kill('SIGSTOP'),
+        unblock: () => node.process.kill('SIGCONT'),
+      });
+    } finally {
+      node.process.kill('SIGKILL');
+      await node.exited;
+    }
   };
-  await writeSettings(options);
-  const routes = [{ prefix: '/', service: 'pads', kind, ...ROUTE_TIMES }];
-  store.put(CONFIG_KIND, CONFIG_NAME, buildConfiguration(1, routes));
-  const node = startNodeProcess(options);
-  const [callPort = 0, , ready = 0, control = 0] = options.ports;
-  try {
-    await waitUntilReady(ready);
-    await announceInstance(control, options.instancePort, 1);
-    await waitUntilServed(callPort);
-    await run({
-      instance,
-      callPort,
-      block: () => node.process.kill('SIGSTOP'),
-      unblock: () => node.process.kill('SIGCONT'),
-    });
-  } finally {
-    node.process.kill('SIGKILL');
-    await node.exited;
-    await instance.close();
-    await store.close();
-    await rm(options.folder, { recursive: true });
-  }
+  return withSetup(runInSetup, [{ prefix: '/', service: 'pads', kind, ...ROUTE_TIMES }]);
 }
 
 function formatRequest(id: string): string {
