Pass on decoded records only, and survive a message that cannot be answered

One nested object among the records of the nodes ended both sources of a data centre.

Cause: a source kept the values of the store as they were and passed them on; JSON.stringify overflows the stack where JSON.parse does not, and nothing handled the error of an answer to another node.

Change: NodeListener returns what it has applied, with the known fields; a record that is not usable has been removed to the followers. An error in PeerPort ends its message and is logged.

--- a/src/mesh/deflatedJson.ts
+++ b/src/mesh/deflatedJson.ts
@@ -13,11 +13,16 @@
 /** Bodies by the value that they are for; most requests after a change get the same one. */
 const encodedValues = new WeakMap<object, Promise<Buffer>>();
 
+/** Rejects when the value cannot be encoded, as when it is nested too deeply. */
+async function encode(value: object): Promise<Buffer> {
+  return deflate(JSON.stringify(value));
+}
+
 /** Encodes a value as the body of a response; once for all values with the same `key`. */
 export function encodeDeflated(value: object, key: object = value): Promise<Buffer> {
   const known = encodedValues.get(key);
   if (known) return known;
-  const encoded = deflate(JSON.stringify(value));
+  const encoded = encode(value);
   encodedValues.set(key, encoded);
   return encoded;
 }
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -242,6 +242,7 @@
     changeAnswers: { configAnswers, nodeAnswers },
     detector,
     loop,
+    log,
     monitor: new CallMonitor({ metrics, log, getLagMs: () => loop.getLagMs() }),
   });
   const announcementPort = createAnnouncementPort({
@@ -342,14 +343,8 @@
     getWaitMs: () => chooseWaitMs(nodesFollower),
     getPauseMs: () => chooseChangePauseMs(directory.countNodes(), nodesFollower.getRole().kind),
     listener: {
-      applyList(list) {
-        nodeHistory.applyList(list);
-        nodes.applyList(list);
-      },
-      applyEvent(event) {
-        nodeHistory.applyEvent(event);
-        nodes.applyEvent(event);
-      },
+      applyList: (list) => nodeHistory.applyList(nodes.applyList(list)),
+      applyEvent: (event) => nodeHistory.applyEvent(nodes.applyEvent(event)),
     },
     position: positions.nodes,
     contact: contacts.nodes,
--- a/src/mesh/nodeListener.ts
+++ b/src/mesh/nodeListener.ts
@@ -35,9 +35,15 @@
     return this.isListReceived;
   }
 
-  applyList({ objects, revision }: StoreList): void {
+  /** Applies a list; returns it with the usable records only, in the form for other nodes. */
+  applyList(list: StoreList): StoreList {
     const { ownId, directory, publisher, onFirstProcess } = this.options;
-    const usable = objects.filter((object) => this.applyNode(object));
+    const { objects, revision } = list;
+    const usable: StoredObject[] = [];
+    for (const object of objects) {
+      const applied = this.applyNode(object);
+      if (applied) usable.push(applied);
+    }
     const listed = new Set(usable.map(({ name }) => brandText<NodeId>(name)));
     const isOwnListed = objects.some(({ name }) => name === ownId);
     if (!isOwnListed) publisher.recordStoredState(revision, undefined);
@@ -45,18 +51,27 @@
     listed.add(ownId);
     directory.markUnlistedExcept(listed, performance.now());
     this.isListReceived = true;
+    return { ...list, objects: usable };
   }
 
-  applyEvent(event: StoreEvent): void {
+  /**
+   * Applies an event; returns it in the form for other nodes. To them, a record that is not usable
+   * has been removed.
+   */
+  applyEvent(event: StoreEvent): StoreEvent {
     const { ownId, publisher } = this.options;
     switch (event.kind) {
-      case 'stored':
-        if (!this.applyNode(event.object)) this.markUnlisted(event.object.name);
-        break;
+      case 'stored': {
+        const { name, revision } = event.object;
+        const applied = this.applyNode(event.object);
+        if (applied) return { kind: 'stored', object: applied };
+        this.markUnlisted(name);
+        return { kind: 'removed', name, revision };
+      }
       case 'removed':
         if (event.name === ownId) publisher.recordStoredState(event.revision, undefined);
         this.markUnlisted(event.name);
-        break;
+        return event;
       default:
         throw new Error(`unknown event ${JSON.stringify(event satisfies never)}`);
     }
@@ -67,8 +82,8 @@
     if (name !== ownId) directory.markUnlisted(brandText<NodeId>(name), performance.now());
   }
 
-  /** Applies a record; returns false if it is not usable. */
-  private applyNode({ name, revision, value }: StoredObject): boolean {
+  /** Applies a record; returns it with the known fields only, undefined if it is not usable. */
+  private applyNode({ name, revision, value }: StoredObject): StoredObject | undefined {
     const { ownId, instance, publisher, directory } = this.options;
     const decoded = decodePublishedNode(name, value);
     const isOwn = name === ownId;
@@ -80,9 +95,9 @@
     if (decoded.isErr()) {
       const { step, message } = decoded.error;
       this.invalidObjects.record(name, step, message, revision);
-      return false;
+      return undefined;
     }
     if (!isOwn) directory.update(decoded.value.record, revision);
-    return true;
+    return { name, revision, value: decoded.value };
   }
 }
--- a/src/mesh/peerPort.ts
+++ b/src/mesh/peerPort.ts
@@ -5,8 +5,10 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { toStepError } from '../errors.js';
 import type { CallMonitor } from './callMonitor.js';
 import { answerChangeRequest, type ChangeAnswers, type ChangeReply } from './changeRequests.js';
+import type { EventLog } from './eventLog.js';
 import { filterHeaders, getHeader, type HeaderNames } from './headers.js';
 import type { BodyTransfers, TransferTurn } from './bodyTransfers.js';
 import { wasReset } from './httpConnection.js';
@@ -73,6 +75,7 @@
   readonly changeAnswers: ChangeAnswers;
   readonly monitor: CallMonitor;
   readonly loop: Pick<LoopMonitor, 'waitForArrivals'>;
+  readonly log: EventLog;
   readonly detector?: SuspensionDetector;
 }
 
@@ -122,7 +125,7 @@
 
 /** Creates the server of the port; the caller binds it. */
 export function createPeerPort(options: PeerPortOptions): Server {
-  const { runner, transfers, processId, names, seen, changeAnswers, monitor, loop } = options;
+  const { runner, transfers, processId, names, seen, changeAnswers, monitor, loop, log } = options;
   const { detector = new SuspensionDetector() } = options;
   const runs = new Map<string, Run>();
   /** Connections that the other node has closed in order. */
@@ -286,8 +289,17 @@
     });
   };
 
+  /** Ends a message that cannot be answered, whose sender then gets no response. */
+  const serveOrEnd = (arrival: Arrival): void => {
+    serve(arrival).catch((thrown: unknown) => {
+      const { step, peer, message } = toStepError(thrown, 'peers.serve', 'peer');
+      log.write('error', 'peer-message-crashed', { step, peer, reason: message });
+      arrival.response.destroy();
+    });
+  };
+
   const server = createServer({ keepAlive: true, noDelay: true }, (message, response) => {
-    void serve({ message, response, isAnnounced: false });
+    serveOrEnd({ message, response, isAnnounced: false });
   });
   server.on('connection', (socket: Socket) => {
     socket.once('end', () => {
@@ -295,7 +307,7 @@
     });
   });
   server.on('checkContinue', (message: IncomingMessage, response: ServerResponse) => {
-    void serve({ message, response, isAnnounced: true });
+    serveOrEnd({ message, response, isAnnounced: true });
   });
   server.keepAliveTimeout = IDLE_TIMEOUT_MS;
   server.requestTimeout = 0;
--- a/test/mesh/followers.test.ts
+++ b/test/mesh/followers.test.ts
@@ -14,6 +14,7 @@
   wait,
   type FleetHost,
 } from '../../standins/mesh/meshFleet.js';
+import { formatNested } from '../../standins/mesh/oddValues.js';
 import { ROUTES } from './withFleet.js';
 
 const HOST_COUNT = 12;
@@ -40,6 +41,9 @@
 
 const KINDS = 2;
 
+/** Depth that a parser takes and an encoder does not. */
+const NESTED_DEPTH = 10_000;
+
 interface LargeFleet {
   readonly fleet: MeshFleet;
   readonly sources: readonly FleetHost[];
@@ -189,6 +193,21 @@
   });
 });
 
+test('a record that is nested too deeply does not end the sources that pass it on', async () => {
+  await withLargeFleet(async ({ fleet, followers }) => {
+    fleet.store.put(NODE_KIND, 'odd', formatNested(NESTED_DEPTH));
+    await wait(SETTLE_MS / 2);
+    const joined = await fleet.addHost('books');
+    await fleet.waitForRecords();
+    fleet.configure(2, [...ROUTES, { prefix: '/books/', service: 'books' }]);
+    await wait(SETTLE_MS);
+    const id = joined.settings.nodeId;
+    const ask = (host: FleetHost, index: number) =>
+      sendToHost(host, { path: '/books/', id: `${id}-${index}` });
+    for (const { status } of await Promise.all(followers.map(ask))) assert.equal(status, 200);
+  });
+});
+
 test('a slow store is asked by few hosts, and read whole by fewer', async () => {
   await withLargeFleet(async ({ fleet, followers }) => {
     fleet.store.setFault({ kind: 'slow', delayMs: SLOW_MS });
--- a/test/mesh/peerPortParts.ts
+++ b/test/mesh/peerPortParts.ts
@@ -33,6 +33,7 @@
   },
   monitor: SILENT_MONITOR,
   loop: CALM_LOOP,
+  log: SILENT_LOG,
 };
 
 /** Creates the runner of the instance `i-1`, which has one slot. */
