Bound the request bodies that a process holds

Three uploads of 60 MiB at the same time, each within the limits, took the process of a host over its memory, and the platform killed it.

Cause: a body was held three times, and nothing bounded the sum of the bodies.

Change: RequestMemory counts the bodies that are read and held. Over a quarter of the memory of the process the largest one that is still being read is given up: 503 with Retry-After, not run. A body of a known length is copied once; a large one is written behind its head without a copy.

--- a/src/mesh/callPort.ts
+++ b/src/mesh/callPort.ts
@@ -13,6 +13,7 @@
 import { NODE_HEADERS } from './peerMessages.js';
 import { readBody } from './readBody.js';
 import { RequestAges } from './requestAges.js';
+import type { HeldRequestBody, RequestMemory } from './requestMemory.js';
 import type { Cancellation } from './signal.js';
 import { matchRoute } from './targets.js';
 
@@ -25,11 +26,15 @@
 /** Retry time while this process starts or stops, in milliseconds. */
 const NOT_SERVING_RETRY_MS = 500;
 
+/** Retry time of a request whose body was given up for others, in milliseconds. */
+const NO_MEMORY_RETRY_MS = 1000;
+
 export interface CallPortOptions {
   readonly getSettings: () => MeshSettings;
   readonly getConfig: () => MeshConfig | undefined;
   readonly router: CallRouter;
   readonly loop: Pick<LoopMonitor, 'waitForArrivals'>;
+  readonly memory: RequestMemory;
   readonly names: HeaderNames;
   readonly log: EventLog;
   readonly metrics: MeshMetrics;
@@ -151,6 +156,7 @@
     message: IncomingMessage,
     response: ServerResponse,
     cancellation: Cancellation,
+    held: HeldRequestBody,
   ): Promise<void> => {
     const startedAtMs = performance.now();
     const { rawHeaders } = message;
@@ -176,9 +182,10 @@
       writeRefusal(404);
       return;
     }
-    const body = await readBody(message, config.limits.maxBodyBytes);
+    const body = await readBody(message, config.limits.maxBodyBytes, held);
     if (typeof body === 'string') {
       if (body === 'too-large') writeRefusal(413);
+      if (body === 'no-memory') writeRefusal(503, NO_MEMORY_RETRY_MS);
       return;
     }
     const headers = filterHeaders(rawHeaders, strippedRequestHeaders);
@@ -211,7 +218,9 @@
   const server = createServer(
     { keepAlive: true, noDelay: true, maxHeaderSize: MAX_HEAD_BYTES },
     (message, response) => {
-      void serve(message, response, openRequests.add(message.socket, response));
+      const held = options.memory.open();
+      const served = serve(message, response, openRequests.add(message.socket, response), held);
+      void served.finally(() => held.release());
     },
   );
   server.requestTimeout = 0;
--- a/src/mesh/httpConnection.ts
+++ b/src/mesh/httpConnection.ts
@@ -77,6 +77,9 @@
 
 const CONTINUE_STATUS = 100;
 
+/** Size up to which a body is copied behind the head of its request. */
+const MAX_JOINED_BODY_BYTES = 16 * 1024;
+
 /** Encodes the head of a request; a body is always sent with `Content-Length`. */
 function encodeHead(request: HttpRequest): Buffer {
   let head = `${request.method} ${request.path} HTTP/1.1\r\n`;
@@ -202,7 +205,8 @@
       const unsentBody = options.isAnnounced ? request.body : undefined;
       const isHead = request.method === 'HEAD';
       this.pending = { ...options, isHead, isMatching, resolve, unsentBody };
-      this.socket.write(unsentBody ? encodeAnnouncement(request) : encodeRequest(request));
+      if (unsentBody) this.socket.write(encodeAnnouncement(request));
+      else this.writeRequest(request);
     });
   }
 
@@ -220,6 +224,18 @@
     this.fail(reason, this.countUnsentBytes() === 0);
   }
 
+  /** Writes a request; a large body is not copied behind its head. */
+  private writeRequest(request: HttpRequest): void {
+    if (request.body.length <= MAX_JOINED_BODY_BYTES) {
+      this.socket.write(encodeRequest(request));
+      return;
+    }
+    this.socket.cork();
+    this.socket.write(encodeHead(request));
+    this.socket.write(request.body);
+    this.socket.uncork();
+  }
+
   private installParser(): void {
     const { parser } = this;
     parser[HTTPParser.kOnHeadersComplete] = ((info: ResponseHead) =>
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -42,6 +42,7 @@
 import { OverloadThrottle } from './overloadThrottle.js';
 import { createPeerPort } from './peerPort.js';
 import { Publisher } from './publisher.js';
+import { computeRequestLimitBytes, RequestMemory } from './requestMemory.js';
 import { computeResponseLimitBytes, ResponseMemory } from './responseMemory.js';
 import { RetryBudget } from './retryBudget.js';
 import { startRecordPruner } from './recordPruner.js';
@@ -145,6 +146,7 @@
       void publisher.sync();
     },
   });
+  const requestMemory = new RequestMemory(computeRequestLimitBytes(settings.memoryMb));
   const overloadThrottle = new OverloadThrottle();
   const router = new CallRouter({
     getSettings,
@@ -192,6 +194,7 @@
     getSettings,
     getConfig,
     router,
+    memory: requestMemory,
     names,
     log,
     metrics,
@@ -243,6 +246,7 @@
     detector,
     loop,
     log,
+    memory: requestMemory,
     monitor: new CallMonitor({ metrics, log, getLagMs: () => loop.getLagMs() }),
   });
   const announcementPort = createAnnouncementPort({
--- a/src/mesh/peerPort.ts
+++ b/src/mesh/peerPort.ts
@@ -13,7 +13,7 @@
 import type { BodyTransfers, TransferTurn } from './bodyTransfers.js';
 import { wasReset } from './httpConnection.js';
 import { buildRefusal } from './instanceClient.js';
-import { readBody } from './readBody.js';
+import { readBody, type BodyError } from './readBody.js';
 import type { LocalRunner } from './localRunner.js';
 import type { LoopMonitor } from './loopMonitor.js';
 import type { HttpRequest, RunReport, RunResult } from './model.js';
@@ -27,6 +27,7 @@
   SEEN_HEADER,
 } from './peerMessages.js';
 import { readReceivedCall, type ReceivedCall } from './receivedCall.js';
+import type { HeldRequestBody, RequestMemory } from './requestMemory.js';
 import type { RevisionExchange } from './revisionExchange.js';
 import type { RunTrace } from './runTrace.js';
 import { Cancellation } from './signal.js';
@@ -35,7 +36,7 @@
 /** Time for which a run continues after its connection failed, unless the call is resumed. */
 const RESUME_TIMEOUT_MS = 300;
 
-/** Retry time of a call that was held up on its way, in milliseconds. */
+/** Retry time of a call that was held up on its way or given up, in milliseconds. */
 const DELAYED_RETRY_MS = 300;
 
 /** Time after the deadline of a call for which its run is retained. */
@@ -76,6 +77,7 @@
   readonly monitor: CallMonitor;
   readonly loop: Pick<LoopMonitor, 'waitForArrivals'>;
   readonly log: EventLog;
+  readonly memory: RequestMemory;
   readonly detector?: SuspensionDetector;
 }
 
@@ -99,6 +101,12 @@
   response.end(body);
 }
 
+function buildBodyRefusal(error: BodyError): RunResult {
+  return error === 'no-memory'
+    ? buildRefusal('overloaded', false, DELAYED_RETRY_MS)
+    : buildRefusal('unreachable', false);
+}
+
 function addTransit(report: RunReport, transitMs: number | undefined): RunReport {
   const { timing } = report;
   return timing && transitMs !== undefined
@@ -125,7 +133,8 @@
 
 /** Creates the server of the port; the caller binds it. */
 export function createPeerPort(options: PeerPortOptions): Server {
-  const { runner, transfers, processId, names, seen, changeAnswers, monitor, loop, log } = options;
+  const { runner, transfers, processId, names, seen, changeAnswers, monitor, loop, log, memory } =
+    options;
   const { detector = new SuspensionDetector() } = options;
   const runs = new Map<string, Run>();
   /** Connections that the other node has closed in order. */
@@ -199,13 +208,14 @@
     call: ReceivedCall,
     cancellation: Cancellation,
     onStart: () => void,
+    held: HeldRequestBody,
   ): Promise<RunReport> => {
     const buildReport = (result: RunResult) => ({ result, load: runner.getLoad() });
     const turn = isAnnounced ? await awaitTurn(message, response, call, cancellation) : undefined;
     if (turn?.kind === 'refused') return buildReport(turn.result);
-    const body = await readBody(message, MAX_BODY_BYTES);
+    const body = await readBody(message, MAX_BODY_BYTES, held);
     turn?.end();
-    if (typeof body === 'string') return buildReport(buildRefusal('unreachable', false));
+    if (typeof body === 'string') return buildReport(buildBodyRefusal(body));
     await loop.waitForArrivals();
     if (cancellation.isCancelled()) return buildReport(buildRefusal('cancelled', false));
     const request: HttpRequest = {
@@ -223,7 +233,11 @@
     if (existing) return existing;
     if (resumedProcessId === undefined) {
       return ageRefusal === undefined
-        ? addRun(call, (cancellation, onStart) => receive(arrival, call, cancellation, onStart))
+        ? addRun(call, (cancellation, onStart) => {
+            const held = memory.open();
+            const received = receive(arrival, call, cancellation, onStart, held);
+            return received.finally(() => held.release());
+          })
         : addResult(call, buildRefusal(ageRefusal, false, DELAYED_RETRY_MS));
     }
     // Only the process that the call was first sent to can tell that it did not arrive. The refusal
--- a/standins/mesh/configuration.ts
+++ b/standins/mesh/configuration.ts
@@ -32,7 +32,11 @@
 }
 
 /** Builds the value of the `config/main` object. */
-export function buildConfiguration(version: number, routes: readonly FleetRoute[]): object {
+export function buildConfiguration(
+  version: number,
+  routes: readonly FleetRoute[],
+  maxBodyBytes = LIMITS_SPEC.MaxBodyBytes,
+): object {
   const services = new Set(routes.flatMap(listServices));
   return {
     Version: version.toString(16).padStart(8, '0'),
@@ -61,7 +65,7 @@
       {
         EntryKind: 'Limits',
         Metadata: {},
-        Spec: LIMITS_SPEC,
+        Spec: { ...LIMITS_SPEC, MaxBodyBytes: maxBodyBytes },
       },
     ],
   };
--- a/test/mesh/nodeProcessParts.ts
+++ b/test/mesh/nodeProcessParts.ts
@@ -1,6 +1,6 @@
 /** Steps that tests of a real node process share. */
 import assert from 'node:assert/strict';
-import { mkdtemp, rm } from 'node:fs/promises';
+import { mkdtemp, readFile, rm } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { CONFIG_KIND, CONFIG_NAME } from '../../platform/names.js';
@@ -12,6 +12,9 @@
 import { StoreServer } from '../../standins/mesh/storeServer.js';
 
 const HOST = '127.0.0.1';
+/** Memory of the smallest host on the users' pages, in MB. */
+export const MEMORY_LIMIT_MB = 250;
+
 const POLL_INTERVAL_MS = 30;
 const MAX_POLLS = 500;
 
@@ -59,6 +62,12 @@
   throw new Error('the node was not ready within 15 s');
 }
 
+/** Returns the largest memory that a process has used, in MB. */
+export async function readPeakMb(pid: number): Promise<number> {
+  const status = await readFile(`/proc/${pid}/status`, 'utf8');
+  return Number(/VmHWM:\s+(\d+) kB/.exec(status)?.[1]) / 1024;
+}
+
 /** Announces the instance `i-1` of the service `pads` to the node of its host. */
 export async function announceInstance(
   announcementPort: number,
--- a/test/mesh/peerPortParts.ts
+++ b/test/mesh/peerPortParts.ts
@@ -7,6 +7,7 @@
 import { LocalRunner } from '../../src/mesh/localRunner.js';
 import { MeshMetrics } from '../../src/mesh/meshMetrics.js';
 import type { PeerPortOptions } from '../../src/mesh/peerPort.js';
+import { RequestMemory } from '../../src/mesh/requestMemory.js';
 import { RevisionExchange } from '../../src/mesh/revisionExchange.js';
 import { brandText } from '../../src/types/ids.js';
 
@@ -34,6 +35,7 @@
   monitor: SILENT_MONITOR,
   loop: CALM_LOOP,
   log: SILENT_LOG,
+  memory: new RequestMemory(1024 * 1024 * 1024),
 };
 
 /** Creates the runner of the instance `i-1`, which has one slot. */
