Keep followers with the nodes that replace their sources

What callers saw: a request on a route that had been added was refused with 404 at a host that the store served, 3.7 s after the change was confirmed (CONFIG).

On each follower went to the store by itself, and 17 hosts read 357 KB after each change over 5 Mbit/s.

Change: a follower asks the nodes that it follows for evidence; a node that replaces sources renews its watches as often as a primary watcher; sources that are still without the store are left again at once; a node that reads the store in place of its sources gets changes that are too large for its link from sources of other data centres too; the evidence of a follower may be 0.25 s older, so that its sources renew theirs first (without this, followers left sources for nodes that still followed them: 3.2 s in two of three runs of the half-open test, bound 3.0 s).

Evidence: test/mesh/followers, "followers stay with the hosts that replace sources without the store", fails on in two of three runs (a change in force after 2.9 s; 45 calls of at most 44) and passes in 6 of 6 now. Cost: no call in calm; two more questions between nodes where a follower reads the store.

--- a/src/mesh/changeFollower.ts
+++ b/src/mesh/changeFollower.ts
@@ -74,7 +74,7 @@
 export class ChangeFollower<Source extends SourceNode> {
   private readonly avoidedUntilMs = new Map<NodeId, number>();
 
-  /** Time since which a source says that it does not read the store. */
+  /** Sources that were without the store when they were last asked, and since when. */
   private readonly withoutStoreSinceMs = new Map<NodeId, number>();
 
   /** Source that gave the latest answer; undefined while the store is read. */
@@ -152,7 +152,7 @@
 
   private avoid(nodeId: NodeId, reason: LeaveReason): void {
     const { log, kind } = this.options;
-    this.withoutStoreSinceMs.delete(nodeId);
+    if (reason !== 'no store') this.withoutStoreSinceMs.delete(nodeId);
     this.avoidedUntilMs.set(nodeId, performance.now() + AVOID_MS);
     log.write('info', 'source-left', { step: 'changes.follow', peer: nodeId, kind, reason });
   }
--- a/src/mesh/configSources.ts
+++ b/src/mesh/configSources.ts
@@ -50,6 +50,15 @@
   return sorted.filter(({ nodeId }) => nodeId !== own.nodeId).slice(0, SOURCES_PER_DATA_CENTRE);
 }
 
+/** Returns the nodes with the fastest links in other data centres. */
+export function listRemoteSources<Node extends SourceNode>(
+  own: SourceNode,
+  nodes: readonly Node[],
+): readonly Node[] {
+  const remote = nodes.filter(({ dataCentre }) => dataCentre !== own.dataCentre);
+  return remote.sort(compareSources).slice(0, SOURCES_PER_DATA_CENTRE);
+}
+
 /**
  * Returns the nodes that a starting node asks for the whole version. Empty when no source has a
  * faster link, since none then reads the version from the store sooner than this node.
--- a/src/mesh/confirmations.ts
+++ b/src/mesh/confirmations.ts
@@ -25,6 +25,12 @@
 /** Part of the limit on silence in which a change is read on a new connection and applied. */
 const RENEWAL_RESERVE_MS = 700;
 
+/**
+ * Time by which the evidence of a follower may be older. Its sources renew theirs first, so that it
+ * does not leave them for nodes that still follow them.
+ */
+const FOLLOWER_GRACE_MS = 250;
+
 /** Lower bound of the age at which evidence is too old, for limits shorter than the reserve. */
 const MIN_UNCONFIRMED_MS = 500;
 
@@ -39,16 +45,22 @@
   /** Returns the nodes to ask; empty when this node is the one with the youngest evidence. */
   readonly listConfirmers: () => readonly Pick<PeerCalls, 'exchangeRevisions'>[];
   readonly getSilenceLimitMs: () => number;
+  /** Returns true while this node follows others, which renew their evidence at the same age. */
+  readonly isFollower: () => boolean;
 }
 
 /** Starts the checks; returns a function that stops them. */
 export function startConfirmations(options: ConfirmationOptions): () => void {
-  const { positions, listConfirmers, getSilenceLimitMs } = options;
+  const { positions, listConfirmers, getSilenceLimitMs, isFollower } = options;
   let askedAtMs = -Infinity;
   const check = () => {
     const nowMs = performance.now();
     const maxUnconfirmedMs = computeMaxUnconfirmedMs(getSilenceLimitMs());
-    for (const position of positions) position.interruptUnconfirmed(nowMs, maxUnconfirmedMs);
+    for (const position of positions) {
+      if (position.getUnconfirmedMs(nowMs) <= maxUnconfirmedMs) continue;
+      const graceMs = isFollower() ? FOLLOWER_GRACE_MS : 0;
+      position.interruptUnconfirmed(nowMs, maxUnconfirmedMs + graceMs);
+    }
     const askAfterMs = maxUnconfirmedMs - ASK_RESERVE_MS;
     const isAged = positions.some((position) => position.getUnconfirmedMs(nowMs) > askAfterMs);
     if (!isAged || nowMs - askedAtMs < ASK_INTERVAL_MS) return;
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -15,7 +15,12 @@
 import { ConfigFetcher } from './configFetcher.js';
 import { ConfigHistory } from './configHistory.js';
 import { ConfigHolder } from './configHolder.js';
-import { computeMaxResponseBytes, listConfigSources, listStartSources } from './configSources.js';
+import {
+  computeMaxResponseBytes,
+  listConfigSources,
+  listRemoteSources,
+  listStartSources,
+} from './configSources.js';
 import { computeMaxUnconfirmedMs, startConfirmations } from './confirmations.js';
 import { Directory } from './directory.js';
 import type { EventLog } from './eventLog.js';
@@ -299,7 +304,10 @@
     log,
     listSources: () => {
       const candidates = listResponding().map(toSourceNode);
-      return listConfigSources(getSettings(), candidates).map(({ calls }) => calls);
+      const sources = listConfigSources(getSettings(), candidates);
+      // A node that is no source itself reads the store when those of its data centre cannot.
+      const remote = sources.length > 0 ? listRemoteSources(getSettings(), candidates) : [];
+      return [...sources, ...remote].map(({ calls }) => calls);
     },
     listStartSources: () => {
       const candidates = nodes.hasReceivedList() ? listResponding().map(toSourceNode) : undefined;
@@ -357,11 +365,15 @@
   const stopConfirmations = startConfirmations({
     positions: [positions.config, positions.nodes],
     listConfirmers: () => {
-      const { kind } = nodesFollower.getRole();
-      const confirmers = listConfirmers(getSettings(), listResponding().map(toSourceNode), kind);
-      return confirmers.map(({ calls }) => calls);
+      const role = nodesFollower.getRole();
+      const nodesToAsk =
+        role.kind === 'follower'
+          ? role.sources
+          : listConfirmers(getSettings(), listResponding().map(toSourceNode));
+      return nodesToAsk.map(({ calls }) => calls);
     },
     getSilenceLimitMs: () => getSettings().silenceLimitMs,
+    isFollower: () => nodesFollower.getRole().kind === 'follower',
   });
   const recordPruner = startRecordPruner(directory, store, log);
   log.write('info', 'started', { service: settings.service, process: processId });
--- a/src/mesh/primaryWatchers.ts
+++ b/src/mesh/primaryWatchers.ts
@@ -25,6 +25,9 @@
  */
 const PRIMARY_RESERVE_MS = 800;
 
+/** Number of sources of a data centre unless some of them are without the store. */
+const SOURCES = 2;
+
 /** Shortest wait of primary watchers, which bounds their calls to the store. */
 const MIN_PRIMARY_WAIT_MS = 300;
 
@@ -71,26 +74,23 @@
   return primaryWatchers;
 }
 
-/** Number of nodes that a follower asks for evidence; either of its sources may have failed. */
-const CONFIRMERS_OF_FOLLOWER = 2;
+/** Number of nodes that a node asks for evidence. */
+const CONFIRMERS = 1;
 
 /**
- * Returns the nodes that a node asks for evidence that it has missed no change: the primary watcher
- * of its data centre, for a follower its second source as well, or else other primary watchers.
- * Empty for a primary watcher.
+ * Returns the nodes that a node that follows no others asks for evidence that it has missed no
+ * change: the primary watcher of its data centre, or else another one. Empty for a primary watcher.
  */
 export function listConfirmers<Node extends SourceNode>(
   own: SourceNode,
   nodes: readonly Node[],
-  role: WatchRole<unknown>['kind'],
 ): readonly Node[] {
   const primaryWatchers = listPrimaryWatchers(nodes);
   if (primaryWatchers.has(own.nodeId)) return [];
-  const count = role === 'follower' ? CONFIRMERS_OF_FOLLOWER : 1;
   const others = nodes.filter(({ nodeId }) => nodeId !== own.nodeId);
   const local = others.filter(({ dataCentre }) => dataCentre === own.dataCentre);
-  if (local.length > 0) return [...local].sort(compareWatchers).slice(0, count);
-  return others.filter(({ nodeId }) => primaryWatchers.has(nodeId)).slice(0, count);
+  if (local.length > 0) return [...local].sort(compareWatchers).slice(0, CONFIRMERS);
+  return others.filter(({ nodeId }) => primaryWatchers.has(nodeId)).slice(0, CONFIRMERS);
 }
 
 /** Returns the pause of a node after a change, in milliseconds; few nodes are sources. */
@@ -103,10 +103,17 @@
   return Math.min(max, Math.max(min, nodeCount * PAUSE_PER_NODE_MS));
 }
 
+/** Returns true when a source replaces others, whose evidence its followers would ask for. */
+function isReplacement(ownId: NodeId, nodes: readonly WatchingNode[]): boolean {
+  const own = nodes.find(({ nodeId }) => nodeId === ownId);
+  const local = nodes.filter(({ dataCentre }) => dataCentre === own?.dataCentre);
+  return [...local].sort(compareWatchers).findIndex((node) => node === own) >= SOURCES;
+}
+
 /**
  * Returns how long the next watch of a node waits in one call, in milliseconds. Primary watchers
- * renew their watches so often that their evidence is never older than `maxUnconfirmedMs`; the
- * others get theirs from them.
+ * renew their watches so often that their evidence is never older than `maxUnconfirmedMs`, and so
+ * do sources that replace others; the other nodes get theirs from them.
  */
 export function chooseWatchWaitMs(
   ownId: NodeId,
@@ -115,7 +122,8 @@
   maxUnconfirmedMs: number,
 ): number {
   const primaryWatchers = listPrimaryWatchers(nodes);
-  if (primaryWatchers.has(ownId) || primaryWatchers.size < MIN_PRIMARY_WATCHERS) {
+  const isPrimary = primaryWatchers.has(ownId) || primaryWatchers.size < MIN_PRIMARY_WATCHERS;
+  if (isPrimary || (role === 'source' && isReplacement(ownId, nodes))) {
     return Math.max(MIN_PRIMARY_WAIT_MS, maxUnconfirmedMs - PRIMARY_RESERVE_MS);
   }
   return role === 'independent' ? SECONDARY_WAIT_MS : SOURCE_WAIT_MS;
--- a/test/mesh/confirmations.test.ts
+++ b/test/mesh/confirmations.test.ts
@@ -42,6 +42,7 @@
       },
     ],
     getSilenceLimitMs: () => SILENCE_LIMIT_MS,
+    isFollower: () => false,
   });
   for (let passedMs = 0; passedMs < durationMs && interrupts.length === 0; passedMs += STEP_MS) {
     nowMs += STEP_MS;
--- a/test/mesh/followers.test.ts
+++ b/test/mesh/followers.test.ts
@@ -41,6 +41,10 @@
 
 const KINDS = 2;
 
+/** Hosts that read the store in place of two sources, and the interval of their calls. */
+const REPLACING_HOSTS = 2;
+const RENEWAL_MS = 1500;
+
 /** Depth that a parser takes and an encoder does not. */
 const NESTED_DEPTH = 10_000;
 
@@ -163,6 +167,25 @@
   });
 });
 
+test('followers stay with the hosts that replace sources without the store', async () => {
+  await withLargeFleet(async ({ fleet, sources, followers }) => {
+    for (const { link } of sources) await link!.close();
+    await wait(SETTLE_MS);
+    const calls = fleet.store.calls.length;
+    const startedAtMs = performance.now();
+    const changes = 4;
+    for (let index = 1; index <= changes; index += 1) {
+      configureRoute(fleet, index);
+      await assertApplied(followers, index);
+      await wait(SETTLE_MS / 2);
+    }
+    const laterCalls = fleet.store.calls.length - calls;
+    const renewals = Math.ceil((performance.now() - startedAtMs) / RENEWAL_MS);
+    const mostCalls = REPLACING_HOSTS * KINDS * (renewals + changes);
+    assert.ok(laterCalls <= mostCalls, `${laterCalls} calls, at most ${mostCalls}`);
+  });
+});
+
 test('a source that has lost the store gets the changes from the other one', async () => {
   await withLargeFleet(async ({ fleet, sources: [lost] }) => {
     await lost!.link!.close();
--- a/test/mesh/nodeAnswers.test.ts
+++ b/test/mesh/nodeAnswers.test.ts
@@ -170,6 +170,11 @@
   assert.ok(chooseChangePauseMs(195, 'source') < chooseChangePauseMs(195));
 });
 
+test('a source that replaces others renews its watches as often as a primary watcher', () => {
+  const choose = (own: SourceNode) => chooseWatchWaitMs(own.nodeId, LARGE, 'source', 2000);
+  assert.equal(choose(LARGE[5]!), choose(LARGE[0]!));
+});
+
 interface Asked {
   readonly follower: ChangeFollower<SourceNode>;
   readonly asked: string[];
@@ -245,4 +250,10 @@
   assert.deepEqual([...new Set(asked)].sort(), ['a-10', 'a-11', 'a-12', 'a-13']);
   const elapsedMs = performance.now() - startedAtMs;
   assert.ok(elapsedMs >= 2000, `${Math.round(elapsedMs)} ms`);
+  await wait(2000);
+  asked.length = 0;
+  await follower.follow(6, createInterruption());
+  assert.deepEqual(asked.slice().sort(), ['a-10', 'a-11'], 'they are asked again later');
+  assert.deepEqual(await follower.follow(6, createInterruption()), { kind: 'store' });
+  assert.equal(asked.length, 2, 'and left again at once');
 });
