Hand over a later version without the store

Cause: a follower takes answers only of a node that reads the store.

Change: only the answer that there is no later version needs a node that reads the store; a later version is handed over by whoever has it. A change that was too large and came from another node counts as a response of the store.

Evidence: test/mesh/configFetcher, "a node without the store hands over a later version, and confirms none". Cost: none; fewer calls and bytes.

--- a/src/mesh/configAnswers.ts
+++ b/src/mesh/configAnswers.ts
@@ -136,10 +136,11 @@
   private isDue(request: ConfigRequest): boolean {
     const { version, revision, canConfirm } = request;
     const { holder, position } = this.options;
+    const isInEra = this.isInEra(request);
+    const installedVersion = holder.get()?.version ?? NO_VERSION;
+    if (isInEra && installedVersion > version) return true;
     if (this.isOutdated(request)) return !this.options.contact.isPending();
-    if (!this.isInEra(request)) return false;
-    const installedVersion = holder.get()?.version ?? 0;
-    if (installedVersion > version) return true;
+    if (!isInEra) return false;
     return canConfirm && installedVersion === version && position.getSyncedRevision() > revision;
   }
 
@@ -171,11 +172,14 @@
     const { holder, history, position } = this.options;
     const revision = position.getSyncedRevision();
     if (!this.isInEra(request)) return { kind: 'unknown', revision };
-    if (this.isOutdated(request)) return { kind: 'unknown', revision, hasLostStore: true };
-    if (holder.get()?.version === version) return { kind: 'unchanged', revision };
+    const installedVersion = holder.get()?.version ?? NO_VERSION;
+    // A later version holds whoever has it; only its absence needs a node that reads the store.
+    if (installedVersion <= version && this.isOutdated(request)) {
+      return { kind: 'unknown', revision, hasLostStore: true };
+    }
+    if (installedVersion === version) return { kind: 'unchanged', revision };
     const delta = history.findChanges(version);
     if (delta) return { kind: 'changed', revision, delta };
-    const installedVersion = holder.get()?.version ?? NO_VERSION;
     if (installedVersion <= version) return { kind: 'unknown', revision };
     const whole = request.canBeWhole === true ? history.findWhole() : undefined;
     if (whole) return { kind: 'whole', revision, whole };
--- a/src/mesh/watchKind.ts
+++ b/src/mesh/watchKind.ts
@@ -258,6 +258,7 @@
         revision = await fetchChanges(options, revision, true);
       } else if (watched.error.kind === 'too-large') {
         revision = await fetchChanges(options, revision, false);
+        if (revision !== undefined) options.contact?.recordRead(performance.now());
       } else {
         await recordFailure(watched.error, startedAtMs);
       }
--- a/test/mesh/configFetcher.test.ts
+++ b/test/mesh/configFetcher.test.ts
@@ -86,6 +86,7 @@
 
 function createAnswers(installed: { version: number }) {
   const position = new KindPosition();
+  const contact = new StoreContact();
   const listeners: (() => void)[] = [];
   const answers = new ConfigAnswers({
     holder: {
@@ -97,9 +98,9 @@
       findWhole: () => WHOLE,
     },
     position,
-    contact: new StoreContact(),
+    contact,
   });
-  return { answers, position, install: () => listeners.forEach((listener) => listener()) };
+  return { answers, position, contact, install: () => listeners.forEach((listener) => listener()) };
 }
 
 test('an answer waits for a change, and for nothing else', async () => {
@@ -144,6 +145,23 @@
   }
 });
 
+test('a node without the store hands over a later version, and confirms none', async () => {
+  const installed = { version: 5 };
+  const { answers, position, contact, install } = createAnswers(installed);
+  position.recordSynced(30);
+  const request = { ...REQUEST, canConfirm: true, mustBeCurrent: true, waitMs: 1500 };
+  const changed = { kind: 'changed', revision: 30, delta: DELTA };
+  assert.deepEqual(await answers.answer(request), changed);
+  const lost = { kind: 'unknown', revision: 30, hasLostStore: true };
+  assert.deepEqual(await answers.answer({ ...request, version: brandVersion(5) }), lost);
+  installed.version = 4;
+  contact.recordCall();
+  const pending = answers.answer(request);
+  installed.version = 5;
+  install();
+  assert.deepEqual(await pending, changed, 'while its call to the store is under way');
+});
+
 test('a node that starts waits for a source that starts', async () => {
   const installed = { version: 0 };
   const { answers, position, install } = createAnswers(installed);
