--- a/src/mesh/configDelta.ts
+++ b/src/mesh/configDelta.ts
@@ -54,6 +54,7 @@
     before.objectiveMs === after.objectiveMs &&
     before.maxAttempts === after.maxAttempts &&
     before.priority === after.priority &&
+    before.allowsAnonymous === after.allowsAnonymous &&
     hasSameEntries(before.targets, after.targets, isSameTarget)
   );
 }
--- a/src/mesh/configGuards.ts
+++ b/src/mesh/configGuards.ts
@@ -21,7 +21,8 @@
     isDurationMs(route.timeoutMs) &&
     isDurationMs(route.objectiveMs) &&
     isAmount(route.maxAttempts) &&
-    isAmount(route.priority)
+    isAmount(route.priority) &&
+    (route.allowsAnonymous === undefined || typeof route.allowsAnonymous === 'boolean')
   );
 }
 
--- a/src/mesh/model.ts
+++ b/src/mesh/model.ts
@@ -4,14 +4,43 @@
 import type { SpillOverPolicy } from './instanceSelection.js';
 import type { RetryLimit } from './retryBudget.js';
 import type {
+  AccountName,
   ConfigVersion,
   DataCentre,
   InstanceId,
   NodeId,
   RouteName,
   ServiceName,
+  SoftwareVersion,
 } from '../types/ids.js';
 
+/** Bound on the use of keys that were taken away. Times are in milliseconds. */
+export interface RevocationPolicy {
+  /** Time after its removal was acknowledged from which no new request with a key may run. */
+  readonly limitMs: number;
+  /** Time within which a configuration is in force on the nodes that reach the store. */
+  readonly configLimitMs: number;
+}
+
+/** Bound on the requests of an account over all nodes, in any window. */
+export interface QuotaPolicy {
+  readonly windowMs: number;
+  /** Part of the quota of a window by which it may be exceeded. */
+  readonly overage: number;
+  /** Requests beyond the quota that a window may have besides. */
+  readonly slack: number;
+}
+
+/** Bounds on the traffic of a version that is being rolled out. */
+export interface RolloutPolicy {
+  /** Maximum share of the requests of a service that an unproven version gets. */
+  readonly maxShare: number;
+  /** Requests beyond the share. */
+  readonly slack: number;
+  /** Time within which a bad version gets no more requests, in milliseconds. */
+  readonly rollbackMs: number;
+}
+
 /** Settings of one node. Times are in milliseconds. */
 export interface MeshSettings {
   readonly nodeId: NodeId;
@@ -42,6 +71,12 @@
   readonly retryBudget: RetryLimit;
   /** Conditions for sending a request to another data centre. */
   readonly spillOverPolicy: SpillOverPolicy;
+  /** Undefined where keys may be used for as long as the version in force holds them. */
+  readonly revocation?: RevocationPolicy | undefined;
+  /** Undefined where the quotas of accounts are not enforced. */
+  readonly quota?: QuotaPolicy | undefined;
+  /** Undefined where versions are not rolled out. */
+  readonly rollout?: RolloutPolicy | undefined;
 }
 
 /** One destination of a route with its weight in the traffic split. */
@@ -66,6 +101,21 @@
   readonly maxAttempts: number;
   /** 0 is the highest priority. */
   readonly priority: number;
+  /** True when requests need no key of an account; missing means false. */
+  readonly allowsAnonymous?: boolean | undefined;
+}
+
+/** A client account, whose callers identify themselves with one of its keys. */
+export interface ClientAccount {
+  readonly name: AccountName;
+  /** SHA-256 digests of its keys, in hexadecimal. */
+  readonly keyDigests: readonly string[];
+  /** Takes precedence over the priority of a route; undefined to keep that. */
+  readonly priority?: number | undefined;
+  /** Requests per second over all nodes; 0 for no limit. */
+  readonly ratePerS: number;
+  /** Requests that may come at once; 0 for no limit. */
+  readonly burst: number;
 }
 
 /** Size limits and timeouts for connections of callers. */
@@ -90,6 +140,8 @@
   readonly limits: CallerLimits;
   /** Undefined if a node of an earlier build has sent the version. */
   readonly healthPaths?: readonly HealthPath[] | undefined;
+  /** Without accounts, requests need no key. */
+  readonly accounts?: readonly ClientAccount[] | undefined;
 }
 
 export interface Heartbeat {
@@ -97,6 +149,8 @@
   readonly service: ServiceName;
   readonly address: PeerAddress;
   readonly state: 'ready' | 'draining';
+  /** Version of the software of the instance; undefined when the heartbeat omits it. */
+  readonly version?: SoftwareVersion | undefined;
   readonly slots: number;
   /** Remaining warm-up time, during which the instance is slower than usual. */
   readonly warmupMs: number;
@@ -121,6 +175,8 @@
   readonly state: 'ready' | 'leaving';
   /** Bandwidth of the link of the host; records of older builds lack it. */
   readonly linkMbps?: number;
+  /** Version of the software of the instance; records of older builds lack it. */
+  readonly version?: SoftwareVersion | undefined;
 }
 
 /** Load of the local instance of a node. */
@@ -151,6 +207,13 @@
   readonly body: Buffer;
 }
 
+/** What the order of waiting requests depends on besides their priority. */
+export interface AccountShare {
+  readonly name: AccountName;
+  /** Weight in the sharing of an instance between accounts. */
+  readonly weight: number;
+}
+
 /**
  * Metadata sent with each attempt of a call. Fields that end in `AtMs` are on the `performance.now`
  * scale of this process.
@@ -166,6 +229,10 @@
   readonly priority: number;
   readonly deadlineAtMs: number;
   readonly objectiveAtMs: number;
+  /** Undefined for a request without a key. */
+  readonly account?: AccountShare | undefined;
+  /** Time from which the request may not start any more, since its key may have been removed. */
+  readonly authorizedUntilMs?: number | undefined;
 }
 
 /** Reasons why a request was not run. */
@@ -178,6 +245,8 @@
   | 'delayed'
   /** The node that sent the request did not know the clock by which its age is told. */
   | 'clock-unknown'
+  /** Whether the key of the request is still valid was not known any more when its turn came. */
+  | 'unauthorized'
   | 'leaving'
   | 'no-instance'
   | 'unreachable'
--- a/src/mesh/nodeRecord.ts
+++ b/src/mesh/nodeRecord.ts
@@ -1,7 +1,7 @@
 /** The stored object in which a node publishes itself and its local instance. */
 import { err, ok, type Result } from 'neverthrow';
 import { buildError, toStepError, type StepError } from '../errors.js';
-import { brandText } from '../types/ids.js';
+import { brandText, type SoftwareVersion } from '../types/ids.js';
 import {
   isAmount,
   isCount,
@@ -23,7 +23,7 @@
 /** Settings that a node publishes. */
 export type PublishedSettings = Pick<
   MeshSettings,
-  'nodeId' | 'dataCentre' | 'service' | 'linkMbps'
+  'nodeId' | 'dataCentre' | 'service' | 'linkMbps' | 'rollout'
 > & {
   readonly ports: Pick<MeshSettings['ports'], 'peers'>;
 };
@@ -71,6 +71,11 @@
   return { instanceId, startedAtMs, sequence };
 }
 
+function decodeVersion(version: unknown): SoftwareVersion | undefined {
+  const text = requireOptional(isName, version, 'version');
+  return text === undefined ? undefined : brandText<SoftwareVersion>(text);
+}
+
 function decodeRecord(record: Partial<NodeRecord>): NodeRecord {
   const address = requireField(isIpAddress, record.address, 'address');
   return {
@@ -84,6 +89,7 @@
     slots: requireField(isSlotCount, record.slots, 'slots'),
     state: requireField(isNodeState, record.state, 'state'),
     linkMbps: requireOptional(isLinkMbps, record.linkMbps, 'linkMbps'),
+    version: decodeVersion(record.version),
   };
 }
 
@@ -121,7 +127,7 @@
  */
 export function buildPublishedNode(
   instance: LocalInstance,
-  { nodeId, dataCentre, ports, service, linkMbps }: PublishedSettings,
+  { nodeId, dataCentre, ports, service, linkMbps, rollout }: PublishedSettings,
   incarnation: string,
   isStopping: boolean,
 ): PublishedNode | undefined {
@@ -143,6 +149,7 @@
     slots: heartbeat?.slots ?? 0,
     state: state.kind === 'ready' && !isStopping ? 'ready' : 'leaving',
     linkMbps,
+    version: rollout && heartbeat?.version,
   };
   return departedInstance ? { record, left: omitHeartbeatFields(departedInstance) } : { record };
 }
--- a/src/mesh/peerMessages.ts
+++ b/src/mesh/peerMessages.ts
@@ -4,6 +4,7 @@
   isAmount,
   isCount,
   isHeaderText,
+  isName,
   MAX_DURATION_MS,
   MAX_SLOTS,
 } from '../utils/boundedValues.js';
@@ -57,7 +58,7 @@
  * Wire format of the call metadata, a JSON array without field names to keep the header short.
  * Times are the remaining milliseconds, since `performance.now` differs between processes.
  * `resumedProcessId` is present only on a resumed call, and is the process that it was first sent
- * to.
+ * to. The fields behind it are present only on a request of an account.
  */
 type MetadataMessage = readonly [
   attemptId: string,
@@ -67,7 +68,10 @@
   priority: number,
   remainingMs: number,
   objectiveRemainingMs: number,
-  resumedProcessId?: string,
+  resumedProcessId?: string | null,
+  account?: string | null,
+  accountWeight?: number | null,
+  authorizedRemainingMs?: number,
 ];
 
 /** Wire format of the load; `failures` is the failure rate in thousandths. */
@@ -129,11 +133,25 @@
     Math.floor(metadata.deadlineAtMs - nowMs),
     Math.floor(metadata.objectiveAtMs - nowMs),
   ];
+  const { account, authorizedUntilMs } = metadata;
+  if (account) {
+    const { name, weight } = account;
+    const accountFields = [resumedProcessId ?? null, name, weight];
+    const authorized =
+      authorizedUntilMs === undefined ? [] : [Math.floor(authorizedUntilMs - nowMs)];
+    return formatHeaderJson([...message, ...accountFields, ...authorized]);
+  }
   return formatHeaderJson(
     resumedProcessId === undefined ? message : [...message, resumedProcessId],
   );
 }
 
+/** Returns the account of a call; undefined for none, null when its fields are malformed. */
+function decodeAccountShare(name: unknown, weight: unknown): CallMetadata['account'] | null {
+  if (name === undefined || name === null) return undefined;
+  return isName(name) && isAmount(weight) ? { name: brandText(name), weight } : null;
+}
+
 /** True for a remaining time; it is negative once the instant has passed. */
 function isRemainingMs(value: unknown): value is number {
   return Number.isFinite(value) && (value as number) <= MAX_DURATION_MS;
@@ -164,8 +182,13 @@
     priority,
     remainingMs,
     objectiveRemainingMs,
-    resumedProcessId,
+    resumed,
+    accountName,
+    accountWeight,
+    authorizedRemainingMs,
   ] = message;
+  const resumedProcessId = resumed ?? undefined;
+  const account = decodeAccountShare(accountName, accountWeight);
   const isUsable =
     isHeaderText(attemptId) &&
     typeof route === 'string' &&
@@ -173,8 +196,9 @@
     isAmount(priority) &&
     isRemainingMs(remainingMs) &&
     isRemainingMs(objectiveRemainingMs) &&
-    (resumedProcessId === undefined || isHeaderText(resumedProcessId));
-  if (!isUsable) return undefined;
+    (resumedProcessId === undefined || isHeaderText(resumedProcessId)) &&
+    (authorizedRemainingMs === undefined || isRemainingMs(authorizedRemainingMs));
+  if (!isUsable || account === null) return undefined;
   const metadata: CallMetadata = {
     attemptId,
     requestId,
@@ -185,7 +209,10 @@
     deadlineAtMs: sentAtMs + remainingMs,
     objectiveAtMs: sentAtMs + objectiveRemainingMs,
   };
-  return { metadata, resumedProcessId };
+  if (!account) return { metadata, resumedProcessId };
+  const authorizedUntilMs =
+    authorizedRemainingMs === undefined ? undefined : sentAtMs + authorizedRemainingMs;
+  return { metadata: { ...metadata, account, authorizedUntilMs }, resumedProcessId };
 }
 
 /** Marks a call whose sender does not know the clock of the receiving process. */
--- a/src/mesh/refusalReason.ts
+++ b/src/mesh/refusalReason.ts
@@ -7,6 +7,7 @@
   deadline: true,
   delayed: true,
   'clock-unknown': true,
+  unauthorized: true,
   leaving: true,
   'no-instance': true,
   unreachable: true,
@@ -46,6 +47,7 @@
     case 'deadline':
     case 'delayed':
     case 'clock-unknown':
+    case 'unauthorized':
     case 'cancelled':
       return false;
     case 'leaving':
--- a/test/mesh/configDelta.test.ts
+++ b/test/mesh/configDelta.test.ts
@@ -113,6 +113,7 @@
   objectiveMs: [501],
   maxAttempts: [3],
   priority: [1],
+  allowsAnonymous: [true],
 };
 for (const [field, values] of Object.entries(CHANGES)) {
   for (const value of values) {
--- a/test/mesh/refusalReason.test.ts
+++ b/test/mesh/refusalReason.test.ts
@@ -12,6 +12,7 @@
   'clock-unknown': 'capacity',
   deadline: 'neither',
   cancelled: 'neither',
+  unauthorized: 'neither',
   leaving: 'unavailable',
   'no-instance': 'unavailable',
   unreachable: 'unavailable',
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -38,6 +38,7 @@
       state: 'ready',
       slots: 6,
       warmupMs: 2500,
+      version: 'v1',
       sequence: 4,
       startedAtMs: 1700,
     },
