Serve client accounts: keys, their removal, and their priority

Cause: entries of accounts were dropped when a configuration was decoded, so a key went on to the instance, no instance got the name of an account, and a removed or unknown key was served.

Change: accounts are decoded with digests of their keys and passed on between nodes, whole and as differences; a message of an earlier build, which lacks them, is refused. A request of a route that is not anonymous needs a key: 401 without one that is known, 503 while the version in force may be behind. The instance gets the name of the account and never the key. The priority of an account goes before that of the route; refusals for lack of room count by route and priority. Evidence from before a suspension of the host is dropped.

--- a/src/mesh/attemptProgress.ts
+++ b/src/mesh/attemptProgress.ts
@@ -72,6 +72,11 @@
     this.applyRefusal({ reason: 'overloaded', retryAfterMs: DEFAULT_RETRY_MS });
   }
 
+  /** Records that the call may not be sent any more, since its key is not known to be valid. */
+  recordUnauthorized(): void {
+    this.refusal = { kind: 'notRun', reason: 'unauthorized', retryAfterMs: DEFAULT_RETRY_MS };
+  }
+
   /**
    * Returns the outcome when no further attempt is made. It is `notRun` only when no attempt can
    * have run.
--- a/src/mesh/callPort.ts
+++ b/src/mesh/callPort.ts
@@ -2,13 +2,14 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { isAmount, MAX_DURATION_MS } from '../utils/boundedValues.js';
+import { getRefusalStatus, type AccountGate } from './accounts/accountGate.js';
 import { isAtDeadline, type CallRouter } from './callRouter.js';
 import type { CallOutcome, PendingCall } from './pendingCall.js';
 import type { EventLog } from './eventLog.js';
 import { filterHeaders, getHeader, type HeaderNames } from './headers.js';
 import type { LoopMonitor } from './loopMonitor.js';
 import type { MeshMetrics } from './meshMetrics.js';
-import type { CallerLimits, HttpResponse, MeshConfig, MeshSettings } from './model.js';
+import type { CallerLimits, HttpResponse, MeshConfig, MeshRoute, MeshSettings } from './model.js';
 import { OpenRequests } from './openRequests.js';
 import { NODE_HEADERS } from './peerMessages.js';
 import { readBody } from './readBody.js';
@@ -26,6 +27,9 @@
 /** Retry time while this process starts or stops, in milliseconds. */
 const NOT_SERVING_RETRY_MS = 500;
 
+/** Retry time of a request whose key cannot be decided on now, in milliseconds. */
+const UNCONFIRMED_RETRY_MS = 300;
+
 /** Retry time of a request whose body was given up for others, in milliseconds. */
 const NO_MEMORY_RETRY_MS = 1000;
 
@@ -33,6 +37,7 @@
   readonly getSettings: () => MeshSettings;
   readonly getConfig: () => MeshConfig | undefined;
   readonly router: CallRouter;
+  readonly gate: AccountGate;
   readonly loop: Pick<LoopMonitor, 'waitForArrivals'>;
   readonly memory: RequestMemory;
   readonly names: HeaderNames;
@@ -70,6 +75,11 @@
   response.end(source.body);
 }
 
+/** Returns the route as it applies to an account, whose priority takes precedence. */
+function applyPriority(route: MeshRoute, priority: number | undefined): MeshRoute {
+  return priority === undefined || priority === route.priority ? route : { ...route, priority };
+}
+
 /** Responds with a status of this node; `retryAfterMs` is set only if no instance ran the call. */
 function refuse(
   response: ServerResponse,
@@ -101,9 +111,13 @@
   let isClosing = false;
   let isRefusing = false;
   const strippedRequestHeaders: ReadonlySet<string> = new Set([
-    ...[names.deadline, names.targetInstance, names.callerService].map((name) =>
-      name.toLowerCase(),
-    ),
+    ...[
+      names.deadline,
+      names.targetInstance,
+      names.callerService,
+      names.accountKey,
+      names.accountName,
+    ].map((name) => name.toLowerCase()),
     ...NODE_HEADERS,
   ]);
 
@@ -117,6 +131,7 @@
     const fields = {
       request: call.requestId,
       route: call.route.name,
+      account: call.identity?.account.name,
       outcome: outcome.kind,
       reason: outcome.kind === 'answered' ? outcome.response.status : outcome.reason,
       ms: Math.round(elapsedMs),
@@ -177,11 +192,20 @@
       return;
     }
     const path = message.url ?? '/';
-    const route = matchRoute(config, message.headers.host, path);
-    if (!route) {
+    const matched = matchRoute(config, message.headers.host, path);
+    if (!matched) {
       writeRefusal(404);
       return;
     }
+    const key = getHeader(rawHeaders, names.accountKey);
+    const authorization = options.gate.authorize(config, matched, key, requestId);
+    if (authorization.kind === 'refused') {
+      const status = getRefusalStatus(authorization.reason);
+      writeRefusal(status, status === 503 ? UNCONFIRMED_RETRY_MS : undefined);
+      return;
+    }
+    const identity = authorization.kind === 'account' ? authorization.identity : undefined;
+    const route = applyPriority(matched, identity?.account.priority);
     const body = await readBody(message, config.limits.maxBodyBytes, held);
     if (typeof body === 'string') {
       if (body === 'too-large') writeRefusal(413);
@@ -190,6 +214,7 @@
     }
     const headers = filterHeaders(rawHeaders, strippedRequestHeaders);
     headers.push(names.callerService, options.getSettings().service);
+    if (identity) headers.push(names.accountName, identity.account.name);
     const receivedDeadlineMs = Number(getHeader(rawHeaders, names.deadline));
     const hasDeadline = isAmount(receivedDeadlineMs, MAX_DURATION_MS) && receivedDeadlineMs > 0;
     const remainingMs = hasDeadline ? receivedDeadlineMs : route.timeoutMs;
@@ -202,6 +227,7 @@
       deadlineAtMs: startedAtMs + Math.min(remainingMs, route.timeoutMs),
       objectiveAtMs: startedAtMs + route.objectiveMs - ageMs,
       cancellation,
+      identity,
       trace: {
         sends: 0,
         instance: undefined,
--- a/src/mesh/callRouter.ts
+++ b/src/mesh/callRouter.ts
@@ -1,5 +1,7 @@
 /** Sends the request of a caller to an instance and retries it on others where that is allowed. */
 import type { ServiceName } from '../types/ids.js';
+import type { AccountGate } from './accounts/accountGate.js';
+import type { Identity } from './accounts/authorization.js';
 import { AttemptProgress } from './attemptProgress.js';
 import type { CallOutcome, PendingCall } from './pendingCall.js';
 import type { Directory, PeerCandidate } from './directory.js';
@@ -8,7 +10,14 @@
 import { readInstanceNotice } from './instanceNotice.js';
 import type { LocalRunner } from './localRunner.js';
 import type { MeshMetrics } from './meshMetrics.js';
-import type { CallMetadata, HttpResponse, MeshSettings, RunReport, RunResult } from './model.js';
+import type {
+  AccountShare,
+  CallMetadata,
+  HttpResponse,
+  MeshSettings,
+  RunReport,
+  RunResult,
+} from './model.js';
 import { chooseInstance } from './instanceSelection.js';
 import type { OverloadThrottle } from './overloadThrottle.js';
 import type { PeerNode } from './peerNode.js';
@@ -30,6 +39,7 @@
   readonly names: HeaderNames;
   readonly directory: Directory;
   readonly runner: LocalRunner;
+  readonly gate: Pick<AccountGate, 'reauthorize'>;
   readonly retryBudget: RetryBudget;
   readonly overloadThrottle: OverloadThrottle;
   readonly targets: TargetChooser;
@@ -38,6 +48,19 @@
   readonly processId: string;
 }
 
+/** Whether a call may be sent, and until when it may start; undefined without a bound. */
+type Permission =
+  | { readonly kind: 'permitted'; readonly untilMs: number | undefined }
+  | { readonly kind: 'refused' };
+
+/** Weight of an account without a rate in the sharing of an instance. */
+const DEFAULT_WEIGHT = 1;
+
+/** An account has room in proportion to its rate, so that large ones keep their usual part. */
+function buildShare({ account }: Identity): AccountShare {
+  return { name: account.name, weight: account.ratePerS || DEFAULT_WEIGHT };
+}
+
 /** Returns true when the remaining time of a call is too short for another attempt. */
 export function isAtDeadline(call: PendingCall): boolean {
   return performance.now() >= call.deadlineAtMs - MIN_SEND_TIME_MS;
@@ -84,11 +107,16 @@
       if (progress.isRefusedForRoom() && !overloadThrottle.canOfferAgain(service, route)) break;
       const chosen = this.choose(call, service, progress, sendIndex === 0);
       if (!chosen) break;
+      const permission = this.permit(call);
+      if (permission.kind === 'refused') {
+        progress.recordUnauthorized();
+        break;
+      }
       if (progress.countArrivals() > 0 && !this.takeRetry(call, service)) break;
       progress.recordAttempt(chosen.peer.record.instanceId);
       const isLastSend = sendIndex === MAX_SENDS - 1;
       const canRetry = () => !isLastSend && this.canRetry(call, service, progress);
-      const { result, timing } = await this.send(chosen, call, canRetry);
+      const { result, timing } = await this.send(chosen, call, permission.untilMs, canRetry);
       trace.timing = timing;
       overloadThrottle.record(service, route, result);
       if (result.kind === 'notRun') this.recordRefusal(result, chosen, call);
@@ -100,6 +128,15 @@
     return progress.getOutcome();
   }
 
+  /** Decides anew whether a call may be sent: since it entered, its key may have been removed. */
+  private permit({ identity, requestId }: PendingCall): Permission {
+    if (!identity) return { kind: 'permitted', untilMs: undefined };
+    const authorization = this.options.gate.reauthorize(identity, requestId);
+    return authorization.kind === 'account'
+      ? { kind: 'permitted', untilMs: authorization.untilMs }
+      : { kind: 'refused' };
+  }
+
   private choose(
     call: PendingCall,
     service: ServiceName,
@@ -153,6 +190,7 @@
   private async send(
     { peer }: PeerCandidate,
     call: PendingCall,
+    authorizedUntilMs: number | undefined,
     canRetry: () => boolean,
   ): Promise<RunReport> {
     const { directory, runner, processId } = this.options;
@@ -166,6 +204,7 @@
       priority: call.route.priority,
       deadlineAtMs: call.deadlineAtMs,
       objectiveAtMs: call.objectiveAtMs,
+      ...(call.identity && { account: buildShare(call.identity), authorizedUntilMs }),
     };
     const { request, cancellation, trace } = call;
     trace.sends += 1;
--- a/src/mesh/configDelta.ts
+++ b/src/mesh/configDelta.ts
@@ -7,6 +7,13 @@
 import { buildError, type StepError } from '../errors.js';
 import type { ConfigVersion, RouteName } from '../types/ids.js';
 import { isCount } from '../utils/boundedValues.js';
+import {
+  applyAccountChanges,
+  diffAccounts,
+  mergeAccountChanges,
+  type AccountChanges,
+} from './accounts/accountChanges.js';
+import { isAccountChanges } from './accounts/accountGuards.js';
 import { checkContent, type ConfigContent } from './configContent.js';
 import type { HealthPath, MeshConfig, MeshRoute, RouteTarget } from './model.js';
 import { buildRouteTable, mapRoutes } from './routeTable.js';
@@ -22,6 +29,8 @@
   readonly removed: readonly RouteName[];
   /** Number of routes of `toVersion`, which detects a delta for another base. */
   readonly routeCount: number;
+  /** A node of an earlier build sends none, and may have accounts that it does not know. */
+  readonly accounts: AccountChanges;
 }
 
 function hasSameEntries<Entry>(
@@ -79,6 +88,7 @@
     limits: after.limits,
     healthPaths: arePathsSame ? undefined : after.healthPaths,
     routeCount: routesAfter.size,
+    accounts: diffAccounts(before.accounts ?? [], after.accounts ?? []),
   };
 }
 
@@ -100,6 +110,7 @@
     healthPaths: second.healthPaths ?? first.healthPaths,
     routes: [...routes.values()],
     removed: [...removed],
+    accounts: mergeAccountChanges(first.accounts, second.accounts),
   };
 }
 
@@ -120,7 +131,10 @@
   if (byName.size !== delta.routeCount) {
     return refuse(`results in ${byName.size} routes instead of ${delta.routeCount}`);
   }
+  if (!isAccountChanges(delta.accounts)) return refuse('lacks the changes of accounts');
+  const accounts = applyAccountChanges(base.accounts ?? [], delta.accounts);
+  if (!accounts) return refuse(`does not result in ${delta.accounts.count} accounts`);
   const routes = buildRouteTable(byName.values());
   const { toVersion: version, limits, healthPaths = base.healthPaths } = delta;
-  return ok({ version, routes, limits, healthPaths });
+  return ok({ version, routes, limits, healthPaths, accounts });
 }
--- a/src/mesh/headers.ts
+++ b/src/mesh/headers.ts
@@ -10,6 +10,10 @@
   readonly instanceId: string;
   readonly notExecuted: string;
   readonly callerService: string;
+  /** Request header with a key of a client account. */
+  readonly accountKey: string;
+  /** Request header for the instance: the name of the client account. */
+  readonly accountName: string;
   /** Response header: requests per second that the instance accepts from all nodes together. */
   readonly requestLimit: string;
   /** Response header of an instance that is about to shut down. */
--- a/src/mesh/kindPosition.ts
+++ b/src/mesh/kindPosition.ts
@@ -4,6 +4,7 @@
  */
 
 import { StoreEra } from './storeEra.js';
+import { SuspensionDetector } from './suspensionDetector.js';
 
 /** Time that a watch response may take after another node has reported the change. */
 const RESPONSE_GRACE_MS = 400;
@@ -38,8 +39,17 @@
   /** Time up to which the store is known to have had no later change, on the same scale. */
   private confirmedAtMs = -Infinity;
 
-  constructor(private readonly era = new StoreEra()) {
+  /** Time of the latest suspension, on the same scale; evidence from before has an unknown age. */
+  private suspendedAtMs = -Infinity;
+
+  private suspensions: number;
+
+  constructor(
+    private readonly era = new StoreEra(),
+    private readonly detector = new SuspensionDetector(),
+  ) {
     era.onRise(() => this.reset());
+    this.suspensions = detector.count();
   }
 
   /** Returns the era that the revisions belong to. */
@@ -81,16 +91,31 @@
     this.remoteRevision = Math.min(this.remoteRevision, this.syncedRevision);
   }
 
-  /** Records that the store had no later change than the received ones at a time in the past. */
-  recordConfirmed(atMs: number): void {
+  /**
+   * Records that the store had no later change than the received ones at a time in the past, as the
+   * response to a request of `requestedAtMs` says.
+   */
+  recordConfirmed(atMs: number, requestedAtMs = performance.now()): void {
+    this.checkSuspension();
+    // The clock stood still between the request and its response, which may be of any age.
+    if (requestedAtMs <= this.suspendedAtMs) return;
     this.confirmedAtMs = Math.max(this.confirmedAtMs, atMs);
   }
 
   /** Returns the age of the latest evidence that there is no later change, in milliseconds. */
   getUnconfirmedMs(nowMs: number): number {
+    this.checkSuspension();
     return nowMs - this.confirmedAtMs;
   }
 
+  private checkSuspension(): void {
+    const suspensions = this.detector.count();
+    if (suspensions === this.suspensions) return;
+    this.suspensions = suspensions;
+    this.suspendedAtMs = performance.now();
+    this.confirmedAtMs = -Infinity;
+  }
+
   /**
    * Sets the callback that interrupts the current long poll, or undefined when there is none. The
    * poll may be silent for a while from `awaitedSinceMs` on.
--- a/src/mesh/localRunner.ts
+++ b/src/mesh/localRunner.ts
@@ -211,6 +211,8 @@
   }
 
   private check(metadata: CallMetadata): RunResult | undefined {
+    const { authorizedUntilMs = Infinity } = metadata;
+    if (performance.now() > authorizedUntilMs) return buildRefusal('unauthorized', false);
     return this.endsBeforeStop(metadata)
       ? this.checkInstance(metadata.instanceId)
       : buildRefusal('leaving', false, UNAVAILABLE_RETRY_MS);
--- a/src/mesh/model.ts
+++ b/src/mesh/model.ts
@@ -108,7 +108,7 @@
 /** A client account, whose callers identify themselves with one of its keys. */
 export interface ClientAccount {
   readonly name: AccountName;
-  /** SHA-256 digests of its keys, in hexadecimal. */
+  /** SHA-256 digests of its keys, in base64url. */
   readonly keyDigests: readonly string[];
   /** Takes precedence over the priority of a route; undefined to keep that. */
   readonly priority?: number | undefined;
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -6,6 +6,7 @@
 import type { LogFields } from '../utils/formatEvent.js';
 import { listen } from '../utils/listen.js';
 import { unwrap } from '../utils/unwrap.js';
+import { AccountGate } from './accounts/accountGate.js';
 import { createAnnouncementPort, type Announcement } from './announcements.js';
 import { BodyTransfers } from './bodyTransfers.js';
 import { createCallPort } from './callPort.js';
@@ -120,14 +121,14 @@
   const processId = randomUUID().slice(0, 8);
   const metrics = new MeshMetrics();
   const instance = new LocalInstance(Date.now() + INSTANCE_CLOCK_MARGIN_MS);
+  const detector = new SuspensionDetector();
   const positions = {
-    config: new KindPosition(store.era),
-    nodes: new KindPosition(store.era),
+    config: new KindPosition(store.era, detector),
+    nodes: new KindPosition(store.era, detector),
   };
   const contacts = { config: new StoreContact(), nodes: new StoreContact() };
   const nodeHistory = new NodeHistory();
   const seen = new RevisionExchange([positions.config, positions.nodes], store.era);
-  const detector = new SuspensionDetector();
   const directory = new Directory(nodeId, log, seen, detector);
   const targets = new TargetChooser();
   let isStopping = false;
@@ -153,7 +154,21 @@
   });
   const requestMemory = new RequestMemory(computeRequestLimitBytes(settings.memoryMb));
   const overloadThrottle = new OverloadThrottle();
+  const config = new ConfigHolder({
+    name: adapter.configName,
+    decode: adapter.decodeConfig,
+    log,
+  });
+  const getConfig = () => config.get();
+  const gate = new AccountGate({
+    getPolicy: () => getSettings().revocation,
+    getConfig,
+    position: positions.config,
+    log,
+    metrics,
+  });
   const router = new CallRouter({
+    gate,
     getSettings,
     names,
     directory,
@@ -175,12 +190,6 @@
     log.write('info', 'instance-leaving', { instance: instanceId, source: 'response' });
     void applyInstanceChange();
   });
-  const config = new ConfigHolder({
-    name: adapter.configName,
-    decode: adapter.decodeConfig,
-    log,
-  });
-  const getConfig = () => config.get();
   const verifier = new InstanceVerifier({
     instance,
     names,
@@ -199,6 +208,7 @@
     getSettings,
     getConfig,
     router,
+    gate,
     memory: requestMemory,
     names,
     log,
--- a/src/mesh/peerNode.ts
+++ b/src/mesh/peerNode.ts
@@ -1,5 +1,5 @@
 /** State of a node as observed by this node: its record, its load, and whether it responds. */
-import type { InstanceId, RouteName } from '../types/ids.js';
+import type { InstanceId } from '../types/ids.js';
 import type { InstanceLoad, MeshRoute, NodeRecord } from './model.js';
 import type { PeerCalls } from './peerCalls.js';
 import { projectLimitState } from './requestLimit.js';
@@ -22,8 +22,7 @@
 /** What of a route decides whether an instance has room for its requests. */
 export type RoutePriority = Pick<MeshRoute, 'name' | 'priority'>;
 
-interface Overload {
-  readonly priority: number;
+interface Overload extends RoutePriority {
   readonly untilMs: number;
 }
 
@@ -43,8 +42,8 @@
 
   private unavailableUntilMs = -Infinity;
 
-  /** Refusals of the instance for lack of room, by the route of the refused request. */
-  private readonly overloads = new Map<RouteName, Overload>();
+  /** Refusals of the instance for lack of room, by route and priority of the refused request. */
+  private readonly overloads = new Map<string, Overload>();
 
   /** Record of the instance that said that it leaves. */
   private leaving: NodeRecord | undefined;
@@ -119,17 +118,19 @@
   /** Records that the instance refused a request as overloaded and asked to wait for `waitMs`. */
   recordOverload({ name, priority }: RoutePriority, waitMs: number, nowMs: number): void {
     const overloadedMs = Math.min(OVERLOADED_MS.max, Math.max(OVERLOADED_MS.min, waitMs));
-    this.overloads.set(name, { priority, untilMs: nowMs + overloadedMs });
+    this.overloads.set(`${priority} ${name}`, { name, priority, untilMs: nowMs + overloadedMs });
   }
 
   /**
-   * True for a short time after the instance refused a request of the route, or of a higher
-   * priority. Other routes of the same priority may have room, since their runs may be shorter.
+   * True for a short time after the instance refused a request of the route with at least this
+   * priority, or of any route with a higher one. Other routes of the same priority may have room,
+   * since their runs may be shorter.
    */
   isOverloaded({ name, priority }: RoutePriority, nowMs: number): boolean {
-    for (const [refusedRoute, overload] of this.overloads) {
-      if (nowMs >= overload.untilMs) this.overloads.delete(refusedRoute);
-      else if (refusedRoute === name || overload.priority < priority) return true;
+    for (const [key, overload] of this.overloads) {
+      const isSameRoute = overload.name === name && overload.priority === priority;
+      if (nowMs >= overload.untilMs) this.overloads.delete(key);
+      else if (isSameRoute || overload.priority < priority) return true;
     }
     return false;
   }
--- a/src/mesh/pendingCall.ts
+++ b/src/mesh/pendingCall.ts
@@ -1,5 +1,6 @@
 /** Types for the request of a caller and its outcome. */
 import type { InstanceId } from '../types/ids.js';
+import type { Identity } from './accounts/authorization.js';
 import type { HttpRequest, HttpResponse, MeshRoute, RunTiming } from './model.js';
 import type { SendTrace } from './peerCalls.js';
 import type { Cancellation } from './signal.js';
@@ -30,6 +31,8 @@
   readonly deadlineAtMs: number;
   readonly objectiveAtMs: number;
   readonly cancellation: Cancellation;
+  /** Undefined for a request without a key. */
+  readonly identity?: Identity | undefined;
   readonly trace: CallTrace;
 }
 
--- a/src/mesh/revisionExchange.ts
+++ b/src/mesh/revisionExchange.ts
@@ -62,7 +62,7 @@
       const isEvidence = Number.isSafeInteger(ageMs) && ageMs! < MAX_AGE_MS;
       const hasMissedNothing = revision! <= position.getSyncedRevision();
       if (requestedAtMs === undefined || !isEvidence || !hasMissedNothing) continue;
-      position.recordConfirmed(requestedAtMs - ageMs!);
+      position.recordConfirmed(requestedAtMs - ageMs!, requestedAtMs);
     }
   }
 }
--- a/src/mesh/watchKind.ts
+++ b/src/mesh/watchKind.ts
@@ -180,14 +180,14 @@
     const elapsedMs = performance.now() - startedAtMs;
     await wait(Math.max(computeDelayMs(BACKOFF, 0), computeDelayMs(BACKOFF, failures) - elapsedMs));
   };
-  const recordSuccess = (confirmedAtMs: number) => {
+  const recordSuccess = (confirmedAtMs: number, requestedAtMs: number) => {
     if (failures > 0) {
       const currentEra = position.getEra();
       log.write('info', 'store-regained', { peer: kind, failures, revision, era: currentEra });
     }
     failures = 0;
     isUnconfirmed = false;
-    position.recordConfirmed(confirmedAtMs);
+    position.recordConfirmed(confirmedAtMs, requestedAtMs);
     options.contact?.recordRead(performance.now());
   };
   while (!isStopped()) {
@@ -205,7 +205,7 @@
         await recordFailure(listed.error, startedAtMs);
         continue;
       }
-      recordSuccess(startedAtMs);
+      recordSuccess(startedAtMs, startedAtMs);
       logInvalid(invalidObjectLog, listed.value.invalid);
       applyList(options, listed.value);
       revision = listed.value.revision;
@@ -268,7 +268,8 @@
     const hasChanges = watched.value.events.length > 0;
     const arrivedAtMs = performance.now();
     isStoreSlow = !hasChanges && arrivedAtMs - startedAtMs - waitMs > SLOW_RESPONSE_MS;
-    recordSuccess(hasChanges ? arrivedAtMs : Math.min(arrivedAtMs, startedAtMs + waitMs));
+    const confirmedAtMs = hasChanges ? arrivedAtMs : Math.min(arrivedAtMs, startedAtMs + waitMs);
+    recordSuccess(confirmedAtMs, startedAtMs);
     logInvalid(invalidObjectLog, watched.value.invalid);
     applyChanges(options, watched.value);
     revision = Math.max(revision, watched.value.revision);
--- a/src/mesh/wholeConfig.ts
+++ b/src/mesh/wholeConfig.ts
@@ -6,7 +6,8 @@
 import { buildError, type StepError } from '../errors.js';
 import type { ConfigVersion } from '../types/ids.js';
 import { checkContent, type ConfigContent } from './configContent.js';
-import type { MeshConfig } from './model.js';
+import { isAccountList } from './accounts/accountGuards.js';
+import type { ClientAccount, MeshConfig } from './model.js';
 import { buildRouteTable, mapRoutes } from './routeTable.js';
 
 const STEP = 'config.restoreWhole';
@@ -18,13 +19,15 @@
   readonly revision: number;
   /** Number of routes, which detects routes that are missing or sent twice. */
   readonly routeCount: number;
+  /** A node of an earlier build sends none, and may have accounts that it does not know. */
+  readonly accounts: readonly ClientAccount[];
 }
 
 /** Builds the message for a version that is stored at `revision`. */
 export function buildWhole(config: MeshConfig, revision: number): WholeConfig {
   const routes = [...mapRoutes(config).values()];
-  const { version, limits, healthPaths } = config;
-  return { version, revision, routes, limits, healthPaths, routeCount: routes.length };
+  const { version, limits, healthPaths, accounts = [] } = config;
+  return { version, revision, routes, limits, healthPaths, routeCount: routes.length, accounts };
 }
 
 /** Restores the version of a message, which must be later than the installed version. */
@@ -32,7 +35,7 @@
   whole: WholeConfig,
   installedVersion: ConfigVersion,
 ): Result<MeshConfig, StepError> {
-  const { version, routes, limits, healthPaths, routeCount } = whole;
+  const { version, routes, limits, healthPaths, routeCount, accounts } = whole;
   const refuse = (message: string) => err(buildError('invalid', STEP, 'peer', message));
   if (version <= installedVersion) {
     return refuse(`is version ${version}, installed is ${installedVersion}`);
@@ -43,5 +46,6 @@
   if (byName.size !== routeCount || routes.length !== routeCount) {
     return refuse(`has ${byName.size} routes instead of ${routeCount}`);
   }
-  return ok({ version, routes: buildRouteTable(byName.values()), limits, healthPaths });
+  if (!isAccountList(accounts)) return refuse('lacks the accounts');
+  return ok({ version, routes: buildRouteTable(byName.values()), limits, healthPaths, accounts });
 }
--- a/standins/mesh/configuration.ts
+++ b/standins/mesh/configuration.ts
@@ -25,6 +25,16 @@
   readonly objectiveMs?: number;
   readonly attempts?: number;
   readonly priority?: number;
+  readonly isAnonymous?: boolean;
+}
+
+/** Client account of a test. */
+export interface FleetAccount {
+  readonly name: string;
+  readonly keys: readonly string[];
+  readonly priority?: number;
+  readonly ratePerS?: number;
+  readonly burst?: number;
 }
 
 function listServices({ backends, service }: FleetRoute): readonly string[] {
@@ -36,6 +46,7 @@
   version: number,
   routes: readonly FleetRoute[],
   maxBodyBytes = LIMITS_SPEC.MaxBodyBytes,
+  accounts: readonly FleetAccount[] = [],
 ): object {
   const services = new Set(routes.flatMap(listServices));
   return {
@@ -52,6 +63,7 @@
           TargetLatency: `${route.objectiveMs ?? DEFAULT_TARGET_LATENCY_MS}ms`,
           Priority: route.priority ?? DEFAULT_PRIORITY,
           MaxAttempts: route.attempts ?? DEFAULT_MAX_ATTEMPTS,
+          ...(route.isAnonymous === undefined ? {} : { AllowAnonymous: route.isAnonymous }),
           ...(route.backends
             ? { Backends: route.backends }
             : { Service: route.service ?? DEFAULT_SERVICE }),
@@ -62,6 +74,11 @@
         Metadata: { Name: service },
         Spec: { HealthPath: HEALTH_PATH },
       })),
+      ...accounts.map(({ name, keys, priority, ratePerS, burst }) => ({
+        EntryKind: 'Tenants',
+        Metadata: { Name: name },
+        Spec: { ApiKeys: keys, Priority: priority, RatePerS: ratePerS, Burst: burst },
+      })),
       {
         EntryKind: 'Limits',
         Metadata: {},
--- a/standins/mesh/instanceServer.ts
+++ b/standins/mesh/instanceServer.ts
@@ -40,6 +40,10 @@
   readonly path: string;
   readonly body: string;
   readonly callerService: string | undefined;
+  /** Name of the client account. */
+  readonly account: string | undefined;
+  /** Key of the account, which must not get here. */
+  readonly key: string | undefined;
   readonly deadlineMs: number;
   /** Time of arrival on the scale of `performance.now`. */
   readonly atMs: number;
@@ -123,6 +127,8 @@
       path: request.url ?? '',
       body: Buffer.concat(chunks).toString(),
       callerService: headers['x-lycheelane-caller-service'] as string | undefined,
+      account: headers['x-lycheelane-tenant'] as string | undefined,
+      key: headers['api-key'] as string | undefined,
       deadlineMs: Number(headers['x-lycheelane-deadline-ms']),
       atMs: performance.now(),
     });
--- a/standins/mesh/meshFleet.ts
+++ b/standins/mesh/meshFleet.ts
@@ -10,6 +10,7 @@
 import {
   buildConfiguration,
   DEFAULT_REQUEST_TIMEOUT_MS,
+  type FleetAccount,
   type FleetRoute,
 } from './configuration.js';
 import { FaultProxy } from './faultProxy.js';
@@ -61,6 +62,8 @@
   readonly linkMbps?: number;
   /** True when the host reaches the store through a proxy of its own. */
   readonly hasOwnProxy?: boolean;
+  /** Settings that the host has besides the common ones. */
+  readonly policies?: Pick<MeshSettings, 'revocation' | 'quota' | 'rollout'>;
 }
 
 /** Response that a test received. */
@@ -221,16 +224,24 @@
   private heartbeatTimer: NodeJS.Timeout | undefined;
 
   /** Starts the store with a configuration, and the periodic heartbeats. */
-  async start(routes: readonly FleetRoute[]): Promise<void> {
+  async start(
+    routes: readonly FleetRoute[],
+    accounts: readonly FleetAccount[] = [],
+  ): Promise<void> {
     this.storePort = await this.store.listen();
-    this.store.put(CONFIG_KIND, CONFIG_NAME, buildConfiguration(1, routes));
+    this.configure(1, routes, accounts);
     this.heartbeatTimer = setInterval(() => {
       for (const host of this.hosts) if (host.isSendingHeartbeats) void sendHeartbeat(host);
     }, HEARTBEAT_INTERVAL_MS);
   }
 
-  configure(version: number, routes: readonly FleetRoute[]): void {
-    this.store.put(CONFIG_KIND, CONFIG_NAME, buildConfiguration(version, routes));
+  configure(
+    version: number,
+    routes: readonly FleetRoute[],
+    accounts: readonly FleetAccount[] = [],
+  ): void {
+    const configuration = buildConfiguration(version, routes, undefined, accounts);
+    this.store.put(CONFIG_KIND, CONFIG_NAME, configuration);
   }
 
   /** Puts a proxy between the store and the hosts that are added from now on. */
@@ -244,7 +255,13 @@
   async addHost(
     service: string,
     dataCentre = 'a',
-    { slots = DEFAULT_SLOTS, log = SILENT_LOG, linkMbps, hasOwnProxy = false }: HostOptions = {},
+    {
+      slots = DEFAULT_SLOTS,
+      log = SILENT_LOG,
+      linkMbps,
+      hasOwnProxy = false,
+      policies = {},
+    }: HostOptions = {},
   ): Promise<FleetHost> {
     const name = `host-${this.hosts.length}`;
     const instance = new InstanceServer(`i-${this.hosts.length}`);
@@ -276,6 +293,7 @@
       stopLimitMs: STOP_LIMIT_MS,
       retryBudget: RETRY_BUDGET,
       spillOverPolicy: SPILL_OVER_POLICY,
+      ...policies,
     };
     const host: FleetHost = {
       settings,
--- a/test/mesh/configDelta.test.ts
+++ b/test/mesh/configDelta.test.ts
@@ -37,7 +37,13 @@
   // The path changes with the first route, so that some deltas leave it out.
   const healthPaths = [{ service: brandText<ServiceName>('pads'), path: `/h/${timeouts[0]}` }];
   const table = buildRouteTable(routes);
-  return { version: brandVersion(version), routes: table, limits: LIMITS, healthPaths };
+  return {
+    version: brandVersion(version),
+    routes: table,
+    limits: LIMITS,
+    healthPaths,
+    accounts: [],
+  };
 }
 
 const TIMEOUTS = fc.array(fc.integer({ min: 0, max: 3 }), { minLength: 6, maxLength: 6 });
--- a/test/mesh/delayedHosts.test.ts
+++ b/test/mesh/delayedHosts.test.ts
@@ -107,6 +107,7 @@
     spillOverPolicy: { waitShare: 0.5, spillRank: 9 },
   };
   const router = new CallRouter({
+    gate: { reauthorize: () => ({ kind: 'anonymous' }) },
     getSettings: () => settings as unknown as MeshSettings,
     names: HEADER_NAMES,
     directory,
--- a/test/mesh/oddMessages.test.ts
+++ b/test/mesh/oddMessages.test.ts
@@ -164,7 +164,9 @@
   removed: [],
   limits: LIMITS,
   routeCount: 1,
+  accounts: { changed: [], removed: [], count: 0 },
 };
+const ACCOUNT = { name: 'shop', keyDigests: ['d'], ratePerS: 1, burst: 1 };
 const BASE: MeshConfig = { version: brandVersion(4), routes: new Map(), limits: LIMITS };
 
 test('a delta with usable routes and limits applies', () => {
@@ -185,6 +187,21 @@
   ['an idle timeout as text', { limits: { ...LIMITS, idleTimeoutMs: '1s' } }],
   ['a version as text', { toVersion: 'z' }],
   ['health paths of null', { healthPaths: null }],
+  ['accounts of null', { accounts: null }],
+  ['no removed accounts', { accounts: { changed: [], count: 0 } }],
+  ['too few accounts', { accounts: { changed: [ACCOUNT], removed: [], count: 2 } }],
+  [
+    'an account with a line end',
+    { accounts: { changed: [{ ...ACCOUNT, name: 'a\r\nX: y' }], removed: [], count: 1 } },
+  ],
+  [
+    'a rate as text',
+    { accounts: { changed: [{ ...ACCOUNT, ratePerS: '1' }], removed: [], count: 1 } },
+  ],
+  [
+    'keys that are no list',
+    { accounts: { changed: [{ ...ACCOUNT, keyDigests: 'd' }], removed: [], count: 1 } },
+  ],
   ['a health path with a line end', { healthPaths: [{ service: 'a', path: '/h\r\nX: y' }] }],
 ];
 for (const [title, change] of ODD_DELTAS) {
