Read the end of a connection that waited to be accepted before its request starts

Cause: Node.js 20 accepts one connection of a server in each turn of the event loop. Where many connections come at once they wait for many turns, none of which is long enough to be noted as a delay. Request and end lie unread meanwhile; the request is read first and starts at once.

The first request of a connection that may have waited for over 0.1 s starts only after the turns in which its end is read. The line of the call names the time.

--- a/src/mesh/callPort.ts
+++ b/src/mesh/callPort.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { isAmount, MAX_DURATION_MS } from '../utils/boundedValues.js';
+import type { AcceptMonitor } from './acceptMonitor.js';
 import { getRefusalStatus, type AccountGate } from './accounts/accountGate.js';
 import { isAtDeadline, type CallRouter } from './callRouter.js';
 import type { CallOutcome, PendingCall } from './pendingCall.js';
@@ -39,6 +40,7 @@
   readonly router: CallRouter;
   readonly gate: AccountGate;
   readonly loop: Pick<LoopMonitor, 'waitForArrivals'>;
+  readonly accepts: AcceptMonitor;
   readonly memory: RequestMemory;
   readonly names: HeaderNames;
   readonly log: EventLog;
@@ -127,7 +129,7 @@
 
   const writeOutcome = (response: ServerResponse, call: PendingCall, outcome: CallOutcome) => {
     const elapsedMs = performance.now() - call.startedAtMs;
-    const { sends, instance, loadAgeMs, sendTrace, timing } = call.trace;
+    const { sends, acceptWaitMs, instance, loadAgeMs, sendTrace, timing } = call.trace;
     const fields = {
       request: call.requestId,
       route: call.route.name,
@@ -135,6 +137,7 @@
       outcome: outcome.kind,
       reason: outcome.kind === 'answered' ? outcome.response.status : outcome.reason,
       ms: Math.round(elapsedMs),
+      acceptMs: Math.round(acceptWaitMs) || undefined,
       leftMs: Math.round(call.deadlineAtMs - performance.now()),
       config: options.getConfig()?.version,
       cancelled: call.cancellation.isCancelled() || undefined,
@@ -174,6 +177,7 @@
     held: HeldRequestBody,
   ): Promise<void> => {
     const startedAtMs = performance.now();
+    const acceptWaitMs = options.accepts.takeWaitMs(message.socket);
     const { rawHeaders } = message;
     const requestId = getHeader(rawHeaders, names.requestId) ?? '';
     const config = options.getConfig();
@@ -230,13 +234,14 @@
       identity,
       trace: {
         sends: 0,
+        acceptWaitMs,
         instance: undefined,
         loadAgeMs: undefined,
         sendTrace: undefined,
         timing: undefined,
       },
     };
-    await options.loop.waitForArrivals();
+    await options.loop.waitForArrivals(acceptWaitMs);
     const outcome = await router.run(call);
     writeOutcome(response, call, outcome);
   };
@@ -249,6 +254,7 @@
       void served.finally(() => held.release());
     },
   );
+  options.accepts.observe(server);
   server.requestTimeout = 0;
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
     log.write('warn', 'malformed-request', { step: 'call.read', reason: error.code });
--- a/src/mesh/loopMonitor.ts
+++ b/src/mesh/loopMonitor.ts
@@ -14,6 +14,9 @@
 /** Delay from which what has arrived is read before a decision rests on it. */
 const LATE_MS = 250;
 
+/** Time that a connection waited to be accepted from which its end may have arrived meanwhile. */
+const LATE_ACCEPT_MS = 100;
+
 /** Turns of the loop after which the end of a connection that had arrived is known. */
 const ARRIVAL_TURNS = 3;
 
@@ -46,10 +49,11 @@
 
   /**
    * Resolves when the loop has read what had arrived at the time of the call; undefined unless the
-   * loop was blocked lately.
+   * loop was blocked lately, or the connection has waited to be accepted for `acceptWaitMs`.
    */
-  waitForArrivals(): Promise<void> | undefined {
-    return this.getLagMs() > LATE_MS ? waitForTurns() : undefined;
+  waitForArrivals(acceptWaitMs = 0): Promise<void> | undefined {
+    const isLate = this.getLagMs() > LATE_MS || acceptWaitMs > LATE_ACCEPT_MS;
+    return isLate ? waitForTurns() : undefined;
   }
 
   stop(): void {
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -7,6 +7,7 @@
 import { listen } from '../utils/listen.js';
 import { unwrap } from '../utils/unwrap.js';
 import { AccountGate } from './accounts/accountGate.js';
+import { AcceptMonitor } from './acceptMonitor.js';
 import { createAnnouncementPort, type Announcement } from './announcements.js';
 import { BodyTransfers } from './bodyTransfers.js';
 import { createCallPort } from './callPort.js';
@@ -209,6 +210,7 @@
     getConfig,
     router,
     gate,
+    accepts: new AcceptMonitor(),
     memory: requestMemory,
     names,
     log,
--- a/src/mesh/pendingCall.ts
+++ b/src/mesh/pendingCall.ts
@@ -9,6 +9,8 @@
 export interface CallTrace {
   /** Number of attempts. */
   sends: number;
+  /** Time for which its connection may have waited to be accepted, in milliseconds. */
+  readonly acceptWaitMs: number;
   /** Instance of the latest attempt. */
   instance: InstanceId | undefined;
   /** Age of the load report on which the latest instance was selected; undefined without one. */
--- a/test/mesh/delayedHosts.test.ts
+++ b/test/mesh/delayedHosts.test.ts
@@ -87,6 +87,7 @@
     cancellation: new Cancellation(),
     trace: {
       sends: 0,
+      acceptWaitMs: 0,
       instance: undefined,
       loadAgeMs: undefined,
       sendTrace: undefined,
