Report a call to another node as not run if its end was never sent

Cause: a call to another node that ended at its deadline, by cancellation, by a failed connection or by a silent node was always unknown, so its caller got 502 or 504 although the node cannot have received the whole call.

Change: a call whose last part was not written to any connection ends as not run, and the caller gets 503 with Retry-After. The last part is the request, or its body where the body is announced first. A connection that opens after the end of the call does not send it, and a resumed call starts no run.

Ways, and what was decided: - deadline or cancellation while it connects: not run - deadline or cancellation before the node asked for the announced body: not run - all connections fail before the node asked for the body: not run; the call is still resumed first, since the node may give a better reason - a connection from the pool that had closed before the request was written: not run, also if the call cannot be resumed - a node that does not respond to a probe, before it asked for the body: not run - the same after the request or the body was written: unknown as before, also where bytes still wait in this process, since the system may have taken them - a node that itself reports unknown (an error, a replaced process): unknown

--- a/src/mesh/httpConnection.ts
+++ b/src/mesh/httpConnection.ts
@@ -43,6 +43,11 @@
   readonly maxBytes?: number | undefined;
   /** True when the body is sent only once the server asks for it. */
   readonly isAnnounced?: boolean | undefined;
+  /**
+   * Called immediately before the last part of the request is written: with an announced body, when
+   * the server asks for it. Until then the server cannot have received the whole request.
+   */
+  readonly onSend?: (() => void) | undefined;
   /** Bounds the bodies that are read at the same time; undefined for no bound. */
   readonly memory?: ResponseMemory | undefined;
 }
@@ -202,11 +207,16 @@
     this.firstReceivedAtMs = undefined;
     this.sentRequests += 1;
     return new Promise((resolve) => {
-      const unsentBody = options.isAnnounced ? request.body : undefined;
+      const isAnnounced = options.isAnnounced && request.body.length > 0;
+      const unsentBody = isAnnounced ? request.body : undefined;
       const isHead = request.method === 'HEAD';
       this.pending = { ...options, isHead, isMatching, resolve, unsentBody };
-      if (unsentBody) this.socket.write(encodeAnnouncement(request));
-      else this.writeRequest(request);
+      if (unsentBody) {
+        this.socket.write(encodeAnnouncement(request));
+        return;
+      }
+      options.onSend?.();
+      this.writeRequest(request);
     });
   }
 
@@ -302,6 +312,7 @@
     const exchange = pending;
     pending.onInterim?.();
     if (status !== CONTINUE_STATUS || !exchange.unsentBody) return;
+    pending.onSend?.();
     this.socket.write(exchange.unsentBody);
     exchange.unsentBody = undefined;
   }
--- a/src/mesh/peerCalls.ts
+++ b/src/mesh/peerCalls.ts
@@ -25,7 +25,7 @@
 } from './nodeAnswers.js';
 import { ClockOffset } from './clockOffset.js';
 import { ConnectionPool } from './connectionPool.js';
-import type { CallMetadata, HttpRequest, HttpResponse, RunReport } from './model.js';
+import type { CallMetadata, HttpRequest, HttpResponse, RefusalReason, RunReport } from './model.js';
 import {
   CLOCK_HEADER,
   CONFIG_HEADER,
@@ -109,6 +109,8 @@
   readonly connections: Set<HttpConnection>;
   readonly startedAtMs: number;
   connectMs: number | undefined;
+  /** True once the last part of the call was written to a connection; resuming it sends none. */
+  wasSent: boolean;
   isSettled: boolean;
 }
 
@@ -135,6 +137,20 @@
   return { result: { kind: 'unknown', reason }, load: undefined, hasResponded: false };
 }
 
+/**
+ * Builds the report of a call that ends without a response. The node cannot have run a call of
+ * which no connection got the last part, and cannot run it later: it has no attempt to resume, and
+ * the call is not sent on a connection that opens after its end.
+ */
+function buildEndReport(
+  { wasSent }: SendState,
+  reason: string,
+  refusalReason: RefusalReason,
+): PeerReport {
+  if (wasSent) return buildUnknownReport(reason);
+  return { result: buildRefusal(refusalReason, false), load: undefined, hasResponded: false };
+}
+
 /** Client for the calls to one node. */
 export class PeerCalls {
   private readonly pool: ConnectionPool;
@@ -274,6 +290,7 @@
         connections: new Set(),
         startedAtMs: performance.now(),
         connectMs: undefined,
+        wasSent: false,
         isSettled: false,
       };
       const timers: NodeJS.Timeout[] = [];
@@ -287,12 +304,13 @@
       };
       const remainingMs = metadata.deadlineAtMs - performance.now();
       const timeoutMs = Math.max(0, remainingMs) + DEADLINE_GRACE_MS;
-      timers.push(setTimeout(() => settle(buildUnknownReport('deadline')), timeoutMs));
+      const expire = () => settle(buildEndReport(state, 'deadline', 'deadline'));
+      timers.push(setTimeout(expire, timeoutMs));
       const probe = () => {
         void this.probe(state).then((report) => report && settle(report));
       };
       timers.push(setTimeout(probe, PROBE_DELAY_MS));
-      cancellation.onCancel(() => settle(buildUnknownReport('cancelled')));
+      cancellation.onCancel(() => settle(buildEndReport(state, 'cancelled', 'cancelled')));
       void this.sendFirst(state).then(settle);
     });
   }
@@ -315,7 +333,7 @@
     state.connectMs = performance.now() - state.startedAtMs;
     const first = await this.exchange(state, connection, undefined);
     if (first || state.isSettled) return first ?? buildUnknownReport('settled');
-    return (await this.resume(state)) ?? buildUnknownReport('connection lost');
+    return (await this.resume(state)) ?? buildEndReport(state, 'connection lost', 'unreachable');
   }
 
   /**
@@ -333,7 +351,7 @@
     await waitMs(CONNECT_TIMEOUT_MS + PROBE_TIMEOUT_MS);
     if (isAlive || state.isSettled) return resumed;
     state.onUnresponsive();
-    return state.canRetry() ? buildUnknownReport('silent') : resumed;
+    return state.canRetry() ? buildEndReport(state, 'silent', 'unreachable') : resumed;
   }
 
   /** Resumes a call on a new connection; undefined when the node cannot be reached. */
@@ -348,11 +366,12 @@
   }
 
   private async exchange(
-    state: SendState,
+    pending: SendState,
     connection: HttpConnection,
     resumedProcessId: string | undefined,
     onInterim?: () => void,
   ): Promise<PeerReport | undefined> {
+    const state = pending;
     const { request, metadata } = state;
     state.connections.add(connection);
     this.active.add(connection);
@@ -366,6 +385,9 @@
     const result = await connection.exchange({ ...request, headers, body }, isAnyResponse, {
       onInterim,
       isAnnounced: body.length >= MIN_ANNOUNCED_BYTES,
+      onSend() {
+        if (resumedProcessId === undefined) state.wasSent = true;
+      },
     });
     state.connections.delete(connection);
     this.active.delete(connection);
