Refuse a call at its deadline while it connects to the instance

Cause: a node waited up to 400 ms for a connection to its instance, also where the deadline of the call was nearer. The refusal then came after the 150 ms for which another node waits for a result, and after the timer of the call on this node, so that the caller got 504 for a call that no instance had got.

Change: the connection has the time that is left to the call. If it runs out, the call is refused with the reason deadline, which does not mark the instance as unreachable; a connection that fails or takes 400 ms does, as before.

Run: test/mesh/slowConnects failed on the code before (unreachable, after 400 ms).

--- a/src/mesh/instanceClient.ts
+++ b/src/mesh/instanceClient.ts
@@ -69,8 +69,13 @@
     metadata: CallMetadata,
     cancellation: Cancellation,
   ): Promise<RunResult> {
-    const connection = await this.acquireConnection(metadata);
-    if (typeof connection === 'string') return buildRefusal('unreachable', false);
+    const connectMs = Math.ceil(metadata.deadlineAtMs - performance.now());
+    const connection = await this.acquireConnection(metadata, connectMs);
+    if (typeof connection === 'string') {
+      // A connection that had less time than usual says nothing about the instance.
+      const isLate = connection === TIMEOUT && connectMs < CONNECT_TIMEOUT_MS;
+      return buildRefusal(isLate ? 'deadline' : 'unreachable', false);
+    }
     const remainingMs = metadata.deadlineAtMs - performance.now();
     if (cancellation.isCancelled() || remainingMs <= 0) {
       this.pool.release(connection);
@@ -85,18 +90,20 @@
     this.pool.close();
   }
 
-  private async acquireConnection({
-    isIdempotent,
-    requestId,
-  }: CallMetadata): Promise<HttpConnection | string> {
+  /** Returns a connection, or why none opened before the deadline, which is in `remainingMs`. */
+  private async acquireConnection(
+    { isIdempotent, requestId }: CallMetadata,
+    remainingMs: number,
+  ): Promise<HttpConnection | string> {
+    const connectMs = Math.min(CONNECT_TIMEOUT_MS, Math.max(1, remainingMs));
     const isReusePaused = performance.now() < this.reusePausedUntilMs;
     if (isReusePaused) this.pool.close();
     // A response to a request without an identifier cannot be told from an earlier response.
-    if (requestId === '') return this.pool.connect(CONNECT_TIMEOUT_MS);
+    if (requestId === '') return this.pool.connect(connectMs);
     const idle = this.pool.takeIdle(
       isIdempotent ? MAX_IDLE_IDEMPOTENT_MS : MAX_IDLE_NON_IDEMPOTENT_MS,
     );
-    return idle ?? this.pool.connect(CONNECT_TIMEOUT_MS);
+    return idle ?? this.pool.connect(connectMs);
   }
 
   private async exchange(
