Do not attempt a refused call again after its deadline

Cause: a call that a node had refused with clock-unknown or cancelled was sent to it again, also when the refusal arrived after the deadline. The second attempt waits for 150 ms from its own start, so the timer of the call ended it as unknown, with 504, although the node had said that it was not run.

Change: after the deadline the refusal is the result, with 503.

--- a/src/mesh/peerCalls.ts
+++ b/src/mesh/peerCalls.ts
@@ -188,6 +188,8 @@
     const options = { request, processId, cancellation, onUnresponsive, canRetry };
     const report = await this.sendAttempt({ ...options, metadata });
     if (!canAttemptAgain(report) || cancellation.isCancelled()) return report;
+    // The node would refuse it, and without a response its outcome would not be known.
+    if (performance.now() >= metadata.deadlineAtMs) return report;
     // The refusal holds for the first identifier from now on.
     const attemptId = `${metadata.attemptId}${SECOND_ATTEMPT_SUFFIX}`;
     return this.sendAttempt({ ...options, metadata: { ...metadata, attemptId } });
--- a/test/mesh/unsentCalls.test.ts
+++ b/test/mesh/unsentCalls.test.ts
@@ -8,6 +8,7 @@
 import { createServer, type AddressInfo, type Socket } from 'node:net';
 import { test } from 'node:test';
 import type { CallMetadata, RunResult } from '../../src/mesh/model.js';
+import { RESULT_HEADER } from '../../src/mesh/peerMessages.js';
 import { PeerCalls } from '../../src/mesh/peerCalls.js';
 import { Cancellation } from '../../src/mesh/signal.js';
 import { brandText } from '../../src/types/ids.js';
@@ -209,3 +210,24 @@
     }
   });
 }
+
+test('a call is not attempted again after its deadline, which delays its refusal', async () => {
+  // The refusal arrives after the deadline, within the time for which results are accepted.
+  const refusal = JSON.stringify({ kind: 'notRun', reason: 'cancelled', retryAfterMs: 0 });
+  const server = await startServer((socket, _text, index) => {
+    if (index > 0 || server.received.join('').match(/POST/g)!.length > 1) return;
+    const head = `HTTP/1.1 503 X\r\n${RESULT_HEADER}: ${refusal}\r\nContent-Length: 0\r\n\r\n`;
+    setTimeout(() => socket.write(head), DEADLINE_MS + 60);
+  });
+  const calls = new PeerCalls({ host: HOST, port: server.port }, NO_REVISIONS);
+  const request = { method: 'POST', path: '/x', headers: ['Host', 'h'], body: Buffer.alloc(1) };
+  try {
+    const metadata = buildMetadata(false, DEADLINE_MS);
+    const { result } = await calls.send(request, metadata, 'p-1', new Cancellation(), () => {});
+    assert.equal(result.kind === 'notRun' && result.reason, 'cancelled');
+    assert.equal(server.received.join('').match(/POST/g)!.length, 1);
+  } finally {
+    calls.close();
+    server.close();
+  }
+});
