Report a call as not run if an error ends it before its first attempt

Cause: an unexpected error of the router ended each call as unknown, with 502, also before anything was sent.

Change: without an attempt the call ends as not run, with 503 and Retry-After; none follows, since the error ends the loop of attempts. After an attempt it stays unknown.

What else was checked in the router and needs no change: - a call that is cancelled or at its deadline before the first attempt, or for which no instance is left, ends as not run - the timer of CallRouter.run, 170 ms after the deadline, runs out only while an attempt is under way: the first one starts in the same turn. A call that waits in the local queue is refused at its deadline within 40 ms, and a call to another node ends by its own timer after 150 ms, which tells whether it was sent. What is left when the timer runs out may still run: unknown - a response that says not run and arrives after that timer comes too late

--- a/src/mesh/callRouter.ts
+++ b/src/mesh/callRouter.ts
@@ -25,6 +25,9 @@
 /** Time after the deadline of a call for which responses of nodes are accepted, in milliseconds. */
 const DEADLINE_GRACE_MS = 170;
 
+/** Retry time of a call that an unexpected error has ended before its first attempt. */
+const CRASH_RETRY_MS = 300;
+
 export interface CallRouterOptions {
   readonly getSettings: () => MeshSettings;
   readonly names: HeaderNames;
@@ -66,7 +69,13 @@
           request: call.requestId,
           reason: thrown instanceof Error ? thrown.stack : String(thrown),
         });
-        finish({ kind: 'unknown', reason: 'internal error' });
+        const reason = 'internal error';
+        const wasSent = call.trace.sends > 0;
+        finish(
+          wasSent
+            ? { kind: 'unknown', reason }
+            : { kind: 'notRun', reason, retryAfterMs: CRASH_RETRY_MS },
+        );
       });
     });
   }
