Read the headers of calls between nodes up to 192 KiB

Cause: the port for calls of other nodes had the default header limit of Node.js, 16 KiB, which a call that the call port accepts can exceed. The HTTP server answered 431 without a result, so the call was unknown and its caller got 502, although it had reached no instance.

Change: the limit is larger than that of the call port, 128 KiB, by room for the headers that nodes add.

--- a/src/mesh/peerPort.ts
+++ b/src/mesh/peerPort.ts
@@ -48,6 +48,12 @@
 /** Largest body of a call between nodes, in bytes. */
 const MAX_BODY_BYTES = 96 * 1024 * 1024;
 
+/**
+ * Header size limit of the HTTP parser, in bytes. It is larger than that of the call port by the
+ * headers that nodes add; a call above it would be answered without a result and be unknown.
+ */
+const MAX_HEAD_BYTES = 192 * 1024;
+
 /** A message of another node. */
 interface Arrival {
   readonly message: IncomingMessage;
@@ -312,9 +318,10 @@
     });
   };
 
-  const server = createServer({ keepAlive: true, noDelay: true }, (message, response) => {
-    serveOrEnd({ message, response, isAnnounced: false });
-  });
+  const server = createServer(
+    { keepAlive: true, noDelay: true, maxHeaderSize: MAX_HEAD_BYTES },
+    (message, response) => serveOrEnd({ message, response, isAnnounced: false }),
+  );
   server.on('connection', (socket: Socket) => {
     socket.once('end', () => {
       if (!wasReset(socket)) endedSockets.add(socket);
