Reject responses of instances and nodes with a status above 599 or 101

Cause: the status line of a response could name any status from 100 to 999. 600 and 999 reached callers and other nodes as responses. 101 was skipped as an interim response, although no request asks for another protocol; with the header Upgrade the parser dropped the rest of what had arrived.

Change: the status line names 100 to 599, and not 101; any other ends the exchange, so the call ends as unknown (502). A message between nodes whose status is not from 200 to 599 is no response: it is neither sent as one nor taken for one, also where it comes from a node of an earlier build. A run with such a status does not end in an exception of the HTTP server.

--- a/src/mesh/peerMessages.ts
+++ b/src/mesh/peerMessages.ts
@@ -19,6 +19,7 @@
   RunTiming,
 } from './model.js';
 import { isRefusalReason } from './refusalReason.js';
+import { isFinalStatus } from './responseParser.js';
 
 /** Request header with the metadata of a call. */
 export const METADATA_HEADER = 'mesh-terms';
@@ -297,11 +298,17 @@
   return transitMs === undefined ? times : [...times, Math.round(transitMs)];
 }
 
+/** Returns the result of a run; unknown for a response whose status no response may have. */
+export function normalizeResult(result: RunResult): RunResult {
+  if (result.kind !== 'answered' || isFinalStatus(result.response.status)) return result;
+  return { kind: 'unknown', reason: `invalid status ${result.response.status}` };
+}
+
 function toRunResult(message: ResultMessage, response: HttpResponse): RunResult {
   const unreadable: RunResult = { kind: 'unknown', reason: 'unreadable result of a node' };
   switch (message.kind) {
     case 'answered':
-      return { kind: 'answered', response };
+      return normalizeResult({ kind: 'answered', response });
     case 'notRun': {
       const { kind, reason, retryAfterMs, hasArrived } = message;
       if (typeof reason !== 'string') return unreadable;
@@ -319,7 +326,8 @@
 }
 
 /** Encodes a result for a header; the response itself is sent as the HTTP response. */
-export function encodeResult({ result, load, timing }: RunReport): string {
+export function encodeResult({ result: given, load, timing }: RunReport): string {
+  const result = normalizeResult(given);
   const common = {
     load: load && encodeLoad(load),
     timing: timing && encodeTiming(timing),
--- a/src/mesh/peerPort.ts
+++ b/src/mesh/peerPort.ts
@@ -23,6 +23,7 @@
   encodeResult,
   METADATA_HEADER,
   NODE_HEADERS,
+  normalizeResult,
   RESULT_HEADER,
   SEEN_HEADER,
 } from './peerMessages.js';
@@ -93,7 +94,7 @@
   report: RunReport,
   nodeHeaders: readonly string[],
 ): void {
-  const { result } = report;
+  const result = normalizeResult(report.result);
   const added = [RESULT_HEADER, encodeResult(report), ...nodeHeaders];
   if (result.kind !== 'answered') {
     const status = result.kind === 'notRun' ? 503 : 502;
--- a/src/mesh/responseParser.ts
+++ b/src/mesh/responseParser.ts
@@ -23,7 +23,15 @@
   return line.includes('HTTP/1.', 1) && /.HTTP\/1\.[01] [1-9]\d{2}/.test(line);
 }
 
-const STATUS_LINE = /^HTTP\/(1)\.([01]) ([1-9]\d{2})(?: (.*))?$/;
+const STATUS_LINE = /^HTTP\/(1)\.([01]) ([1-5]\d{2})(?: (.*))?$/;
+
+/** Status of a server that goes on with another protocol, which no request here asks for. */
+const SWITCH_STATUS = '101';
+
+/** Returns true for the status of a response that is not an interim one (RFC 9110, section 15). */
+export function isFinalStatus(status: number): boolean {
+  return Number.isInteger(status) && status >= 200 && status <= 599;
+}
 
 /** Returns true for a status whose responses have no body, whatever their headers say. */
 export function isBodiless(status: number): boolean {
@@ -38,6 +46,7 @@
   const match = STATUS_LINE.exec(line);
   if (!match || hasLaterStatus(line)) throw new Error('invalid status line');
   const [, versionMajor, versionMinor, statusCode, statusMessage = ''] = match;
+  if (statusCode === SWITCH_STATUS) throw new Error('unexpected switch of protocols');
   this.info.versionMajor = Number(versionMajor);
   this.info.versionMinor = Number(versionMinor);
   this.info.statusCode = Number(statusCode);
