Reject responses with a status above 599 in the core

Cause: the parser of undici passes on any status of three digits from 100, so 600 to 999 of an upstream or of another node reached the caller as a response.

Change: both clients close the connection on a status above 599. The call ends as unknown with connection-lost, 502.

Not mended: HTTP/2.0 and HTTP/0.9 in a status line, which undici accepts and does not tell its handlers.

--- a/src/core/calls/forwardHandler.ts
+++ b/src/core/calls/forwardHandler.ts
@@ -6,7 +6,7 @@
 import { CALL_HEADERS } from '../../types/outcome.js';
 import { parseFailure, parseLoad } from './answer.js';
 import { ExchangeBody } from './exchangeBody.js';
-import { buildNotRun, buildUnknown, type FailedResult } from './refusal.js';
+import { buildNotRun, buildUnknown, MAX_STATUS, type FailedResult } from './refusal.js';
 
 type Controller = Dispatcher.DispatchController;
 
@@ -61,6 +61,10 @@
 
   onResponseStart(controller: Controller, status: number, headers: IncomingHttpHeaders): void {
     if (status < 200 || this.isSettled) return;
+    if (status > MAX_STATUS) {
+      controller.abort(new Error(`the response has the status ${status}`));
+      return;
+    }
     const failure = parseFailure(headers, this.requestId, this.peer);
     if (failure) {
       this.failure = failure;
--- a/src/core/calls/refusal.ts
+++ b/src/core/calls/refusal.ts
@@ -35,6 +35,9 @@
   );
 }
 
+/** Highest HTTP status (RFC 9110, section 15); undici passes on any of three digits from 100. */
+export const MAX_STATUS = 599;
+
 /** HTTP statuses of the `notRun` reasons (design section 10). */
 export const NOT_RUN_STATUS: Readonly<Record<NotRunReason, number>> = {
   'no-route': 404,
--- a/src/core/upstream/exchange.ts
+++ b/src/core/upstream/exchange.ts
@@ -3,6 +3,7 @@
 import type { Readable } from 'node:stream';
 import type { Dispatcher } from 'undici';
 import { ExchangeBody } from '../calls/exchangeBody.js';
+import { MAX_STATUS } from '../calls/refusal.js';
 
 /** Number of response bytes that are buffered before the body applies backpressure. */
 const BODY_BUFFER_BYTES = 64 * 1024;
@@ -144,6 +145,10 @@
     onResponseStart(started, status, headers) {
       // Informational responses (1xx) precede the final one.
       if (status < 200) return;
+      if (status > MAX_STATUS) {
+        started.abort(new Error(`the upstream answered with the status ${status}`));
+        return;
+      }
       if (!isMatchingResponse(headers)) {
         failure = 'mismatched-answer';
         started.abort(new Error('the upstream answered another request'));
--- a/standins/invalidStatusLines.ts
+++ b/standins/invalidStatusLines.ts
@@ -65,3 +65,8 @@
   { name: 'an interim response', start: 'HTTP/1.1 103 X\r\n\r\n' },
   { name: 'a status 102', start: 'HTTP/1.1 102 X\r\nContent-Length: 4\r\n\r\n' },
 ];
+
+/** Protocol versions that the parser of undici accepts and does not pass on. */
+export const UNDICI_VERSIONS: ReadonlySet<string> = new Set(
+  ['HTTP/2.0 200 OK', 'HTTP/0.9 200 OK'].map((line) => JSON.stringify(line)),
+);
