--- a/src/mesh/peerPort.ts
+++ b/src/mesh/peerPort.ts
@@ -23,6 +23,7 @@
   encodeResult,
   METADATA_HEADER,
   NODE_HEADERS,
+  normalizeResult,
   RESULT_HEADER,
   SEEN_HEADER,
 } from './peerMessages.js';
@@ -48,6 +49,12 @@
 /** Largest body of a call between nodes, in bytes. */
 const MAX_BODY_BYTES = 96 * 1024 * 1024;
 
+/**
+ * Header size limit of the HTTP parser, in bytes. It is larger than that of the call port by the
+ * headers that nodes add; a call above it would be answered without a result and be unknown.
+ */
+const MAX_HEAD_BYTES = 192 * 1024;
+
 /** A message of another node. */
 interface Arrival {
   readonly message: IncomingMessage;
@@ -87,7 +94,7 @@
   report: RunReport,
   nodeHeaders: readonly string[],
 ): void {
-  const { result } = report;
+  const result = normalizeResult(report.result);
   const added = [RESULT_HEADER, encodeResult(report), ...nodeHeaders];
   if (result.kind !== 'answered') {
     const status = result.kind === 'notRun' ? 503 : 502;
@@ -312,9 +319,10 @@
     });
   };
 
-  const server = createServer({ keepAlive: true, noDelay: true }, (message, response) => {
-    serveOrEnd({ message, response, isAnnounced: false });
-  });
+  const server = createServer(
+    { keepAlive: true, noDelay: true, maxHeaderSize: MAX_HEAD_BYTES },
+    (message, response) => serveOrEnd({ message, response, isAnnounced: false }),
+  );
   server.on('connection', (socket: Socket) => {
     socket.once('end', () => {
       if (!wasReset(socket)) endedSockets.add(socket);
