--- a/test/mesh/callRouter.test.ts
+++ b/test/mesh/callRouter.test.ts
@@ -20,6 +20,7 @@
     cancellation: new Cancellation(),
     trace: {
       sends,
+      acceptWaitMs: 0,
       instance: undefined,
       loadAgeMs: undefined,
       sendTrace: undefined,
