Offer a call to instances with a free slot first where there are too many to know

Cause: with N nodes and M instances a node hears of an instance once in many seconds, so the two random instances that it compares are known by reports of long ago.

Change: where instances are sampled (more than eight in the own data centre, or in all others), the first two offers of a call ask for a free slot. An instance without one refuses at once with its present load, and the call then waits at the emptier of the two. No immediate offers are made while a service refuses for lack of room, or once a call may have run. Fleets whose instances are compared whole are served as before.

--- a/bench/selection/main.ts
+++ b/bench/selection/main.ts
@@ -4,8 +4,9 @@
 const POLICIES: readonly Policy[] = [
   { name: 'all compared, own observations' },
   { name: 'all compared, summaries of 2 s', summaryMs: 2000 },
-  { name: 'product: two random of each side', isProduct: true },
-  { name: 'product, summaries of 2 s', isProduct: true, summaryMs: 2000 },
+  { name: 'two random of each side', isProduct: true },
+  { name: 'product: free slots first', isProduct: true, hasImmediateOffers: true },
+  { name: 'two random, summaries of 2 s', isProduct: true, summaryMs: 2000 },
   { name: 'all compared, full knowledge', isOmniscient: true },
 ];
 
@@ -44,15 +45,19 @@
 for (const [nodes, dataCentres] of SIZES.filter(([size]) => size <= maxNodes)) {
   for (const load of LOADS) {
     console.log(`\n${nodes} nodes, ${dataCentres} data centres, load ${load}`);
-    console.log('in time %  refused %  p99 ms  busiest/mean  policy');
+    console.log('in time %  refused %  p99 ms  busiest/mean  offers  policy');
     const fleet = buildFleet(nodes, dataCentres, load);
     for (const policy of POLICIES) {
-      const { inTimeShare, refusedShare, p99Ms, busiestToMean } = playFleet(fleet, policy);
+      const { inTimeShare, refusedShare, p99Ms, busiestToMean, offersPerRequest } = playFleet(
+        fleet,
+        policy,
+      );
       const columns = [
         formatShare(inTimeShare).padEnd(9),
         formatShare(refusedShare).padEnd(9),
         String(Math.round(p99Ms)).padStart(6),
         busiestToMean.toFixed(2).padStart(12),
+        offersPerRequest.toFixed(2).padStart(6),
       ];
       console.log(columns.join('  '), ' ', policy.name);
     }
--- a/bench/selection/model.ts
+++ b/bench/selection/model.ts
@@ -3,6 +3,7 @@
  * code of the product without a network, on a played clock. Times are in milliseconds.
  */
 import { AdmissionQueue, type AdmissionItem } from '../../src/mesh/admission.js';
+import { ImmediateOffers } from '../../src/mesh/immediateOffers.js';
 import {
   chooseInstance,
   findCheapest,
@@ -11,6 +12,7 @@
 } from '../../src/mesh/instanceSelection.js';
 import type { InstanceLoad } from '../../src/mesh/model.js';
 import { RequestLimit } from '../../src/mesh/requestLimit.js';
+import { brandText, type InstanceId } from '../../src/types/ids.js';
 import { createRandom, Timeline } from './timeline.js';
 
 /** What a node does to know and to choose. */
@@ -24,6 +26,8 @@
   readonly isOmniscient?: boolean;
   /** True for the selection of the product; otherwise all instances are compared. */
   readonly isProduct?: boolean;
+  /** True when calls are offered to instances with a free slot first. */
+  readonly hasImmediateOffers?: boolean;
 }
 
 /** A fleet and its load. */
@@ -50,6 +54,8 @@
   readonly p99Ms: number;
   /** Work of the busiest instance over the mean, weighted by speed. */
   readonly busiestToMean: number;
+  /** Offers for each request. */
+  readonly offersPerRequest: number;
 }
 
 /** Speeds of instances, in turn. */
@@ -110,6 +116,15 @@
 interface ModelCandidate extends Candidate {
   readonly instance: Instance;
   readonly knowledge: Knowledge;
+  readonly peer: { readonly record: { readonly instanceId: InstanceId } };
+}
+
+/** Progress of one request. */
+interface Attempt {
+  readonly node: number;
+  readonly startedAtMs: number;
+  readonly offers: ImmediateOffers;
+  readonly tried: Set<Instance>;
 }
 
 function computeQuantile(sorted: readonly number[], share: number): number {
@@ -136,6 +151,8 @@
     })),
   );
   const latencies: number[] = [];
+  let sent = 0;
+  let offered = 0;
   let asked = 0;
   let inTime = 0;
   let refused = 0;
@@ -174,6 +191,7 @@
       candidates.push({
         instance,
         knowledge,
+        peer: { record: { instanceId: brandText(String(index)) } },
         isSameDataCentre: instance.dataCentre === node % fleet.dataCentres,
         slots: instance.slots,
         outstanding: knowledge.outstanding,
@@ -194,8 +212,10 @@
     canExplore: true,
   };
 
-  const choose = (node: number, tried: ReadonlySet<Instance>): ModelCandidate | undefined => {
-    const candidates = listCandidates(node);
+  const choose = (
+    candidates: readonly ModelCandidate[],
+    { tried }: Attempt,
+  ): ModelCandidate | undefined => {
     const wasTried = ({ instance }: ModelCandidate) => tried.has(instance);
     if (policy.isProduct) {
       return chooseInstance(candidates, request, SPILL_OVER_POLICY, wasTried, random);
@@ -205,15 +225,22 @@
     return findCheapest(allowed, spillOverMs, INITIAL_MEAN_MS, random);
   };
 
-  const offer = (node: number, startedAtMs: number, tried: Set<Instance>): void => {
-    const chosen = choose(node, tried);
+  const offer = (attempt: Attempt): void => {
+    const { node, startedAtMs, offers, tried } = attempt;
+    const candidates = listCandidates(node);
+    const isImmediate = policy.hasImmediateOffers === true && offers.isNext(candidates);
+    const listed = isImmediate
+      ? offers.listUnasked(candidates)
+      : offers.listForWaiting(candidates, (item) => !item.isFull && !tried.has(item.instance));
+    const chosen = choose(listed, attempt);
     const isCounted = startedAtMs >= WARM_UP_MS;
     if (!chosen || tried.size >= MAX_OFFERS) {
       if (isCounted) refused += 1;
       return;
     }
-    const { instance, knowledge } = chosen;
-    tried.add(instance);
+    const { instance, knowledge, peer } = chosen;
+    if (!isImmediate) tried.add(instance);
+    sent += 1;
     knowledge.outstanding += 1;
     const receive = (isAnswered: boolean) => {
       knowledge.outstanding -= 1;
@@ -221,8 +248,9 @@
       knowledge.loadAtMs = timeline.nowMs;
       knowledge.outstandingAtLoad = knowledge.outstanding;
       if (!isAnswered) {
-        knowledge.fullUntilMs = timeline.nowMs + 100;
-        offer(node, startedAtMs, tried);
+        if (isImmediate) offers.recordBusy(peer.record.instanceId);
+        else knowledge.fullUntilMs = timeline.nowMs + 100;
+        offer(attempt);
         return;
       }
       if (!isCounted) return;
@@ -238,6 +266,10 @@
         deadlineAtMs: startedAtMs + fleet.deadlineMs,
         finish: (isAnswered) => timeline.add(HOP_MS, () => receive(isAnswered)),
       };
+      if (isImmediate && instance.queue.assess(item, timeline.nowMs).kind !== 'start') {
+        item.finish(false);
+        return;
+      }
       const decision = instance.queue.admit(item, timeline.nowMs);
       if (decision.kind === 'start') start(instance, item);
       else if (decision.kind === 'refused') item.finish(false);
@@ -270,7 +302,13 @@
   const arrive = (): void => {
     if (timeline.nowMs >= fleet.durationMs) return;
     if (timeline.nowMs >= WARM_UP_MS) asked += 1;
-    offer(Math.floor(random() * fleet.nodes), timeline.nowMs, new Set());
+    offered += 1;
+    offer({
+      node: Math.floor(random() * fleet.nodes),
+      startedAtMs: timeline.nowMs,
+      offers: new ImmediateOffers(),
+      tried: new Set(),
+    });
     timeline.add(-Math.log(1 - random()) / (capacityPerMs * fleet.load), arrive);
   };
   timeline.add(0, arrive);
@@ -287,5 +325,6 @@
     refusedShare: refused / asked,
     p99Ms: computeQuantile(latencies, 0.99),
     busiestToMean: Math.max(...work) / meanWork,
+    offersPerRequest: sent / offered,
   };
 }
--- a/src/mesh/callRouter.ts
+++ b/src/mesh/callRouter.ts
@@ -18,6 +18,7 @@
   RunReport,
   RunResult,
 } from './model.js';
+import { ImmediateOffers } from './immediateOffers.js';
 import { chooseInstance } from './instanceSelection.js';
 import type { OverloadThrottle } from './overloadThrottle.js';
 import type { PeerNode } from './peerNode.js';
@@ -56,6 +57,13 @@
   | { readonly kind: 'permitted'; readonly untilMs: number | undefined }
   | { readonly kind: 'refused' };
 
+/** The instance that gets a call next. */
+interface Choice {
+  readonly candidate: PeerCandidate;
+  /** True when the call must not wait there. */
+  readonly isImmediate: boolean;
+}
+
 /** Weight of an account without a rate in the sharing of an instance. */
 const DEFAULT_WEIGHT = 1;
 
@@ -110,11 +118,12 @@
     if (service === undefined) return { kind: 'notRun', reason: 'no-target', retryAfterMs: 0 };
     retryBudget.recordRequest(service, call.startedAtMs);
     const progress = new AttemptProgress(call.route);
+    const offers = new ImmediateOffers();
     const route = call.route.name;
-    for (let sendIndex = 0; sendIndex < MAX_SENDS; sendIndex += 1) {
+    for (let sendIndex = 0; sendIndex < MAX_SENDS + offers.count(); sendIndex += 1) {
       if (call.cancellation.isCancelled() || isAtDeadline(call)) break;
-      if (progress.isRefusedForRoom() && !overloadThrottle.canOfferAgain(service, route)) break;
-      const chosen = this.choose(call, service, progress, sendIndex === 0);
+      if (progress.isRefusedForRoom() && !this.canOfferAgain(call, service)) break;
+      const chosen = this.choose(call, service, progress, offers);
       if (!chosen) break;
       const permission = this.permit(call);
       if (permission.kind === 'refused') {
@@ -122,17 +131,24 @@
         break;
       }
       if (progress.countArrivals() > 0 && !this.takeRetry(call, service)) break;
-      progress.recordAttempt(chosen.peer.record.instanceId);
-      const isLastSend = sendIndex === MAX_SENDS - 1;
+      const { instanceId } = chosen.candidate.peer.record;
+      const isLastSend = sendIndex === MAX_SENDS + offers.count() - 1;
       const canRetry = () => !isLastSend && this.canRetry(call, service, progress);
       const { result, timing } = await this.send(chosen, call, permission.untilMs, canRetry);
       trace.timing = timing;
+      if (result.kind === 'notRun' && result.reason === 'busy') {
+        offers.recordBusy(instanceId);
+        this.options.metrics.count('attempts_refused', 'reason="busy"');
+        continue;
+      }
+      offers.end();
+      progress.recordAttempt(instanceId);
       overloadThrottle.record(service, route, result);
-      if (result.kind === 'notRun') this.recordRefusal(result, chosen, call);
-      if (result.kind === 'answered') this.recordNotice(result.response, chosen, call);
+      if (result.kind === 'notRun') this.recordRefusal(result, chosen.candidate, call);
+      if (result.kind === 'answered') this.recordNotice(result.response, chosen.candidate, call);
       const outcome = progress.apply(result);
       if (outcome) return outcome;
-      this.logFailure(result, chosen, call);
+      this.logFailure(result, chosen.candidate, call);
     }
     return progress.getOutcome();
   }
@@ -150,12 +166,27 @@
     call: PendingCall,
     service: ServiceName,
     progress: AttemptProgress,
-    isFirst: boolean,
-  ): PeerCandidate | undefined {
+    offers: ImmediateOffers,
+  ): Choice | undefined {
     const candidates = this.listCandidates(call, service);
-    const chosen = this.findInstance(candidates, call, progress, isFirst);
-    if (!chosen && candidates.some(({ isFull }) => isFull)) progress.recordOverload();
-    return chosen;
+    const isFirst = call.trace.sends === 0;
+    if (offers.isNext(candidates) && this.canOfferAgain(call, service)) {
+      const unasked = offers.listUnasked(candidates);
+      const candidate = this.findInstance(unasked, call, progress, isFirst);
+      if (candidate) return { candidate, isImmediate: true };
+    }
+    offers.end();
+    const isUsable = ({ peer, isFull, isUnreachable }: PeerCandidate) =>
+      !isFull && !isUnreachable && !progress.wasAttempted(peer.record.instanceId);
+    const listed = offers.listForWaiting(candidates, isUsable);
+    const candidate = this.findInstance(listed, call, progress, isFirst);
+    if (candidate) return { candidate, isImmediate: false };
+    if (candidates.some(({ isFull }) => isFull)) progress.recordOverload();
+    return undefined;
+  }
+
+  private canOfferAgain({ route }: PendingCall, service: ServiceName): boolean {
+    return this.options.overloadThrottle.canOfferAgain(service, route.name);
   }
 
   private listCandidates({ route }: PendingCall, service: ServiceName): PeerCandidate[] {
@@ -197,7 +228,7 @@
   }
 
   private async send(
-    { peer }: PeerCandidate,
+    { candidate: { peer }, isImmediate }: Choice,
     call: PendingCall,
     authorizedUntilMs: number | undefined,
     canRetry: () => boolean,
@@ -214,6 +245,7 @@
       deadlineAtMs: call.deadlineAtMs,
       objectiveAtMs: call.objectiveAtMs,
       ...(call.identity && { account: buildShare(call.identity), authorizedUntilMs }),
+      ...(isImmediate && { needsFreeSlot: true }),
     };
     const { request, cancellation, trace } = call;
     trace.sends += 1;
--- a/src/mesh/instanceSelection.ts
+++ b/src/mesh/instanceSelection.ts
@@ -127,6 +127,13 @@
   return local.some((candidate) => !candidate.isUnreachable) ? local : candidates;
 }
 
+/** Returns true when there are too many candidates to know and compare all of them. */
+export function isSampled(candidates: readonly Candidate[]): boolean {
+  let local = 0;
+  for (const { isSameDataCentre } of candidates) if (isSameDataCentre) local += 1;
+  return Math.max(local, candidates.length - local) > MAX_COMPARED;
+}
+
 /** Removes and returns random items, up to `count` of them. */
 function drawRandom<Item>(items: Item[], count: number, random: () => number): Item[] {
   const drawn: Item[] = [];
--- a/src/mesh/localRunner.ts
+++ b/src/mesh/localRunner.ts
@@ -109,7 +109,7 @@
       startedAtMs = performance.now();
       onStart();
     };
-    const refusal = this.check(metadata);
+    const refusal = this.check(metadata) ?? this.checkFreeSlot(metadata);
     const result = refusal ?? (await this.admit(request, metadata, cancellation, recordStart));
     const endedAtMs = performance.now();
     const timing = {
@@ -140,7 +140,7 @@
 
   /** Returns the refusal that a request would get now, before its body arrives; else undefined. */
   checkRoom(metadata: CallMetadata): RunResult | undefined {
-    const refusal = this.check(metadata);
+    const refusal = this.check(metadata) ?? this.checkFreeSlot(metadata);
     if (refusal) return refusal;
     const decision = this.queue.assess(this.buildItem(metadata), performance.now());
     if (decision.kind !== 'refused') return undefined;
@@ -218,6 +218,13 @@
       : buildRefusal('leaving', false, UNAVAILABLE_RETRY_MS);
   }
 
+  /** Returns the refusal of a request that is not to wait, while it would have to. */
+  private checkFreeSlot(metadata: CallMetadata): RunResult | undefined {
+    if (!metadata.needsFreeSlot) return undefined;
+    const decision = this.queue.assess(this.buildItem(metadata), performance.now());
+    return decision.kind === 'start' ? undefined : buildRefusal('busy', false);
+  }
+
   /** Returns true when a run that starts now ends before a planned stop, or at its deadline. */
   private endsBeforeStop({ route, deadlineAtMs }: CallMetadata): boolean {
     const { stopAtMs } = this;
--- a/src/mesh/model.ts
+++ b/src/mesh/model.ts
@@ -233,6 +233,8 @@
   readonly account?: AccountShare | undefined;
   /** Time from which the request may not start any more, since its key may have been removed. */
   readonly authorizedUntilMs?: number | undefined;
+  /** True when the instance gets the request only if it has a free slot for it. */
+  readonly needsFreeSlot?: boolean | undefined;
 }
 
 /** Reasons why a request was not run. */
@@ -245,6 +247,8 @@
   | 'delayed'
   /** The node that sent the request did not know the clock by which its age is told. */
   | 'clock-unknown'
+  /** The instance has no free slot, and the request was not to wait. */
+  | 'busy'
   /** Whether the key of the request is still valid was not known any more when its turn came. */
   | 'unauthorized'
   | 'leaving'
--- a/src/mesh/peerMessages.ts
+++ b/src/mesh/peerMessages.ts
@@ -59,7 +59,8 @@
  * Wire format of the call metadata, a JSON array without field names to keep the header short.
  * Times are the remaining milliseconds, since `performance.now` differs between processes.
  * `resumedProcessId` is present only on a resumed call, and is the process that it was first sent
- * to. The fields behind it are present only on a request of an account.
+ * to. The fields behind it belong to requests of accounts, but for the last one; null stands for a
+ * missing value before a present one.
  */
 type MetadataMessage = readonly [
   attemptId: string,
@@ -72,7 +73,8 @@
   resumedProcessId?: string | null,
   account?: string | null,
   accountWeight?: number | null,
-  authorizedRemainingMs?: number,
+  authorizedRemainingMs?: number | null,
+  needsFreeSlot?: 1,
 ];
 
 /** Wire format of the load; `failures` is the failure rate in thousandths. */
@@ -125,7 +127,8 @@
   resumedProcessId: string | undefined,
   nowMs: number,
 ): string {
-  const message: MetadataMessage = [
+  const { account, authorizedUntilMs, needsFreeSlot } = metadata;
+  const message = [
     metadata.attemptId,
     metadata.route,
     metadata.instanceId,
@@ -134,17 +137,15 @@
     Math.floor(metadata.deadlineAtMs - nowMs),
     Math.floor(metadata.objectiveAtMs - nowMs),
   ];
-  const { account, authorizedUntilMs } = metadata;
-  if (account) {
-    const { name, weight } = account;
-    const accountFields = [resumedProcessId ?? null, name, weight];
-    const authorized =
-      authorizedUntilMs === undefined ? [] : [Math.floor(authorizedUntilMs - nowMs)];
-    return formatHeaderJson([...message, ...accountFields, ...authorized]);
-  }
-  return formatHeaderJson(
-    resumedProcessId === undefined ? message : [...message, resumedProcessId],
-  );
+  const optional = [
+    resumedProcessId,
+    account?.name,
+    account?.weight,
+    authorizedUntilMs === undefined ? undefined : Math.floor(authorizedUntilMs - nowMs),
+    needsFreeSlot ? 1 : undefined,
+  ];
+  while (optional.length > 0 && optional.at(-1) === undefined) optional.pop();
+  return formatHeaderJson([...message, ...optional.map((value) => value ?? null)]);
 }
 
 /** Returns the account of a call; undefined for none, null when its fields are malformed. */
@@ -186,9 +187,11 @@
     resumed,
     accountName,
     accountWeight,
-    authorizedRemainingMs,
+    authorized,
+    needsFreeSlot,
   ] = message;
   const resumedProcessId = resumed ?? undefined;
+  const authorizedRemainingMs = authorized ?? undefined;
   const account = decodeAccountShare(accountName, accountWeight);
   const isUsable =
     isHeaderText(attemptId) &&
@@ -210,10 +213,14 @@
     deadlineAtMs: sentAtMs + remainingMs,
     objectiveAtMs: sentAtMs + objectiveRemainingMs,
   };
-  if (!account) return { metadata, resumedProcessId };
-  const authorizedUntilMs =
-    authorizedRemainingMs === undefined ? undefined : sentAtMs + authorizedRemainingMs;
-  return { metadata: { ...metadata, account, authorizedUntilMs }, resumedProcessId };
+  const added: Partial<CallMetadata> = {
+    ...(account && { account }),
+    ...(authorizedRemainingMs !== undefined && {
+      authorizedUntilMs: sentAtMs + authorizedRemainingMs,
+    }),
+    ...(needsFreeSlot === 1 && { needsFreeSlot: true }),
+  };
+  return { metadata: { ...metadata, ...added }, resumedProcessId };
 }
 
 /** Marks a call whose sender does not know the clock of the receiving process. */
--- a/src/mesh/refusalReason.ts
+++ b/src/mesh/refusalReason.ts
@@ -8,6 +8,7 @@
   delayed: true,
   'clock-unknown': true,
   unauthorized: true,
+  busy: true,
   leaving: true,
   'no-instance': true,
   unreachable: true,
@@ -48,6 +49,7 @@
     case 'delayed':
     case 'clock-unknown':
     case 'unauthorized':
+    case 'busy':
     case 'cancelled':
       return false;
     case 'leaving':
--- a/test/mesh/refusalReason.test.ts
+++ b/test/mesh/refusalReason.test.ts
@@ -13,6 +13,7 @@
   deadline: 'neither',
   cancelled: 'neither',
   unauthorized: 'neither',
+  busy: 'neither',
   leaving: 'unavailable',
   'no-instance': 'unavailable',
   unreachable: 'unavailable',
