Grant quota tokens by a coordinator that the nodes choose among themselves

Quotas of accounts hold over all nodes, and no store call may be made for a request. One node, the first by link bandwidth, now leases tokens to the others in the answers to their reports; the ledger is pure and counts each node at one coordinator only, so that two coordinators together stay within the limit.

Reports carry `steadyMs` and `holds` besides the agreed fields. Without the first, a node that alternates between two coordinators was counted by both; without the second, used tokens would count as leased until they expire, and an account with a burst below its rate would not get its rate. The age of a report is told by the clock header, since a report that a cut has held up must not count its node again.

--- /dev/null
+++ b/src/mesh/coordination/createCoordination.ts
@@ -0,0 +1,116 @@
+/** Constructs and connects the parts of a node that report to a coordinator or act as one. */
+import type { NodeId } from '../../types/ids.js';
+import type { Directory } from '../directory.js';
+import type { EventLog } from '../eventLog.js';
+import type { MeshMetrics } from '../meshMetrics.js';
+import type { MeshConfig, MeshSettings } from '../model.js';
+import { QuotaClient } from '../quotas/client.js';
+import { hasLimit, Ledger } from '../quotas/ledger.js';
+import { Coordinator } from './coordinator.js';
+import { CoordinatorChoice } from './coordinatorChoice.js';
+import type { DirectiveListener, RolloutSource } from './model.js';
+import { ReportLoop } from './reportLoop.js';
+import type { ReportAnswers } from './reportRequests.js';
+
+/** Time for which the list of known nodes is used; reports come up to 4,000 times a second. */
+const KNOWN_NODES_MS = 1000;
+
+export interface CoordinationOptions {
+  readonly getSettings: () => MeshSettings;
+  readonly getConfig: () => MeshConfig | undefined;
+  readonly processId: string;
+  readonly directory: Pick<Directory, 'listResponding' | 'listReadyIds'>;
+  readonly hasReceivedList: () => boolean;
+  readonly isStopping: () => boolean;
+  readonly log: EventLog;
+  readonly metrics: MeshMetrics;
+  /** Undefined where versions are not rolled out. */
+  readonly rollouts?: RolloutSource | undefined;
+  readonly directives?: DirectiveListener | undefined;
+}
+
+/** The parts of a node that other parts use. */
+export interface Coordination {
+  /** Decides whether requests of accounts may run. */
+  readonly quotas: QuotaClient;
+  readonly reportAnswers: ReportAnswers;
+  /** Applies an installed configuration. */
+  applyConfig(config: MeshConfig): void;
+  /** Applies changed settings. */
+  reload(): void;
+  close(): void;
+}
+
+/** Returns a function that lists the known nodes; the same list until they have changed. */
+function createNodeList({ listReadyIds }: { listReadyIds: () => NodeId[] }): () => NodeId[] {
+  let list: NodeId[] = [];
+  let listedAtMs = -Infinity;
+  return () => {
+    const nowMs = performance.now();
+    if (nowMs - listedAtMs < KNOWN_NODES_MS) return list;
+    listedAtMs = nowMs;
+    const current = listReadyIds();
+    const isSame =
+      current.length === list.length && current.every((nodeId, index) => nodeId === list[index]);
+    if (!isSame) list = current;
+    return list;
+  };
+}
+
+export function createCoordination(options: CoordinationOptions): Coordination {
+  const { getSettings, getConfig, directory, hasReceivedList, isStopping, log, metrics } = options;
+  const { nodeId } = getSettings();
+  const getPolicy = () => getSettings().quota;
+  const ledger = new Ledger({
+    getPolicy,
+    listKnownNodes: createNodeList({ listReadyIds: () => directory.listReadyIds() }),
+  });
+  const coordinator = new Coordinator({ tokens: ledger, rollouts: options.rollouts, log, metrics });
+  const quotas = new QuotaClient({ isEnforced: () => getPolicy() !== undefined, log, metrics });
+  const isEnabled = () => {
+    const config = getConfig();
+    if (!config) return false;
+    const { rollout, quota } = getSettings();
+    return (
+      rollout !== undefined || (quota !== undefined && config.accounts?.some(hasLimit) === true)
+    );
+  };
+  const loop = new ReportLoop({
+    ownId: nodeId,
+    process: options.processId,
+    isEnabled,
+    isReady: hasReceivedList,
+    listTargets: () =>
+      directory.listResponding(performance.now()).map(({ record, calls }) => ({
+        nodeId: record.nodeId,
+        linkMbps: record.linkMbps,
+        calls,
+      })),
+    choice: new CoordinatorChoice(nodeId, () => getPolicy()?.windowMs),
+    client: quotas,
+    answerOwn: (report, nowMs) => coordinator.answer(report, nowMs, 0),
+    directives: options.directives,
+    log,
+    metrics,
+  });
+  return {
+    quotas,
+    reportAnswers: {
+      coordinator,
+      isAnswering: () => !isStopping() && hasReceivedList() && getConfig() !== undefined,
+    },
+    applyConfig({ accounts = [] }) {
+      ledger.applyAccounts(accounts, performance.now());
+      quotas.applyAccounts(accounts);
+      loop.update();
+    },
+    reload() {
+      loop.update();
+    },
+    close() {
+      loop.close();
+      quotas.close();
+      coordinator.close();
+    },
+  };
+}
--- a/src/mesh/coordination/model.ts
+++ b/src/mesh/coordination/model.ts
@@ -48,10 +48,17 @@
   readonly node: NodeId;
   /** Identifier of the process of the node. */
   readonly process: string;
+  /**
+   * Time since the node has reported to this coordinator and no other one. A node that alternates
+   * between two coordinators would otherwise be counted by both.
+   */
+  readonly steadyMs: number;
   /** True when the node may bring its part of the allowed excess to a new coordinator. */
   readonly mayBridge: boolean;
   readonly needs: readonly AccountTokens[];
   readonly returns: readonly AccountTokens[];
+  /** Tokens of this coordinator that the node has not used; it has used the others. */
+  readonly holds: readonly AccountTokens[];
   /** Present only while the coordinator has named a rollout of the service of the instance. */
   readonly runs?: InstanceRuns | undefined;
 }
@@ -76,7 +83,8 @@
 
 /** The part of a coordinator that answers needs for quota tokens. */
 export interface TokenSource {
-  answerNeeds(report: CoordinatorReport, nowMs: number): readonly TokenGrant[];
+  /** `ageMs` is the time since the report was sent; undefined if it is not known. */
+  answerNeeds(report: CoordinatorReport, nowMs: number, ageMs?: number): readonly TokenGrant[];
 }
 
 /** The part of a coordinator that knows the rollouts. */
--- a/src/mesh/directory.ts
+++ b/src/mesh/directory.ts
@@ -123,6 +123,15 @@
     );
   }
 
+  /** Returns the nodes in the store that are ready, whether they respond or not. */
+  listReadyIds(): NodeId[] {
+    const ready: NodeId[] = [];
+    for (const [nodeId, { record, unlistedAtMs }] of this.nodes) {
+      if (unlistedAtMs === undefined && record.state === 'ready') ready.push(nodeId);
+    }
+    return ready;
+  }
+
   /** Forgets the revisions of the records, which belong to a history that the store has lost. */
   forgetRevisions(): void {
     for (const node of this.nodes.values()) node.revision = 0;
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -22,6 +22,7 @@
   listStartSources,
 } from './configSources.js';
 import { computeMaxUnconfirmedMs, startConfirmations } from './confirmations.js';
+import { createCoordination } from './coordination/createCoordination.js';
 import { Directory } from './directory.js';
 import type { EventLog } from './eventLog.js';
 import { chooseWatchRole } from './followedSources.js';
@@ -194,6 +195,27 @@
       void applyInstanceChange();
     },
   });
+  const nodes = new NodeListener({
+    ownId: nodeId,
+    instance,
+    publisher,
+    directory,
+    log,
+    onFirstProcess: () => {
+      instance.recordFirstProcess();
+      void applyInstanceChange();
+    },
+  });
+  const coordination = createCoordination({
+    getSettings,
+    getConfig,
+    processId,
+    directory,
+    hasReceivedList: () => nodes.hasReceivedList(),
+    isStopping: () => isStopping,
+    log,
+    metrics,
+  });
   const callPort = createCallPort({
     loop,
     getSettings,
@@ -212,6 +234,7 @@
     targets.evictRoutes(routes);
     overloadThrottle.evictRoutes(routes);
     callPort.applyConfig(installed.limits, routes);
+    coordination.applyConfig(installed);
     void verifier.verify();
   });
   store.era.onRise((era, previous) => {
@@ -248,6 +271,7 @@
     names,
     seen,
     changeAnswers: { configAnswers, nodeAnswers },
+    reportAnswers: coordination.reportAnswers,
     detector,
     loop,
     log,
@@ -267,17 +291,6 @@
       void verifier.verify();
     },
   });
-  const nodes = new NodeListener({
-    ownId: nodeId,
-    instance,
-    publisher,
-    directory,
-    log,
-    onFirstProcess: () => {
-      instance.recordFirstProcess();
-      void applyInstanceChange();
-    },
-  });
   const isReady = () => config.get() !== undefined && nodes.hasReceivedList() && !isStopping;
   const readyPort = createReadyPort(isReady);
   const metricsPort = createMetricsPort(metrics, options.metricsPath);
@@ -380,6 +393,7 @@
 
   const closeComponents = () => {
     loop.stop();
+    coordination.close();
     stopConfirmations();
     recordPruner.stop();
     positions.config.endWait();
@@ -410,6 +424,7 @@
     },
     reload() {
       runner.handleInstanceChange();
+      coordination.reload();
       log.write('info', 'settings-reloaded', { service: getSettings().service });
     },
   };
--- a/src/mesh/peerCalls.ts
+++ b/src/mesh/peerCalls.ts
@@ -25,10 +25,13 @@
 } from './nodeAnswers.js';
 import { ClockOffset } from './clockOffset.js';
 import { ConnectionPool } from './connectionPool.js';
+import type { CoordinatorAnswer, CoordinatorReport } from './coordination/model.js';
+import { decodeAnswer, encodeReport } from './coordination/reportCodec.js';
 import type { CallMetadata, HttpRequest, HttpResponse, RunReport } from './model.js';
 import {
   CLOCK_HEADER,
   CONFIG_HEADER,
+  COORDINATOR_HEADER,
   decodeClockReading,
   decodeResult,
   encodeMetadata,
@@ -40,7 +43,7 @@
   METADATA_HEADER,
 } from './peerMessages.js';
 import type { RevisionExchange } from './revisionExchange.js';
-import type { Cancellation } from './signal.js';
+import { Cancellation } from './signal.js';
 import { SuspensionDetector } from './suspensionDetector.js';
 
 /** Allows several round trips between data centres of one region. */
@@ -61,6 +64,9 @@
 /** Time without data after the wait of a request for changes. */
 const POLL_ANSWER_TIMEOUT_MS = 300;
 
+/** Time within which a coordinator answers a report; later answers are not used. */
+const REPORT_TIMEOUT_MS = 250;
+
 /** Size from which a body is sent only once the node has asked for it. */
 const MIN_ANNOUNCED_BYTES = 16 * 1024;
 
@@ -217,6 +223,29 @@
     else this.pool.close();
   }
 
+  /**
+   * Sends a report to the node as coordinator; undefined without an answer in time. `onInvalid` is
+   * called when the answer cannot be used.
+   */
+  async report(
+    report: CoordinatorReport,
+    onInvalid: (error: StepError) => void,
+  ): Promise<CoordinatorAnswer | undefined> {
+    const cancellation = new Cancellation();
+    let timer: NodeJS.Timeout | undefined;
+    const timeout = new Promise<undefined>((resolve) => {
+      timer = setTimeout(() => {
+        resolve(undefined);
+        cancellation.cancel();
+        // The other idle connections may have gone silent as well.
+        this.pool.close();
+      }, REPORT_TIMEOUT_MS);
+    });
+    const answer = await Promise.race([this.sendReport(report, cancellation, onInvalid), timeout]);
+    clearTimeout(timer);
+    return answer;
+  }
+
   /** Returns the bytes of the calls in progress that wait in their connections. */
   countUnsentBytes(): number {
     return countUnsentBytes(this.active);
@@ -226,6 +255,25 @@
     this.pool.close();
   }
 
+  private async sendReport(
+    report: CoordinatorReport,
+    cancellation: Cancellation,
+    onInvalid: (error: StepError) => void,
+  ): Promise<CoordinatorAnswer | undefined> {
+    const sentAtMs = performance.now();
+    const sentTime = encodeSentTime(this.clock.convert(sentAtMs));
+    const { text, body } = await encodeReport(report);
+    const headers = [COORDINATOR_HEADER, text, CLOCK_HEADER, sentTime];
+    const response = await this.get(headers, { waitMs: 0, cancellation }, body);
+    // A node that is starting or stopping refuses with another status.
+    if (response?.status !== 200 || cancellation.isCancelled()) return undefined;
+    this.recordClock(response.headers, sentAtMs);
+    const encoding = getHeader(response.headers, COORDINATOR_HEADER);
+    const answer = await decodeAnswer(encoding, response.body, this.host);
+    if (answer.isErr()) onInvalid(answer.error);
+    return answer.isOk() ? answer.value : undefined;
+  }
+
   private async poll<Answer>(
     { step, header, text, ...wait }: PollOptions,
     decode: (body: Buffer, peer: string) => Promise<Result<Answer, StepError>>,
@@ -247,17 +295,23 @@
   private async get(
     messageHeaders: readonly string[],
     { waitMs: pollMs, cancellation }: Pick<PollOptions, 'waitMs' | 'cancellation'>,
+    body: Buffer = EMPTY_BODY,
   ): Promise<HttpResponse | undefined> {
     const connection =
       this.pool.takeIdle(MAX_IDLE_MS) ?? (await this.pool.connect(CONNECT_TIMEOUT_MS));
     if (typeof connection === 'string') return undefined;
+    if (cancellation?.isCancelled()) {
+      this.pool.release(connection);
+      return undefined;
+    }
     const stopTimer = startInactivityTimer(connection, pollMs, POLL_ANSWER_TIMEOUT_MS);
     let hasEnded = false;
     cancellation?.onCancel(() => {
       if (!hasEnded) connection.abort('cancelled');
     });
     const headers = ['Host', this.host, ...messageHeaders];
-    const message = { method: 'GET', path: '/', headers, body: EMPTY_BODY };
+    const method = body.length > 0 ? 'POST' : 'GET';
+    const message = { method, path: '/', headers, body };
     const result = await connection.exchange(message, isAnyResponse);
     hasEnded = true;
     stopTimer();
--- a/src/mesh/peerMessages.ts
+++ b/src/mesh/peerMessages.ts
@@ -35,6 +35,9 @@
 /** Request header that asks a node for changes of the node records. */
 export const NODES_HEADER = 'mesh-nodes';
 
+/** Request header with the report of a node to its coordinator, and header of its answer. */
+export const COORDINATOR_HEADER = 'mesh-coordinator';
+
 /**
  * Header of calls with the time at which they were sent, on the clock of the receiving process, and
  * of responses with the clock of the process that responds.
@@ -48,6 +51,7 @@
   SEEN_HEADER,
   CONFIG_HEADER,
   NODES_HEADER,
+  COORDINATOR_HEADER,
   CLOCK_HEADER,
 ]);
 
@@ -111,7 +115,7 @@
 }
 
 /** Formats a message as JSON of visible ASCII characters and blanks, which any header can hold. */
-function formatHeaderJson(message: object): string {
+export function formatHeaderJson(message: object): string {
   return JSON.stringify(message).replace(
     NOT_ASCII,
     (unit) => `\\u${unit.charCodeAt(0).toString(16).padStart(4, '0')}`,
--- a/src/mesh/peerPort.ts
+++ b/src/mesh/peerPort.ts
@@ -8,6 +8,11 @@
 import { toStepError } from '../errors.js';
 import type { CallMonitor } from './callMonitor.js';
 import { answerChangeRequest, type ChangeAnswers, type ChangeReply } from './changeRequests.js';
+import {
+  answerReport,
+  type ReportAnswers,
+  type ReportReply,
+} from './coordination/reportRequests.js';
 import type { EventLog } from './eventLog.js';
 import { filterHeaders, getHeader, type HeaderNames } from './headers.js';
 import type { BodyTransfers, TransferTurn } from './bodyTransfers.js';
@@ -19,6 +24,7 @@
 import type { HttpRequest, RunReport, RunResult } from './model.js';
 import {
   CLOCK_HEADER,
+  COORDINATOR_HEADER,
   encodeClockReading,
   encodeResult,
   METADATA_HEADER,
@@ -74,6 +80,8 @@
   readonly names: HeaderNames;
   readonly seen: RevisionExchange;
   readonly changeAnswers: ChangeAnswers;
+  /** Undefined when this node answers no reports. */
+  readonly reportAnswers?: ReportAnswers | undefined;
   readonly monitor: CallMonitor;
   readonly loop: Pick<LoopMonitor, 'waitForArrivals'>;
   readonly log: EventLog;
@@ -131,11 +139,21 @@
   response.writeHead(200, { 'Content-Length': body.length }).end(body);
 }
 
+function writeReportReply(response: ServerResponse, reply: ReportReply, reading: string): void {
+  if ('status' in reply) {
+    response.writeHead(reply.status, { 'Content-Length': 0 }).end();
+    return;
+  }
+  const { text, body } = reply;
+  const headers = { [COORDINATOR_HEADER]: text, [CLOCK_HEADER]: reading };
+  response.writeHead(200, { ...headers, 'Content-Length': body.length }).end(body);
+}
+
 /** Creates the server of the port; the caller binds it. */
 export function createPeerPort(options: PeerPortOptions): Server {
   const { runner, transfers, processId, names, seen, changeAnswers, monitor, loop, log, memory } =
     options;
-  const { detector = new SuspensionDetector() } = options;
+  const { detector = new SuspensionDetector(), reportAnswers } = options;
   const runs = new Map<string, Run>();
   /** Connections that the other node has closed in order. */
   const endedSockets = new WeakSet<Socket>();
@@ -258,6 +276,16 @@
       await writeChangeReply(response, changeReply);
       return;
     }
+    // After a suspension the clock is another one, on which no earlier message has its time.
+    const clockId = `${processId}.${detector.count()}`;
+    const reportReply =
+      reportAnswers && answerReport(message, reportAnswers, clockId, receivedAtMs);
+    if (reportReply !== undefined) {
+      const reply = await reportReply;
+      const reading = { clockId, receivedAtMs, respondedAtMs: performance.now() };
+      writeReportReply(response, reply, encodeClockReading(reading));
+      return;
+    }
     const receivedRevisions = getHeader(message.rawHeaders, SEEN_HEADER);
     if (getHeader(message.rawHeaders, METADATA_HEADER) === undefined && receivedRevisions) {
       message.resume();
@@ -265,8 +293,6 @@
       response.writeHead(204, { [SEEN_HEADER]: seen.formatReport(receivedAtMs) }).end();
       return;
     }
-    // After a suspension the clock is another one, on which no earlier message has its time.
-    const clockId = `${processId}.${detector.count()}`;
     const receiver = { clockId, requestIdHeader: names.requestId };
     const call = readReceivedCall(message.rawHeaders, receiver, receivedAtMs);
     if (!call) {
