Use the part of the excess for leases as capacity of the buckets

A calm account with a small burst was denied requests that the policy allows: the excess was only used for tokens in the hands of nodes. The bucket and the nodes may now have them together.

--- a/src/mesh/quotas/ledger.ts
+++ b/src/mesh/quotas/ledger.ts
@@ -3,8 +3,8 @@
  *
  * In any window of the policy, the tokens that are used over all nodes and coordinators are at most
  * (rate x window + burst) x (1 + overage) + slack: a node is counted by one coordinator at a time,
- * what a bucket holds and what nodes hold of it is within its capacity and the excess for leases,
- * and a new coordinator starts with empty buckets.
+ * what a bucket and the nodes hold is within its capacity, and a new coordinator starts with empty
+ * buckets.
  */
 import type { AccountName, NodeId } from '../../types/ids.js';
 import { rankMembers } from '../../utils/rendezvous.js';
@@ -267,13 +267,13 @@
     const inputs = this.getInputs();
     if (!inputs) return;
     for (const bucket of this.buckets.values()) {
-      bucket.refill(inputs, this.computeFloor(bucket.getAccount(), inputs, false));
+      bucket.refill(inputs, this.computeFloor(bucket, inputs, false));
     }
   }
 
   private refill(bucket: TokenBucket): void {
     const inputs = this.getInputs();
-    if (inputs) bucket.refill(inputs, this.computeFloor(bucket.getAccount(), inputs, true));
+    if (inputs) bucket.refill(inputs, this.computeFloor(bucket, inputs, true));
   }
 
   private getInputs(): BucketInputs | undefined {
@@ -294,16 +294,12 @@
    * of an account are so few that their tokens are within the slack. Nodes are ranked only with
    * `canRank`, since that takes about 1 ms for each account at 540 nodes.
    */
-  private computeFloor(
-    { name, burst }: ClientAccount,
-    inputs: BucketInputs,
-    canRank: boolean,
-  ): number {
+  private computeFloor(bucket: TokenBucket, inputs: BucketInputs, canRank: boolean): number {
     const { share, policy } = inputs;
-    if (share === 0 || burst * share >= 1) return 0;
+    if (share === 0 || bucket.computeCapacity(inputs) >= 1) return 0;
     if (share > 1 / 2) return 1;
     if (!canRank) return 0;
-    const favoured = this.getFavoured(name, Math.floor(policy.slack / 2));
+    const favoured = this.getFavoured(bucket.getAccount().name, Math.floor(policy.slack / 2));
     for (const node of this.shares.listCounted()) {
       if (favoured.has(node)) return 1;
     }
--- a/src/mesh/quotas/tokenBucket.ts
+++ b/src/mesh/quotas/tokenBucket.ts
@@ -3,14 +3,15 @@
 
 /**
  * Parts of the allowed excess. Tokens that nodes hold or have used since their last report are not
- * told apart, so leases need some excess for the account to get its full rate; the rest bridges the
- * time in which a new coordinator does not count its nodes yet.
+ * told apart and count against the capacity, which needs some excess for an account with a small
+ * burst to get its full rate; the rest bridges the time in which a new coordinator does not count
+ * its nodes yet.
  */
-const LEASE_PART = 0.4;
+const CAPACITY_PART = 0.4;
 const BRIDGE_PART = 0.6;
 
-/** Part of the slack for leases; half of it is for isolated nodes, the rest for rounding. */
-const LEASE_SLACK_PART = 0.25;
+/** Part of the slack in the capacity; half of it is for isolated nodes, the rest for rounding. */
+const CAPACITY_SLACK_PART = 0.25;
 
 /** What all buckets of a coordinator depend on. */
 export interface BucketInputs {
@@ -52,23 +53,24 @@
     return this.level;
   }
 
-  /** Returns the capacity, which is at least `floor`. */
-  computeCapacity({ policy, share, bridgedShare }: BucketInputs, floor: number): number {
-    const bridge = BRIDGE_PART * this.computeExcess(policy) * bridgedShare;
-    return Math.max(this.account.burst * share, floor) + bridge;
+  /** Returns the tokens that the bucket and the nodes may have together, without bridges. */
+  computeCapacity({ policy, share }: BucketInputs): number {
+    const excess = CAPACITY_PART * this.computeExcess(policy) + CAPACITY_SLACK_PART * policy.slack;
+    return (this.account.burst + excess) * share;
   }
 
-  /** Adds the tokens since the last call, up to the capacity. */
+  /** Adds the tokens since the last call, up to the capacity, which is at least `floor`. */
   refill(inputs: BucketInputs, floor: number): void {
-    const { policy, share, totalS, bridgedTotal } = inputs;
+    const { policy, bridgedShare, totalS, bridgedTotal } = inputs;
     const excess = this.computeExcess(policy);
     const rated = this.account.ratePerS * (totalS - this.totalS);
     const bridged = BRIDGE_PART * excess * (bridgedTotal - this.bridgedTotal);
     this.totalS = totalS;
     this.bridgedTotal = bridgedTotal;
-    const capacity = this.computeCapacity(inputs, floor);
-    const leaseRoom = (LEASE_PART * excess + LEASE_SLACK_PART * policy.slack) * share;
-    const room = Math.max(this.level, capacity + leaseRoom - this.leased);
+    const bridge = BRIDGE_PART * excess * bridgedShare;
+    const capacity = Math.max(this.computeCapacity(inputs), floor) + bridge;
+    // Tokens that are there stay when nodes hold more than was known, unless the capacity falls.
+    const room = Math.max(this.level, capacity - this.leased);
     this.level = Math.max(0, Math.min(this.level + rated + bridged, capacity, room));
   }
 
