Share an instance and its link between accounts by start-time fair queueing

Cause: requests of one priority start in the order of their class and arrival, so an account that sends 7 times its usual rate takes the room of all others, and a full queue refuses whoever comes next.

Change: FairOrder (src/mesh/accounts/fairOrder.ts) gives each account of a priority a virtual start tag, charged by expected run time / weight when a request starts. Within a priority, accounts whose tag is not beyond the weighted mean of those that wait may start; among them the class goes first, with its minimum share, then the tag, then the arrival. The estimate of the wait follows this order. A full queue refuses the newest request of the account that is farthest beyond its share, with that request's own reason and wait. Bodies use the same queue, and the runner and the peer port pass the account on. Without accounts in the queue nothing changes. Classes and groups moved to runClasses.ts, entries to queueEntry.ts, unchanged.

--- a/src/mesh/admission.ts
+++ b/src/mesh/admission.ts
@@ -6,25 +6,27 @@
  * that it names allows. An overloaded instance queues requests in no particular order, and some of
  * them never get a response.
  */
+import { chooseFairEntry, findDisplaced, listAhead } from './accounts/fairChoice.js';
+import { FairOrder } from './accounts/fairOrder.js';
 import type { RefusalReason } from './model.js';
+import { compareEntries, type AdmissionItem, type QueueEntry } from './queueEntry.js';
 import { RequestLimit } from './requestLimit.js';
+import { computeMinShares, getGroup } from './runClasses.js';
 
-/** Properties of a request that admission control uses. Instants and times are in milliseconds. */
-export interface AdmissionItem {
-  /** 0 is the highest priority. */
-  readonly priority: number;
-  /** Expected run time on this instance. */
-  readonly expectedRunMs: number;
-  /** Class of the run time, the same for all requests of a route; by default that of the time. */
-  readonly runClass?: number | undefined;
-  readonly objectiveAtMs: number;
-  readonly deadlineAtMs: number;
+export type { AdmissionItem } from './queueEntry.js';
+export { updateRunClass } from './runClasses.js';
+
+/** A queued request that is refused for a newcomer, since the queue is full. */
+export interface DisplacedRequest<Item> {
+  readonly item: Item;
+  readonly reason: RefusalReason;
+  readonly retryAfterMs: number;
 }
 
 /** Decision about a new request. */
-export type AdmissionDecision =
+export type AdmissionDecision<Item = AdmissionItem> =
   | { readonly kind: 'start' }
-  | { readonly kind: 'queued' }
+  | { readonly kind: 'queued'; readonly displaced?: DisplacedRequest<Item> | undefined }
   | {
       readonly kind: 'refused';
       readonly reason: RefusalReason;
@@ -50,34 +52,11 @@
  */
 const MIN_REMAINING_RUN_SHARE = 0.5;
 
-/**
- * Minimum shares of the run time of the instance for the second, third and further priorities in
- * the queue. Without them, higher priorities that fill the instance starve the lower ones, and work
- * that other services have done for the requests that depend on them is wasted. The groups of one
- * priority have equal parts of its share.
- */
-const MIN_RUN_TIME_SHARES: readonly number[] = [0.3, 0.1, 0.05];
-
-/** Largest run time class; it bounds the number that identifies a group. */
-const MAX_RUN_CLASS = 31;
-
-/** Part of a class by which a run time has to leave it before the class of its route changes. */
-const RUN_CLASS_HYSTERESIS = 0.5;
-
 /** Factor by which the recorded run time of each group decays at every start. */
 const RUN_TIME_DECAY = 0.97;
 
-interface QueueEntry<Item> {
-  readonly item: Item;
-  /** Group of the request; a lower number starts first. */
-  readonly group: number;
-  /** True when the request is expected to miss its latency objective. */
-  isLate: boolean;
-  /** Position in the order of arrival. */
-  readonly arrivalIndex: number;
-  /** Instant after which the request is rejected if it is late. */
-  readonly lateExpiryAtMs: number;
-}
+/** Maximum number of priorities with accounts, which bounds memory use. */
+const MAX_FAIR_ORDERS = 32;
 
 /** Expected queueing time of a request, and what it would be rejected for. */
 interface ExpectedWait {
@@ -85,62 +64,6 @@
   readonly cause: Extract<RefusalReason, 'overloaded' | 'limited'>;
 }
 
-/** Number of run time classes of a priority. */
-const RUN_CLASSES = MAX_RUN_CLASS + 1;
-
-/** Returns the class of a run time; each class goes up to twice the times of the one before. */
-export function computeRunClass(runMs: number): number {
-  return Math.min(MAX_RUN_CLASS, Math.floor(Math.log2(Math.max(1, runMs))));
-}
-
-/**
- * Returns the class of a route whose mean run time has changed. It stays the same around the bound
- * of two classes, since later requests of a route would otherwise start before earlier ones.
- */
-export function updateRunClass(known: number | undefined, meanMs: number): number {
-  if (known === undefined) return computeRunClass(meanMs);
-  const position = Math.log2(Math.max(1, meanMs));
-  const isNear =
-    position >= known - RUN_CLASS_HYSTERESIS && position < known + 1 + RUN_CLASS_HYSTERESIS;
-  return isNear ? known : computeRunClass(meanMs);
-}
-
-/**
- * Returns the group of a request: its priority, and in it the class of its run time. Shorter runs
- * start first, so that a given number of slots serves more callers; calls that the runs of other
- * services wait for are mostly short.
- */
-function getGroup({ priority, expectedRunMs, runClass }: AdmissionItem): number {
-  return priority * RUN_CLASSES + (runClass ?? computeRunClass(expectedRunMs));
-}
-
-/** Returns the minimum share of run time of each of the groups, which are in ascending order. */
-function computeMinShares(groups: readonly number[]): ReadonlyMap<number, number> {
-  const ofPriority = new Map<number, number[]>();
-  for (const group of groups) {
-    const priority = Math.floor(group / RUN_CLASSES);
-    ofPriority.set(priority, [...(ofPriority.get(priority) ?? []), group]);
-  }
-  const shares = new Map<number, number>();
-  let leftShare = 1;
-  for (const [index, members] of [...ofPriority.values()].entries()) {
-    if (index === 0) continue;
-    const share = MIN_RUN_TIME_SHARES[Math.min(index, MIN_RUN_TIME_SHARES.length) - 1]!;
-    leftShare -= share;
-    for (const group of members) shares.set(group, share / members.length);
-  }
-  const [first = []] = ofPriority.values();
-  for (const group of first) shares.set(group, Math.max(0, leftShare) / first.length);
-  return shares;
-}
-
-/** Sorts requests that can meet their objective first, then by group, then by arrival. */
-function compareEntries(a: QueueEntry<AdmissionItem>, b: QueueEntry<AdmissionItem>): number {
-  return (
-    Number(a.isLate) - Number(b.isLate) || a.group - b.group || a.arrivalIndex - b.arrivalIndex
-  );
-}
-
 /** Slots of one instance and the queue of requests for them. */
 export class AdmissionQueue<Item extends AdmissionItem> {
   private queue: QueueEntry<Item>[] = [];
@@ -152,6 +75,9 @@
 
   private arrivals = 0;
 
+  /** Order of the accounts by priority; empty until a request of an account arrives. */
+  private readonly fairOrders = new Map<number, FairOrder>();
+
   constructor(
     private slots: number,
     private readonly limit = new RequestLimit(),
@@ -171,14 +97,15 @@
   }
 
   /** Starts, queues or rejects a request. Call `releaseSlot` when a started request has ended. */
-  admit(item: Item, nowMs: number): AdmissionDecision {
-    const { decision, entry } = this.decide(item, nowMs);
+  admit(item: Item, nowMs: number): AdmissionDecision<Item> {
+    const { decision, entry, displaced } = this.decide(item, nowMs);
+    this.addFairOrder(item)?.recordArrival(item);
     if (decision.kind === 'start') this.recordStart(item, nowMs);
-    if (decision.kind === 'queued') {
-      this.arrivals += 1;
-      this.insert(entry);
-    }
-    return decision;
+    if (decision.kind !== 'queued') return decision;
+    const refused = displaced && this.displace(displaced, nowMs);
+    this.arrivals += 1;
+    this.insert(entry);
+    return refused ? { kind: 'queued', displaced: refused } : decision;
   }
 
   /** Returns the decision that `admit` would take, and changes nothing. */
@@ -198,7 +125,7 @@
   dequeue(nowMs: number): Item | undefined {
     if (this.running >= this.slots || !this.limit.canStart(nowMs)) return undefined;
     this.updateLateness(nowMs);
-    const [next] = this.queue.splice(this.findNextIndex(), 1);
+    const [next] = this.queue.splice(this.findFairIndex(), 1);
     if (!next) return undefined;
     this.recordStart(next.item, nowMs);
     return next.item;
@@ -247,7 +174,11 @@
   private decide<Offered extends AdmissionItem>(
     item: Offered,
     nowMs: number,
-  ): { readonly decision: AdmissionDecision; readonly entry: QueueEntry<Offered> } {
+  ): {
+    readonly decision: AdmissionDecision<never>;
+    readonly entry: QueueEntry<Offered>;
+    readonly displaced?: QueueEntry<Item> | undefined;
+  } {
     const remainingMs = item.deadlineAtMs - nowMs;
     const entry: QueueEntry<Offered> = {
       item,
@@ -267,13 +198,45 @@
       item.expectedRunMs * ESTIMATE_SAFETY_FACTOR;
     entry.isLate = nowMs + conservativeMs > item.objectiveAtMs;
     const { waitMs, cause } = this.estimateWait(entry, nowMs);
-    const isQueueFull = this.queue.length >= this.slots * MAX_QUEUED_PER_SLOT;
+    const displaced = this.isFull() ? this.findDisplaced(entry) : undefined;
+    const isQueueFull = this.isFull() && !displaced;
     const isDeadlineMissed = waitMs + item.expectedRunMs > remainingMs;
     const isLateTooLong = entry.isLate && nowMs + waitMs > entry.lateExpiryAtMs;
     if (isQueueFull || isDeadlineMissed || isLateTooLong) {
       return { decision: { kind: 'refused', reason: cause, retryAfterMs: waitMs }, entry };
     }
-    return { decision: { kind: 'queued' }, entry };
+    return { decision: { kind: 'queued' }, entry, displaced };
+  }
+
+  private isFull(): boolean {
+    return this.queue.length >= this.slots * MAX_QUEUED_PER_SLOT;
+  }
+
+  private findDisplaced(entry: QueueEntry<AdmissionItem>): QueueEntry<Item> | undefined {
+    if (!this.hasAccounts(entry)) return undefined;
+    return findDisplaced(this.queue, entry, (priority) => this.fairOrders.get(priority));
+  }
+
+  /** Returns true when a request or those in the queue are of accounts. */
+  private hasAccounts({ item }: QueueEntry<AdmissionItem>): boolean {
+    if (item.account) return true;
+    return this.fairOrders.size > 0 && this.queue.some((queued) => queued.item.account);
+  }
+
+  private displace(entry: QueueEntry<Item>, nowMs: number): DisplacedRequest<Item> {
+    const { waitMs, cause } = this.estimateWait(entry, nowMs);
+    this.remove(entry.item);
+    return { item: entry.item, reason: cause, retryAfterMs: waitMs };
+  }
+
+  /** Returns the order of the accounts of a priority; undefined before the first of an account. */
+  private addFairOrder({ priority, account }: AdmissionItem): FairOrder | undefined {
+    const known = this.fairOrders.get(priority);
+    if (known || !account) return known;
+    if (this.fairOrders.size >= MAX_FAIR_ORDERS) this.fairOrders.clear();
+    const order = new FairOrder();
+    this.fairOrders.set(priority, order);
+    return order;
   }
 
   /**
@@ -292,14 +255,19 @@
     let ahead = 0;
     let sameGroup = 0;
     const groups = new Set<number>([entry.group]);
+    const order = this.fairOrders.get(entry.item.priority);
+    const fairAhead =
+      order && this.hasAccounts(entry) ? listAhead(this.queue, entry, order) : undefined;
     for (const queued of this.queue) {
       const { item, group } = queued;
+      const isAhead = fairAhead?.has(queued) ?? compareEntries(queued, entry) <= 0;
       groups.add(group);
-      if (group === entry.group) {
+      // With accounts, the requests of others that start later don't delay the turn of the group.
+      if (group === entry.group && (isAhead || !fairAhead)) {
         sameGroupMs += item.expectedRunMs;
         sameGroup += 1;
       }
-      if (compareEntries(queued, entry) <= 0) {
+      if (isAhead) {
         aheadMs += item.expectedRunMs;
         ahead += 1;
       }
@@ -313,9 +281,17 @@
       : { waitMs: runWaitMs, cause: 'overloaded' };
   }
 
+  /** Returns the index of the next request to start. */
+  private findFairIndex(): number {
+    const index = this.findNextIndex();
+    const first = this.queue[index];
+    const order = first && this.fairOrders.get(first.item.priority);
+    return order ? this.queue.indexOf(chooseFairEntry(this.queue, first, order)) : index;
+  }
+
   /**
-   * Returns the index of the next request to start: the first request of a group that is below its
-   * minimum share of run time, or else the first in the queue.
+   * Returns the index of the next request without regard to accounts: the first request of a group
+   * that is below its minimum share of run time, or else the first in the queue.
    */
   private findNextIndex(): number {
     const groups = [...new Set(this.queue.map(({ group }) => group))].sort((a, b) => a - b);
@@ -337,6 +313,13 @@
     const group = getGroup(item);
     for (const [known, ms] of this.startedMs) this.startedMs.set(known, ms * RUN_TIME_DECAY);
     this.startedMs.set(group, (this.startedMs.get(group) ?? 0) + item.expectedRunMs);
+    this.addFairOrder(item)?.recordStart(item, this.listInTime(item.priority));
+  }
+
+  private listInTime(priority: number): Item[] {
+    return this.queue
+      .filter(({ item, isLate }) => item.priority === priority && !isLate)
+      .map(({ item }) => item);
   }
 
   /** Moves requests that can no longer meet their objective behind those that can. */
--- a/src/mesh/bodyTransfers.ts
+++ b/src/mesh/bodyTransfers.ts
@@ -8,7 +8,7 @@
  */
 import { AdmissionQueue, type AdmissionItem } from './admission.js';
 import { buildRefusal } from './instanceClient.js';
-import type { RunResult } from './model.js';
+import type { AccountShare, RunResult } from './model.js';
 import type { Cancellation } from './signal.js';
 
 /** Bandwidth up to which the link of a sender may be the slower one. */
@@ -31,6 +31,8 @@
   readonly priority: number;
   readonly objectiveAtMs: number;
   readonly deadlineAtMs: number;
+  /** Undefined for the body of a request without an account. */
+  readonly account?: AccountShare | undefined;
 }
 
 /** Answer to an announcement: the turn of the body, or the reason why it is not sent. */
@@ -110,6 +112,10 @@
         item.refuse(buildRefusal(decision.reason, false, decision.retryAfterMs));
         break;
       case 'queued':
+        if (decision.displaced) {
+          const { item: displaced, reason, retryAfterMs } = decision.displaced;
+          displaced.refuse(buildRefusal(reason, false, retryAfterMs));
+        }
         this.scheduleExpiry();
         cancellation.onCancel(() => {
           if (this.queue.remove(item)) item.refuse(buildRefusal('cancelled', false));
--- a/src/mesh/localRunner.ts
+++ b/src/mesh/localRunner.ts
@@ -256,10 +256,10 @@
   }
 
   private buildItem(metadata: CallMetadata): AdmissionItem {
-    const { priority, route, objectiveAtMs, deadlineAtMs } = metadata;
+    const { priority, route, objectiveAtMs, deadlineAtMs, account } = metadata;
     const expectedRunMs = this.times.getMeanMs(route);
     const runClass = this.times.getRunClass(route);
-    return { priority, expectedRunMs, runClass, objectiveAtMs, deadlineAtMs };
+    return { priority, expectedRunMs, runClass, objectiveAtMs, deadlineAtMs, account };
   }
 
   private admit(
@@ -286,6 +286,10 @@
           item.refuse(offer.reason, offer.retryAfterMs);
           break;
         case 'queued':
+          if (offer.displaced) {
+            const { item: displaced, reason, retryAfterMs } = offer.displaced;
+            displaced.refuse(reason, retryAfterMs);
+          }
           this.scheduleExpiry();
           this.scheduleLimitedStart();
           cancellation.onCancel(() => {
--- a/src/mesh/peerPort.ts
+++ b/src/mesh/peerPort.ts
@@ -197,6 +197,7 @@
       priority: metadata.priority,
       objectiveAtMs: metadata.objectiveAtMs - runMs,
       deadlineAtMs: metadata.deadlineAtMs - runMs,
+      account: metadata.account,
     };
     const turn = await transfers.announce(body, cancellation);
     if (turn.kind === 'granted') response.writeContinue();
--- a/src/mesh/runTimes.ts
+++ b/src/mesh/runTimes.ts
@@ -1,6 +1,6 @@
 /** Run times and failure rate of one instance, as exponentially weighted moving averages. */
 
-import { computeRunClass, updateRunClass } from './admission.js';
+import { computeRunClass, updateRunClass } from './runClasses.js';
 
 /** Weight of the latest run in the mean of its route. */
 const ROUTE_WEIGHT = 0.1;
