--- a/src/mesh/accounts/fairOrder.ts
+++ b/src/mesh/accounts/fairOrder.ts
@@ -81,7 +81,8 @@
 
   getWeight({ account }: Pick<FairRequest, 'account'>): number {
     if (account) return Math.max(MIN_WEIGHT, account.weight);
-    return this.weightCount === 0 ? 1 : this.weightSum / this.weightCount;
+    if (this.weightCount === 0) return 1;
+    return Math.max(MIN_WEIGHT, this.weightSum / this.weightCount);
   }
 
   /** Returns the virtual time that a request takes. */
--- a/test/mesh/fairQueueing.test.ts
+++ b/test/mesh/fairQueueing.test.ts
@@ -235,6 +235,25 @@
   assert.equal(low.kind, 'refused');
 });
 
+// Guards against a queue whose order stays another one after its accounts have left.
+test('requests without an account have their order of before once no account is queued', () => {
+  const plain = new AdmissionQueue<Item>(1);
+  const used = new AdmissionQueue<Item>(1);
+  used.admit(buildItem('first', buildShare('calm')), 0);
+  plain.admit(buildItem('first', undefined), 0);
+  // The late requests of the group delay its minimum share, so that the last one is refused.
+  const requests = [
+    ...Array.from({ length: 10 }, () => buildItem('high', undefined, { priority: 0 })),
+    ...Array.from({ length: 5 }, () => buildItem('late', undefined, { objectiveAtMs: 0 })),
+    buildItem('refused', undefined, { deadlineAtMs: 900 }),
+  ];
+  for (const request of requests) {
+    assert.deepEqual(used.admit(request, 0), plain.admit(request, 0), request.name);
+  }
+  assert.equal(plain.countQueued(), 15);
+  assert.deepEqual(drainNames(used, 15), drainNames(plain, 15));
+});
+
 // Guards against bodies in the order of arrival, which keep the link for the hot account.
 test('the body of a calm account does not wait for all bodies of a hot one', async () => {
   const transfers = new BodyTransfers(10);
