Take a quota token where a request enters, and give it back if it does not run

Cause: the quota client had no caller, so accounts ran as much as they sent.

Change: callEntry.ts decides on the key and then on the quota of a request: 429 with the Retry-After of the bucket where the account has used it, 503 where no coordinator has answered. A request that ends as not run, or whose body does not arrive, gives its token back.

--- a/src/mesh/callPort.ts
+++ b/src/mesh/callPort.ts
@@ -3,7 +3,7 @@
 import type { Socket } from 'node:net';
 import { isAmount, MAX_DURATION_MS } from '../utils/boundedValues.js';
 import type { AcceptMonitor } from './acceptMonitor.js';
-import { getRefusalStatus, type AccountGate } from './accounts/accountGate.js';
+import type { CallEntry } from './accounts/callEntry.js';
 import { isAtDeadline, type CallRouter } from './callRouter.js';
 import type { CallOutcome, PendingCall } from './pendingCall.js';
 import type { EventLog } from './eventLog.js';
@@ -28,9 +28,6 @@
 /** Retry time while this process starts or stops, in milliseconds. */
 const NOT_SERVING_RETRY_MS = 500;
 
-/** Retry time of a request whose key cannot be decided on now, in milliseconds. */
-const UNCONFIRMED_RETRY_MS = 300;
-
 /** Retry time of a request whose body was given up for others, in milliseconds. */
 const NO_MEMORY_RETRY_MS = 1000;
 
@@ -38,7 +35,7 @@
   readonly getSettings: () => MeshSettings;
   readonly getConfig: () => MeshConfig | undefined;
   readonly router: CallRouter;
-  readonly gate: AccountGate;
+  readonly entry: CallEntry;
   readonly loop: Pick<LoopMonitor, 'waitForArrivals'>;
   readonly accepts: AcceptMonitor;
   readonly memory: RequestMemory;
@@ -202,16 +199,20 @@
       return;
     }
     const key = getHeader(rawHeaders, names.accountKey);
-    const authorization = options.gate.authorize(config, matched, key, requestId);
-    if (authorization.kind === 'refused') {
-      const status = getRefusalStatus(authorization.reason);
-      writeRefusal(status, status === 503 ? UNCONFIRMED_RETRY_MS : undefined);
+    const decision = await options.entry.admit(config, matched, key, requestId);
+    if (decision.kind === 'refused') {
+      writeRefusal(decision.status, decision.retryAfterMs);
+      return;
+    }
+    const { identity } = decision;
+    if (cancellation.isCancelled()) {
+      options.entry.giveBack(identity);
       return;
     }
-    const identity = authorization.kind === 'account' ? authorization.identity : undefined;
     const route = applyPriority(matched, identity?.account.priority);
     const body = await readBody(message, config.limits.maxBodyBytes, held);
     if (typeof body === 'string') {
+      options.entry.giveBack(identity);
       if (body === 'too-large') writeRefusal(413);
       if (body === 'no-memory') writeRefusal(503, NO_MEMORY_RETRY_MS);
       return;
@@ -243,6 +244,7 @@
     };
     await options.loop.waitForArrivals(acceptWaitMs);
     const outcome = await router.run(call);
+    if (outcome.kind === 'notRun') options.entry.giveBack(identity);
     writeOutcome(response, call, outcome);
   };
 
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -7,6 +7,7 @@
 import { listen } from '../utils/listen.js';
 import { unwrap } from '../utils/unwrap.js';
 import { AccountGate } from './accounts/accountGate.js';
+import { CallEntry } from './accounts/callEntry.js';
 import { AcceptMonitor } from './acceptMonitor.js';
 import { createAnnouncementPort, type Announcement } from './announcements.js';
 import { BodyTransfers } from './bodyTransfers.js';
@@ -231,7 +232,7 @@
     getSettings,
     getConfig,
     router,
-    gate,
+    entry: new CallEntry({ gate, quotas: coordination.quotas }),
     accepts: new AcceptMonitor(),
     memory: requestMemory,
     names,
