Decide on rollouts at the coordinator and choose the version at the sender

Change: src/mesh/rollouts/ holds the decision (runComparison, sequentialTest, rollout: pure, with time passed as an argument), the coordinator's part (rolloutCoordinator, rolloutWatch) and the node's part (rolloutGate, rolloutFollower, runCounter). rolloutParts constructs them in node.ts if the settings contain the bounds; connecting `source` and `listener` to the reports is left to the coordination module. The store client and the stand-in store can write a Status on the condition of a revision. platform/rollouts.ts holds the names on the wire. CallRouter.listCandidates applies the gate, and LocalRunner counts runs where it records their results. Without the settings none of these parts is constructed.

--- a/src/mesh/callRouter.ts
+++ b/src/mesh/callRouter.ts
@@ -14,6 +14,7 @@
 import type { PeerNode } from './peerNode.js';
 import { isCapacityRefusal, isInstanceUnavailable } from './refusalReason.js';
 import type { RetryBudget } from './retryBudget.js';
+import type { RolloutGate } from './rollouts/rolloutGate.js';
 import type { TargetChooser } from './targets.js';
 
 /** Maximum attempts per call, refused ones included; most refusals cost one round trip. */
@@ -36,6 +37,8 @@
   readonly log: EventLog;
   readonly metrics: MeshMetrics;
   readonly processId: string;
+  /** Keeps calls away from unproven versions; undefined where versions are not rolled out. */
+  readonly rolloutGate?: RolloutGate | undefined;
 }
 
 /** Returns true when the remaining time of a call is too short for another attempt. */
@@ -112,10 +115,12 @@
     return chosen;
   }
 
-  private listCandidates({ route }: PendingCall, service: ServiceName): PeerCandidate[] {
-    const { directory, getSettings } = this.options;
+  private listCandidates(call: PendingCall, service: ServiceName): PeerCandidate[] {
+    const { directory, getSettings, rolloutGate } = this.options;
     const { dataCentre } = getSettings();
-    return directory.listCandidates(service, dataCentre, route, performance.now());
+    const nowMs = performance.now();
+    const listed = directory.listCandidates(service, dataCentre, call.route, nowMs);
+    return rolloutGate?.filterCandidates(call, service, listed, nowMs) ?? listed;
   }
 
   /** Returns the instance to send a call to next; undefined when none is left. */
--- a/src/mesh/localRunner.ts
+++ b/src/mesh/localRunner.ts
@@ -21,6 +21,7 @@
 import { getOriginProcess } from './peerMessages.js';
 import { RequestLimit } from './requestLimit.js';
 import type { ResponseMemory } from './responseMemory.js';
+import type { RunCounter } from './rollouts/runCounter.js';
 import { RunTimes } from './runTimes.js';
 import type { Cancellation } from './signal.js';
 
@@ -55,6 +56,8 @@
   readonly memory?: ResponseMemory;
   /** Returns the expected time until the announced bodies have arrived, in milliseconds. */
   readonly getPendingTransferMs?: () => number;
+  /** Counts the runs by which a version is judged; undefined where versions are not rolled out. */
+  readonly runCounter?: RunCounter | undefined;
 }
 
 export class LocalRunner {
@@ -193,6 +196,7 @@
     if (isSameInstance(heartbeat, this.limitedInstance)) return;
     this.limitedInstance = heartbeat;
     this.limit.reset(performance.now());
+    this.options.runCounter?.reset(heartbeat.instanceId);
   }
 
   private createClient(): InstanceClient {
@@ -325,10 +329,10 @@
   ): void {
     switch (result.kind) {
       case 'answered':
-        this.times.record(metadata.route, runMs, result.response.status >= 500);
+        this.recordRun(metadata, runMs, result.response.status >= 500);
         break;
       case 'unknown':
-        if (!cancellation.isCancelled()) this.times.record(metadata.route, runMs, true);
+        if (!cancellation.isCancelled()) this.recordRun(metadata, runMs, true);
         break;
       case 'notRun':
         this.recordRefusal(metadata, result.reason);
@@ -338,6 +342,11 @@
     }
   }
 
+  private recordRun({ route, instanceId }: CallMetadata, runMs: number, hasFailed: boolean): void {
+    this.times.record(route, runMs, hasFailed);
+    this.options.runCounter?.record(instanceId, route, runMs, hasFailed);
+  }
+
   private recordRefusal(metadata: CallMetadata, reason: RefusalReason): void {
     if (reason === 'shed') this.times.record(metadata.route, 0, true);
     if (reason === 'mismatch') this.options.onMismatch(metadata.instanceId);
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -52,6 +52,8 @@
 import { RetryBudget } from './retryBudget.js';
 import { startRecordPruner } from './recordPruner.js';
 import { RevisionExchange } from './revisionExchange.js';
+import type { RolloutCodec } from './rollouts/model.js';
+import { createRolloutParts } from './rollouts/rolloutParts.js';
 import { createMetricsPort, createReadyPort } from './statusPorts.js';
 import { stopNode } from './stopNode.js';
 import type { MeshStore } from './store.js';
@@ -76,6 +78,7 @@
   readonly configName: string;
   readonly decodeConfig: (value: unknown) => MeshConfig | string;
   readonly decodeAnnouncement: (path: string, body: Buffer) => Announcement;
+  readonly rollouts: RolloutCodec;
 }
 
 /** Options of a node. */
@@ -136,7 +139,11 @@
   const publisher = new Publisher(nodeId, store, log, getDesired);
   const loop = new LoopMonitor();
   const transfers = new BodyTransfers(settings.linkMbps);
+  const rolloutParts = settings.rollout
+    ? createRolloutParts({ adapter, getSettings, instance, log, metrics })
+    : undefined;
   const runner = new LocalRunner({
+    runCounter: rolloutParts?.counter,
     memory: new ResponseMemory(computeResponseLimitBytes(settings.memoryMb)),
     getPendingTransferMs: () => transfers.getPendingMs(),
     instance,
@@ -154,6 +161,7 @@
   const requestMemory = new RequestMemory(computeRequestLimitBytes(settings.memoryMb));
   const overloadThrottle = new OverloadThrottle();
   const router = new CallRouter({
+    rolloutGate: rolloutParts?.gate,
     getSettings,
     names,
     directory,
@@ -382,6 +390,7 @@
     loop.stop();
     stopConfirmations();
     recordPruner.stop();
+    rolloutParts?.source.close();
     positions.config.endWait();
     positions.nodes.endWait();
     publisher.stop();
--- a/src/mesh/store.ts
+++ b/src/mesh/store.ts
@@ -9,6 +9,8 @@
   readonly name: string;
   readonly revision: number;
   readonly value: unknown;
+  /** What the system has written about the object; undefined or null if nothing. */
+  readonly status?: unknown;
 }
 
 /** A change to an object. */
@@ -88,6 +90,13 @@
     value: unknown,
     revision: number,
   ): Promise<Result<StoredObject, StepError>>;
+  /** Replaces the status of the object if the current revision of the object is `revision`. */
+  replaceStatus(
+    kind: string,
+    name: string,
+    status: unknown,
+    revision: number,
+  ): Promise<Result<StoredObject, StepError>>;
   /** Removes the object if its current revision is `revision`. */
   remove(kind: string, name: string, revision: number): Promise<Result<void, StepError>>;
   /** Registers a listener that is called after each call to the store. */
--- a/standins/mesh/storeServer.ts
+++ b/standins/mesh/storeServer.ts
@@ -22,6 +22,7 @@
 interface StoredObject {
   readonly name: string;
   readonly spec: unknown;
+  readonly status: unknown;
   readonly revision: number;
   readonly created: number;
   /** What lists and events hold in place of the object, as another writer may leave it. */
@@ -48,7 +49,7 @@
   readonly revision: number;
 }
 
-const OBJECT_PATH = /^\/objects\/([^/]+)(?:\/([^/]+))?$/;
+const OBJECT_PATH = /^\/objects\/([^/]+)(?:\/([^/]+)(\/status)?)?$/;
 
 function sendJson(response: ServerResponse, status: number, value: unknown): void {
   if (response.destroyed || response.headersSent) return;
@@ -60,7 +61,14 @@
   response.end(text);
 }
 
-function formatObject({ name, spec, revision, created, replacement }: StoredObject): unknown {
+function formatObject({
+  name,
+  spec,
+  status,
+  revision,
+  created,
+  replacement,
+}: StoredObject): unknown {
   if (replacement !== undefined) return replacement;
   const metadata = {
     Name: name,
@@ -69,7 +77,7 @@
     Finalizers: [],
     DeletionTime: false,
   };
-  return { Metadata: metadata, Spec: spec, Status: null };
+  return { Metadata: metadata, Spec: spec, Status: status };
 }
 
 async function sendInChunks(
@@ -138,7 +146,8 @@
 
   /** Stores an object in whose place lists and events hold `replacement`. */
   putReplaced(kind: string, name: string, replacement: unknown): void {
-    const object = { name, spec: null, revision: this.revision + 1, created: 1, replacement };
+    const revision = this.revision + 1;
+    const object = { name, spec: null, status: null, revision, created: 1, replacement };
     this.getObjectsOfKind(kind).set(name, object);
     this.recordChange(kind, object, false);
   }
@@ -147,6 +156,10 @@
     return this.getObjectsOfKind(kind).get(name)?.spec;
   }
 
+  getStatus(kind: string, name: string): unknown {
+    return this.getObjectsOfKind(kind).get(name)?.status;
+  }
+
   /** Removes an object if it exists, without a revision check. */
   removeObject(kind: string, name: string): void {
     const object = this.getObjectsOfKind(kind).get(name);
@@ -205,9 +218,18 @@
   }
 
   private storeObject(kind: string, name: string, spec: unknown): StoredObject {
-    const created = this.getObjectsOfKind(kind).get(name)?.created ?? this.revision + 1;
-    const object = { name, spec, revision: this.revision + 1, created };
-    this.getObjectsOfKind(kind).set(name, object);
+    const known = this.getObjectsOfKind(kind).get(name);
+    return this.storeChange(kind, {
+      name,
+      spec,
+      status: known?.status ?? null,
+      revision: this.revision + 1,
+      created: known?.created ?? this.revision + 1,
+    });
+  }
+
+  private storeChange(kind: string, object: StoredObject): StoredObject {
+    this.getObjectsOfKind(kind).set(object.name, object);
     this.recordChange(kind, object, false);
     return object;
   }
@@ -238,7 +260,7 @@
     const chunks: Buffer[] = [];
     for await (const chunk of request) chunks.push(chunk as Buffer);
     const url = new URL(request.url ?? '/', 'http://store');
-    const [, kind = '', name] = OBJECT_PATH.exec(url.pathname) ?? [];
+    const [, kind = '', name, statusPath] = OBJECT_PATH.exec(url.pathname) ?? [];
     const method = request.method ?? 'GET';
     this.calls.push(`${method} ${kind}`);
     response.setHeader('Store-Era', this.era);
@@ -247,10 +269,13 @@
     const body = (chunks.length === 0 ? {} : JSON.parse(Buffer.concat(chunks).toString())) as {
       Metadata?: { Name?: string; Revision?: number };
       Spec?: unknown;
+      Status?: unknown;
     };
+    const isStatus = statusPath !== undefined;
     const deliveredResponse =
       this.fault.kind === 'lose-answers' && method !== 'GET' ? undefined : response;
     if (method === 'GET') this.handleRead(kind, name, url.searchParams, response);
+    else if (isStatus) this.handleStatus(method, kind, name, body, deliveredResponse);
     else this.handleWrite(method, kind, name, body, url.searchParams, deliveredResponse);
     if (!deliveredResponse) request.socket.pause();
   }
@@ -323,6 +348,28 @@
     else sendJson(response, 200, list);
   }
 
+  private handleStatus(
+    method: string,
+    kind: string,
+    name: string | undefined,
+    body: { Metadata?: { Revision?: number }; Status?: unknown },
+    response: ServerResponse | undefined,
+  ): void {
+    const respond = (status: number, value: unknown) =>
+      response && sendJson(response, status, value);
+    const existing = this.getObjectsOfKind(kind).get(decodeURIComponent(name ?? ''));
+    if (method !== 'PUT') {
+      respond(405, {});
+    } else if (!existing) {
+      respond(404, {});
+    } else if (body.Metadata?.Revision !== existing.revision) {
+      respond(409, formatObject(existing));
+    } else {
+      const changed = { ...existing, status: body.Status ?? null, revision: this.revision + 1 };
+      respond(200, formatObject(this.storeChange(kind, changed)));
+    }
+  }
+
   private handleWrite(
     method: string,
     kind: string,
