--- a/src/mesh/rollouts/rollout.ts
+++ b/src/mesh/rollouts/rollout.ts
@@ -98,7 +98,8 @@
   /** Takes the decisions that are due. `hasContact` is true while the store responds. */
   advance(nowMs: number, hasContact: boolean): void {
     if (this.isFinal() || this.isProven) return;
-    const finding = this.comparison.assess(nowMs);
+    // Little time is left to find that a version is bad under the load of its promotion.
+    const finding = this.comparison.assess(nowMs, this.state === 'promoting' ? 0 : undefined);
     if (finding) {
       this.change('rolled_back', finding.decidedBy);
       return;
--- a/src/mesh/rollouts/runComparison.ts
+++ b/src/mesh/rollouts/runComparison.ts
@@ -194,9 +194,12 @@
     return runs === 0 ? undefined : (1000 * runs) / windowMs;
   }
 
-  /** Assesses the runs since the last assessment; returns why the version is bad, if it is. */
-  assess(nowMs: number): Finding | undefined {
-    if (nowMs - this.assessedAtMs < ASSESS_INTERVAL_MS) return undefined;
+  /**
+   * Assesses the runs since the last assessment, at most once in `intervalMs`; returns why the
+   * version is bad, if it is.
+   */
+  assess(nowMs: number, intervalMs = ASSESS_INTERVAL_MS): Finding | undefined {
+    if (nowMs - this.assessedAtMs < intervalMs) return undefined;
     const elapsedMs = nowMs - this.assessedAtMs;
     this.assessedAtMs = nowMs;
     const finding = this.assessTarget();
