Decide on a lack of runs last, so that a coordinator with the reports goes first

Cause: two coordinators decide at the same time before the end of a rollout. One that gets no reports of the new instances could store `rolled_back` for a good version just before the other stores `completed`.

Change: `rolled_back` for a lack of runs is written 0.2 s before the end instead of 0.5 s. The test of two coordinators now requires `completed`.

--- a/bench/rollouts/model.ts
+++ b/bench/rollouts/model.ts
@@ -222,6 +222,6 @@
       return { isRolledBack: true, decidedAtMs: nowMs, failures, targetRuns };
     }
   }
-  judge.isBad(durationMs - 500);
+  judge.isBad(durationMs - 200);
   return { isRolledBack: judge.isUnproven(), decidedAtMs: durationMs, failures, targetRuns };
 }
--- a/src/mesh/rollouts/rollout.ts
+++ b/src/mesh/rollouts/rollout.ts
@@ -13,6 +13,12 @@
 /** Time before the end at which the decision is written. */
 const COMPLETE_BEFORE_MS = 500;
 
+/**
+ * Time before the end at which a version without enough runs is rolled back. Of two coordinators,
+ * the one that has got the reports of the version's instances decides first.
+ */
+const FEW_RUNS_BEFORE_MS = 200;
+
 /** Time for which all requests go to a version before it is completed; nodes report each 400 ms. */
 const MIN_PROMOTION_MS = 400;
 
@@ -138,7 +144,7 @@
     if (nowMs >= this.deadlineAtMs - PROMOTE_BEFORE_MS && runs >= MIN_PROVING_RUNS) {
       this.promotedAtMs = nowMs;
       this.change('promoting', `${runs} runs`);
-    } else if (nowMs >= this.deadlineAtMs - COMPLETE_BEFORE_MS) {
+    } else if (nowMs >= this.deadlineAtMs - FEW_RUNS_BEFORE_MS) {
       this.change('rolled_back', `only ${runs} runs`);
     }
   }
--- a/test/mesh/rollouts/coordinator.test.ts
+++ b/test/mesh/rollouts/coordinator.test.ts
@@ -180,11 +180,10 @@
   stage.putOrder();
   const [seesRuns, seesNone] = [stage.startCoordinator(), stage.startCoordinator()];
   await stage.play(DURATION_MS + 2000, GOOD, [seesRuns]);
-  const finals = new Set(listStates(stage).filter((state) => state !== 'running'));
-  assert.equal(finals.size, 1);
-  const [final] = finals;
+  // Both write `running`; the second write fails on the revision.
+  assert.deepEqual(listStates(stage), ['running', 'completed']);
   for (const coordinator of [seesRuns, seesNone]) {
-    assert.equal(stage.getDirective(coordinator)?.state, final);
+    assert.equal(stage.getDirective(coordinator)?.state, 'completed');
   }
 });
 
