--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -56,6 +56,8 @@
 import { RetryBudget } from './retryBudget.js';
 import { startRecordPruner } from './recordPruner.js';
 import { RevisionExchange } from './revisionExchange.js';
+import type { RolloutCodec } from './rollouts/model.js';
+import { createRolloutParts } from './rollouts/rolloutParts.js';
 import { createMetricsPort, createReadyPort } from './statusPorts.js';
 import { stopNode } from './stopNode.js';
 import type { MeshStore } from './store.js';
@@ -80,6 +82,7 @@
   readonly configName: string;
   readonly decodeConfig: (value: unknown) => MeshConfig | string;
   readonly decodeAnnouncement: (path: string, body: Buffer) => Announcement;
+  readonly rollouts: RolloutCodec;
 }
 
 /** Options of a node. */
@@ -140,7 +143,11 @@
   const publisher = new Publisher(nodeId, store, log, getDesired);
   const loop = new LoopMonitor();
   const transfers = new BodyTransfers(settings.linkMbps);
+  const rolloutParts = settings.rollout
+    ? createRolloutParts({ adapter, getSettings, instance, log, metrics })
+    : undefined;
   const runner = new LocalRunner({
+    runCounter: rolloutParts?.counter,
     memory: new ResponseMemory(computeResponseLimitBytes(settings.memoryMb)),
     getPendingTransferMs: () => transfers.getPendingMs(),
     instance,
@@ -172,6 +179,7 @@
   });
   const router = new CallRouter({
     gate,
+    rolloutGate: rolloutParts?.gate,
     getSettings,
     names,
     directory,
@@ -224,6 +232,8 @@
     directory,
     hasReceivedList: () => nodes.hasReceivedList(),
     isStopping: () => isStopping,
+    rollouts: rolloutParts?.source,
+    directives: rolloutParts?.listener,
     log,
     metrics,
   });
@@ -409,6 +419,7 @@
     coordination.close();
     stopConfirmations();
     recordPruner.stop();
+    rolloutParts?.source.close();
     positions.config.endWait();
     positions.nodes.endWait();
     publisher.stop();
