--- a/src/mesh/coordination/reportLoop.ts
+++ b/src/mesh/coordination/reportLoop.ts
@@ -30,7 +30,7 @@
 /** A node that can be reported to. */
 export interface ReportTarget extends CoordinatorCandidate {
   readonly calls: {
-    report(
+    sendReport(
       report: CoordinatorReport,
       onInvalid: (error: StepError) => void,
     ): Promise<CoordinatorAnswer | undefined>;
@@ -212,7 +212,7 @@
     const onInvalid = ({ step, peer, message }: StepError) => {
       log.write('warn', 'coordinator-answer-invalid', { step, peer, reason: message });
     };
-    const answer = await this.targets.get(nodeId)?.calls.report(report, onInvalid);
+    const answer = await this.targets.get(nodeId)?.calls.sendReport(report, onInvalid);
     if (answer) choice.recordAnswer(nodeId);
     else choice.recordFailure(nodeId, this.now());
     return answer;
--- a/src/mesh/peerCalls.ts
+++ b/src/mesh/peerCalls.ts
@@ -227,7 +227,7 @@
    * Sends a report to the node as coordinator; undefined without an answer in time. `onInvalid` is
    * called when the answer cannot be used.
    */
-  async report(
+  async sendReport(
     report: CoordinatorReport,
     onInvalid: (error: StepError) => void,
   ): Promise<CoordinatorAnswer | undefined> {
@@ -241,7 +241,10 @@
         this.pool.close();
       }, REPORT_TIMEOUT_MS);
     });
-    const answer = await Promise.race([this.sendReport(report, cancellation, onInvalid), timeout]);
+    const answer = await Promise.race([
+      this.exchangeReport(report, cancellation, onInvalid),
+      timeout,
+    ]);
     clearTimeout(timer);
     return answer;
   }
@@ -255,7 +258,7 @@
     this.pool.close();
   }
 
-  private async sendReport(
+  private async exchangeReport(
     report: CoordinatorReport,
     cancellation: Cancellation,
     onInvalid: (error: StepError) => void,
--- a/src/mesh/quotas/client.ts
+++ b/src/mesh/quotas/client.ts
@@ -92,7 +92,7 @@
     tokens.recordRequest(nowMs);
     if (state.waiters.length === 0 && tokens.take(nowMs)) return GRANTED;
     const deniedMs = tokens.deniedUntilMs - nowMs;
-    if (deniedMs > 0) return this.deny(account.name, state, Math.ceil(deniedMs), nowMs);
+    if (deniedMs > 0) return this.refuse(account.name, state, Math.ceil(deniedMs), nowMs);
     if (this.waiting >= MAX_WAITING) return { kind: 'unknown', retryAfterMs: UNKNOWN_RETRY_MS };
     const decision = new Promise<QuotaDecision>((resolve) => {
       state.waiters.push({ deadlineMs: nowMs + MAX_WAIT_MS, settle: resolve });
@@ -183,7 +183,7 @@
       this.settleGranted(state, nowMs);
       state.tokens.deniedUntilMs = retryAfterMs === 0 ? -Infinity : nowMs + retryAfterMs;
       while (retryAfterMs > 0 && state.waiters.length > 0) {
-        this.settle(state, 1, this.deny(account, state, retryAfterMs, nowMs));
+        this.settle(state, 1, this.refuse(account, state, retryAfterMs, nowMs));
       }
     }
     if (this.waiting > 0) this.listener?.();
@@ -229,7 +229,7 @@
     this.settle(state, count, GRANTED);
   }
 
-  private deny(
+  private refuse(
     account: AccountName,
     target: AccountState,
     retryAfterMs: number,
--- a/src/mesh/quotas/ledger.ts
+++ b/src/mesh/quotas/ledger.ts
@@ -23,6 +23,9 @@
 /** Bounds of the time for which a denial holds. */
 const RETRY_BOUNDS_MS = { min: 20, max: 200 };
 
+/** Accounts whose nodes are ranked for one report; at 540 nodes each takes about 1 ms. */
+const MAX_RANKINGS = 10;
+
 /** What a node has of one account. */
 interface NodeLease {
   readonly bucket: TokenBucket;
@@ -82,6 +85,9 @@
 
   private favouredOf: readonly NodeId[] = [];
 
+  /** Accounts whose nodes may still be ranked for the current report. */
+  private rankings = 0;
+
   private nextSweepMs = -Infinity;
 
   private granted = 0;
@@ -121,9 +127,10 @@
     if (ageMs !== undefined && known && sentAtMs < known.sentAtMs) return [];
     const state = known ?? this.createNode(node);
     this.countNode(report, state, sentAtMs, ageMs !== undefined);
-    this.bridgeNode(report, state, policy, nowMs);
+    this.addBridge(report, state, policy, nowMs);
     state.sentAtMs = sentAtMs;
     state.expiresAtMs = nowMs + LEASE_MS;
+    this.rankings = MAX_RANKINGS;
     const before = this.replaceLeases(report, state);
     const grants: TokenGrant[] = [];
     for (const { account, tokens } of report.needs) {
@@ -197,7 +204,7 @@
     else if (isAgeKnown) this.shares.add(node, sentAtMs);
   }
 
-  private bridgeNode(
+  private addBridge(
     { node, mayBridge, steadyMs }: CoordinatorReport,
     target: NodeState,
     { windowMs }: QuotaPolicy,
@@ -292,7 +299,7 @@
    * Returns the least capacity. A coordinator of few nodes could otherwise never hold a whole token
    * of an account with a small burst. One coordinator has most of the nodes, and the favoured nodes
    * of an account are so few that their tokens are within the slack. Nodes are ranked only with
-   * `canRank`, since that takes about 1 ms for each account at 540 nodes.
+   * `canRank`: a refill of all buckets would take too long.
    */
   private computeFloor(bucket: TokenBucket, inputs: BucketInputs, canRank: boolean): number {
     const { share, policy } = inputs;
@@ -301,19 +308,21 @@
     if (!canRank) return 0;
     const favoured = this.getFavoured(bucket.getAccount().name, Math.floor(policy.slack / 2));
     for (const node of this.shares.listCounted()) {
-      if (favoured.has(node)) return 1;
+      if (favoured?.has(node)) return 1;
     }
     return 0;
   }
 
-  private getFavoured(name: AccountName, count: number): ReadonlySet<NodeId> {
+  /** Returns the favoured nodes of an account; undefined when too many were ranked already. */
+  private getFavoured(name: AccountName, count: number): ReadonlySet<NodeId> | undefined {
     const known = this.options.listKnownNodes();
     if (known !== this.favouredOf) {
       this.favoured.clear();
       this.favouredOf = known;
     }
     let favoured = this.favoured.get(name);
-    if (!favoured) {
+    if (!favoured && this.rankings > 0) {
+      this.rankings -= 1;
       favoured = new Set(rankMembers(name, known, (node) => node).slice(0, count));
       this.favoured.set(name, favoured);
     }
--- a/src/mesh/quotas/nodeShares.ts
+++ b/src/mesh/quotas/nodeShares.ts
@@ -73,14 +73,14 @@
   advance(nowMs: number, knownNodes: number): void {
     while (this.nextExpiryMs <= nowMs) {
       const expiryMs = this.nextExpiryMs;
-      this.integrate(expiryMs);
+      this.advanceTotals(expiryMs);
       this.expire(expiryMs);
     }
-    this.integrate(nowMs);
+    this.advanceTotals(nowMs);
     this.updateKnownNodes(Math.max(1, knownNodes), nowMs);
   }
 
-  private integrate(nowMs: number): void {
+  private advanceTotals(nowMs: number): void {
     const fromMs = this.atMs ?? nowMs;
     if (nowMs <= fromMs) {
       this.atMs = fromMs;
--- a/test/mesh/quotas/quotaMesh.ts
+++ b/test/mesh/quotas/quotaMesh.ts
@@ -206,7 +206,7 @@
     return this.ids.map((nodeId, index) => ({
       nodeId,
       linkMbps: index < 2 ? 140 - index : 10,
-      calls: { report: (report) => this.report(from, index, report) },
+      calls: { sendReport: (report) => this.report(from, index, report) },
     }));
   }
 
