Shorten denials at nodes that a new coordinator does not count yet

They last 50 ms at most now.

A crash in a report is logged, and the peer port is tested with a report in the body, a malformed one and a delayed one.

--- a/src/mesh/coordination/reportLoop.ts
+++ b/src/mesh/coordination/reportLoop.ts
@@ -2,7 +2,7 @@
  * Reports to the coordinator: regularly while it is enabled, and sooner when tokens are needed. At
  * most one report is in flight, besides one that asks a preferred node whether it responds.
  */
-import type { StepError } from '../../errors.js';
+import { toStepError, type StepError } from '../../errors.js';
 import type { NodeId } from '../../types/ids.js';
 import type { EventLog } from '../eventLog.js';
 import type { MeshMetrics } from '../meshMetrics.js';
@@ -140,6 +140,8 @@
     this.sentAtMs = this.now();
     try {
       if (this.options.isReady()) await this.reportInTurn();
+    } catch (thrown) {
+      this.logCrash(thrown);
     } finally {
       this.isInFlight = false;
       this.schedule(this.computePauseMs());
@@ -153,7 +155,7 @@
     for (const nodeId of choice.listAttempts(this.order, this.now())) {
       if (this.isClosed || (await this.attemptReport(nodeId))) break;
     }
-    void this.probePreferred();
+    this.probePreferred();
   }
 
   /** Returns true when the node has answered. */
@@ -192,14 +194,18 @@
     return true;
   }
 
-  private async probePreferred(): Promise<void> {
+  /** Asks a preferred node, if there is one, without waiting for its answer. */
+  private probePreferred(): void {
     const { choice } = this.options;
     if (this.isProbing || this.isClosed) return;
     const preferred = choice.chooseProbe(this.order, this.now());
     if (preferred === undefined) return;
     this.isProbing = true;
-    await this.contact(preferred);
-    this.isProbing = false;
+    void this.contact(preferred)
+      .catch((thrown: unknown) => this.logCrash(thrown))
+      .finally(() => {
+        this.isProbing = false;
+      });
   }
 
   private async send(
@@ -218,6 +224,11 @@
     return answer;
   }
 
+  private logCrash(thrown: unknown): void {
+    const { step, peer, message } = toStepError(thrown, 'coordinator.report', 'self');
+    this.options.log.write('error', 'report-crashed', { step, peer, reason: message });
+  }
+
   private updateOrder(): void {
     const nowMs = this.now();
     if (nowMs - this.orderedAtMs < ORDER_MS) return;
--- a/src/mesh/quotas/ledger.ts
+++ b/src/mesh/quotas/ledger.ts
@@ -23,6 +23,12 @@
 /** Bounds of the time for which a denial holds. */
 const RETRY_BOUNDS_MS = { min: 20, max: 200 };
 
+/**
+ * Longest denial of a node that is not counted yet. With 200 ms, nodes refused requests for as much
+ * longer than the second after a change of the coordinator.
+ */
+const UNCOUNTED_RETRY_MS = 50;
+
 /** Accounts whose nodes are ranked for one report; at 540 nodes each takes about 1 ms. */
 const MAX_RANKINGS = 10;
 
@@ -134,7 +140,9 @@
     const before = this.replaceLeases(report, state);
     const grants: TokenGrant[] = [];
     for (const { account, tokens } of report.needs) {
-      const grant = this.grant(state, account, tokens, before.get(account)?.neededAtS);
+      const maxRetryMs = this.shares.isCounted(node) ? RETRY_BOUNDS_MS.max : UNCOUNTED_RETRY_MS;
+      const neededAtS = before.get(account)?.neededAtS;
+      const grant = this.grant(state, account, tokens, maxRetryMs, neededAtS);
       if (grant) grants.push(grant);
     }
     return grants;
@@ -254,6 +262,7 @@
     state: NodeState,
     account: AccountName,
     need: number,
+    maxRetryMs: number,
     neededAtS = this.shares.getTotalS(),
   ): TokenGrant | undefined {
     const bucket = this.buckets.get(account);
@@ -265,8 +274,8 @@
     this.addLease(state, account, tokens, unmet);
     this.granted += tokens;
     this.unmet += unmet;
-    const { min, max } = RETRY_BOUNDS_MS;
-    const retryAfterMs = unmet === 0 ? 0 : Math.ceil(Math.min(max, Math.max(min, waitMs)));
+    const boundedMs = Math.min(maxRetryMs, Math.max(RETRY_BOUNDS_MS.min, waitMs));
+    const retryAfterMs = unmet === 0 ? 0 : Math.ceil(boundedMs);
     return { account, tokens, lifeMs: LEASE_MS, retryAfterMs };
   }
 
--- a/test/mesh/coordination/peerReports.test.ts
+++ b/test/mesh/coordination/peerReports.test.ts
@@ -1,11 +1,14 @@
 /** Reports over real peer ports: they are answered, and the next node takes over. */
 import assert from 'node:assert/strict';
-import type { Server } from 'node:http';
+import { get, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import { test } from 'node:test';
 import {
   createCoordination,
   type Coordination,
 } from '../../../src/mesh/coordination/createCoordination.js';
+import type { CoordinatorReport } from '../../../src/mesh/coordination/model.js';
+import { encodeReport } from '../../../src/mesh/coordination/reportCodec.js';
 import { SILENT_LOG } from '../../../src/mesh/eventLog.js';
 import type { LocalRunner } from '../../../src/mesh/localRunner.js';
 import { MeshMetrics } from '../../../src/mesh/meshMetrics.js';
@@ -134,6 +137,42 @@
   });
 });
 
+test('a large report is answered; a malformed or delayed one is refused', async () => {
+  await withNodes(CONFIG, async (nodes) => {
+    const { port } = nodes[0]!.server.address() as AddressInfo;
+    const calls = new PeerCalls({ host: '127.0.0.1', port }, NO_REVISIONS);
+    const accounts = Array.from({ length: 1000 }, (_, index) => buildAccount(`a-${index}`, 1, 1));
+    const report: CoordinatorReport = {
+      node: brandText('n-9'),
+      process: 'p-9',
+      steadyMs: 0,
+      mayBridge: false,
+      needs: [...accounts, ACCOUNT].map(({ name }) => ({ account: name, tokens: 1 })),
+      returns: [],
+      holds: [],
+    };
+    const answer = await calls.sendReport(report, (error) => assert.fail(error));
+    assert.deepEqual(
+      answer?.grants.map(({ account }) => account),
+      ['a'],
+    );
+    calls.close();
+    const { text } = await encodeReport({ ...report, needs: [] });
+    const send = (headers: Record<string, string>) =>
+      new Promise<number | undefined>((resolve, reject) => {
+        const request = get({ host: '127.0.0.1', port, headers }, (response) => {
+          response.resume();
+          resolve(response.statusCode);
+        });
+        request.once('error', reject);
+      });
+    const late = (ageMs: number) => `p-n-0.0:${(performance.now() - ageMs).toFixed(1)}`;
+    assert.equal(await send({ 'mesh-coordinator': '{"node":7}' }), 400);
+    assert.equal(await send({ 'mesh-coordinator': text, 'mesh-clock': late(10) }), 200);
+    assert.equal(await send({ 'mesh-coordinator': text, 'mesh-clock': late(400) }), 503);
+  });
+});
+
 test('without an account that has a limit, nothing is sent', async () => {
   const config = { version: 1, accounts: [buildAccount('u', 0, 0)] } as unknown as MeshConfig;
   await withNodes(config, async (nodes) => {
