Count the known nodes anew until the list of the store has come

A node that starts often installs its configuration before it has the node list. The ledger then asked for the known nodes, and the empty list was used for a second.

The list is kept for a second only once it has been received.

--- a/src/mesh/coordination/createCoordination.ts
+++ b/src/mesh/coordination/createCoordination.ts
@@ -41,15 +41,22 @@
   close(): void;
 }
 
-/** Returns a function that lists the known nodes; the same list until they have changed. */
-function createNodeList({ listReadyIds }: { listReadyIds: () => NodeId[] }): () => NodeId[] {
+/**
+ * Returns a function that lists the known nodes; the same list until they have changed. What is
+ * known before the list of the store is not kept: with it, a coordinator that has just started
+ * would take each of its first nodes for all of the mesh.
+ */
+function createNodeList({
+  directory,
+  hasReceivedList,
+}: Pick<CoordinationOptions, 'directory' | 'hasReceivedList'>): () => NodeId[] {
   let list: NodeId[] = [];
   let listedAtMs = -Infinity;
   return () => {
     const nowMs = performance.now();
     if (nowMs - listedAtMs < KNOWN_NODES_MS) return list;
-    listedAtMs = nowMs;
-    const current = listReadyIds();
+    if (hasReceivedList()) listedAtMs = nowMs;
+    const current = directory.listReadyIds();
     const isSame =
       current.length === list.length && current.every((nodeId, index) => nodeId === list[index]);
     if (!isSame) list = current;
@@ -63,7 +70,7 @@
   const getPolicy = () => getSettings().quota;
   const ledger = new Ledger({
     getPolicy,
-    listKnownNodes: createNodeList({ listReadyIds: () => directory.listReadyIds() }),
+    listKnownNodes: createNodeList(options),
   });
   const coordinator = new Coordinator({ tokens: ledger, rollouts: options.rollouts, log, metrics });
   const quotas = new QuotaClient({ isEnforced: () => getPolicy() !== undefined, log, metrics });
