Take the token of a request once its body has come

A token was taken before the body was read, and nothing bounds the time that a caller takes to send it. Requests of an account whose bodies are held back over several windows could take a token each, and then all run in one window.

The token is taken after the body has been read. A request of an account that is denied at that time is still refused before its body is read, and takes no token. Bodies that are not read to the end take none either, so there is none to give back for them.

The first test of waitingRequests fails before the change: 20 requests run with tokens that were granted before their bodies came. The second one, on early refusals, passes before and after.

--- a/src/mesh/accounts/callEntry.ts
+++ b/src/mesh/accounts/callEntry.ts
@@ -1,39 +1,42 @@
 /** Decides whether a request may enter the mesh: by its key, then by the quota of its account. */
 import type { MeshConfig, MeshRoute } from '../model.js';
-import type { QuotaClient } from '../quotas/client.js';
+import type { QuotaClient, QuotaRefusal } from '../quotas/client.js';
 import { getRefusalStatus, type AccountGate } from './accountGate.js';
 import type { Identity } from './authorization.js';
 
 /** Retry time of a request whose key cannot be decided on now, in milliseconds. */
 const UNCONFIRMED_RETRY_MS = 300;
 
+export interface EntryRefusal {
+  readonly kind: 'refused';
+  readonly status: 401 | 429 | 503;
+  readonly retryAfterMs: number | undefined;
+}
+
 export type EntryDecision =
   /** `identity` is undefined for a request that needs no key. */
-  | { readonly kind: 'admitted'; readonly identity: Identity | undefined }
-  | {
-      readonly kind: 'refused';
-      readonly status: 401 | 429 | 503;
-      readonly retryAfterMs: number | undefined;
-    };
+  { readonly kind: 'admitted'; readonly identity: Identity | undefined } | EntryRefusal;
 
 export interface CallEntryOptions {
   readonly gate: Pick<AccountGate, 'authorize'>;
-  readonly quotas: Pick<QuotaClient, 'take' | 'giveBack'>;
+  readonly quotas: Pick<QuotaClient, 'refuseDenied' | 'take' | 'giveBack'>;
+}
+
+function toRefusal({ kind, retryAfterMs }: QuotaRefusal): EntryRefusal {
+  const status = kind === 'denied' ? 429 : 503;
+  return { kind: 'refused', status, retryAfterMs };
 }
 
 export class CallEntry {
   constructor(private readonly options: CallEntryOptions) {}
 
-  /**
-   * Decides on a request, and takes a token of its account if that has a quota. Call `giveBack` if
-   * an admitted request does not run.
-   */
-  async admit(
+  /** Decides on a request before its body is read. Call `takeToken` once it has come. */
+  admit(
     config: MeshConfig,
     route: MeshRoute,
     key: string | undefined,
     requestId: string,
-  ): Promise<EntryDecision> {
+  ): EntryDecision {
     const { gate, quotas } = this.options;
     const authorization = gate.authorize(config, route, key, requestId);
     switch (authorization.kind) {
@@ -46,16 +49,25 @@
       }
       case 'account': {
         const { identity } = authorization;
-        const quota = await quotas.take(identity.account);
-        if (quota.kind === 'granted') return { kind: 'admitted', identity };
-        const status = quota.kind === 'denied' ? 429 : 503;
-        return { kind: 'refused', status, retryAfterMs: quota.retryAfterMs };
+        const quota = quotas.refuseDenied(identity.account);
+        return quota ? toRefusal(quota) : { kind: 'admitted', identity };
       }
       default:
         throw new Error(`unknown decision ${JSON.stringify(authorization satisfies never)}`);
     }
   }
 
+  /**
+   * Takes a token for an admitted request whose body has come; returns a refusal without one. A
+   * token that is taken earlier would let requests run whose bodies were held back for later
+   * windows. Call `giveBack` if the request does not run.
+   */
+  async takeToken(identity: Identity | undefined): Promise<EntryRefusal | undefined> {
+    if (!identity) return undefined;
+    const quota = await this.options.quotas.take(identity.account);
+    return quota.kind === 'granted' ? undefined : toRefusal(quota);
+  }
+
   /** Returns the token of a request that has not run and will not run. */
   giveBack(identity: Identity | undefined): void {
     if (identity) this.options.quotas.giveBack(identity.account);
--- a/src/mesh/callPort.ts
+++ b/src/mesh/callPort.ts
@@ -199,24 +199,28 @@
       return;
     }
     const key = getHeader(rawHeaders, names.accountKey);
-    const decision = await options.entry.admit(config, matched, key, requestId);
+    const decision = options.entry.admit(config, matched, key, requestId);
     if (decision.kind === 'refused') {
       writeRefusal(decision.status, decision.retryAfterMs);
       return;
     }
     const { identity } = decision;
-    if (cancellation.isCancelled()) {
-      options.entry.giveBack(identity);
-      return;
-    }
     const route = applyPriority(matched, identity?.account.priority);
     const body = await readBody(message, config.limits.maxBodyBytes, held);
     if (typeof body === 'string') {
-      options.entry.giveBack(identity);
       if (body === 'too-large') writeRefusal(413);
       if (body === 'no-memory') writeRefusal(503, NO_MEMORY_RETRY_MS);
       return;
     }
+    const refusal = await options.entry.takeToken(identity);
+    if (refusal) {
+      writeRefusal(refusal.status, refusal.retryAfterMs);
+      return;
+    }
+    if (identity && cancellation.isCancelled()) {
+      options.entry.giveBack(identity);
+      return;
+    }
     const headers = filterHeaders(rawHeaders, strippedRequestHeaders);
     headers.push(names.callerService, options.getSettings().service);
     if (identity) headers.push(names.accountName, identity.account.name);
--- a/src/mesh/quotas/client.ts
+++ b/src/mesh/quotas/client.ts
@@ -23,8 +23,9 @@
 const LOG_INTERVAL_MS = 1000;
 
 /** Whether a request may run. */
-export type QuotaDecision =
-  | { readonly kind: 'granted' }
+export type QuotaDecision = { readonly kind: 'granted' } | QuotaRefusal;
+
+export type QuotaRefusal =
   /** The account has used its quota. */
   | { readonly kind: 'denied'; readonly retryAfterMs: number }
   /** No coordinator has answered in time. */
@@ -83,6 +84,21 @@
     this.listener = listener;
   }
 
+  /**
+   * Refuses a request at once while its account is denied; undefined if it may ask for a token.
+   * Takes none, so it can be called before the body has come.
+   */
+  refuseDenied(account: ClientAccount): QuotaRefusal | undefined {
+    const state = this.states.get(account.name);
+    if (!state || !hasLimit(account) || !this.options.isEnforced()) return undefined;
+    const { tokens } = state;
+    const nowMs = this.now();
+    const deniedMs = tokens.deniedUntilMs - nowMs;
+    if (deniedMs <= 0 || tokens.hasToken(nowMs)) return undefined;
+    tokens.recordRequest(nowMs);
+    return this.refuse(account.name, state, Math.ceil(deniedMs), nowMs);
+  }
+
   /** Takes a token for a request of the account, and waits for one if there is none. */
   async take(account: ClientAccount): Promise<QuotaDecision> {
     if (!hasLimit(account) || !this.options.isEnforced()) return GRANTED;
@@ -234,7 +250,7 @@
     target: AccountState,
     retryAfterMs: number,
     nowMs: number,
-  ): QuotaDecision {
+  ): QuotaRefusal {
     const state = target;
     state.denials += 1;
     this.options.metrics.count('quota_denied');
--- a/src/mesh/quotas/localTokens.ts
+++ b/src/mesh/quotas/localTokens.ts
@@ -45,6 +45,11 @@
     if (tokens > 0) this.lots.push({ tokens, expiresAtMs, coordinator });
   }
 
+  hasToken(nowMs: number): boolean {
+    this.expire(nowMs);
+    return this.lots.some(({ tokens }) => tokens > 0);
+  }
+
   /** Takes a token; returns false when there is none. */
   take(nowMs: number): boolean {
     this.expire(nowMs);
