End the wait for a token with the request that waits

A request that waited for a token was not told of its cancellation: a stopping node leaves 150 ms for the responses to cancelled requests, and this one waited up to 500 ms and then ended without a response at all. A caller that had left kept its place and was asked a token for.

The wait ends with the cancellation of the request. After it, the router ends a cancelled request as not run, which gives its token back and writes the 503 where the caller is still there.

--- a/src/mesh/accounts/callEntry.ts
+++ b/src/mesh/accounts/callEntry.ts
@@ -1,6 +1,7 @@
 /** Decides whether a request may enter the mesh: by its key, then by the quota of its account. */
 import type { MeshConfig, MeshRoute } from '../model.js';
 import type { QuotaClient, QuotaRefusal } from '../quotas/client.js';
+import type { Cancellation } from '../signal.js';
 import { getRefusalStatus, type AccountGate } from './accountGate.js';
 import type { Identity } from './authorization.js';
 
@@ -62,9 +63,12 @@
    * token that is taken earlier would let requests run whose bodies were held back for later
    * windows. Call `giveBack` if the request does not run.
    */
-  async takeToken(identity: Identity | undefined): Promise<EntryRefusal | undefined> {
+  async takeToken(
+    identity: Identity | undefined,
+    cancellation: Cancellation,
+  ): Promise<EntryRefusal | undefined> {
     if (!identity) return undefined;
-    const quota = await this.options.quotas.take(identity.account);
+    const quota = await this.options.quotas.take(identity.account, cancellation);
     return quota.kind === 'granted' ? undefined : toRefusal(quota);
   }
 
--- a/src/mesh/callPort.ts
+++ b/src/mesh/callPort.ts
@@ -212,15 +212,11 @@
       if (body === 'no-memory') writeRefusal(503, NO_MEMORY_RETRY_MS);
       return;
     }
-    const refusal = await options.entry.takeToken(identity);
+    const refusal = await options.entry.takeToken(identity, cancellation);
     if (refusal) {
       writeRefusal(refusal.status, refusal.retryAfterMs);
       return;
     }
-    if (identity && cancellation.isCancelled()) {
-      options.entry.giveBack(identity);
-      return;
-    }
     const headers = filterHeaders(rawHeaders, strippedRequestHeaders);
     headers.push(names.callerService, options.getSettings().service);
     if (identity) headers.push(names.accountName, identity.account.name);
--- a/src/mesh/quotas/client.ts
+++ b/src/mesh/quotas/client.ts
@@ -7,6 +7,7 @@
 import type { ClientAccount } from '../model.js';
 import type { EventLog } from '../eventLog.js';
 import type { MeshMetrics } from '../meshMetrics.js';
+import type { Cancellation } from '../signal.js';
 import { hasLimit } from './ledger.js';
 import { LocalTokens } from './localTokens.js';
 
@@ -47,7 +48,7 @@
 interface AccountState {
   readonly tokens: LocalTokens;
   /** Requests that wait, the first one first. */
-  waiters: Waiter[];
+  readonly waiters: Waiter[];
   denials: number;
   loggedAtMs: number;
 }
@@ -99,8 +100,11 @@
     return this.refuse(account.name, state, Math.ceil(deniedMs), nowMs);
   }
 
-  /** Takes a token for a request of the account, and waits for one if there is none. */
-  async take(account: ClientAccount): Promise<QuotaDecision> {
+  /**
+   * Takes a token for a request of the account, and waits for one if there is none. The wait ends
+   * with `cancellation`.
+   */
+  async take(account: ClientAccount, cancellation?: Cancellation): Promise<QuotaDecision> {
     if (!hasLimit(account) || !this.options.isEnforced()) return GRANTED;
     const nowMs = this.now();
     const state = this.getState(account.name);
@@ -111,9 +115,11 @@
     if (deniedMs > 0) return this.refuse(account.name, state, Math.ceil(deniedMs), nowMs);
     if (this.waiting >= MAX_WAITING) return { kind: 'unknown', retryAfterMs: UNKNOWN_RETRY_MS };
     const decision = new Promise<QuotaDecision>((resolve) => {
-      state.waiters.push({ deadlineMs: nowMs + MAX_WAIT_MS, settle: resolve });
+      const waiter = { deadlineMs: nowMs + MAX_WAIT_MS, settle: resolve };
+      state.waiters.push(waiter);
+      this.waiting += 1;
+      cancellation?.onCancel(() => this.cancelWait(state, waiter));
     });
-    this.waiting += 1;
     this.timer ??= setTimeout(() => this.expireWaiters(), MAX_WAIT_MS);
     this.listener?.();
     return decision;
@@ -232,6 +238,14 @@
     this.states.delete(name);
   }
 
+  private cancelWait({ waiters }: AccountState, waiter: Waiter): void {
+    const index = waiters.indexOf(waiter);
+    if (index < 0) return;
+    waiters.splice(index, 1);
+    this.waiting -= 1;
+    waiter.settle({ kind: 'unknown', retryAfterMs: UNKNOWN_RETRY_MS });
+  }
+
   private settle(target: AccountState, count: number, decision: QuotaDecision): void {
     const state = target;
     const settled = state.waiters.splice(0, count);
--- a/test/mesh/accounts/waitingRequests.test.ts
+++ b/test/mesh/accounts/waitingRequests.test.ts
@@ -148,3 +148,33 @@
     assert.equal((await sendGet(port)).statusCode, 429);
   });
 });
+
+test('a request that waits for a token is answered as soon as the node ends', async () => {
+  await withEntry(async ({ quotas, callPort, port, countRuns, grant }) => {
+    const answered = sendGet(port);
+    await waitUntil(() => quotas.isWaiting());
+    const cancelledAtMs = performance.now();
+    assert.equal(callPort.cancelOpen(), 1);
+    const { statusCode, headers } = await answered;
+    assert.equal(statusCode, 503);
+    assert.ok(Number(headers['retry-after']) > 0);
+    // A node that stops leaves 150 ms for the responses to cancelled requests.
+    assert.ok(performance.now() - cancelledAtMs < 150);
+    grant();
+    assert.equal(countRuns(), 0);
+  });
+});
+
+test('a caller that leaves while it waits for a token takes none', async () => {
+  await withEntry(async ({ quotas, callPort, port, countRuns }) => {
+    const socket = sendHead(port);
+    socket.write(BODY);
+    await waitUntil(() => quotas.isWaiting());
+    socket.destroy();
+    await waitUntil(() => callPort.countOpen() === 0);
+    assert.equal(quotas.isWaiting(), false);
+    const { needs } = quotas.collectTokens(COORDINATOR);
+    assert.deepEqual(needs, [], 'nothing is asked for it');
+    assert.equal(countRuns(), 0);
+  });
+});
