Forget quota tokens and counted nodes once the clock has stood still

The clock of a suspended host stands still, so that after it the ledger still counted the nodes of before, which had changed to another coordinator, and granted its own requests from full buckets: in the test 125 tokens where the share of its node is 16.4. Tokens that a node had got before a suspension were also used after it, when their coordinator had long taken them for used.

The suspension detector of the node tells both: the coordinator starts anew with empty buckets and no counted nodes, and the client forgets its tokens and takes none from an answer to an earlier report.

--- a/src/mesh/coordination/createCoordination.ts
+++ b/src/mesh/coordination/createCoordination.ts
@@ -6,9 +6,15 @@
 import type { MeshConfig, MeshSettings } from '../model.js';
 import { QuotaClient } from '../quotas/client.js';
 import { hasLimit, Ledger } from '../quotas/ledger.js';
+import { SuspensionDetector } from '../suspensionDetector.js';
 import { Coordinator } from './coordinator.js';
 import { CoordinatorChoice } from './coordinatorChoice.js';
-import type { DirectiveListener, RolloutSource } from './model.js';
+import type {
+  CoordinatorAnswer,
+  CoordinatorReport,
+  DirectiveListener,
+  RolloutSource,
+} from './model.js';
 import { ReportLoop } from './reportLoop.js';
 import type { ReportAnswers } from './reportRequests.js';
 
@@ -22,6 +28,7 @@
   readonly directory: Pick<Directory, 'listResponding' | 'listReadyIds'>;
   readonly hasReceivedList: () => boolean;
   readonly isStopping: () => boolean;
+  readonly detector?: Pick<SuspensionDetector, 'count'> | undefined;
   readonly log: EventLog;
   readonly metrics: MeshMetrics;
   /** Undefined where versions are not rolled out. */
@@ -67,13 +74,27 @@
 export function createCoordination(options: CoordinationOptions): Coordination {
   const { getSettings, getConfig, directory, hasReceivedList, isStopping, log, metrics } = options;
   const { nodeId } = getSettings();
+  const { detector = new SuspensionDetector() } = options;
   const getPolicy = () => getSettings().quota;
   const ledger = new Ledger({
     getPolicy,
     listKnownNodes: createNodeList(options),
   });
   const coordinator = new Coordinator({ tokens: ledger, rollouts: options.rollouts, log, metrics });
-  const quotas = new QuotaClient({ isEnforced: () => getPolicy() !== undefined, log, metrics });
+  const quotas = new QuotaClient({
+    isEnforced: () => getPolicy() !== undefined,
+    countSuspensions: () => detector.count(),
+    log,
+    metrics,
+  });
+  let suspensions = detector.count();
+  const answer = (report: CoordinatorReport, nowMs: number, ageMs?: number): CoordinatorAnswer => {
+    const current = detector.count();
+    // The nodes that were counted may have changed to another coordinator meanwhile.
+    if (current !== suspensions) ledger.reset();
+    suspensions = current;
+    return coordinator.answer(report, nowMs, ageMs);
+  };
   const isEnabled = () => {
     const config = getConfig();
     if (!config) return false;
@@ -95,7 +116,7 @@
       })),
     choice: new CoordinatorChoice(nodeId, () => getPolicy()?.windowMs),
     client: quotas,
-    answerOwn: (report, nowMs) => coordinator.answer(report, nowMs, 0),
+    answerOwn: (report, nowMs) => answer(report, nowMs, 0),
     directives: options.directives,
     log,
     metrics,
@@ -103,7 +124,7 @@
   return {
     quotas,
     reportAnswers: {
-      coordinator,
+      coordinator: { answer },
       isAnswering: () => !isStopping() && hasReceivedList() && getConfig() !== undefined,
     },
     applyConfig({ accounts = [] }) {
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -232,6 +232,7 @@
     directory,
     hasReceivedList: () => nodes.hasReceivedList(),
     isStopping: () => isStopping,
+    detector,
     rollouts: rolloutParts?.source,
     directives: rolloutParts?.listener,
     log,
--- a/src/mesh/quotas/client.ts
+++ b/src/mesh/quotas/client.ts
@@ -38,6 +38,8 @@
   readonly log: EventLog;
   readonly metrics: Pick<MeshMetrics, 'count'>;
   readonly now?: () => number;
+  /** Returns how often the clock has stood still so far. */
+  readonly countSuspensions?: () => number;
 }
 
 interface Waiter {
@@ -74,10 +76,21 @@
 
   private listener: (() => void) | undefined;
 
+  /** Number of suspensions that the tokens are as of. */
+  private suspensions: number;
+
+  /** Number of suspensions at the latest report. */
+  private collectedSuspensions: number;
+
   private readonly now: () => number;
 
+  private readonly countSuspensions: () => number;
+
   constructor(private readonly options: QuotaClientOptions) {
     this.now = options.now ?? (() => performance.now());
+    this.countSuspensions = options.countSuspensions ?? (() => 0);
+    this.suspensions = this.countSuspensions();
+    this.collectedSuspensions = this.suspensions;
   }
 
   /** Registers the listener that is called when tokens are needed. */
@@ -93,7 +106,7 @@
     const state = this.states.get(account.name);
     if (!state || !hasLimit(account) || !this.options.isEnforced()) return undefined;
     const { tokens } = state;
-    const nowMs = this.now();
+    const nowMs = this.readClock();
     const deniedMs = tokens.deniedUntilMs - nowMs;
     if (deniedMs <= 0 || tokens.hasToken(nowMs)) return undefined;
     tokens.recordRequest(nowMs);
@@ -106,7 +119,7 @@
    */
   async take(account: ClientAccount, cancellation?: Cancellation): Promise<QuotaDecision> {
     if (!hasLimit(account) || !this.options.isEnforced()) return GRANTED;
-    const nowMs = this.now();
+    const nowMs = this.readClock();
     const state = this.getState(account.name);
     const { tokens } = state;
     tokens.recordRequest(nowMs);
@@ -129,7 +142,7 @@
   giveBack({ name }: Pick<ClientAccount, 'name'>): void {
     const state = this.states.get(name);
     if (!state) return;
-    const nowMs = this.now();
+    const nowMs = this.readClock();
     state.tokens.giveBack(nowMs);
     this.settleGranted(state, nowMs);
   }
@@ -152,7 +165,7 @@
 
   /** Returns the unused tokens of a coordinator. */
   listHolds(coordinator: NodeId): TokenReport['holds'] {
-    const nowMs = this.now();
+    const nowMs = this.readClock();
     return [...this.states]
       .map(([account, { tokens }]) => ({ account, tokens: tokens.countHeld(coordinator, nowMs) }))
       .filter(({ tokens }) => tokens > 0);
@@ -160,7 +173,8 @@
 
   /** Returns what a report to a coordinator says, and gives up the tokens that it returns. */
   collectTokens(coordinator: NodeId): TokenReport {
-    const nowMs = this.now();
+    const nowMs = this.readClock();
+    this.collectedSuspensions = this.suspensions;
     const report = {
       needs: [] as TokenReport['needs'][number][],
       returns: [] as TokenReport['returns'][number][],
@@ -190,8 +204,10 @@
     coordinator: NodeId,
     sentAtMs: number,
   ): void {
-    const nowMs = this.now();
-    const grantOf = new Map(grants.map((grant) => [grant.account, grant]));
+    const nowMs = this.readClock();
+    // After a suspension the lease of an answer from before seems to last longer than it does.
+    const isUsable = this.collectedSuspensions === this.suspensions;
+    const grantOf = new Map(isUsable ? grants.map((grant) => [grant.account, grant]) : []);
     for (const { account, tokens: need } of needs) {
       const state = this.states.get(account);
       if (!state) continue;
@@ -223,6 +239,16 @@
     }
   }
 
+  /** Returns the time, and forgets the tokens from before the clock stood still. */
+  private readClock(): number {
+    const suspensions = this.countSuspensions();
+    if (suspensions !== this.suspensions) {
+      this.suspensions = suspensions;
+      for (const { tokens } of this.states.values()) tokens.clear();
+    }
+    return this.now();
+  }
+
   private getState(name: AccountName): AccountState {
     let state = this.states.get(name);
     if (!state) {
@@ -282,7 +308,7 @@
 
   /** Ends the waits that are over; one timer serves all requests. */
   private expireWaiters(): void {
-    const nowMs = this.now();
+    const nowMs = this.readClock();
     let nextMs = Infinity;
     for (const state of this.states.values()) {
       const expired = state.waiters.findIndex(({ deadlineMs }) => deadlineMs > nowMs);
--- a/src/mesh/quotas/ledger.ts
+++ b/src/mesh/quotas/ledger.ts
@@ -148,6 +148,16 @@
     return grants;
   }
 
+  /** Forgets the nodes and empties the buckets, as in a process that has just started. */
+  reset(): void {
+    this.nodes.clear();
+    this.shares.clear();
+    this.bridges.clear();
+    for (const [name, bucket] of this.buckets) {
+      this.buckets.set(name, this.createBucket(bucket.getAccount()));
+    }
+  }
+
   /** Returns the totals since the last call. */
   takeTotals(): LedgerTotals {
     const { granted, unmet } = this;
--- a/src/mesh/quotas/localTokens.ts
+++ b/src/mesh/quotas/localTokens.ts
@@ -63,6 +63,13 @@
     return true;
   }
 
+  /** Forgets the tokens, those that could be given back included. */
+  clear(): void {
+    this.lots = [];
+    this.taken = 0;
+    this.takenBefore = 0;
+  }
+
   /** Puts back a token whose request has not run, while its lease lasts. */
   giveBack(nowMs: number): void {
     this.advanceTaken(nowMs);
--- a/src/mesh/quotas/nodeShares.ts
+++ b/src/mesh/quotas/nodeShares.ts
@@ -69,6 +69,12 @@
     if (this.countedUntil.delete(node)) this.onChange();
   }
 
+  /** Counts no node any more; the totals and the number of known nodes stay. */
+  clear(): void {
+    this.countedUntil.clear();
+    this.nextExpiryMs = Infinity;
+  }
+
   /** Advances the totals to `nowMs`; nodes stop counting at their own time. */
   advance(nowMs: number, knownNodes: number): void {
     while (this.nextExpiryMs <= nowMs) {
