--- a/src/mesh/coordination/createCoordination.ts
+++ b/src/mesh/coordination/createCoordination.ts
@@ -6,9 +6,15 @@
 import type { MeshConfig, MeshSettings } from '../model.js';
 import { QuotaClient } from '../quotas/client.js';
 import { hasLimit, Ledger } from '../quotas/ledger.js';
+import { SuspensionDetector } from '../suspensionDetector.js';
 import { Coordinator } from './coordinator.js';
 import { CoordinatorChoice } from './coordinatorChoice.js';
-import type { DirectiveListener, RolloutSource } from './model.js';
+import type {
+  CoordinatorAnswer,
+  CoordinatorReport,
+  DirectiveListener,
+  RolloutSource,
+} from './model.js';
 import { ReportLoop } from './reportLoop.js';
 import type { ReportAnswers } from './reportRequests.js';
 
@@ -22,6 +28,7 @@
   readonly directory: Pick<Directory, 'listResponding' | 'listReadyIds'>;
   readonly hasReceivedList: () => boolean;
   readonly isStopping: () => boolean;
+  readonly detector?: Pick<SuspensionDetector, 'count'> | undefined;
   readonly log: EventLog;
   readonly metrics: MeshMetrics;
   /** Undefined where versions are not rolled out. */
@@ -41,15 +48,22 @@
   close(): void;
 }
 
-/** Returns a function that lists the known nodes; the same list until they have changed. */
-function createNodeList({ listReadyIds }: { listReadyIds: () => NodeId[] }): () => NodeId[] {
+/**
+ * Returns a function that lists the known nodes; the same list until they have changed. What is
+ * known before the list of the store is not kept: with it, a coordinator that has just started
+ * would take each of its first nodes for all of the mesh.
+ */
+function createNodeList({
+  directory,
+  hasReceivedList,
+}: Pick<CoordinationOptions, 'directory' | 'hasReceivedList'>): () => NodeId[] {
   let list: NodeId[] = [];
   let listedAtMs = -Infinity;
   return () => {
     const nowMs = performance.now();
     if (nowMs - listedAtMs < KNOWN_NODES_MS) return list;
-    listedAtMs = nowMs;
-    const current = listReadyIds();
+    if (hasReceivedList()) listedAtMs = nowMs;
+    const current = directory.listReadyIds();
     const isSame =
       current.length === list.length && current.every((nodeId, index) => nodeId === list[index]);
     if (!isSame) list = current;
@@ -60,13 +74,27 @@
 export function createCoordination(options: CoordinationOptions): Coordination {
   const { getSettings, getConfig, directory, hasReceivedList, isStopping, log, metrics } = options;
   const { nodeId } = getSettings();
+  const { detector = new SuspensionDetector() } = options;
   const getPolicy = () => getSettings().quota;
   const ledger = new Ledger({
     getPolicy,
-    listKnownNodes: createNodeList({ listReadyIds: () => directory.listReadyIds() }),
+    listKnownNodes: createNodeList(options),
   });
   const coordinator = new Coordinator({ tokens: ledger, rollouts: options.rollouts, log, metrics });
-  const quotas = new QuotaClient({ isEnforced: () => getPolicy() !== undefined, log, metrics });
+  const quotas = new QuotaClient({
+    isEnforced: () => getPolicy() !== undefined,
+    countSuspensions: () => detector.count(),
+    log,
+    metrics,
+  });
+  let suspensions = detector.count();
+  const answer = (report: CoordinatorReport, nowMs: number, ageMs?: number): CoordinatorAnswer => {
+    const current = detector.count();
+    // The nodes that were counted may have changed to another coordinator meanwhile.
+    if (current !== suspensions) ledger.reset();
+    suspensions = current;
+    return coordinator.answer(report, nowMs, ageMs);
+  };
   const isEnabled = () => {
     const config = getConfig();
     if (!config) return false;
@@ -88,7 +116,7 @@
       })),
     choice: new CoordinatorChoice(nodeId, () => getPolicy()?.windowMs),
     client: quotas,
-    answerOwn: (report, nowMs) => coordinator.answer(report, nowMs, 0),
+    answerOwn: (report, nowMs) => answer(report, nowMs, 0),
     directives: options.directives,
     log,
     metrics,
@@ -96,7 +124,7 @@
   return {
     quotas,
     reportAnswers: {
-      coordinator,
+      coordinator: { answer },
       isAnswering: () => !isStopping() && hasReceivedList() && getConfig() !== undefined,
     },
     applyConfig({ accounts = [] }) {
--- a/src/mesh/quotas/client.ts
+++ b/src/mesh/quotas/client.ts
@@ -7,6 +7,7 @@
 import type { ClientAccount } from '../model.js';
 import type { EventLog } from '../eventLog.js';
 import type { MeshMetrics } from '../meshMetrics.js';
+import type { Cancellation } from '../signal.js';
 import { hasLimit } from './ledger.js';
 import { LocalTokens } from './localTokens.js';
 
@@ -23,8 +24,9 @@
 const LOG_INTERVAL_MS = 1000;
 
 /** Whether a request may run. */
-export type QuotaDecision =
-  | { readonly kind: 'granted' }
+export type QuotaDecision = { readonly kind: 'granted' } | QuotaRefusal;
+
+export type QuotaRefusal =
   /** The account has used its quota. */
   | { readonly kind: 'denied'; readonly retryAfterMs: number }
   /** No coordinator has answered in time. */
@@ -36,6 +38,8 @@
   readonly log: EventLog;
   readonly metrics: Pick<MeshMetrics, 'count'>;
   readonly now?: () => number;
+  /** Returns how often the clock has stood still so far. */
+  readonly countSuspensions?: () => number;
 }
 
 interface Waiter {
@@ -46,7 +50,7 @@
 interface AccountState {
   readonly tokens: LocalTokens;
   /** Requests that wait, the first one first. */
-  waiters: Waiter[];
+  readonly waiters: Waiter[];
   denials: number;
   loggedAtMs: number;
 }
@@ -72,10 +76,21 @@
 
   private listener: (() => void) | undefined;
 
+  /** Number of suspensions that the tokens are as of. */
+  private suspensions: number;
+
+  /** Number of suspensions at the latest report. */
+  private collectedSuspensions: number;
+
   private readonly now: () => number;
 
+  private readonly countSuspensions: () => number;
+
   constructor(private readonly options: QuotaClientOptions) {
     this.now = options.now ?? (() => performance.now());
+    this.countSuspensions = options.countSuspensions ?? (() => 0);
+    this.suspensions = this.countSuspensions();
+    this.collectedSuspensions = this.suspensions;
   }
 
   /** Registers the listener that is called when tokens are needed. */
@@ -83,10 +98,28 @@
     this.listener = listener;
   }
 
-  /** Takes a token for a request of the account, and waits for one if there is none. */
-  async take(account: ClientAccount): Promise<QuotaDecision> {
+  /**
+   * Refuses a request at once while its account is denied; undefined if it may ask for a token.
+   * Takes none, so it can be called before the body has come.
+   */
+  refuseDenied(account: ClientAccount): QuotaRefusal | undefined {
+    const state = this.states.get(account.name);
+    if (!state || !hasLimit(account) || !this.options.isEnforced()) return undefined;
+    const { tokens } = state;
+    const nowMs = this.readClock();
+    const deniedMs = tokens.deniedUntilMs - nowMs;
+    if (deniedMs <= 0 || tokens.hasToken(nowMs)) return undefined;
+    tokens.recordRequest(nowMs);
+    return this.refuse(account.name, state, Math.ceil(deniedMs), nowMs);
+  }
+
+  /**
+   * Takes a token for a request of the account, and waits for one if there is none. The wait ends
+   * with `cancellation`.
+   */
+  async take(account: ClientAccount, cancellation?: Cancellation): Promise<QuotaDecision> {
     if (!hasLimit(account) || !this.options.isEnforced()) return GRANTED;
-    const nowMs = this.now();
+    const nowMs = this.readClock();
     const state = this.getState(account.name);
     const { tokens } = state;
     tokens.recordRequest(nowMs);
@@ -95,9 +128,11 @@
     if (deniedMs > 0) return this.refuse(account.name, state, Math.ceil(deniedMs), nowMs);
     if (this.waiting >= MAX_WAITING) return { kind: 'unknown', retryAfterMs: UNKNOWN_RETRY_MS };
     const decision = new Promise<QuotaDecision>((resolve) => {
-      state.waiters.push({ deadlineMs: nowMs + MAX_WAIT_MS, settle: resolve });
+      const waiter = { deadlineMs: nowMs + MAX_WAIT_MS, settle: resolve };
+      state.waiters.push(waiter);
+      this.waiting += 1;
+      cancellation?.onCancel(() => this.cancelWait(state, waiter));
     });
-    this.waiting += 1;
     this.timer ??= setTimeout(() => this.expireWaiters(), MAX_WAIT_MS);
     this.listener?.();
     return decision;
@@ -107,7 +142,7 @@
   giveBack({ name }: Pick<ClientAccount, 'name'>): void {
     const state = this.states.get(name);
     if (!state) return;
-    const nowMs = this.now();
+    const nowMs = this.readClock();
     state.tokens.giveBack(nowMs);
     this.settleGranted(state, nowMs);
   }
@@ -130,7 +165,7 @@
 
   /** Returns the unused tokens of a coordinator. */
   listHolds(coordinator: NodeId): TokenReport['holds'] {
-    const nowMs = this.now();
+    const nowMs = this.readClock();
     return [...this.states]
       .map(([account, { tokens }]) => ({ account, tokens: tokens.countHeld(coordinator, nowMs) }))
       .filter(({ tokens }) => tokens > 0);
@@ -138,7 +173,8 @@
 
   /** Returns what a report to a coordinator says, and gives up the tokens that it returns. */
   collectTokens(coordinator: NodeId): TokenReport {
-    const nowMs = this.now();
+    const nowMs = this.readClock();
+    this.collectedSuspensions = this.suspensions;
     const report = {
       needs: [] as TokenReport['needs'][number][],
       returns: [] as TokenReport['returns'][number][],
@@ -168,8 +204,10 @@
     coordinator: NodeId,
     sentAtMs: number,
   ): void {
-    const nowMs = this.now();
-    const grantOf = new Map(grants.map((grant) => [grant.account, grant]));
+    const nowMs = this.readClock();
+    // After a suspension the lease of an answer from before seems to last longer than it does.
+    const isUsable = this.collectedSuspensions === this.suspensions;
+    const grantOf = new Map(isUsable ? grants.map((grant) => [grant.account, grant]) : []);
     for (const { account, tokens: need } of needs) {
       const state = this.states.get(account);
       if (!state) continue;
@@ -201,6 +239,16 @@
     }
   }
 
+  /** Returns the time, and forgets the tokens from before the clock stood still. */
+  private readClock(): number {
+    const suspensions = this.countSuspensions();
+    if (suspensions !== this.suspensions) {
+      this.suspensions = suspensions;
+      for (const { tokens } of this.states.values()) tokens.clear();
+    }
+    return this.now();
+  }
+
   private getState(name: AccountName): AccountState {
     let state = this.states.get(name);
     if (!state) {
@@ -216,6 +264,14 @@
     this.states.delete(name);
   }
 
+  private cancelWait({ waiters }: AccountState, waiter: Waiter): void {
+    const index = waiters.indexOf(waiter);
+    if (index < 0) return;
+    waiters.splice(index, 1);
+    this.waiting -= 1;
+    waiter.settle({ kind: 'unknown', retryAfterMs: UNKNOWN_RETRY_MS });
+  }
+
   private settle(target: AccountState, count: number, decision: QuotaDecision): void {
     const state = target;
     const settled = state.waiters.splice(0, count);
@@ -234,7 +290,7 @@
     target: AccountState,
     retryAfterMs: number,
     nowMs: number,
-  ): QuotaDecision {
+  ): QuotaRefusal {
     const state = target;
     state.denials += 1;
     this.options.metrics.count('quota_denied');
@@ -252,7 +308,7 @@
 
   /** Ends the waits that are over; one timer serves all requests. */
   private expireWaiters(): void {
-    const nowMs = this.now();
+    const nowMs = this.readClock();
     let nextMs = Infinity;
     for (const state of this.states.values()) {
       const expired = state.waiters.findIndex(({ deadlineMs }) => deadlineMs > nowMs);
--- a/src/mesh/quotas/localTokens.ts
+++ b/src/mesh/quotas/localTokens.ts
@@ -45,6 +45,11 @@
     if (tokens > 0) this.lots.push({ tokens, expiresAtMs, coordinator });
   }
 
+  hasToken(nowMs: number): boolean {
+    this.expire(nowMs);
+    return this.lots.some(({ tokens }) => tokens > 0);
+  }
+
   /** Takes a token; returns false when there is none. */
   take(nowMs: number): boolean {
     this.expire(nowMs);
@@ -58,6 +63,13 @@
     return true;
   }
 
+  /** Forgets the tokens, those that could be given back included. */
+  clear(): void {
+    this.lots = [];
+    this.taken = 0;
+    this.takenBefore = 0;
+  }
+
   /** Puts back a token whose request has not run, while its lease lasts. */
   giveBack(nowMs: number): void {
     this.advanceTaken(nowMs);
