Do not count the runs of a delayed report twice

Cause: a report with lower counts than the one before was taken for a restart of the instance, and all its counts were added again. Such a report may only be late: a node reports again after 250 ms without an answer, and the earlier report arrives afterwards. The failures of a good version then counted two or three times.

Change: lower counts are a restart only in two reports in succession.

--- a/src/mesh/rollouts/runComparison.ts
+++ b/src/mesh/rollouts/runComparison.ts
@@ -72,8 +72,10 @@
 
 /** Latest counts of one instance. */
 interface KnownInstance {
-  routes: ReadonlyMap<RouteName, RouteRuns>;
-  firstRunAtMs: number | undefined;
+  readonly routes: ReadonlyMap<RouteName, RouteRuns>;
+  readonly firstRunAtMs: number | undefined;
+  /** True when the report after these counts had lower ones. */
+  readonly hasFallen: boolean;
 }
 
 /** Runs of an instance of the new version that have not been assessed. */
@@ -160,15 +162,22 @@
     const known = this.instances.get(instanceId);
     if (!known && this.instances.size >= MAX_INSTANCES) return;
     const after = new Map(routes.map((entry) => [entry.route, entry]));
-    const hasRestarted = [...(known?.routes ?? [])].some(
+    const hasFallen = [...(known?.routes ?? [])].some(
       ([route, before]) => (after.get(route)?.runs ?? 0) < before.runs,
     );
-    const before = hasRestarted ? undefined : known?.routes;
+    // A single fall may be an older report that was held up on its way; counting the runs anew
+    // would count them twice.
+    if (known && hasFallen && !known.hasFallen) {
+      this.instances.set(instanceId, { ...known, hasFallen: true });
+      return;
+    }
+    const before = hasFallen ? undefined : known?.routes;
     const isFirst = before === undefined;
     const firstRunAtMs = isFirst ? undefined : known?.firstRunAtMs;
     const instance: KnownInstance = {
       routes: after,
       firstRunAtMs: firstRunAtMs ?? (after.size > 0 ? nowMs : undefined),
+      hasFallen: false,
     };
     this.instances.set(instanceId, instance);
     for (const entry of routes) {
--- a/test/mesh/rollouts/runComparison.test.ts
+++ b/test/mesh/rollouts/runComparison.test.ts
@@ -3,6 +3,9 @@
 import { test } from 'node:test';
 import { playRollout, type Scenario } from '../../../bench/rollouts/model.js';
 import { createRandom } from '../../../bench/selection/timeline.js';
+import type { InstanceRuns } from '../../../src/mesh/coordination/model.js';
+import { RunComparison } from '../../../src/mesh/rollouts/runComparison.js';
+import { brandText } from '../../../src/types/ids.js';
 
 const TRIALS = 100;
 
@@ -33,3 +36,28 @@
     assert.ok(countRolledBack(scenario) >= 0.95 * TRIALS);
   });
 }
+
+function buildRuns(runs: number): InstanceRuns {
+  return {
+    service: brandText('pads'),
+    version: brandText('v2'),
+    instanceId: brandText('new'),
+    routes: [{ route: brandText('read'), runs, failures: 0, times: [runs] }],
+  };
+}
+
+function countRuns(reported: readonly number[]): number {
+  const comparison = new RunComparison(brandText('v2'));
+  for (const [index, runs] of reported.entries()) {
+    comparison.recordRuns(buildRuns(runs), index * 400);
+  }
+  return comparison.countTargetRuns();
+}
+
+test('a report that was held up on its way does not count runs twice', () => {
+  assert.equal(countRuns([10, 20, 10, 25]), 25);
+});
+
+test('the runs of an instance that has restarted are counted besides the earlier ones', () => {
+  assert.equal(countRuns([10, 20, 3, 6, 9]), 29);
+});
