Do not roll back a version of which the coordinator has no report

Cause: every node to which any node reports coordinates, also one that is cut off from the others and reports to itself. It has no runs of the new version, and wrote `rolled_back` 0.2 s before the end of the duration, on its own clock. With a clock ahead by 0.3 s, or with a write of the other coordinator that took as long, this came before `completed`, and a good version was rolled back.

Change: a coordinator without a report of an instance of the version decides on the lack of runs 1 s after the end. With a report, the time stays as it was.

--- a/src/mesh/rollouts/rollout.ts
+++ b/src/mesh/rollouts/rollout.ts
@@ -19,6 +19,13 @@
  */
 const FEW_RUNS_BEFORE_MS = 200;
 
+/**
+ * Time after the end at which that is decided without a report of an instance of the version. The
+ * coordinator may be cut off from the nodes, and its clock or the writes of the other one may be
+ * off by more than the times before the end differ.
+ */
+const UNREPORTED_AFTER_MS = 1000;
+
 /** Time for which all requests go to a version before it is completed; nodes report each 400 ms. */
 const MIN_PROMOTION_MS = 400;
 
@@ -144,11 +151,16 @@
     if (nowMs >= this.deadlineAtMs - PROMOTE_BEFORE_MS && runs >= MIN_PROVING_RUNS) {
       this.promotedAtMs = nowMs;
       this.change('promoting', `${runs} runs`);
-    } else if (nowMs >= this.deadlineAtMs - FEW_RUNS_BEFORE_MS) {
+    } else if (nowMs >= this.deadlineAtMs + this.getFewRunsDelayMs()) {
       this.change('rolled_back', `only ${runs} runs`);
     }
   }
 
+  /** Returns the time after the end at which a version without enough runs is rolled back. */
+  private getFewRunsDelayMs(): number {
+    return this.comparison.hasTargetReports() ? -FEW_RUNS_BEFORE_MS : UNREPORTED_AFTER_MS;
+  }
+
   private advancePromotion(nowMs: number): void {
     const promotedUntilMs = (this.promotedAtMs ?? nowMs) + MIN_PROMOTION_MS;
     if (nowMs < Math.max(this.deadlineAtMs - COMPLETE_BEFORE_MS, promotedUntilMs)) return;
--- a/src/mesh/rollouts/runComparison.ts
+++ b/src/mesh/rollouts/runComparison.ts
@@ -145,6 +145,8 @@
 
   private targetRuns = 0;
 
+  private isTargetReported = false;
+
   private assessedAtMs = -Infinity;
 
   /** Time of the first runs of the other instances in the period that is compared. */
@@ -157,8 +159,14 @@
     return this.targetRuns;
   }
 
+  /** Returns true once an instance of the new version has reported, with runs or without. */
+  hasTargetReports(): boolean {
+    return this.isTargetReported;
+  }
+
   /** Records the cumulative counts of an instance. */
   recordRuns({ instanceId, version, routes }: InstanceRuns, nowMs: number): void {
+    if (version === this.targetVersion) this.isTargetReported = true;
     const known = this.instances.get(instanceId);
     if (!known && this.instances.size >= MAX_INSTANCES) return;
     const after = new Map(routes.map((entry) => [entry.route, entry]));
--- a/test/mesh/rollouts/coordinator.test.ts
+++ b/test/mesh/rollouts/coordinator.test.ts
@@ -187,6 +187,24 @@
   }
 });
 
+test('a coordinator without reports, with a clock ahead, rolls back no good version', async () => {
+  const stage = new Stage();
+  stage.putOrder();
+  const seesRuns = stage.startCoordinator();
+  await stage.play(1000, GOOD, [seesRuns]);
+  stage.startCoordinator(600);
+  await stage.play(DURATION_MS + 2000, GOOD, [seesRuns]);
+  assert.deepEqual(listStates(stage), ['running', 'completed']);
+});
+
+test('a version of which no instance reports is rolled back shortly after the end', async () => {
+  const stage = new Stage();
+  stage.putOrder();
+  stage.startCoordinator();
+  await stage.play(DURATION_MS + 1500, { perStep: 0 }, []);
+  assert.deepEqual(listStates(stage), ['running', 'rolled_back']);
+});
+
 test('a final state of another coordinator replaces an own decision', async () => {
   const stage = await startRunning();
   const coordinator = stage.startCoordinator();
