--- a/standins/mesh/meshFleet.ts
+++ b/standins/mesh/meshFleet.ts
@@ -27,6 +27,7 @@
 const PORTS_PER_NODE = 4;
 const INSTANCE_STARTED_AT_MS = 1000;
 const DEFAULT_SLOTS = 4;
+const DEFAULT_VERSION = 'v1';
 const STOP_LIMIT_MS = 6000;
 const MEMORY_MB = 350;
 /** Time after which a silent connection must not hide a change any more. */
@@ -49,6 +50,8 @@
   /** Whether the fleet sends periodic heartbeats for the instance. */
   isSendingHeartbeats: boolean;
   state: 'ready' | 'draining';
+  /** Version that the instance announces. */
+  readonly version: string;
   slots: number;
   sequence: number;
   startedAtMs: number;
@@ -57,6 +60,8 @@
 /** Options of a host. */
 export interface HostOptions {
   readonly slots?: number;
+  /** Version of the instance. */
+  readonly version?: string;
   readonly log?: EventLog;
   /** Bandwidth of the link of the host; applied to the bytes from the store. */
   readonly linkMbps?: number;
@@ -186,7 +191,7 @@
     Service: settings.service,
     Address: `${HOST}:${settings.instanceAddress.port}`,
     Zone: settings.dataCentre,
-    Version: 'v1',
+    Version: host.version,
     Capacity: host.slots,
     State: host.state,
     WarmupLeft: '0ms',
@@ -257,6 +262,7 @@
     dataCentre = 'a',
     {
       slots = DEFAULT_SLOTS,
+      version = DEFAULT_VERSION,
       log = SILENT_LOG,
       linkMbps,
       hasOwnProxy = false,
@@ -303,6 +309,7 @@
       instance,
       isSendingHeartbeats: true,
       state: 'ready',
+      version,
       slots,
       sequence: 0,
       startedAtMs: INSTANCE_STARTED_AT_MS,
