--- a/test/platform/storeClient.test.ts
+++ b/test/platform/storeClient.test.ts
@@ -1,5 +1,6 @@
 /** The protocol of the store and its faults, tested against the stand-in. */
 import assert from 'node:assert/strict';
+import { createServer } from 'node:http';
 import { test } from 'node:test';
 import type { MeshStore } from '../../src/mesh/store.js';
 import { Cancellation } from '../../src/mesh/signal.js';
@@ -7,6 +8,7 @@
 import { formatNested, RawJson } from '../../standins/mesh/oddValues.js';
 import { SlowLink } from '../../standins/mesh/slowLink.js';
 import { StoreServer, type StoreFault } from '../../standins/mesh/storeServer.js';
+import { closeServer, openServer } from '../../standins/http.js';
 
 const TODO = { todo: 'KNOWN-RED' };
 
@@ -216,3 +218,16 @@
     assert.ok(performance.now() - startedAtMs < 1500, 'the shorter timeout holds again');
   });
 });
+
+test('the error for a malformed response does not quote it, since it may hold keys', async () => {
+  const server = createServer((_request, response) => {
+    response.end('{"Metadata":{"Name":"main"},"Spec":{"ApiKeys":["s3cr3t" x]}}');
+  });
+  const port = await openServer(server, '127.0.0.1', 0);
+  const store = createStoreClient(() => ({ host: '127.0.0.1', port }));
+  const error = (await store.read('config', 'main'))._unsafeUnwrapErr();
+  store.close();
+  await closeServer(server);
+  assert.equal(error.kind, 'invalid');
+  assert.doesNotMatch(`${error.message} ${String(error.cause)}`, /3cr3t/);
+});
