Do not start waiting requests of accounts after a suspension of the host

Cause: the bound on the start of a request counts on the monotonic clock, which stands still while the host is suspended. A request that waited for its slot during a suspension was started afterwards, however long ago its key had been removed.

Change: the node of the instance refuses requests of accounts that have arrived before its latest suspension as not run; their entry node decides on the key again.

--- a/src/mesh/localRunner.ts
+++ b/src/mesh/localRunner.ts
@@ -24,6 +24,7 @@
 import type { RunCounter } from './rollouts/runCounter.js';
 import { RunTimes } from './runTimes.js';
 import type { Cancellation } from './signal.js';
+import type { SuspensionDetector } from './suspensionDetector.js';
 
 /** Interval at which queued requests are checked for expired deadlines, in milliseconds. */
 const EXPIRY_CHECK_MS = 40;
@@ -56,6 +57,8 @@
   readonly memory?: ResponseMemory;
   /** Returns the expected time until the announced bodies have arrived, in milliseconds. */
   readonly getPendingTransferMs?: () => number;
+  /** Detects suspensions of this host; undefined where none are expected. */
+  readonly detector?: Pick<SuspensionDetector, 'count'> | undefined;
   /** Counts the runs by which a version is judged; undefined where versions are not rolled out. */
   readonly runCounter?: RunCounter | undefined;
 }
@@ -85,6 +88,9 @@
   /** Instance that the limit applies to. */
   private limitedInstance: InstanceIdentity | undefined;
 
+  /** Suspensions of this host up to the arrival of each call of an account. */
+  private readonly knownSuspensions = new WeakMap<CallMetadata, number>();
+
   private expiryTimer: NodeJS.Timeout | undefined;
 
   private limitTimer: NodeJS.Timeout | undefined;
@@ -215,13 +221,26 @@
   }
 
   private check(metadata: CallMetadata): RunResult | undefined {
-    const { authorizedUntilMs = Infinity } = metadata;
-    if (performance.now() > authorizedUntilMs) return buildRefusal('unauthorized', false);
+    if (!this.isAuthorized(metadata)) return buildRefusal('unauthorized', false);
     return this.endsBeforeStop(metadata)
       ? this.checkInstance(metadata.instanceId)
       : buildRefusal('leaving', false, UNAVAILABLE_RETRY_MS);
   }
 
+  /**
+   * Returns false when the key of a call may have been removed for too long. The clock of the bound
+   * stands still while this host is suspended, so no call that has arrived before is started.
+   */
+  private isAuthorized(metadata: CallMetadata): boolean {
+    const { authorizedUntilMs } = metadata;
+    if (authorizedUntilMs === undefined) return true;
+    const suspensions = this.options.detector?.count() ?? 0;
+    const known = this.knownSuspensions.get(metadata);
+    if (known === undefined) this.knownSuspensions.set(metadata, suspensions);
+    const wasSuspended = known !== undefined && known !== suspensions;
+    return !wasSuspended && performance.now() <= authorizedUntilMs;
+  }
+
   /** Returns the refusal of a request that is not to wait, while it would have to. */
   private checkFreeSlot(metadata: CallMetadata): RunResult | undefined {
     if (!metadata.needsFreeSlot) return undefined;
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -147,6 +147,7 @@
     ? createRolloutParts({ adapter, getSettings, instance, log, metrics })
     : undefined;
   const runner = new LocalRunner({
+    detector,
     runCounter: rolloutParts?.counter,
     memory: new ResponseMemory(computeResponseLimitBytes(settings.memoryMb)),
     getPendingTransferMs: () => transfers.getPendingMs(),
--- a/test/mesh/peerPortParts.ts
+++ b/test/mesh/peerPortParts.ts
@@ -9,6 +9,7 @@
 import type { PeerPortOptions } from '../../src/mesh/peerPort.js';
 import { RequestMemory } from '../../src/mesh/requestMemory.js';
 import { RevisionExchange } from '../../src/mesh/revisionExchange.js';
+import type { SuspensionDetector } from '../../src/mesh/suspensionDetector.js';
 import { brandText } from '../../src/types/ids.js';
 
 /** An event loop that is never blocked. */
@@ -39,7 +40,10 @@
 };
 
 /** Creates the runner of the instance `i-1`, which has one slot. */
-export function createRunner(instancePort: number): LocalRunner {
+export function createRunner(
+  instancePort: number,
+  detector?: Pick<SuspensionDetector, 'count'>,
+): LocalRunner {
   const address = { host: '127.0.0.1', port: instancePort };
   const instance = new LocalInstance();
   instance.applyHeartbeat({
@@ -53,6 +57,7 @@
     sequence: 1,
   });
   return new LocalRunner({
+    detector,
     instance,
     loop: CALM_LOOP,
     getAddress: () => address,
