Give the calls of other services as much room as all accounts together

Cause: requests without an account were one flow with the mean weight of the accounts.

Change: their flow weighs as much as all known accounts. They get up to half of the room while accounts want the rest, and all that is left.

--- a/src/mesh/accounts/fairOrder.ts
+++ b/src/mesh/accounts/fairOrder.ts
@@ -67,8 +67,6 @@
 
   private weightSum = 0;
 
-  private weightCount = 0;
-
   /** Mean run time of the started requests; undefined before the first. */
   private meanRunMs: number | undefined;
 
@@ -79,10 +77,12 @@
     return this.flows.size;
   }
 
+  /**
+   * Returns the weight of a flow. Requests without an account together weigh as much as all known
+   * accounts: most are calls that the runs of other services wait for.
+   */
   getWeight({ account }: Pick<FairRequest, 'account'>): number {
-    if (account) return Math.max(MIN_WEIGHT, account.weight);
-    if (this.weightCount === 0) return 1;
-    return Math.max(MIN_WEIGHT, this.weightSum / this.weightCount);
+    return Math.max(MIN_WEIGHT, account ? account.weight : this.weightSum);
   }
 
   /** Returns the virtual time that a request takes. */
@@ -164,10 +164,7 @@
       return known;
     }
     if (this.flows.size >= this.pruneAt) this.prune();
-    if (weight !== undefined) {
-      this.weightSum += weight;
-      this.weightCount += 1;
-    }
+    if (weight !== undefined) this.weightSum += weight;
     const flow: Flow = { weight, tagMs: -Infinity, arrived: 0, started: 0 };
     this.flows.set(account?.name, flow);
     return flow;
@@ -189,8 +186,6 @@
   private removeFlow(key: FlowKey): void {
     const weight = this.flows.get(key)?.weight;
     this.flows.delete(key);
-    if (weight === undefined) return;
-    this.weightSum -= weight;
-    this.weightCount -= 1;
+    if (weight !== undefined) this.weightSum -= weight;
   }
 }
