Add metrics of quotas by account, of refusals by reason and of rollouts

Cause: the metrics showed totals only. Neither the account that was short of quota nor the reason of a 401, 429 or 503 nor the evidence of a rollout could be read from them.

Change: MeshMetrics takes sources of samples that are listed when the page is rendered; label values are escaped. A coordinator shows granted, returned and missing tokens and the limit of each account that has asked for tokens, and each rollout with its state, age, runs and failures as they are compared. A node shows requests refused with 429 by account (quota_denied, which had no label before). The lists hold accounts of the configuration in force only, and are empty without accounts or rollouts. Refusals at the entry have a reason in the counter `refusals` and in `call-refused`. QuotaClient no longer takes a metrics option, as it counts denials itself; a test that passed one no longer does.

--- a/src/mesh/accounts/callEntry.ts
+++ b/src/mesh/accounts/callEntry.ts
@@ -2,17 +2,25 @@
 import type { MeshConfig, MeshRoute } from '../model.js';
 import type { QuotaClient } from '../quotas/client.js';
 import { getRefusalStatus, type AccountGate } from './accountGate.js';
-import type { Identity } from './authorization.js';
+import type { Identity, KeyRefusal } from './authorization.js';
 
 /** Retry time of a request whose key cannot be decided on now, in milliseconds. */
 const UNCONFIRMED_RETRY_MS = 300;
 
+export type EntryRefusal =
+  | KeyRefusal
+  /** The account has used its quota. */
+  | 'quota-denied'
+  /** No coordinator has answered in time. */
+  | 'quota-unknown';
+
 export type EntryDecision =
   /** `identity` is undefined for a request that needs no key. */
   | { readonly kind: 'admitted'; readonly identity: Identity | undefined }
   | {
       readonly kind: 'refused';
       readonly status: 401 | 429 | 503;
+      readonly reason: EntryRefusal;
       readonly retryAfterMs: number | undefined;
     };
 
@@ -40,16 +48,19 @@
       case 'anonymous':
         return { kind: 'admitted', identity: undefined };
       case 'refused': {
-        const status = getRefusalStatus(authorization.reason);
+        const { reason } = authorization;
+        const status = getRefusalStatus(reason);
         const retryAfterMs = status === 503 ? UNCONFIRMED_RETRY_MS : undefined;
-        return { kind: 'refused', status, retryAfterMs };
+        return { kind: 'refused', status, reason, retryAfterMs };
       }
       case 'account': {
         const { identity } = authorization;
         const quota = await quotas.take(identity.account);
         if (quota.kind === 'granted') return { kind: 'admitted', identity };
-        const status = quota.kind === 'denied' ? 429 : 503;
-        return { kind: 'refused', status, retryAfterMs: quota.retryAfterMs };
+        const { retryAfterMs } = quota;
+        return quota.kind === 'denied'
+          ? { kind: 'refused', status: 429, reason: 'quota-denied', retryAfterMs }
+          : { kind: 'refused', status: 503, reason: 'quota-unknown', retryAfterMs };
       }
       default:
         throw new Error(`unknown decision ${JSON.stringify(authorization satisfies never)}`);
--- a/src/mesh/callPort.ts
+++ b/src/mesh/callPort.ts
@@ -3,13 +3,14 @@
 import type { Socket } from 'node:net';
 import { isAmount, MAX_DURATION_MS } from '../utils/boundedValues.js';
 import type { AcceptMonitor } from './acceptMonitor.js';
-import type { CallEntry } from './accounts/callEntry.js';
+import type { CallEntry, EntryRefusal } from './accounts/callEntry.js';
 import { isAtDeadline, type CallRouter } from './callRouter.js';
 import type { CallOutcome, PendingCall } from './pendingCall.js';
 import type { EventLog } from './eventLog.js';
 import { filterHeaders, getHeader, type HeaderNames } from './headers.js';
 import type { LoopMonitor } from './loopMonitor.js';
 import type { MeshMetrics } from './meshMetrics.js';
+import { formatLabels } from './metricSamples.js';
 import type { CallerLimits, HttpResponse, MeshConfig, MeshRoute, MeshSettings } from './model.js';
 import { OpenRequests } from './openRequests.js';
 import { NODE_HEADERS } from './peerMessages.js';
@@ -178,9 +179,11 @@
     const { rawHeaders } = message;
     const requestId = getHeader(rawHeaders, names.requestId) ?? '';
     const config = options.getConfig();
-    const writeRefusal = (status: number, retryAfterMs?: number) => {
-      log.write('info', 'call-refused', { request: requestId, status, config: config?.version });
-      metrics.count('refusals', `status="${status}"`);
+    const writeRefusal = (status: number, retryAfterMs?: number, reason?: EntryRefusal) => {
+      const fields = { request: requestId, status, reason, config: config?.version };
+      log.write('info', 'call-refused', fields);
+      const labels = { status: String(status), ...(reason && { reason }) };
+      metrics.count('refusals', formatLabels(labels));
       message.resume();
       refuse(response, status, isLastResponse(response), requestId, names, retryAfterMs);
     };
@@ -201,7 +204,7 @@
     const key = getHeader(rawHeaders, names.accountKey);
     const decision = await options.entry.admit(config, matched, key, requestId);
     if (decision.kind === 'refused') {
-      writeRefusal(decision.status, decision.retryAfterMs);
+      writeRefusal(decision.status, decision.retryAfterMs, decision.reason);
       return;
     }
     const { identity } = decision;
--- a/src/mesh/coordination/createCoordination.ts
+++ b/src/mesh/coordination/createCoordination.ts
@@ -6,6 +6,7 @@
 import type { MeshConfig, MeshSettings } from '../model.js';
 import { QuotaClient } from '../quotas/client.js';
 import { hasLimit, Ledger } from '../quotas/ledger.js';
+import { listQuotaSamples } from '../quotas/quotaSamples.js';
 import { Coordinator } from './coordinator.js';
 import { CoordinatorChoice } from './coordinatorChoice.js';
 import type { DirectiveListener, RolloutSource } from './model.js';
@@ -66,7 +67,8 @@
     listKnownNodes: createNodeList({ listReadyIds: () => directory.listReadyIds() }),
   });
   const coordinator = new Coordinator({ tokens: ledger, rollouts: options.rollouts, log, metrics });
-  const quotas = new QuotaClient({ isEnforced: () => getPolicy() !== undefined, log, metrics });
+  const quotas = new QuotaClient({ isEnforced: () => getPolicy() !== undefined, log });
+  metrics.registerSource(() => listQuotaSamples(ledger, quotas));
   const isEnabled = () => {
     const config = getConfig();
     if (!config) return false;
--- a/src/mesh/meshMetrics.ts
+++ b/src/mesh/meshMetrics.ts
@@ -1,6 +1,7 @@
 /** Counters, gauges and latency histograms of a node in the Prometheus text format. */
 // The entry point of the package also loads its WebAssembly build.
 import int32Histogram from 'hdr-histogram-js/dist/Int32Histogram.js';
+import { formatLabels, type MetricSample } from './metricSamples.js';
 
 /** Upper bound of recorded latencies, in milliseconds; higher values are recorded as this value. */
 const MAX_LATENCY_MS = 60_000;
@@ -20,6 +21,8 @@
 
   private readonly gauges = new Map<string, () => number>();
 
+  private readonly sources: (() => readonly MetricSample[])[] = [];
+
   /** Increases a counter; `labels` is the text between the braces. */
   count(name: string, labels = '', increase = 1): void {
     const key = `${name}{${labels}}`;
@@ -31,6 +34,11 @@
     this.gauges.set(name, read);
   }
 
+  /** Registers a source whose samples are listed whenever the metrics are rendered. */
+  registerSource(listSamples: () => readonly MetricSample[]): void {
+    this.sources.push(listSamples);
+  }
+
   /** Records a latency in milliseconds. */
   recordLatency(name: string, latencyMs: number): void {
     let histogram = this.histograms.get(name);
@@ -45,6 +53,11 @@
     const lines: string[] = [];
     for (const [key, value] of this.counters) lines.push(`lycheelane_${key} ${value}`);
     for (const [name, read] of this.gauges) lines.push(`lycheelane_${name} ${read()}`);
+    for (const listSamples of this.sources) {
+      for (const { name, labels, value } of listSamples()) {
+        lines.push(`lycheelane_${name}{${formatLabels(labels)}} ${value}`);
+      }
+    }
     for (const [name, histogram] of this.histograms) {
       for (const quantile of QUANTILES) {
         const value = histogram.getValueAtPercentile(quantile);
--- a/src/mesh/quotas/client.ts
+++ b/src/mesh/quotas/client.ts
@@ -6,7 +6,6 @@
 import type { CoordinatorReport, TokenGrant } from '../coordination/model.js';
 import type { ClientAccount } from '../model.js';
 import type { EventLog } from '../eventLog.js';
-import type { MeshMetrics } from '../meshMetrics.js';
 import { hasLimit } from './ledger.js';
 import { LocalTokens } from './localTokens.js';
 
@@ -34,7 +33,6 @@
   /** Returns true when the settings hold a quota policy. */
   readonly isEnforced: () => boolean;
   readonly log: EventLog;
-  readonly metrics: Pick<MeshMetrics, 'count'>;
   readonly now?: () => number;
 }
 
@@ -66,6 +64,9 @@
 
   private limits = new Map<AccountName, ClientAccount>();
 
+  /** Refused requests of the accounts of the configuration in force. */
+  private readonly deniedTotals = new Map<AccountName, number>();
+
   private waiting = 0;
 
   private timer: NodeJS.Timeout | undefined;
@@ -116,6 +117,9 @@
   applyAccounts(accounts: readonly ClientAccount[]): void {
     const before = this.limits;
     this.limits = new Map(accounts.map((account) => [account.name, account]));
+    for (const name of this.deniedTotals.keys()) {
+      if (!this.limits.has(name)) this.deniedTotals.delete(name);
+    }
     for (const [name, state] of this.states) {
       const limit = this.limits.get(name);
       if (!limit || !hasLimit(limit)) this.forget(name, state, limit ? GRANTED : undefined);
@@ -123,6 +127,11 @@
     }
   }
 
+  /** Lists the accounts with refused requests, and their number. */
+  listDenials(): Iterable<[AccountName, number]> {
+    return this.deniedTotals;
+  }
+
   /** Returns true when requests wait for tokens. */
   isWaiting(): boolean {
     return this.waiting > 0;
@@ -237,7 +246,7 @@
   ): QuotaDecision {
     const state = target;
     state.denials += 1;
-    this.options.metrics.count('quota_denied');
+    this.deniedTotals.set(account, (this.deniedTotals.get(account) ?? 0) + 1);
     if (nowMs - state.loggedAtMs >= LOG_INTERVAL_MS) {
       this.options.log.write('info', 'quota-denied', {
         account,
--- a/src/mesh/quotas/ledger.ts
+++ b/src/mesh/quotas/ledger.ts
@@ -61,6 +61,17 @@
   readonly unmet: number;
 }
 
+/** Tokens of one account since this coordinator knows it, and its limit. */
+export interface AccountTotals {
+  readonly account: AccountName;
+  readonly granted: number;
+  readonly returned: number;
+  /** Tokens that were asked for and not granted; each report asks anew. */
+  readonly missing: number;
+  readonly ratePerS: number;
+  readonly burst: number;
+}
+
 export function hasLimit({ ratePerS, burst }: ClientAccount): boolean {
   return ratePerS > 0 && burst > 0;
 }
@@ -156,6 +167,18 @@
     return { granted, unmet };
   }
 
+  /** Lists the accounts of the configuration in force that have asked for tokens here. */
+  listAccountTotals(): AccountTotals[] {
+    const listed: AccountTotals[] = [];
+    for (const bucket of this.buckets.values()) {
+      const { totals } = bucket;
+      if (totals.granted + totals.missing === 0) continue;
+      const { name, ratePerS, burst } = bucket.getAccount();
+      listed.push({ account: name, ...totals, ratePerS, burst });
+    }
+    return listed;
+  }
+
   private createNode(node: NodeId): NodeState {
     const state = {
       leases: new Map<AccountName, NodeLease>(),
--- a/src/mesh/quotas/tokenBucket.ts
+++ b/src/mesh/quotas/tokenBucket.ts
@@ -34,6 +34,9 @@
   /** Sum of the latest needs of all nodes that were not met. */
   unmet = 0;
 
+  /** Totals since the bucket was created, for the metrics. */
+  readonly totals = { granted: 0, returned: 0, missing: 0 };
+
   constructor(
     private account: ClientAccount,
     private totalS: number,
@@ -85,12 +88,15 @@
     const part = Math.ceil((shared * need) / Math.max(1, need + this.unmet));
     const taken = Math.max(0, Math.min(need, available, part));
     this.level -= taken;
+    this.totals.granted += taken;
+    this.totals.missing += need - taken;
     return taken;
   }
 
   /** Puts tokens back that a node has not used; the next refill applies the capacity. */
   putBack(tokens: number): void {
     this.level += tokens;
+    this.totals.returned += tokens;
   }
 
   /** Returns the time until the unmet needs and one more have been met, in milliseconds. */
--- a/src/mesh/rollouts/rollout.ts
+++ b/src/mesh/rollouts/rollout.ts
@@ -5,7 +5,7 @@
 import type { InstanceRuns, RolloutDirective } from '../coordination/model.js';
 import type { RolloutPolicy } from '../model.js';
 import { isFinalState, type RolloutOrder, type StoredState } from './model.js';
-import { RunComparison } from './runComparison.js';
+import { RunComparison, type ComparedCounts } from './runComparison.js';
 
 /** Time before the end from which all requests go to a good version. */
 const PROMOTE_BEFORE_MS = 900;
@@ -97,6 +97,14 @@
     return wanted === this.storedState ? undefined : wanted;
   }
 
+  getState(): RolloutStep['state'] {
+    return this.state;
+  }
+
+  getCounts(): ComparedCounts {
+    return this.comparison.getCounts();
+  }
+
   recordRuns(runs: InstanceRuns, nowMs: number): void {
     if (!this.isFinal()) this.comparison.recordRuns(runs, nowMs);
   }
--- a/src/mesh/rollouts/rolloutCoordinator.ts
+++ b/src/mesh/rollouts/rolloutCoordinator.ts
@@ -2,7 +2,7 @@
  * The coordinator's part of rollouts: reads the orders in the store, decides on them by the reports
  * of the nodes, and writes their status.
  */
-import type { ServiceName } from '../../types/ids.js';
+import type { ServiceName, SoftwareVersion } from '../../types/ids.js';
 import type { CoordinatorReport, RolloutDirective, RolloutSource } from '../coordination/model.js';
 import type { EventLog } from '../eventLog.js';
 import { InvalidObjectLog } from '../invalidObjectLog.js';
@@ -11,6 +11,7 @@
 import type { InvalidObject, MeshStore, StoredObject, StoreList } from '../store.js';
 import type { RolloutCodec, RolloutOrder, RolloutStatus, StoredState } from './model.js';
 import { Rollout, type RolloutStep } from './rollout.js';
+import type { ComparedCounts } from './runComparison.js';
 import { RolloutWatch, type RolloutListener } from './rolloutWatch.js';
 
 /** Interval at which decisions are taken; it is short against the times before a deadline. */
@@ -43,6 +44,15 @@
   writeAtMs: number;
 }
 
+/** Progress of a rollout as this coordinator sees it. */
+export interface RolloutProgress extends ComparedCounts {
+  readonly service: ServiceName;
+  readonly version: SoftwareVersion;
+  readonly state: RolloutStep['state'];
+  /** Time since the order was first seen by a coordinator. */
+  readonly ageMs: number;
+}
+
 function isSameOrder(one: RolloutOrder, other: RolloutOrder): boolean {
   return one.service === other.service && one.targetVersion === other.targetVersion;
 }
@@ -104,6 +114,18 @@
     return [...directives.values()];
   }
 
+  /** Lists the progress of each service's rollout. */
+  listProgress(): RolloutProgress[] {
+    const progress = new Map<ServiceName, RolloutProgress>();
+    for (const { rollout, deadlineUnixMs } of this.orders.values()) {
+      const { service, targetVersion: version } = rollout.order;
+      const ageMs = this.computeAgeMs(rollout.order, deadlineUnixMs);
+      const state = rollout.getState();
+      progress.set(service, { service, version, state, ageMs, ...rollout.getCounts() });
+    }
+    return [...progress.values()];
+  }
+
   /** Takes the decisions that are due and writes what the store does not hold yet. */
   advance(nowMs: number): void {
     const hasContact = this.hasContact(nowMs);
@@ -200,13 +222,20 @@
     this.advance(nowMs);
   }
 
+  /** Returns the time since a coordinator first saw the order. */
+  private computeAgeMs({ durationMs }: RolloutOrder, deadlineUnixMs: number): number {
+    const unixMs = (this.options.getUnixMs ?? Date.now)();
+    return Math.round(unixMs - deadlineUnixMs + durationMs);
+  }
+
   private recordStep(
-    { service, targetVersion, durationMs }: RolloutOrder,
+    order: RolloutOrder,
     { state, decidedBy }: RolloutStep,
     deadlineUnixMs: number,
   ): void {
-    const { log, metrics, getUnixMs = Date.now } = this.options;
-    const ageMs = Math.round(getUnixMs() - deadlineUnixMs + durationMs);
+    const { log, metrics } = this.options;
+    const { service, targetVersion } = order;
+    const ageMs = this.computeAgeMs(order, deadlineUnixMs);
     const fields = { service, version: targetVersion, state, decidedBy, ageMs };
     log.write(state === 'rolled_back' ? 'warn' : 'info', 'rollout-step', fields);
     metrics.count('rollout_step', `state="${state}"`);
--- a/src/mesh/rollouts/rolloutParts.ts
+++ b/src/mesh/rollouts/rolloutParts.ts
@@ -8,6 +8,7 @@
 import { RolloutCoordinator } from './rolloutCoordinator.js';
 import { RolloutFollower } from './rolloutFollower.js';
 import { RolloutGate } from './rolloutGate.js';
+import { listRolloutSamples } from './rolloutSamples.js';
 import { RunCounter } from './runCounter.js';
 
 export interface RolloutPartsOptions {
@@ -30,14 +31,16 @@
   const { adapter, getSettings, instance, log, metrics } = options;
   const gate = new RolloutGate();
   const counter = new RunCounter();
+  const source = new RolloutCoordinator({
+    store: adapter.store,
+    codec: adapter.rollouts,
+    getPolicy: () => getSettings().rollout,
+    log,
+    metrics,
+  });
+  metrics.registerSource(() => listRolloutSamples(source));
   return {
-    source: new RolloutCoordinator({
-      store: adapter.store,
-      codec: adapter.rollouts,
-      getPolicy: () => getSettings().rollout,
-      log,
-      metrics,
-    }),
+    source,
     listener: new RolloutFollower(gate, counter, instance),
     gate,
     counter,
--- a/src/mesh/rollouts/runComparison.ts
+++ b/src/mesh/rollouts/runComparison.ts
@@ -87,6 +87,12 @@
   readonly slow: SequentialTest;
 }
 
+/** Runs and failures on all routes. */
+export interface ComparedCounts {
+  readonly target: Pick<RunTotals, 'runs' | 'failures'>;
+  readonly reference: Pick<RunTotals, 'runs' | 'failures'>;
+}
+
 /** Name of the test that has found a version bad. */
 export interface Finding {
   readonly decidedBy: string;
@@ -143,6 +149,9 @@
 
   private targetRuns = 0;
 
+  /** Failures of the new version that count in the tests. */
+  private targetFailures = 0;
+
   private assessedAtMs = -Infinity;
 
   /** Time of the first runs of the other instances in the period that is compared. */
@@ -155,6 +164,15 @@
     return this.targetRuns;
   }
 
+  /** Returns the runs and failures of the new version and of the others, as they are compared. */
+  getCounts(): ComparedCounts {
+    const { runs = 0, failures = 0 } = this.references.get(undefined)?.total ?? {};
+    return {
+      target: { runs: this.targetRuns, failures: this.targetFailures },
+      reference: { runs, failures },
+    };
+  }
+
   /** Records the cumulative counts of an instance. */
   recordRuns({ instanceId, version, routes }: InstanceRuns, nowMs: number): void {
     const known = this.instances.get(instanceId);
@@ -277,7 +295,9 @@
         add(slow, route, counts.runs, slowRuns);
         add(slow, undefined, counts.runs, slowRuns);
       }
-      add(failures, undefined, overall.runs, limitFailures(overall));
+      const countedFailures = limitFailures(overall);
+      this.targetFailures += countedFailures;
+      add(failures, undefined, overall.runs, countedFailures);
     }
     for (const [route, { runs, events }] of failures) {
       const { total, recent } = this.getReference(route);
--- /dev/null
+++ b/test/mesh/accounts/callEntry.test.ts
@@ -0,0 +1,39 @@
+/**
+ * Refusals of requests at their entry. Guards against a refusal whose status cannot be traced to
+ * its reason, and against a 503 without a retry time.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Authorization } from '../../../src/mesh/accounts/authorization.js';
+import { CallEntry } from '../../../src/mesh/accounts/callEntry.js';
+import type { MeshConfig, MeshRoute } from '../../../src/mesh/model.js';
+import type { QuotaDecision } from '../../../src/mesh/quotas/client.js';
+import { buildAccount } from '../quotas/quotaMesh.js';
+
+const IDENTITY = { account: buildAccount('shop', 10, 10), keyDigest: 'd' };
+const ACCEPTED: Authorization = { kind: 'account', identity: IDENTITY, untilMs: undefined };
+const GRANTED: QuotaDecision = { kind: 'granted' };
+
+async function admit(authorization: Authorization, quota: QuotaDecision) {
+  const entry = new CallEntry({
+    gate: { authorize: () => authorization },
+    quotas: { take: async () => quota, giveBack: () => {} },
+  });
+  const decision = await entry.admit({} as MeshConfig, {} as MeshRoute, 'key', 'r-1');
+  return decision.kind === 'refused'
+    ? [decision.status, decision.reason, decision.retryAfterMs]
+    : decision.kind;
+}
+
+test('each refusal has the status and the reason of its cause', async () => {
+  const refuse = (reason: 'key-missing' | 'key-unknown' | 'config-unconfirmed') =>
+    admit({ kind: 'refused', reason }, GRANTED);
+  assert.deepEqual(await refuse('key-missing'), [401, 'key-missing', undefined]);
+  assert.deepEqual(await refuse('key-unknown'), [401, 'key-unknown', undefined]);
+  assert.deepEqual(await refuse('config-unconfirmed'), [503, 'config-unconfirmed', 300]);
+  const denied = await admit(ACCEPTED, { kind: 'denied', retryAfterMs: 70 });
+  assert.deepEqual(denied, [429, 'quota-denied', 70]);
+  const unknown = await admit(ACCEPTED, { kind: 'unknown', retryAfterMs: 200 });
+  assert.deepEqual(unknown, [503, 'quota-unknown', 200]);
+  assert.equal(await admit(ACCEPTED, GRANTED), 'admitted');
+});
--- a/test/mesh/meshMetrics.test.ts
+++ b/test/mesh/meshMetrics.test.ts
@@ -36,3 +36,10 @@
   open = 4;
   assert.equal(metrics.render(), 'lycheelane_calls{outcome="answered"} 3\nlycheelane_open 4\n');
 });
+
+// Guards against a name of an operator that ends its line or its label, and adds another value.
+test('label values of samples are escaped', () => {
+  const metrics = new MeshMetrics();
+  metrics.registerSource(() => [{ name: 'used', labels: { account: 'a"b\\c\nd' }, value: 2 }]);
+  assert.equal(metrics.render(), 'lycheelane_used{account="a\\"b\\\\c\\nd"} 2\n');
+});
--- a/test/mesh/quotas/client.test.ts
+++ b/test/mesh/quotas/client.test.ts
@@ -15,7 +15,6 @@
   const client = new QuotaClient({
     isEnforced: () => true,
     log: SILENT_LOG,
-    metrics: { count: () => {} },
     now: () => nowMs,
   });
   client.applyAccounts([ACCOUNT]);
