--- a/src/mesh/accounts/callEntry.ts
+++ b/src/mesh/accounts/callEntry.ts
@@ -3,14 +3,23 @@
 import type { QuotaClient, QuotaRefusal } from '../quotas/client.js';
 import type { Cancellation } from '../signal.js';
 import { getRefusalStatus, type AccountGate } from './accountGate.js';
-import type { Identity } from './authorization.js';
+import type { Identity, KeyRefusal } from './authorization.js';
 
 /** Retry time of a request whose key cannot be decided on now, in milliseconds. */
 const UNCONFIRMED_RETRY_MS = 300;
 
+/** Why a request was refused at its entry. */
+export type EntryRefusalReason =
+  | KeyRefusal
+  /** The account has used its quota. */
+  | 'quota-denied'
+  /** No coordinator has answered in time. */
+  | 'quota-unknown';
+
 export interface EntryRefusal {
   readonly kind: 'refused';
   readonly status: 401 | 429 | 503;
+  readonly reason: EntryRefusalReason;
   readonly retryAfterMs: number | undefined;
 }
 
@@ -24,8 +33,9 @@
 }
 
 function toRefusal({ kind, retryAfterMs }: QuotaRefusal): EntryRefusal {
-  const status = kind === 'denied' ? 429 : 503;
-  return { kind: 'refused', status, retryAfterMs };
+  return kind === 'denied'
+    ? { kind: 'refused', status: 429, reason: 'quota-denied', retryAfterMs }
+    : { kind: 'refused', status: 503, reason: 'quota-unknown', retryAfterMs };
 }
 
 export class CallEntry {
@@ -44,9 +54,10 @@
       case 'anonymous':
         return { kind: 'admitted', identity: undefined };
       case 'refused': {
-        const status = getRefusalStatus(authorization.reason);
+        const { reason } = authorization;
+        const status = getRefusalStatus(reason);
         const retryAfterMs = status === 503 ? UNCONFIRMED_RETRY_MS : undefined;
-        return { kind: 'refused', status, retryAfterMs };
+        return { kind: 'refused', status, reason, retryAfterMs };
       }
       case 'account': {
         const { identity } = authorization;
--- a/src/mesh/coordination/createCoordination.ts
+++ b/src/mesh/coordination/createCoordination.ts
@@ -6,6 +6,7 @@
 import type { MeshConfig, MeshSettings } from '../model.js';
 import { QuotaClient } from '../quotas/client.js';
 import { hasLimit, Ledger } from '../quotas/ledger.js';
+import { listQuotaSamples } from '../quotas/quotaSamples.js';
 import { SuspensionDetector } from '../suspensionDetector.js';
 import { Coordinator } from './coordinator.js';
 import { CoordinatorChoice } from './coordinatorChoice.js';
@@ -85,8 +86,8 @@
     isEnforced: () => getPolicy() !== undefined,
     countSuspensions: () => detector.count(),
     log,
-    metrics,
   });
+  metrics.registerSource(() => listQuotaSamples(ledger, quotas));
   let suspensions = detector.count();
   const answer = (report: CoordinatorReport, nowMs: number, ageMs?: number): CoordinatorAnswer => {
     const current = detector.count();
--- a/test/mesh/accounts/waitingRequests.test.ts
+++ b/test/mesh/accounts/waitingRequests.test.ts
@@ -61,7 +61,7 @@
 /** Starts a call port whose requests are all of one account, and whose calls end at once. */
 async function withEntry(run: (entry: Entry) => Promise<void>): Promise<void> {
   const metrics = new MeshMetrics();
-  const quotas = new QuotaClient({ isEnforced: () => true, log: SILENT_LOG, metrics });
+  const quotas = new QuotaClient({ isEnforced: () => true, log: SILENT_LOG });
   quotas.applyAccounts([ACCOUNT]);
   let runs = 0;
   const response = { status: 200, headers: [], body: Buffer.alloc(0) };
