Count only nodes that are in the list of known nodes

The share of a coordinator is its reporting nodes over the known ready ones, and nodes that are not ready report as well: those that are starting or draining.

A node counts, and brings a bridge, only while it is listed and for 10 s after that, as the number of known nodes is kept. Other nodes get tokens of the same buckets.

The first new test of ledger.test fails before the change; the second one guards the retention.

--- a/src/mesh/quotas/ledger.ts
+++ b/src/mesh/quotas/ledger.ts
@@ -120,7 +120,8 @@
 
   /**
    * Answers a report that was sent `ageMs` ago. A node whose age is unknown is not counted: its
-   * report may have been delayed while the node reported to another coordinator.
+   * report may have been delayed while the node reported to another coordinator. A node that is not
+   * known is not counted either, since the shares of two coordinators could then exceed the whole.
    */
   answerNeeds(report: CoordinatorReport, nowMs: number, ageMs?: number): readonly TokenGrant[] {
     const policy = this.options.getPolicy();
@@ -132,8 +133,10 @@
     // An earlier report that arrives after a later one names tokens that the node has used since.
     if (ageMs !== undefined && known && sentAtMs < known.sentAtMs) return [];
     const state = known ?? this.createNode(node);
-    this.countNode(report, state, sentAtMs, ageMs !== undefined);
-    this.addBridge(report, state, policy, nowMs);
+    if (this.shares.isKnown(node, nowMs)) {
+      this.countNode(report, state, sentAtMs, ageMs !== undefined);
+      this.addBridge(report, state, policy, nowMs);
+    }
     state.sentAtMs = sentAtMs;
     state.expiresAtMs = nowMs + LEASE_MS;
     this.rankings = MAX_RANKINGS;
@@ -188,7 +191,7 @@
   }
 
   private advance(nowMs: number): void {
-    this.shares.advance(nowMs, this.options.listKnownNodes().length);
+    this.shares.advance(nowMs, this.options.listKnownNodes());
     let hasEnded = false;
     for (const [node, untilMs] of this.bridges) {
       if (untilMs > nowMs) continue;
--- a/src/mesh/quotas/nodeShares.ts
+++ b/src/mesh/quotas/nodeShares.ts
@@ -13,16 +13,22 @@
 const COUNTED_MS = 800;
 
 /**
- * Time for which the highest number of known nodes is used. A list that is read again after a
- * failure of the store may be incomplete for some seconds.
+ * Time for which the highest number of known nodes is used, and a node that is not listed any more
+ * is known. A list that is read again after a failure of the store may be incomplete for some
+ * seconds.
  */
-const COUNT_RETENTION_MS = 10_000;
+const KNOWN_RETENTION_MS = 10_000;
 
 export class NodeShares {
   private readonly countedUntil = new Map<NodeId, number>();
 
   private nextExpiryMs = Infinity;
 
+  /** Known nodes with the times until which they are known; infinite while they are listed. */
+  private readonly knownUntil = new Map<NodeId, number>();
+
+  private listed: readonly NodeId[] = [];
+
   private knownNodes = 1;
 
   private knownAtMs = -Infinity;
@@ -50,6 +56,14 @@
     return this.knownNodes;
   }
 
+  /**
+   * Returns true for a node in the list, and for some time after it has left the list. Other nodes
+   * are not part of the whole that the coordinators share.
+   */
+  isKnown(node: NodeId, nowMs: number): boolean {
+    return nowMs <= (this.knownUntil.get(node) ?? -Infinity);
+  }
+
   isCounted(node: NodeId): boolean {
     return this.countedUntil.has(node);
   }
@@ -75,15 +89,19 @@
     this.nextExpiryMs = Infinity;
   }
 
-  /** Advances the totals to `nowMs`; nodes stop counting at their own time. */
-  advance(nowMs: number, knownNodes: number): void {
+  /**
+   * Advances the totals to `nowMs`; nodes stop counting at their own time. `listed` are the known
+   * nodes, the same list until they have changed.
+   */
+  advance(nowMs: number, listed: readonly NodeId[]): void {
     while (this.nextExpiryMs <= nowMs) {
       const expiryMs = this.nextExpiryMs;
       this.advanceTotals(expiryMs);
       this.expire(expiryMs);
     }
     this.advanceTotals(nowMs);
-    this.updateKnownNodes(Math.max(1, knownNodes), nowMs);
+    if (listed !== this.listed) this.updateListed(listed, nowMs);
+    this.updateKnownNodes(Math.max(1, listed.length), nowMs);
   }
 
   private advanceTotals(nowMs: number): void {
@@ -110,8 +128,17 @@
     if (hasFallen) this.onChange();
   }
 
+  private updateListed(listed: readonly NodeId[], nowMs: number): void {
+    for (const node of this.listed) this.knownUntil.set(node, nowMs + KNOWN_RETENTION_MS);
+    for (const node of listed) this.knownUntil.set(node, Infinity);
+    for (const [node, untilMs] of this.knownUntil) {
+      if (untilMs < nowMs) this.knownUntil.delete(node);
+    }
+    this.listed = listed;
+  }
+
   private updateKnownNodes(count: number, nowMs: number): void {
-    if (count < this.knownNodes && nowMs - this.knownAtMs <= COUNT_RETENTION_MS) return;
+    if (count < this.knownNodes && nowMs - this.knownAtMs <= KNOWN_RETENTION_MS) return;
     this.knownAtMs = nowMs;
     if (count === this.knownNodes) return;
     this.onChange();
--- a/test/mesh/quotas/ledger.test.ts
+++ b/test/mesh/quotas/ledger.test.ts
@@ -5,7 +5,7 @@
 import type { CoordinatorReport } from '../../../src/mesh/coordination/model.js';
 import { Ledger } from '../../../src/mesh/quotas/ledger.js';
 import { brandText, type NodeId } from '../../../src/types/ids.js';
-import { buildAccount, POLICY } from './quotaMesh.js';
+import { buildAccount, computeBound, POLICY } from './quotaMesh.js';
 
 const ACCOUNT = buildAccount('a', 100, 100);
 /** 100 + (100 x 5 + 100) x 0.1 x 0.4 and a quarter of the slack. */
@@ -63,6 +63,33 @@
   assert.ok(granted <= CAPACITY / 4 + 1, `${granted}, a quarter of the capacity`);
 });
 
+test('nodes that are not in the list do not add to the shares of two coordinators', () => {
+  const strangers = ['x-0', 'x-1', 'x-2', 'x-3'].map((name) => brandText<NodeId>(name));
+  let granted = 0;
+  for (const part of [0, 1]) {
+    const ledger = createLedger();
+    const isOwn = (_node: NodeId, index: number) => index % 2 === part;
+    const reporting = [...NODES.filter(isOwn), ...strangers.filter(isOwn)];
+    for (let atMs = 0; atMs < POLICY.windowMs; atMs += 400) {
+      for (const node of reporting) granted += ask(ledger, atMs, 100, {}, node);
+    }
+  }
+  const bound = computeBound(ACCOUNT);
+  assert.ok(granted <= bound, `${granted} of ${bound}`);
+  assert.ok(granted >= (ACCOUNT.ratePerS * POLICY.windowMs * 0.8) / 1000, `${granted}`);
+});
+
+test('a node that is missing in a later list is counted for a while', () => {
+  let known: readonly NodeId[] = NODES;
+  const ledger = new Ledger({ getPolicy: () => POLICY, listKnownNodes: () => known });
+  ledger.applyAccounts([ACCOUNT], 0);
+  keepReporting(ledger, NODES, 0, 2000);
+  known = NODES.slice(2);
+  keepReporting(ledger, NODES, 2400, 6000);
+  const granted = ask(ledger, 6001, 500);
+  assert.ok(granted >= CAPACITY - 1, `${granted}: the list may be incomplete after a failure`);
+});
+
 test('a node is never counted by two coordinators, however it changes between them', () => {
   const steps = fc.array(fc.tuple(fc.boolean(), fc.integer({ min: 1, max: 700 })), {
     maxLength: 60,
