Keep the failures of a coordinator that answers first contacts only

An answer to a first contact cleared the failures of a node.

Failures within a minute count on, so the node is tried ever less often.

The first new test of coordinatorChoice.test fails before the change; the second one guards that failures of long ago are forgotten.

--- a/src/mesh/coordination/coordinatorChoice.ts
+++ b/src/mesh/coordination/coordinatorChoice.ts
@@ -111,14 +111,23 @@
   }
 
   recordFailure(nodeId: NodeId, nowMs: number): void {
-    const failures = (this.avoided.get(nodeId)?.failures ?? 0) + 1;
+    const known = this.avoided.get(nodeId);
+    const isRecent = known !== undefined && nowMs - known.untilMs <= AVOID_BOUNDS_MS.max;
+    const failures = isRecent ? known.failures + 1 : 1;
     const avoidMs = Math.min(AVOID_BOUNDS_MS.max, AVOID_BOUNDS_MS.min * 2 ** (failures - 1));
     this.avoided.set(nodeId, { untilMs: nowMs + avoidMs, failures });
   }
 
-  /** Records that a node has answered. */
-  recordAnswer(nodeId: NodeId): void {
-    this.avoided.delete(nodeId);
+  /**
+   * Records that a node has answered. Its failures still count for a minute: a node that answers a
+   * first contact and is too slow for reports would otherwise be chosen again every second, and no
+   * coordinator counts a node for a second after a change.
+   */
+  recordAnswer(nodeId: NodeId, nowMs: number): void {
+    const known = this.avoided.get(nodeId);
+    if (!known) return;
+    const untilMs = Math.min(known.untilMs, nowMs);
+    this.avoided.set(nodeId, { ...known, untilMs });
   }
 
   /** Changes to a node that has answered; reports go only to it from `nowMs` on. */
--- a/src/mesh/coordination/reportLoop.ts
+++ b/src/mesh/coordination/reportLoop.ts
@@ -219,7 +219,7 @@
       log.write('warn', 'coordinator-answer-invalid', { step, peer, reason: message });
     };
     const answer = await this.targets.get(nodeId)?.calls.sendReport(report, onInvalid);
-    if (answer) choice.recordAnswer(nodeId);
+    if (answer) choice.recordAnswer(nodeId, this.now());
     else choice.recordFailure(nodeId, this.now());
     return answer;
   }
--- a/test/mesh/coordination/coordinatorChoice.test.ts
+++ b/test/mesh/coordination/coordinatorChoice.test.ts
@@ -43,11 +43,39 @@
   choice.recordFailure(A, 1000);
   assert.equal(choice.chooseProbe(ORDER, 2500), 'b', 'two seconds after the second failure');
   assert.equal(choice.chooseProbe(ORDER, 3001), 'a');
-  choice.recordAnswer(A);
+  choice.recordAnswer(A, 3001);
   choice.setCurrent(A, 3001);
   assert.equal(choice.chooseProbe(ORDER, 9000), undefined, 'the first one needs no probe');
 });
 
+test('a preferred node that is too slow for reports is chosen ever less often', () => {
+  const choice = createChoice();
+  choice.setCurrent(B, 0);
+  let changes = 0;
+  for (let atMs = 400; atMs <= 60_000; atMs += 400) {
+    if (choice.getCurrent() === A) {
+      choice.recordFailure(A, atMs);
+      choice.recordAnswer(B, atMs);
+      choice.setCurrent(B, atMs);
+    } else if (choice.chooseProbe(ORDER, atMs) === A) {
+      choice.recordAnswer(A, atMs);
+      choice.setCurrent(A, atMs);
+      changes += 1;
+    }
+  }
+  // No coordinator counts a node for a second after each change.
+  assert.ok(changes <= 6, `${changes} changes within a minute`);
+});
+
+test('failures of long ago do not count', () => {
+  const choice = createChoice();
+  for (let failures = 0; failures < 5; failures += 1) choice.recordFailure(A, 0);
+  choice.recordAnswer(A, 16_000);
+  choice.recordFailure(A, 100_000);
+  choice.setCurrent(B, 100_000);
+  assert.equal(choice.chooseProbe(ORDER, 101_000), 'a');
+});
+
 test('a node stays with a coordinator that answers until a preferred one does', () => {
   const choice = createChoice();
   choice.setCurrent(B, 0);
