Measure the queue once for a request that is not late

Two waits were estimated for each arriving request, with and without the safety factor, and each one ranked the whole queue by account. The ranking does not depend on the factor, and only on lateness otherwise, so that the first one serves both for a request that is not late. Behaviour unchanged.

--- a/src/mesh/admission.ts
+++ b/src/mesh/admission.ts
@@ -64,6 +64,16 @@
   readonly cause: Extract<RefusalReason, 'overloaded' | 'limited'>;
 }
 
+/** What a request waits for: the requests ahead of it, and those of its group, it included. */
+interface WorkAhead {
+  readonly aheadMs: number;
+  readonly ahead: number;
+  readonly sameGroupMs: number;
+  readonly sameGroup: number;
+  /** Minimum share of run time of the group. */
+  readonly share: number;
+}
+
 /** Slots of one instance and the queue of requests for them. */
 export class AdmissionQueue<Item extends AdmissionItem> {
   private queue: QueueEntry<Item>[] = [];
@@ -193,11 +203,16 @@
     if (this.running < this.slots && this.queue.length === 0 && this.limit.canStart(nowMs)) {
       return { decision: { kind: 'start' }, entry };
     }
+    const work = this.measureAhead(entry);
     const conservativeMs =
-      this.estimateWait(entry, nowMs, ESTIMATE_SAFETY_FACTOR).waitMs +
+      this.computeWait(work, nowMs, ESTIMATE_SAFETY_FACTOR).waitMs +
       item.expectedRunMs * ESTIMATE_SAFETY_FACTOR;
     entry.isLate = nowMs + conservativeMs > item.objectiveAtMs;
-    const { waitMs, cause } = this.estimateWait(entry, nowMs);
+    // More requests are ahead of a late one. With accounts, counting them is most of the work.
+    const { waitMs, cause } = this.computeWait(
+      entry.isLate ? this.measureAhead(entry) : work,
+      nowMs,
+    );
     const displaced = this.isFull() ? this.findDisplaced(entry) : undefined;
     const isQueueFull = this.isFull() && !displaced;
     const isDeadlineMissed = waitMs + item.expectedRunMs > remainingMs;
@@ -224,7 +239,7 @@
   }
 
   private displace(entry: QueueEntry<Item>, nowMs: number): DisplacedRequest<Item> {
-    const { waitMs, cause } = this.estimateWait(entry, nowMs);
+    const { waitMs, cause } = this.computeWait(this.measureAhead(entry), nowMs);
     this.remove(entry.item);
     return { item: entry.item, reason: cause, retryAfterMs: waitMs };
   }
@@ -239,16 +254,7 @@
     return order;
   }
 
-  /**
-   * Returns the expected queueing time of a request: until the requests ahead of it have run, or
-   * until its turn within the minimum share of its group, whichever is shorter, and not before
-   * the limit of the instance allows it. The safety factor applies to the first estimate only.
-   */
-  private estimateWait(
-    entry: QueueEntry<AdmissionItem>,
-    nowMs: number,
-    safetyFactor = 1,
-  ): ExpectedWait {
+  private measureAhead(entry: QueueEntry<AdmissionItem>): WorkAhead {
     const { expectedRunMs } = entry.item;
     let aheadMs = expectedRunMs;
     let sameGroupMs = expectedRunMs;
@@ -274,6 +280,19 @@
     }
     const sorted = [...groups].sort((a, b) => a - b);
     const share = sorted[0] === entry.group ? 1 : computeMinShares(sorted).get(entry.group)!;
+    return { aheadMs, ahead, sameGroupMs, sameGroup, share };
+  }
+
+  /**
+   * Returns the expected queueing time of a request: until the requests ahead of it have run, or
+   * until its turn within the minimum share of its group, whichever is shorter, and not before
+   * the limit of the instance allows it. The safety factor applies to the first estimate only.
+   */
+  private computeWait(
+    { aheadMs, ahead, sameGroupMs, sameGroup, share }: WorkAhead,
+    nowMs: number,
+    safetyFactor = 1,
+  ): ExpectedWait {
     const runWaitMs = Math.min(aheadMs * safetyFactor, sameGroupMs / share) / this.slots;
     const limitWaitMs = this.limit.estimateWaitMs(Math.min(ahead, sameGroup / share), nowMs);
     return limitWaitMs > runWaitMs
