Do not take a late change for young evidence of the configuration

Cause: a response of the store with a change counted as evidence of the time at which it arrived. A watch is answered at the latest when its wait is over; a response that was held up for longer made the evidence younger than it was, by 0.4 s in the test, and keys were accepted for longer than their bound allows. The same held for the contact of the rollout coordinator with the store.

Change: the evidence is of the end of the wait, if that is earlier, as it was for responses without a change.

Run: the new test fails without the change; watches, rolloutWatch, confirmations, followers, restoredStore, lateNews: 38 pass; format:check, build, lint of the files concerned.

--- a/src/mesh/rollouts/rolloutWatch.ts
+++ b/src/mesh/rollouts/rolloutWatch.ts
@@ -94,11 +94,8 @@
     const watched = await store.watch(kind, revision, waitMs, { cancellation });
     if (this.isStopped) return watched.map((changes) => changes.revision);
     return watched.map((changes) => {
-      const hasChanges = changes.events.length > 0;
-      const arrivedAtMs = performance.now();
-      // A response without a change was sent when its wait was over, however late it arrives.
-      const sentAtMs = hasChanges ? arrivedAtMs : Math.min(arrivedAtMs, startedAtMs + waitMs);
-      listener.recordContact(sentAtMs);
+      // A response was sent at the latest when its wait was over, however late it arrives.
+      listener.recordContact(Math.min(performance.now(), startedAtMs + waitMs));
       listener.applyInvalid(changes.invalid ?? []);
       for (const event of changes.events) {
         if (event.kind === 'stored') listener.applyObject(event.object);
--- a/src/mesh/watchKind.ts
+++ b/src/mesh/watchKind.ts
@@ -264,11 +264,11 @@
       }
       continue;
     }
-    // A response without a change was sent when its wait was over, however late it arrives.
     const hasChanges = watched.value.events.length > 0;
     const arrivedAtMs = performance.now();
     isStoreSlow = !hasChanges && arrivedAtMs - startedAtMs - waitMs > SLOW_RESPONSE_MS;
-    const confirmedAtMs = hasChanges ? arrivedAtMs : Math.min(arrivedAtMs, startedAtMs + waitMs);
+    // A response was sent at the latest when its wait was over, however late it arrives.
+    const confirmedAtMs = Math.min(arrivedAtMs, startedAtMs + waitMs);
     recordSuccess(confirmedAtMs, startedAtMs);
     logInvalid(invalidObjectLog, watched.value.invalid);
     applyChanges(options, watched.value);
--- a/test/mesh/watches.test.ts
+++ b/test/mesh/watches.test.ts
@@ -194,6 +194,36 @@
   assert.deepEqual(lines, ['object-invalid odd']);
 });
 
+test('a change that arrives long after its wait is no young evidence', async () => {
+  const waitMs = 50;
+  const lateMs = 400;
+  const position = new KindPosition();
+  let ageMs: number | undefined;
+  await watchKind({
+    store: {
+      list: async () => ok<StoreList>({ objects: [], revision: 4 }),
+      watch: async () => {
+        await wait(waitMs + lateMs);
+        const object = { name: 'main', revision: 5, value: 0 };
+        return ok<StoreChanges>({ events: [{ kind: 'stored', object }], revision: 5 });
+      },
+    },
+    kind: 'config',
+    listener: {
+      applyList: () => {},
+      applyEvent: () => {
+        ageMs = position.getUnconfirmedMs(performance.now());
+      },
+    },
+    position,
+    log: SILENT_LOG,
+    getWaitMs: () => waitMs,
+    getPauseMs: () => 0,
+    isStopped: () => ageMs !== undefined,
+  });
+  assert.ok(ageMs !== undefined && ageMs >= lateMs - 1, `evidence is ${ageMs} ms old`);
+});
+
 test('a version that a source confirms is not reported to other nodes as a change', async () => {
   const position = new KindPosition();
   const lists: number[] = [];
