Send calls that an unproven version refuses to the old instances

Cause: a call that was drawn for the new version kept to it for all its attempts. When its instances refused the call, did not accept connections or were full, the call ended with 503, although the old instances had room.

Change: a call that has reached no instance goes to the others when no instance of an unproven version is left for it. Failed calls are still not sent to the other version, and calls drawn for the old version never go to an unproven one.

--- a/src/mesh/callRouter.ts
+++ b/src/mesh/callRouter.ts
@@ -184,6 +184,11 @@
     const listed = offers.listForWaiting(candidates, isUsable);
     const candidate = this.findInstance(listed, call, progress, isFirst);
     if (candidate) return { candidate, isImmediate: false };
+    // A call that an unproven version refuses would have run on the old one.
+    const hasArrived = progress.countArrivals() > 0;
+    if (!hasArrived && this.options.rolloutGate?.releaseTarget(call, service)) {
+      return this.choose(call, service, progress, offers);
+    }
     if (candidates.some(({ isFull }) => isFull)) progress.recordOverload();
     return undefined;
   }
--- a/src/mesh/rollouts/rolloutGate.ts
+++ b/src/mesh/rollouts/rolloutGate.ts
@@ -24,7 +24,7 @@
   readonly receivedAtMs: number;
 }
 
-/** The version that was drawn for a call, which all its attempts keep to. */
+/** The version that was drawn for a call, which all its attempts keep to unless it is released. */
 interface DrawnVersion {
   readonly targetVersion: SoftwareVersion;
   readonly isTarget: boolean;
@@ -77,6 +77,18 @@
     return preferred.length > 0 ? preferred : remaining;
   }
 
+  /**
+   * Lets a call that was drawn for an unproven version go to the other instances; returns true if
+   * it was drawn so. Call it when no instance of the version takes the call.
+   */
+  releaseTarget(call: object, service: ServiceName): boolean {
+    const directive = this.findDirective(service);
+    const drawn = this.drawn.get(call);
+    if (directive?.state !== 'running' || !drawn?.isTarget) return false;
+    this.drawn.set(call, { ...drawn, isTarget: false });
+    return true;
+  }
+
   private chooseTarget(call: object, directive: RolloutDirective, ageMs: number): boolean {
     const { state, share, targetVersion } = directive;
     if (state === 'completed') return true;
--- a/test/mesh/rollouts/callRouter.test.ts
+++ b/test/mesh/rollouts/callRouter.test.ts
@@ -157,6 +157,12 @@
   assert.equal(reached.new, 0);
 });
 
+test('calls that an unproven version refuses reach old instances with room', async () => {
+  const reached = await countCalls('running', 1, { refusing: ['new'] });
+  assert.ok(reached.new > 0);
+  assert.ok(reached.old >= CALLS / 2, `${reached.old} of ${CALLS}`);
+});
+
 test('a failed call of an idempotent route is not sent again to the other version', async () => {
   const reached = await countCalls('running', 0.5, { status: 500 });
   assert.equal(reached.old + reached.new, CALLS);
