Split the long functions of the rollouts, without a change of behaviour

The assessment of a version sums its runs apart from the tests, the watch of orders lists and follows in two functions, and the count of refused immediate offers says what it counts.

Run: dist/test/mesh/rollouts/, immediateOffers: 69 pass; format:check, build, lint of the files concerned.

--- a/src/mesh/callRouter.ts
+++ b/src/mesh/callRouter.ts
@@ -123,7 +123,7 @@
     const progress = new AttemptProgress(call.route);
     const offers = new ImmediateOffers();
     const route = call.route.name;
-    for (let sendIndex = 0; sendIndex < MAX_SENDS + offers.count(); sendIndex += 1) {
+    for (let sendIndex = 0; sendIndex < MAX_SENDS + offers.countRefused(); sendIndex += 1) {
       if (call.cancellation.isCancelled() || isAtDeadline(call)) break;
       if (progress.isRefusedForRoom() && !this.canOfferAgain(call, service)) break;
       const chosen = this.choose(call, service, progress, offers);
@@ -135,7 +135,7 @@
       }
       if (progress.countArrivals() > 0 && !this.takeRetry(call, service)) break;
       const { instanceId } = chosen.candidate.peer.record;
-      const isLastSend = sendIndex === MAX_SENDS + offers.count() - 1;
+      const isLastSend = sendIndex === MAX_SENDS + offers.countRefused() - 1;
       const canRetry = () => !isLastSend && this.canRetry(call, service, progress);
       const { result, timing } = await this.send(chosen, call, permission.untilMs, canRetry);
       trace.timing = timing;
--- a/src/mesh/immediateOffers.ts
+++ b/src/mesh/immediateOffers.ts
@@ -24,7 +24,7 @@
   private hasEnded = false;
 
   /** Returns the number of offers that were refused for lack of a free slot. */
-  count(): number {
+  countRefused(): number {
     return this.busy.size;
   }
 
--- a/src/mesh/rollouts/rolloutWatch.ts
+++ b/src/mesh/rollouts/rolloutWatch.ts
@@ -1,4 +1,6 @@
 /** Watches the orders of rollouts in the store while this node coordinates. */
+import type { Result } from 'neverthrow';
+import type { StepError } from '../../errors.js';
 import { computeDelayMs, waitMs as wait } from '../../utils/backoff.js';
 import type { EventLog } from '../eventLog.js';
 import { Cancellation } from '../signal.js';
@@ -51,7 +53,7 @@
     let failures = 0;
     while (!this.isStopped) {
       const startedAtMs = performance.now();
-      const reached = await this.read(revision);
+      const reached = await (revision === undefined ? this.list() : this.follow(revision));
       if (this.isStopped) return;
       if (reached.isOk()) {
         if (failures > 0) log.write('info', 'store-regained', { peer: kind, failures });
@@ -73,27 +75,30 @@
     }
   }
 
-  /** Lists the objects or waits for a change; returns the revision that was reached. */
-  private async read(revision: number | undefined) {
+  /** Lists the objects and returns the revision of the list; a stopped watch applies nothing. */
+  private async list(): Promise<Result<number, StepError>> {
+    const { store, kind, listener } = this.options;
+    const startedAtMs = performance.now();
+    const listed = await store.list(kind);
+    return listed.map((list) => {
+      if (this.isStopped) return list.revision;
+      listener.recordContact(startedAtMs);
+      listener.applyInvalid(list.invalid ?? []);
+      listener.applyList(list);
+      return list.revision;
+    });
+  }
+
+  /** Waits for a change and returns the revision that was reached. */
+  private async follow(revision: number): Promise<Result<number, StepError>> {
     const { store, kind, listener } = this.options;
-    if (revision === undefined) {
-      const startedAtMs = performance.now();
-      const listed = await store.list(kind);
-      if (this.isStopped) return listed.map((list) => list.revision);
-      return listed.map((list) => {
-        listener.recordContact(startedAtMs);
-        listener.applyInvalid(list.invalid ?? []);
-        listener.applyList(list);
-        return list.revision;
-      });
-    }
     const cancellation = new Cancellation();
     this.waitCancellation = cancellation;
     const waitMs = listener.hasOpen() ? OPEN_WATCH_MS : IDLE_WATCH_MS;
     const startedAtMs = performance.now();
     const watched = await store.watch(kind, revision, waitMs, { cancellation });
-    if (this.isStopped) return watched.map((changes) => changes.revision);
     return watched.map((changes) => {
+      if (this.isStopped) return changes.revision;
       // A response was sent at the latest when its wait was over, however late it arrives.
       listener.recordContact(Math.min(performance.now(), startedAtMs + waitMs));
       listener.applyInvalid(changes.invalid ?? []);
--- a/src/mesh/rollouts/runComparison.ts
+++ b/src/mesh/rollouts/runComparison.ts
@@ -84,6 +84,9 @@
   isWarm: boolean;
 }
 
+/** Runs and the events among them by route; undefined stands for all routes together. */
+type EventSums = Map<RouteName | undefined, { readonly runs: number; readonly events: number }>;
+
 interface RouteTests {
   readonly failures: SequentialTest;
   readonly slow: SequentialTest;
@@ -133,6 +136,16 @@
   };
 }
 
+function addEvents(
+  sums: EventSums,
+  route: RouteName | undefined,
+  runs: number,
+  events: number,
+): void {
+  const sum = sums.get(route) ?? { runs: 0, events: 0 };
+  sums.set(route, { runs: sum.runs + runs, events: sum.events + events });
+}
+
 /** Comparison for one rollout. */
 export class RunComparison {
   private readonly instances = new Map<InstanceId, KnownInstance>();
@@ -274,36 +287,37 @@
   }
 
   private assessTarget(): Finding | undefined {
-    const assessed = this.unassessed;
+    const { failures, slow } = this.sumUnassessed();
     this.unassessed = new Map();
-    const failures = new Map<RouteName | undefined, { runs: number; events: number }>();
-    const slow = new Map<RouteName | undefined, { runs: number; events: number }>();
-    const add = (sums: typeof slow, route: RouteName | undefined, runs: number, events: number) => {
-      const sum = sums.get(route) ?? { runs: 0, events: 0 };
-      sums.set(route, { runs: sum.runs + runs, events: sum.events + events });
-    };
-    for (const { routes, isWarm } of assessed.values()) {
+    for (const [route, { runs, events }] of failures) {
+      const { total, recent } = this.getReference(route);
+      this.getTests(route).failures.record(runs, events, computeFailureShares(total, recent));
+    }
+    for (const [route, { runs, events }] of slow) {
+      this.getTests(route).slow.record(runs, events, SLOW_SHARES);
+    }
+    return this.findDecision();
+  }
+
+  /** Returns the runs that have not been assessed, with the failures and the slow runs of them. */
+  private sumUnassessed(): { readonly failures: EventSums; readonly slow: EventSums } {
+    const failures: EventSums = new Map();
+    const slow: EventSums = new Map();
+    for (const { routes, isWarm } of this.unassessed.values()) {
       const overall = { runs: 0, failures: 0 };
       for (const [route, counts] of routes) {
         overall.runs += counts.runs;
         overall.failures += counts.failures;
-        add(failures, route, counts.runs, limitFailures(counts));
+        addEvents(failures, route, counts.runs, limitFailures(counts));
         const slowBucket = isWarm ? findSlowBucket(this.getReference(route)) : undefined;
         if (slowBucket === undefined) continue;
         const slowRuns = countAbove(counts.times, slowBucket);
-        add(slow, route, counts.runs, slowRuns);
-        add(slow, undefined, counts.runs, slowRuns);
+        addEvents(slow, route, counts.runs, slowRuns);
+        addEvents(slow, undefined, counts.runs, slowRuns);
       }
-      add(failures, undefined, overall.runs, limitFailures(overall));
+      addEvents(failures, undefined, overall.runs, limitFailures(overall));
     }
-    for (const [route, { runs, events }] of failures) {
-      const { total, recent } = this.getReference(route);
-      this.getTests(route).failures.record(runs, events, computeFailureShares(total, recent));
-    }
-    for (const [route, { runs, events }] of slow) {
-      this.getTests(route).slow.record(runs, events, SLOW_SHARES);
-    }
-    return this.findDecision();
+    return { failures, slow };
   }
 
   private findDecision(): Finding | undefined {
