Leave a header with the name of the key header alone where there are no accounts

Deployments without accounts got requests whose header Api-Key was removed, which is a header of their application there. test/mesh/accounts passes.

--- a/src/mesh/callPort.ts
+++ b/src/mesh/callPort.ts
@@ -111,15 +111,16 @@
   let isClosing = false;
   let isRefusing = false;
   const strippedRequestHeaders: ReadonlySet<string> = new Set([
-    ...[
-      names.deadline,
-      names.targetInstance,
-      names.callerService,
-      names.accountKey,
-      names.accountName,
-    ].map((name) => name.toLowerCase()),
+    ...[names.deadline, names.targetInstance, names.callerService, names.accountName].map((name) =>
+      name.toLowerCase(),
+    ),
     ...NODE_HEADERS,
   ]);
+  /** Without accounts, a header of this name is one of the application. */
+  const strippedWithAccounts: ReadonlySet<string> = new Set([
+    ...strippedRequestHeaders,
+    names.accountKey.toLowerCase(),
+  ]);
 
   /** True when the connection closes after a response; not before the requests behind it. */
   const isLastResponse = ({ req }: ServerResponse) =>
@@ -220,7 +221,9 @@
       writeRefusal(refusal.status, refusal.retryAfterMs, refusal.reason);
       return;
     }
-    const headers = filterHeaders(rawHeaders, strippedRequestHeaders);
+    const hasAccounts = (config.accounts ?? []).length > 0;
+    const stripped = hasAccounts ? strippedWithAccounts : strippedRequestHeaders;
+    const headers = filterHeaders(rawHeaders, stripped);
     headers.push(names.callerService, options.getSettings().service);
     if (identity) headers.push(names.accountName, identity.account.name);
     const receivedDeadlineMs = Number(getHeader(rawHeaders, names.deadline));
