Close the connection of a report whose body does not come

The peer port has no timeout of its own for a message, so a large report whose sender is gone without the end of its connection was waited for without end, with its connection and a buffer of up to 1 MiB. A report older than 250 ms is refused in any case; its connection is now closed after that time.

--- a/src/mesh/coordination/reportRequests.ts
+++ b/src/mesh/coordination/reportRequests.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage } from 'node:http';
 import { getHeader } from '../headers.js';
 import { CLOCK_HEADER, COORDINATOR_HEADER, decodeSentTime } from '../peerMessages.js';
-import { readBody } from '../readBody.js';
+import { readBody, type BodyError } from '../readBody.js';
 import type { Coordinator } from './coordinator.js';
 import { decodeReport, encodeAnswer, isInBody, type EncodedMessage } from './reportCodec.js';
 
@@ -24,6 +24,17 @@
 /** Answer, or the status of a refusal. */
 export type ReportReply = EncodedMessage | { readonly status: 400 | 503 };
 
+/**
+ * Reads the body of a report. The host of a sender may be gone without the end of its connection,
+ * which would then stay open with what has come of the body.
+ */
+async function readReportBody(message: IncomingMessage): Promise<Buffer | BodyError> {
+  const timer = setTimeout(() => message.destroy(), MAX_AGE_MS);
+  const body = await readBody(message, MAX_BODY_BYTES);
+  clearTimeout(timer);
+  return body;
+}
+
 /** Answers a message that arrived at `receivedAtMs`; undefined if it is no report. */
 export function answerReport(
   message: IncomingMessage,
@@ -36,7 +47,7 @@
   if (text === undefined) return undefined;
   const reply = async (): Promise<ReportReply> => {
     if (!isInBody(text)) message.resume();
-    const body = isInBody(text) ? await readBody(message, MAX_BODY_BYTES) : EMPTY_BODY;
+    const body = isInBody(text) ? await readReportBody(message) : EMPTY_BODY;
     const report = typeof body === 'string' ? undefined : await decodeReport(text, body);
     if (!report) return { status: 400 };
     if (!isAnswering()) return { status: 503 };
--- a/test/mesh/coordination/peerReports.test.ts
+++ b/test/mesh/coordination/peerReports.test.ts
@@ -1,7 +1,7 @@
 /** Reports over real peer ports: they are answered, and the next node takes over. */
 import assert from 'node:assert/strict';
 import { get, type Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { connect, type AddressInfo } from 'node:net';
 import { test } from 'node:test';
 import {
   createCoordination,
@@ -173,6 +173,25 @@
   });
 });
 
+test('a report whose sender is gone before its end is not waited for', async () => {
+  await withNodes(CONFIG, async (nodes) => {
+    const { port } = nodes[0]!.server.address() as AddressInfo;
+    const socket = connect(port, '127.0.0.1');
+    const headers = ['Host: n-0', 'mesh-coordinator: deflated', 'Content-Length: 5000'];
+    socket.write(`POST / HTTP/1.1\r\n${headers.join('\r\n')}\r\n\r\nfirst bytes`);
+    let isClosed = false;
+    socket.on('error', () => {});
+    socket.once('close', () => {
+      isClosed = true;
+    });
+    try {
+      await waitFor(() => isClosed);
+    } finally {
+      socket.destroy();
+    }
+  });
+});
+
 test('without an account that has a limit, nothing is sent', async () => {
   const config = { version: 1, accounts: [buildAccount('u', 0, 0)] } as unknown as MeshConfig;
   await withNodes(config, async (nodes) => {
