Look for a free slot without measuring the queue

A busy instance measured its whole queue, by account, for each immediate offer, only to refuse it. The refusal needs three comparisons. admission, fairQueueing, immediateOffers, quotas, coordination and accounts pass.

--- a/src/mesh/admission.ts
+++ b/src/mesh/admission.ts
@@ -123,6 +123,11 @@
     return this.decide(item, nowMs).decision;
   }
 
+  /** Returns true when a request that arrives now starts at once. */
+  canStart(nowMs: number): boolean {
+    return this.running < this.slots && this.queue.length === 0 && this.limit.canStart(nowMs);
+  }
+
   /** Frees the slot of a started request. */
   releaseSlot(): void {
     this.running -= 1;
@@ -200,7 +205,7 @@
     if (remainingMs <= 0) {
       return { decision: { kind: 'refused', reason: 'deadline', retryAfterMs: 0 }, entry };
     }
-    if (this.running < this.slots && this.queue.length === 0 && this.limit.canStart(nowMs)) {
+    if (this.canStart(nowMs)) {
       return { decision: { kind: 'start' }, entry };
     }
     const work = this.measureAhead(entry);
--- a/src/mesh/localRunner.ts
+++ b/src/mesh/localRunner.ts
@@ -243,9 +243,8 @@
 
   /** Returns the refusal of a request that is not to wait, while it would have to. */
   private checkFreeSlot(metadata: CallMetadata): RunResult | undefined {
-    if (!metadata.needsFreeSlot) return undefined;
-    const decision = this.queue.assess(this.buildItem(metadata), performance.now());
-    return decision.kind === 'start' ? undefined : buildRefusal('busy', false);
+    if (!metadata.needsFreeSlot || this.queue.canStart(performance.now())) return undefined;
+    return buildRefusal('busy', false);
   }
 
   /** Returns true when a run that starts now ends before a planned stop, or at its deadline. */
