Collect bodies of requests in one block, and free what is dropped at once

Cause: each part of a chunked body was kept as a buffer of its own, of which only the bytes of the body counted.

Change: bodies are collected in one block that grows by a factor of 8, beyond 1 MiB to the length that was named or to the limit, whose pages the system provides as they are written; nothing is joined at the end. What counts is the written part of the block. Blocks that are outgrown or given up, and parts that were copied, are handed to a closed port, which frees them at once.

Test: test/platform/untrustedClients.

--- a/src/mesh/httpConnection.ts
+++ b/src/mesh/httpConnection.ts
@@ -251,8 +251,9 @@
         this.endTooLarge();
         return;
       }
+      const { heldBytes } = body;
       body.append(chunk.subarray(offset, offset + length));
-      if (held) pending?.memory?.grow(held, length);
+      if (held) pending?.memory?.grow(held, body.heldBytes - heldBytes);
     };
     parser[HTTPParser.kOnMessageComplete] = () => this.handleMessage();
   }
@@ -274,7 +275,10 @@
       this.endTooLarge();
       return true;
     }
-    const body = new BodyBuffer();
+    const body = new BodyBuffer(
+      Math.min(Number(length ?? 0), MAX_RESPONSE_BYTES),
+      MAX_RESPONSE_BYTES,
+    );
     this.incoming = {
       status: info.statusCode,
       headers: [...info.headers],
@@ -292,7 +296,7 @@
   private buildHeldBody(body: BodyBuffer): HeldBody {
     return {
       get bytes() {
-        return body.bytes;
+        return body.heldBytes;
       },
       giveUp: () => this.endTooLarge(),
     };
@@ -340,6 +344,12 @@
     return this.receivedBytes - this.bodyBytes > limitBytes;
   }
 
+  private discardIncoming(): void {
+    const body = this.incoming?.body;
+    this.releaseIncoming();
+    body?.discard();
+  }
+
   private releaseIncoming(): void {
     const held = this.incoming?.held;
     if (held) this.pending?.memory?.release(held);
@@ -361,7 +371,7 @@
   /** Closes the connection during a response that is larger than the limit of its exchange. */
   private endTooLarge(): void {
     const { pending } = this;
-    this.releaseIncoming();
+    this.discardIncoming();
     this.pending = undefined;
     pending?.resolve({ kind: 'too-large' });
     this.fail('response above the limit');
@@ -371,7 +381,7 @@
     if (this.isClosed) return;
     this.isClosed = true;
     const { pending } = this;
-    this.releaseIncoming();
+    this.discardIncoming();
     this.pending = undefined;
     if (isInOrder) this.socket.destroy();
     else this.socket.resetAndDestroy();
--- a/standins/mesh/nodeProcess.ts
+++ b/standins/mesh/nodeProcess.ts
@@ -27,6 +27,8 @@
   readonly storePort: number;
   /** Ports for calls, peers, readiness and announcements. */
   readonly ports: readonly number[];
+  /** Limits of the host, by their names in the settings file; undefined for none. */
+  readonly limits?: Readonly<Record<string, number>>;
 }
 
 /** A started node process. */
@@ -57,6 +59,7 @@
     HeartbeatInterval: '870ms',
     PolicyParams: { Grace: '6s', BudgetRatio: 0.2, BudgetWindow: '10s', BudgetExtra: 60 },
     Provider: { Address: formatAddress(options.storePort) },
+    ...(options.limits ? { Limits: options.limits } : {}),
     UnknownField: true,
   };
 }
