Count all bodies that a node holds in one account

Cause: request bodies and responses of the instance had a limit each, and responses of other nodes and of the store had none. Every search for the largest body went over all of them.

Change: src/mesh/memory holds one account, bounded by 0.3 of the memory of the host, with shares for request bodies and for responses. Complete bodies count until their requests have ended and are not given up; those that come after them are. Responses of the instance and of other nodes can be given up, those of the store only count. The metric held_bytes shows what is held.

--- a/src/mesh/directory.ts
+++ b/src/mesh/directory.ts
@@ -3,6 +3,7 @@
 import type { EventLog } from './eventLog.js';
 import type { NodeRecord } from './model.js';
 import { PeerCalls } from './peerCalls.js';
+import type { ResponseMemory } from './responseMemory.js';
 import { PeerNode, type RoutePriority } from './peerNode.js';
 import type { Candidate } from './instanceSelection.js';
 import type { RevisionExchange } from './revisionExchange.js';
@@ -32,6 +33,7 @@
     private readonly log: EventLog,
     private readonly seen: RevisionExchange,
     private readonly detector = new SuspensionDetector(),
+    private readonly memory?: ResponseMemory,
   ) {}
 
   /** Applies the record of a node. `revision` is 0 if the record was not read from the store. */
@@ -46,7 +48,7 @@
           record,
           nowMs,
           revision,
-          new PeerCalls(record.address, this.seen, this.detector),
+          new PeerCalls(record.address, this.seen, this.detector, this.memory),
         ),
       );
     } else {
--- a/src/mesh/httpConnection.ts
+++ b/src/mesh/httpConnection.ts
@@ -283,7 +283,7 @@
       status: info.statusCode,
       headers: [...info.headers],
       body,
-      held: pending.memory && this.buildHeldBody(body),
+      held: pending.memory && this.buildHeldBody(),
       isDiscarded: isInterim || isMismatched,
     };
     // After a response to another request, further bytes cannot be assigned to a request reliably.
@@ -293,13 +293,8 @@
     return pending.isHead || isBodiless(info.statusCode);
   }
 
-  private buildHeldBody(body: BodyBuffer): HeldBody {
-    return {
-      get bytes() {
-        return body.heldBytes;
-      },
-      giveUp: () => this.endTooLarge(),
-    };
+  private buildHeldBody(): HeldBody {
+    return { giveUp: () => this.endTooLarge() };
   }
 
   private handleInterim(status: number, pending: PendingExchange): void {
--- /dev/null
+++ b/src/mesh/memory/limits.ts
@@ -0,0 +1,29 @@
+/** Computes the limits of the memory account from those of the host. */
+import type { AccountLimits } from './memoryAccount.js';
+
+const BYTES_PER_MB = 1024 * 1024;
+
+/**
+ * Share of the memory of the process that is held for other parties. The rest is for the program,
+ * about 60 MB, and for memory that was released but not collected yet, up to 64 MB by V8's rules,
+ * or that the allocator keeps. With 0.375 a process of 250 MB reached 260 MB.
+ */
+const MEMORY_SHARE = 0.3;
+
+/** Shares of the account; the first leaves room for ordinary requests beside large bodies. */
+const REQUEST_SHARE = 0.8;
+const RESPONSE_SHARE = 0.4;
+const CONNECTION_SHARE = 0.65;
+
+/** Lower bound of the limit of responses: one body of the largest size. */
+const MIN_RESPONSE_BYTES = 8 * BYTES_PER_MB;
+
+export function computeAccountLimits(memoryMb: number): AccountLimits {
+  const total = Math.max(MIN_RESPONSE_BYTES, memoryMb * BYTES_PER_MB * MEMORY_SHARE);
+  return {
+    total,
+    request: total * REQUEST_SHARE,
+    response: Math.max(MIN_RESPONSE_BYTES, total * RESPONSE_SHARE),
+    connection: total * CONNECTION_SHARE,
+  };
+}
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -39,6 +39,8 @@
 import { LocalInstance } from './localInstance.js';
 import { LocalRunner } from './localRunner.js';
 import { LoopMonitor } from './loopMonitor.js';
+import { computeAccountLimits } from './memory/limits.js';
+import { MemoryAccount } from './memory/memoryAccount.js';
 import { MeshMetrics } from './meshMetrics.js';
 import type { MeshConfig, MeshSettings } from './model.js';
 import { NodeAnswers } from './nodeAnswers.js';
@@ -49,8 +51,8 @@
 import { OverloadThrottle } from './overloadThrottle.js';
 import { createPeerPort } from './peerPort.js';
 import { Publisher } from './publisher.js';
-import { computeRequestLimitBytes, RequestMemory } from './requestMemory.js';
-import { computeResponseLimitBytes, ResponseMemory } from './responseMemory.js';
+import { RequestMemory } from './requestMemory.js';
+import { ResponseMemory } from './responseMemory.js';
 import { RetryBudget } from './retryBudget.js';
 import { startRecordPruner } from './recordPruner.js';
 import { RevisionExchange } from './revisionExchange.js';
@@ -130,7 +132,10 @@
   const contacts = { config: new StoreContact(), nodes: new StoreContact() };
   const nodeHistory = new NodeHistory();
   const seen = new RevisionExchange([positions.config, positions.nodes], store.era);
-  const directory = new Directory(nodeId, log, seen, detector);
+  const account = new MemoryAccount(computeAccountLimits(settings.memoryMb));
+  const responseMemory = new ResponseMemory(account);
+  store.setMemory(new ResponseMemory(account, false));
+  const directory = new Directory(nodeId, log, seen, detector, responseMemory);
   const targets = new TargetChooser();
   let isStopping = false;
 
@@ -139,7 +144,7 @@
   const loop = new LoopMonitor();
   const transfers = new BodyTransfers(settings.linkMbps);
   const runner = new LocalRunner({
-    memory: new ResponseMemory(computeResponseLimitBytes(settings.memoryMb)),
+    memory: responseMemory,
     getPendingTransferMs: () => transfers.getPendingMs(),
     instance,
     loop,
@@ -153,7 +158,7 @@
       void publisher.sync();
     },
   });
-  const requestMemory = new RequestMemory(computeRequestLimitBytes(settings.memoryMb));
+  const requestMemory = new RequestMemory(account);
   const overloadThrottle = new OverloadThrottle();
   const config = new ConfigHolder({
     name: adapter.configName,
@@ -296,6 +301,7 @@
   metrics.registerGauge('running', () => runner.countRunning());
   metrics.registerGauge('peer_unsent_bytes', () => directory.countUnsentBytes());
   metrics.registerGauge('open_calls', () => callPort.countOpen());
+  metrics.registerGauge('held_bytes', () => account.countBytes());
   metrics.registerGauge('config_version', () => config.get()?.version ?? 0);
 
   const servers = [
--- a/src/mesh/peerCalls.ts
+++ b/src/mesh/peerCalls.ts
@@ -39,6 +39,7 @@
   SEEN_HEADER,
   METADATA_HEADER,
 } from './peerMessages.js';
+import type { ResponseMemory } from './responseMemory.js';
 import type { RevisionExchange } from './revisionExchange.js';
 import type { Cancellation } from './signal.js';
 import { SuspensionDetector } from './suspensionDetector.js';
@@ -150,6 +151,8 @@
     address: PeerAddress,
     private readonly seen: RevisionExchange,
     detector = new SuspensionDetector(),
+    /** Bounds the responses that are read at the same time; undefined for no bound. */
+    private readonly memory?: ResponseMemory,
   ) {
     this.clock = new ClockOffset(detector);
     this.host = formatHostPort(address.host, address.port);
@@ -365,6 +368,7 @@
     const body = resumedProcessId === undefined ? request.body : EMPTY_BODY;
     const result = await connection.exchange({ ...request, headers, body }, isAnyResponse, {
       onInterim,
+      memory: this.memory,
       isAnnounced: body.length >= MIN_ANNOUNCED_BYTES,
     });
     state.connections.delete(connection);
--- a/src/mesh/requestMemory.ts
+++ b/src/mesh/requestMemory.ts
@@ -5,22 +5,13 @@
  * It is designed for callers that upload large bodies at the same time, each within its own limit.
  * The largest body that is still being read is given up first, so that the others are read on.
  */
-
-/** Share of the memory of the process that these bodies may use. */
-const MEMORY_SHARE = 0.25;
-
-const BYTES_PER_MB = 1024 * 1024;
-
-/** Returns the limit for a process with this memory, in bytes. */
-export function computeRequestLimitBytes(memoryMb: number): number {
-  return memoryMb * BYTES_PER_MB * MEMORY_SHARE;
-}
+import type { MemoryAccount } from './memory/memoryAccount.js';
 
 /** A body from its first byte until its request has ended. */
 export interface HeldRequestBody {
   /** Registers a listener that is called when the body has to be given up. */
   onGiveUp(listener: () => void): void;
-  /** Records that `bytes` more have been read. */
+  /** Records that `bytes` more are held. */
   grow(bytes: number): void;
   /** Records that the body is complete: it is not given up any more. */
   complete(): void;
@@ -28,61 +19,20 @@
   release(): void;
 }
 
-interface Holding {
-  bytes: number;
-  giveUp: () => void;
-}
-
 export class RequestMemory {
-  /** Bodies that are being read. */
-  private readonly reading = new Set<Holding>();
-
-  private usedBytes = 0;
-
-  constructor(private readonly limitBytes: number) {}
+  constructor(private readonly account: MemoryAccount) {}
 
   /** Starts to hold a body of no bytes yet. */
   open(): HeldRequestBody {
-    const holding: Holding = { bytes: 0, giveUp: () => {} };
-    this.reading.add(holding);
+    let giveUp = () => {};
+    const holding = this.account.open('request', () => giveUp());
     return {
       onGiveUp(listener) {
-        holding.giveUp = listener;
+        giveUp = listener;
       },
-      grow: (bytes) => this.grow(holding, bytes),
-      complete: () => {
-        this.reading.delete(holding);
-      },
-      release: () => this.release(holding),
+      grow: (bytes) => holding.set(holding.bytes + bytes),
+      complete: () => holding.pin(),
+      release: () => holding.release(),
     };
   }
-
-  private grow(growing: Holding, bytes: number): void {
-    const holding = growing;
-    if (!this.reading.has(holding)) return;
-    holding.bytes += bytes;
-    this.usedBytes += bytes;
-    while (this.usedBytes > this.limitBytes) {
-      const largest = this.findLargest();
-      // A body that is held alone is within the limits of the configuration.
-      if (!largest || largest.bytes === this.usedBytes) return;
-      this.release(largest);
-      largest.giveUp();
-    }
-  }
-
-  private release(released: Holding): void {
-    const holding = released;
-    this.reading.delete(holding);
-    this.usedBytes -= holding.bytes;
-    holding.bytes = 0;
-  }
-
-  private findLargest(): Holding | undefined {
-    let largest: Holding | undefined;
-    for (const holding of this.reading) {
-      if (!largest || holding.bytes > largest.bytes) largest = holding;
-    }
-    return largest;
-  }
 }
--- a/src/mesh/store.ts
+++ b/src/mesh/store.ts
@@ -1,6 +1,7 @@
 /** Interface of the platform's store, implemented in `platform/`. */
 import type { Result } from 'neverthrow';
 import type { StepError } from '../errors.js';
+import type { ResponseMemory } from './responseMemory.js';
 import type { Cancellation } from './signal.js';
 import type { StoreEra } from './storeEra.js';
 
@@ -90,6 +91,8 @@
   ): Promise<Result<StoredObject, StepError>>;
   /** Removes the object if its current revision is `revision`. */
   remove(kind: string, name: string, revision: number): Promise<Result<void, StepError>>;
+  /** Sets the memory in which the responses of the store count while they are read. */
+  setMemory(memory: ResponseMemory): void;
   /** Registers a listener that is called after each call to the store. */
   onCall(listener: (call: StoreCall) => void): void;
   close(): void;
--- a/test/mesh/peerPortParts.ts
+++ b/test/mesh/peerPortParts.ts
@@ -7,11 +7,15 @@
 import { LocalRunner } from '../../src/mesh/localRunner.js';
 import { MeshMetrics } from '../../src/mesh/meshMetrics.js';
 import type { PeerPortOptions } from '../../src/mesh/peerPort.js';
+import { computeAccountLimits } from '../../src/mesh/memory/limits.js';
+import { MemoryAccount } from '../../src/mesh/memory/memoryAccount.js';
 import { RequestMemory } from '../../src/mesh/requestMemory.js';
 import { RevisionExchange } from '../../src/mesh/revisionExchange.js';
 import { brandText } from '../../src/types/ids.js';
 
 /** An event loop that is never blocked. */
+const ACCOUNT = new MemoryAccount(computeAccountLimits(4096));
+
 export const CALM_LOOP = { waitForArrivals: () => undefined };
 
 export const SILENT_MONITOR = new CallMonitor({
@@ -35,7 +39,7 @@
   monitor: SILENT_MONITOR,
   loop: CALM_LOOP,
   log: SILENT_LOG,
-  memory: new RequestMemory(1024 * 1024 * 1024),
+  memory: new RequestMemory(ACCOUNT),
 };
 
 /** Creates the runner of the instance `i-1`, which has one slot. */
--- a/test/mesh/requestMemory.test.ts
+++ b/test/mesh/requestMemory.test.ts
@@ -1,10 +1,18 @@
 /** Guards against request bodies that use up the memory together, and the loss of a lone one. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { MemoryAccount } from '../../src/mesh/memory/memoryAccount.js';
 import { RequestMemory } from '../../src/mesh/requestMemory.js';
 
 function setUp(limitBytes: number) {
-  const memory = new RequestMemory(limitBytes);
+  const memory = new RequestMemory(
+    new MemoryAccount({
+      total: limitBytes,
+      request: limitBytes,
+      response: limitBytes,
+      connection: limitBytes,
+    }),
+  );
   const givenUp: string[] = [];
   const open = (name: string) => {
     const held = memory.open();
--- a/test/mesh/responseMemory.test.ts
+++ b/test/mesh/responseMemory.test.ts
@@ -2,11 +2,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { BodyBuffer } from '../../src/mesh/bodyBuffer.js';
-import {
-  computeResponseLimitBytes,
-  ResponseMemory,
-  type HeldBody,
-} from '../../src/mesh/responseMemory.js';
+import { computeAccountLimits } from '../../src/mesh/memory/limits.js';
+import { MemoryAccount } from '../../src/mesh/memory/memoryAccount.js';
+import { ResponseMemory, type HeldBody } from '../../src/mesh/responseMemory.js';
 
 interface TestBody extends HeldBody {
   readonly name: string;
@@ -14,7 +12,14 @@
 }
 
 function setUp(limitBytes: number) {
-  const memory = new ResponseMemory(limitBytes);
+  const memory = new ResponseMemory(
+    new MemoryAccount({
+      total: limitBytes,
+      request: limitBytes,
+      response: limitBytes,
+      connection: limitBytes,
+    }),
+  );
   const givenUp: string[] = [];
   const createBody = (name: string): TestBody => ({
     name,
@@ -62,8 +67,9 @@
 });
 
 test('the limit leaves room for one body of the largest size, and grows with the memory', () => {
-  assert.equal(computeResponseLimitBytes(16), 8 * 1024 * 1024);
-  assert.ok(computeResponseLimitBytes(602) > computeResponseLimitBytes(250));
+  assert.equal(computeAccountLimits(16).response, 8 * 1024 * 1024);
+  assert.ok(computeAccountLimits(16).total >= 8 * 1024 * 1024);
+  assert.ok(computeAccountLimits(602).response > computeAccountLimits(250).response);
 });
 
 test('a body is the same however it was split', () => {
