Bound what connections of clients make a node hold

Cause: connections, requests sent ahead on a connection and responses that a client does not read were counted nowhere; a body that stalls and a response that is not read had no end; heads were checked for their timeout every 30 s only.

Change: src/mesh/memory/clientConnections.ts counts connections, heads, open requests and responses that are not taken in the account; the largest goes first. Connections are limited to 0.75 of the descriptors (MaxFds, 4096 where the settings name none, less 200); the one that is idle for the longest time is closed for a new one. More than 256 requests without a response close their connection. A body of which no byte arrives, and a response of which no part of 64 KB is taken, for StallMs (60 s) end with their connection; checks are counted, not time, so that a suspended process reads first. Heads and new connections are checked for their timeout every 0.5 s. Connections of other nodes count and may be given up for memory, without further limits.

Tests: four cases of test/platform/untrustedClients failed on: stalled bodies and unread responses never ended, pipelined requests ended the process (SIGABRT), and 500 connections had 527 descriptors where 400 were allowed. A slow body that goes on, heads byte by byte and large heads did not fail there.

--- a/src/mesh/callPort.ts
+++ b/src/mesh/callPort.ts
@@ -17,10 +17,11 @@
 import { RequestAges } from './requestAges.js';
 import type { HeldRequestBody, RequestMemory } from './requestMemory.js';
 import type { Cancellation } from './signal.js';
+import { MAX_HEAD_BYTES, type ClientConnections } from './memory/clientConnections.js';
 import { matchRoute } from './targets.js';
 
-/** Header size limit of the HTTP parser, in bytes; the configured limit is lower. */
-const MAX_HEAD_BYTES = 128 * 1024;
+/** Interval at which heads and new connections are checked for their timeout, in milliseconds. */
+const HEAD_CHECK_MS = 500;
 
 /** Bounds of the `Retry-After` header, in milliseconds. */
 const RETRY_AFTER_BOUNDS_MS = { min: 50, max: 2000 };
@@ -42,6 +43,7 @@
   readonly loop: Pick<LoopMonitor, 'waitForArrivals'>;
   readonly accepts: AcceptMonitor;
   readonly memory: RequestMemory;
+  readonly clients: ClientConnections;
   readonly names: HeaderNames;
   readonly log: EventLog;
   readonly metrics: MeshMetrics;
@@ -68,13 +70,18 @@
   return bytes;
 }
 
-function writeResponse(response: ServerResponse, source: HttpResponse, isLast: boolean): void {
+function writeResponse(
+  response: ServerResponse,
+  source: HttpResponse,
+  isLast: boolean,
+  clients: ClientConnections,
+): void {
   const headers = filterHeaders(source.headers);
   if (isLast) headers.push('Connection', 'close');
   const hasBody = source.status !== 204 && source.status !== 304;
   if (hasBody) headers.push('Content-Length', String(source.body.length));
   response.writeHead(source.status, headers);
-  response.end(source.body);
+  clients.send(response, source.body);
 }
 
 /** Returns the route as it applies to an account, whose priority takes precedence. */
@@ -157,7 +164,7 @@
     switch (outcome.kind) {
       case 'answered':
         metrics.recordLatency('call', elapsedMs);
-        writeResponse(response, outcome.response, isLast);
+        writeResponse(response, outcome.response, isLast, options.clients);
         break;
       case 'notRun':
         refuse(response, 503, isLast, call.requestId, names, outcome.retryAfterMs);
@@ -247,14 +254,21 @@
   };
 
   const server = createServer(
-    { keepAlive: true, noDelay: true, maxHeaderSize: MAX_HEAD_BYTES },
+    {
+      keepAlive: true,
+      noDelay: true,
+      maxHeaderSize: MAX_HEAD_BYTES,
+      connectionsCheckingInterval: HEAD_CHECK_MS,
+    },
     (message, response) => {
+      if (!options.clients.admit(message, response)) return;
       const held = options.memory.open();
       const served = serve(message, response, openRequests.add(message.socket, response), held);
       void served.finally(() => held.release());
     },
   );
   options.accepts.observe(server);
+  options.clients.observe(server);
   server.requestTimeout = 0;
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
     log.write('warn', 'malformed-request', { step: 'call.read', reason: error.code });
--- a/src/mesh/memory/limits.ts
+++ b/src/mesh/memory/limits.ts
@@ -1,4 +1,5 @@
-/** Computes the limits of the memory account from those of the host. */
+/** Computes the limits of the memory account and of connections from those of the host. */
+import type { ClientLimits } from './clientConnections.js';
 import type { AccountLimits } from './memoryAccount.js';
 
 const BYTES_PER_MB = 1024 * 1024;
@@ -18,6 +19,24 @@
 /** Lower bound of the limit of responses: one body of the largest size. */
 const MIN_RESPONSE_BYTES = 8 * BYTES_PER_MB;
 
+/** Descriptors that the platform keeps for itself. */
+const RESERVED_FDS = 200;
+
+/** Share of the descriptors that clients may use; the others are for nodes, instance and store. */
+const CLIENT_FD_SHARE = 0.75;
+
+/** Lower bound of the limit of client connections. */
+const MIN_CLIENTS = 16;
+
+/** Requests on one connection without a response; clients rarely send more than a few ahead. */
+const MAX_REQUESTS = 256;
+
+/** Limits of a host. */
+export interface HostLimits {
+  readonly maxFds: number;
+  readonly stallMs: number;
+}
+
 export function computeAccountLimits(memoryMb: number): AccountLimits {
   const total = Math.max(MIN_RESPONSE_BYTES, memoryMb * BYTES_PER_MB * MEMORY_SHARE);
   return {
@@ -27,3 +46,16 @@
     connection: total * CONNECTION_SHARE,
   };
 }
+
+/** Limits of the connections of clients. */
+export function computeClientLimits({ maxFds, stallMs }: HostLimits): ClientLimits {
+  const clientFds = Math.floor((maxFds - RESERVED_FDS) * CLIENT_FD_SHARE);
+  return { maxConnections: Math.max(MIN_CLIENTS, clientFds), maxRequests: MAX_REQUESTS, stallMs };
+}
+
+/** Limits of the connections of other nodes, which probe each other and call in parallel. */
+export const NODE_LIMITS: ClientLimits = {
+  maxConnections: Infinity,
+  maxRequests: Infinity,
+  stallMs: Infinity,
+};
--- a/src/mesh/model.ts
+++ b/src/mesh/model.ts
@@ -63,6 +63,10 @@
   readonly linkMbps: number;
   /** Memory that this process may use. */
   readonly memoryMb: number;
+  /** Descriptors that this process may have, of which the platform reserves some. */
+  readonly maxFds: number;
+  /** Time without progress after which a client's body or unread response is given up. */
+  readonly stallMs: number;
   /** Time after which a connection that has gone silent must not hide a change any more. */
   readonly silenceLimitMs: number;
   /** Time between SIGTERM and SIGKILL. */
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -39,7 +39,8 @@
 import { LocalInstance } from './localInstance.js';
 import { LocalRunner } from './localRunner.js';
 import { LoopMonitor } from './loopMonitor.js';
-import { computeAccountLimits } from './memory/limits.js';
+import { ClientConnections } from './memory/clientConnections.js';
+import { computeAccountLimits, computeClientLimits, NODE_LIMITS } from './memory/limits.js';
 import { MemoryAccount } from './memory/memoryAccount.js';
 import { MeshMetrics } from './meshMetrics.js';
 import type { MeshConfig, MeshSettings } from './model.js';
@@ -217,6 +218,9 @@
     gate,
     accepts: new AcceptMonitor(),
     memory: requestMemory,
+    clients: new ClientConnections(account, computeClientLimits(settings), (reason) => {
+      metrics.count('closed_clients', `reason="${reason}"`);
+    }),
     names,
     log,
     metrics,
@@ -269,6 +273,7 @@
     loop,
     log,
     memory: requestMemory,
+    nodes: new ClientConnections(account, NODE_LIMITS),
     monitor: new CallMonitor({ metrics, log, getLagMs: () => loop.getLagMs() }),
   });
   const announcementPort = createAnnouncementPort({
--- a/src/mesh/peerPort.ts
+++ b/src/mesh/peerPort.ts
@@ -13,6 +13,7 @@
 import type { BodyTransfers, TransferTurn } from './bodyTransfers.js';
 import { wasReset } from './httpConnection.js';
 import { buildRefusal } from './instanceClient.js';
+import type { ClientConnections } from './memory/clientConnections.js';
 import { readBody, type BodyError } from './readBody.js';
 import type { LocalRunner } from './localRunner.js';
 import type { LoopMonitor } from './loopMonitor.js';
@@ -78,6 +79,7 @@
   readonly loop: Pick<LoopMonitor, 'waitForArrivals'>;
   readonly log: EventLog;
   readonly memory: RequestMemory;
+  readonly nodes: ClientConnections;
   readonly detector?: SuspensionDetector;
 }
 
@@ -86,6 +88,7 @@
   response: ServerResponse,
   report: RunReport,
   nodeHeaders: readonly string[],
+  nodes: ClientConnections,
 ): void {
   const { result } = report;
   const added = [RESULT_HEADER, encodeResult(report), ...nodeHeaders];
@@ -98,7 +101,7 @@
   const forwarded = filterHeaders(headers, NODE_HEADERS);
   forwarded.push(...added, 'Content-Length', String(body.length));
   response.writeHead(status, forwarded);
-  response.end(body);
+  nodes.send(response, body);
 }
 
 function buildBodyRefusal(error: BodyError): RunResult {
@@ -296,7 +299,7 @@
     if (receivedRevisions !== undefined) {
       nodeHeaders.push(SEEN_HEADER, seen.formatReport(performance.now()));
     }
-    writeReport(response, addTransit(report, call.transitMs), nodeHeaders);
+    writeReport(response, addTransit(report, call.transitMs), nodeHeaders, options.nodes);
     response.once('finish', () => {
       isDetached = true;
       run.isDelivered = true;
@@ -305,6 +308,7 @@
 
   /** Ends a message that cannot be answered, whose sender then gets no response. */
   const serveOrEnd = (arrival: Arrival): void => {
+    if (!options.nodes.admit(arrival.message, arrival.response)) return;
     serve(arrival).catch((thrown: unknown) => {
       const { step, peer, message } = toStepError(thrown, 'peers.serve', 'peer');
       log.write('error', 'peer-message-crashed', { step, peer, reason: message });
@@ -315,6 +319,7 @@
   const server = createServer({ keepAlive: true, noDelay: true }, (message, response) => {
     serveOrEnd({ message, response, isAnnounced: false });
   });
+  options.nodes.observe(server);
   server.on('connection', (socket: Socket) => {
     socket.once('end', () => {
       if (!wasReset(socket)) endedSockets.add(socket);
--- a/standins/mesh/meshFleet.ts
+++ b/standins/mesh/meshFleet.ts
@@ -29,6 +29,8 @@
 const DEFAULT_SLOTS = 4;
 const STOP_LIMIT_MS = 6000;
 const MEMORY_MB = 350;
+const MAX_FDS = 4096;
+const STALL_MS = 60_000;
 /** Time after which a silent connection must not hide a change any more. */
 export const SILENCE_LIMIT_MS = 3000;
 const DEFAULT_LINK_MBPS = 1000;
@@ -289,6 +291,8 @@
       store: { host: HOST, port: storePort },
       linkMbps: linkMbps ?? DEFAULT_LINK_MBPS,
       memoryMb: MEMORY_MB,
+      maxFds: MAX_FDS,
+      stallMs: STALL_MS,
       silenceLimitMs: SILENCE_LIMIT_MS,
       stopLimitMs: STOP_LIMIT_MS,
       retryBudget: RETRY_BUDGET,
--- a/test/mesh/memory/memoryAccount.test.ts
+++ b/test/mesh/memory/memoryAccount.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { HoldingKind } from '../../../src/mesh/memory/holding.js';
-import { computeAccountLimits } from '../../../src/mesh/memory/limits.js';
+import { computeAccountLimits, computeClientLimits } from '../../../src/mesh/memory/limits.js';
 import { MemoryAccount } from '../../../src/mesh/memory/memoryAccount.js';
 
 const MIB = 1024 * 1024;
@@ -82,3 +82,9 @@
   assert.ok(total <= 80 * MIB);
   assert.ok(total - request >= 14 * MIB, 'room beside large bodies');
 });
+
+test('clients leave descriptors for the platform, nodes, instance and store', () => {
+  const { maxConnections } = computeClientLimits({ maxFds: 4100, stallMs: 1 });
+  assert.ok(maxConnections >= 2500 && maxConnections <= 3900 - 540, String(maxConnections));
+  assert.ok(computeClientLimits({ maxFds: 0, stallMs: 1 }).maxConnections > 0);
+});
--- a/test/mesh/peerPortParts.ts
+++ b/test/mesh/peerPortParts.ts
@@ -7,7 +7,8 @@
 import { LocalRunner } from '../../src/mesh/localRunner.js';
 import { MeshMetrics } from '../../src/mesh/meshMetrics.js';
 import type { PeerPortOptions } from '../../src/mesh/peerPort.js';
-import { computeAccountLimits } from '../../src/mesh/memory/limits.js';
+import { ClientConnections } from '../../src/mesh/memory/clientConnections.js';
+import { computeAccountLimits, NODE_LIMITS } from '../../src/mesh/memory/limits.js';
 import { MemoryAccount } from '../../src/mesh/memory/memoryAccount.js';
 import { RequestMemory } from '../../src/mesh/requestMemory.js';
 import { RevisionExchange } from '../../src/mesh/revisionExchange.js';
@@ -40,6 +41,7 @@
   loop: CALM_LOOP,
   log: SILENT_LOG,
   memory: new RequestMemory(ACCOUNT),
+  nodes: new ClientConnections(ACCOUNT, NODE_LIMITS),
 };
 
 /** Creates the runner of the instance `i-1`, which has one slot. */
--- a/test/platform/untrustedClients.test.ts
+++ b/test/platform/untrustedClients.test.ts
@@ -87,6 +87,7 @@
   readonly instance: InstanceServer;
   /** Returns the number of connections that the node has not closed. */
   countOpen(): number;
+  countDescriptors(): Promise<number>;
 }
 
 /** Plays a crowd against a node process, then checks what must hold after each of them. */
@@ -111,6 +112,7 @@
         clients,
         instance,
         countOpen: () => clients.filter(({ socket }) => !socket.destroyed).length,
+        countDescriptors: async () => (await readdir(`/proc/${pid}/fd`)).length,
       });
       Object.assign(instance, { executionTimeMs: 0, fault: { kind: 'none' } });
       let status = 0;
@@ -180,6 +182,12 @@
     );
   }));
 
+test('a body that stalls ends with its connection', (t) =>
+  playCrowd(t, 20, async ({ clients, countOpen }) => {
+    await Promise.all(clients.map((client) => sendChunks(client, 1024, 4)));
+    await waitUntil(() => countOpen() === 0, 'stalled bodies are ended');
+  }));
+
 test('a body that is slow, but goes on, is not ended', (t) =>
   playCrowd(t, 4, async ({ clients, countOpen }) => {
     await Promise.all(
@@ -194,6 +202,44 @@
     assert.equal(countOpen(), clients.length);
   }));
 
+test('long responses that are not read end with their connections', (t) =>
+  playCrowd(t, 20, async ({ clients, instance }) => {
+    const body = Buffer.alloc(6 * 1024 * 1024);
+    const write = (socket: Socket, requestId: string) => {
+      const head =
+        `HTTP/1.1 200 OK\r\nX-Lycheelane-Request-Attempt-Id: ${requestId}\r\n` +
+        `X-Lycheelane-Response-Signature: s\r\nContent-Length: ${body.length}\r\n\r\n`;
+      socket.write(head);
+      socket.write(body);
+    };
+    Object.assign(instance, { fault: { kind: 'script', write } });
+    for (const { socket } of clients) socket.pause();
+    const requests = Array.from({ length: 8 }, (_, index) =>
+      formatHead('GET', `X-Lycheelane-Request-Attempt-Id: r-${index}`),
+    ).join('');
+    await Promise.all(clients.map((client) => client.write(requests)));
+    // Clients whose requests were all refused have read all of it.
+    const isLong = ({ socket }: Client) => socket.bytesRead >= 16 * 1024;
+    const hasAnswer = ({ socket }: Client) => socket.destroyed || socket.bytesRead > 0;
+    await waitUntil(() => clients.every(hasAnswer) && clients.some(isLong), 'long responses');
+    await waitUntil(async () => {
+      // A paused socket shows its end only when it is written to.
+      await Promise.all(clients.map((client) => client.write('\r\n')));
+      return clients.every((client) => client.socket.destroyed || !isLong(client));
+    }, 'connections with unread responses are ended');
+  }));
+
+test('pipelined requests do not use up the memory', (t) =>
+  playCrowd(t, 40, async ({ clients, instance }) => {
+    Object.assign(instance, { executionTimeMs: 5000 });
+    const block = formatHead('GET').repeat(1000);
+    await Promise.all(
+      clients.map(async ({ write }) => {
+        for (let sent = 0; sent < 20; sent += 1) await write(block);
+      }),
+    );
+  }));
+
 test('heads that arrive byte by byte end with their connections', (t) =>
   playCrowd(t, 100, async ({ clients, countOpen }) => {
     await Promise.all(clients.map(({ write }) => write('GET /read/ HTTP/1.1\r\n')));
@@ -210,6 +256,21 @@
     await wait(1000);
   }));
 
+test('connections alone do not use up the descriptors', (t) =>
+  playCrowd(
+    t,
+    500,
+    async ({ countOpen, countDescriptors }) => {
+      let mostDescriptors = 0;
+      await waitUntil(async () => {
+        mostDescriptors = Math.max(mostDescriptors, await countDescriptors());
+        return countOpen() <= 400;
+      }, 'connections are closed');
+      assert.ok(mostDescriptors <= 400, `${mostDescriptors} descriptors`);
+    },
+    400,
+  ));
+
 test('a lone body of the largest size in chunks is served', (t) =>
   playCrowd(t, 1, async ({ clients, instance }) => {
     const [client] = clients;
