--- a/src/mesh/memory/freeBlock.ts
+++ b/src/mesh/memory/freeBlock.ts
@@ -10,7 +10,7 @@
 
 /**
  * Frees a buffer that has its memory to itself and that nothing else uses; it is empty then.
- * Collection alone left 286 MB in a process that counted 70 MB, when 12 clients sent 360 MB.
+ * Collection alone left 286 MB in a process that may hold 70 MB, when 12 clients sent 360 MB.
  */
 export function freeBlock({ buffer, length }: Buffer): void {
   if (length < MIN_FREED_BYTES || buffer.byteLength !== length) return;
