--- a/src/mesh/httpConnection.ts
+++ b/src/mesh/httpConnection.ts
@@ -261,8 +261,9 @@
         this.endTooLarge();
         return;
       }
+      const { heldBytes } = body;
       body.append(chunk.subarray(offset, offset + length));
-      if (held) pending?.memory?.grow(held, length);
+      if (held) pending?.memory?.grow(held, body.heldBytes - heldBytes);
     };
     parser[HTTPParser.kOnMessageComplete] = () => this.handleMessage();
   }
@@ -284,12 +285,15 @@
       this.endTooLarge();
       return true;
     }
-    const body = new BodyBuffer();
+    const body = new BodyBuffer(
+      Math.min(Number(length ?? 0), MAX_RESPONSE_BYTES),
+      MAX_RESPONSE_BYTES,
+    );
     this.incoming = {
       status: info.statusCode,
       headers: [...info.headers],
       body,
-      held: pending.memory && this.buildHeldBody(body),
+      held: pending.memory && this.buildHeldBody(),
       isDiscarded: isInterim || isMismatched,
     };
     // After a response to another request, further bytes cannot be assigned to a request reliably.
@@ -299,13 +303,8 @@
     return pending.isHead || isBodiless(info.statusCode);
   }
 
-  private buildHeldBody(body: BodyBuffer): HeldBody {
-    return {
-      get bytes() {
-        return body.bytes;
-      },
-      giveUp: () => this.endTooLarge(),
-    };
+  private buildHeldBody(): HeldBody {
+    return { giveUp: () => this.endTooLarge() };
   }
 
   private handleInterim(status: number, pending: PendingExchange): void {
@@ -351,6 +350,12 @@
     return this.receivedBytes - this.bodyBytes > limitBytes;
   }
 
+  private discardIncoming(): void {
+    const body = this.incoming?.body;
+    this.releaseIncoming();
+    body?.discard();
+  }
+
   private releaseIncoming(): void {
     const held = this.incoming?.held;
     if (held) this.pending?.memory?.release(held);
@@ -372,7 +377,7 @@
   /** Closes the connection during a response that is larger than the limit of its exchange. */
   private endTooLarge(): void {
     const { pending } = this;
-    this.releaseIncoming();
+    this.discardIncoming();
     this.pending = undefined;
     pending?.resolve({ kind: 'too-large' });
     this.fail('response above the limit');
@@ -382,7 +387,7 @@
     if (this.isClosed) return;
     this.isClosed = true;
     const { pending } = this;
-    this.releaseIncoming();
+    this.discardIncoming();
     this.pending = undefined;
     if (isInOrder) this.socket.destroy();
     else this.socket.resetAndDestroy();
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -41,6 +41,9 @@
 import { LocalInstance } from './localInstance.js';
 import { LocalRunner } from './localRunner.js';
 import { LoopMonitor } from './loopMonitor.js';
+import { ClientConnections } from './memory/clientConnections.js';
+import { computeAccountLimits, computeClientLimits, NODE_LIMITS } from './memory/limits.js';
+import { MemoryAccount } from './memory/memoryAccount.js';
 import { MeshMetrics } from './meshMetrics.js';
 import type { MeshConfig, MeshSettings } from './model.js';
 import { NodeAnswers } from './nodeAnswers.js';
@@ -51,8 +54,8 @@
 import { OverloadThrottle } from './overloadThrottle.js';
 import { createPeerPort } from './peerPort.js';
 import { Publisher } from './publisher.js';
-import { computeRequestLimitBytes, RequestMemory } from './requestMemory.js';
-import { computeResponseLimitBytes, ResponseMemory } from './responseMemory.js';
+import { RequestMemory } from './requestMemory.js';
+import { ResponseMemory } from './responseMemory.js';
 import { RetryBudget } from './retryBudget.js';
 import { startRecordPruner } from './recordPruner.js';
 import { RevisionExchange } from './revisionExchange.js';
@@ -135,7 +138,10 @@
   const contacts = { config: new StoreContact(), nodes: new StoreContact() };
   const nodeHistory = new NodeHistory();
   const seen = new RevisionExchange([positions.config, positions.nodes], store.era);
-  const directory = new Directory(nodeId, log, seen, detector);
+  const account = new MemoryAccount(computeAccountLimits(settings.memoryMb));
+  const responseMemory = new ResponseMemory(account);
+  store.setMemory(new ResponseMemory(account, false));
+  const directory = new Directory(nodeId, log, seen, detector, responseMemory);
   const targets = new TargetChooser();
   let isStopping = false;
 
@@ -149,7 +155,7 @@
   const runner = new LocalRunner({
     detector,
     runCounter: rolloutParts?.counter,
-    memory: new ResponseMemory(computeResponseLimitBytes(settings.memoryMb)),
+    memory: responseMemory,
     getPendingTransferMs: () => transfers.getPendingMs(),
     instance,
     loop,
@@ -163,7 +169,7 @@
       void publisher.sync();
     },
   });
-  const requestMemory = new RequestMemory(computeRequestLimitBytes(settings.memoryMb));
+  const requestMemory = new RequestMemory(account);
   const overloadThrottle = new OverloadThrottle();
   const config = new ConfigHolder({
     name: adapter.configName,
@@ -247,6 +253,9 @@
     entry: new CallEntry({ gate, quotas: coordination.quotas }),
     accepts: new AcceptMonitor(),
     memory: requestMemory,
+    clients: new ClientConnections(account, computeClientLimits(settings), (reason) => {
+      metrics.count('closed_clients', `reason="${reason}"`);
+    }),
     names,
     log,
     metrics,
@@ -301,6 +310,7 @@
     loop,
     log,
     memory: requestMemory,
+    nodes: new ClientConnections(account, NODE_LIMITS),
     monitor: new CallMonitor({ metrics, log, getLagMs: () => loop.getLagMs() }),
   });
   const announcementPort = createAnnouncementPort({
@@ -322,6 +332,7 @@
   metrics.registerGauge('running', () => runner.countRunning());
   metrics.registerGauge('peer_unsent_bytes', () => directory.countUnsentBytes());
   metrics.registerGauge('open_calls', () => callPort.countOpen());
+  metrics.registerGauge('held_bytes', () => account.countBytes());
   metrics.registerGauge('config_version', () => config.get()?.version ?? 0);
 
   const servers = [
--- a/src/mesh/peerPort.ts
+++ b/src/mesh/peerPort.ts
@@ -18,6 +18,7 @@
 import type { BodyTransfers, TransferTurn } from './bodyTransfers.js';
 import { wasReset } from './httpConnection.js';
 import { buildRefusal } from './instanceClient.js';
+import type { ClientConnections } from './memory/clientConnections.js';
 import { readBody, type BodyError } from './readBody.js';
 import type { LocalRunner } from './localRunner.js';
 import type { LoopMonitor } from './loopMonitor.js';
@@ -93,6 +94,7 @@
   readonly loop: Pick<LoopMonitor, 'waitForArrivals'>;
   readonly log: EventLog;
   readonly memory: RequestMemory;
+  readonly nodes: ClientConnections;
   readonly detector?: SuspensionDetector;
 }
 
@@ -101,6 +103,7 @@
   response: ServerResponse,
   report: RunReport,
   nodeHeaders: readonly string[],
+  nodes: ClientConnections,
 ): void {
   const result = normalizeResult(report.result);
   const added = [RESULT_HEADER, encodeResult(report), ...nodeHeaders];
@@ -113,7 +116,7 @@
   const forwarded = filterHeaders(headers, NODE_HEADERS);
   forwarded.push(...added, 'Content-Length', String(body.length));
   response.writeHead(status, forwarded);
-  response.end(body);
+  nodes.send(response, body);
 }
 
 function buildBodyRefusal(error: BodyError): RunResult {
@@ -330,7 +333,7 @@
     if (receivedRevisions !== undefined) {
       nodeHeaders.push(SEEN_HEADER, seen.formatReport(performance.now()));
     }
-    writeReport(response, addTransit(report, call.transitMs), nodeHeaders);
+    writeReport(response, addTransit(report, call.transitMs), nodeHeaders, options.nodes);
     response.once('finish', () => {
       isDetached = true;
       run.isDelivered = true;
@@ -339,6 +342,7 @@
 
   /** Ends a message that cannot be answered, whose sender then gets no response. */
   const serveOrEnd = (arrival: Arrival): void => {
+    if (!options.nodes.admit(arrival.message, arrival.response)) return;
     serve(arrival).catch((thrown: unknown) => {
       const { step, peer, message } = toStepError(thrown, 'peers.serve', 'peer');
       log.write('error', 'peer-message-crashed', { step, peer, reason: message });
@@ -350,6 +354,7 @@
     { keepAlive: true, noDelay: true, maxHeaderSize: MAX_HEAD_BYTES },
     (message, response) => serveOrEnd({ message, response, isAnnounced: false }),
   );
+  options.nodes.observe(server);
   server.on('connection', (socket: Socket) => {
     socket.once('end', () => {
       if (!wasReset(socket)) endedSockets.add(socket);
--- a/test/mesh/accounts/waitingRequests.test.ts
+++ b/test/mesh/accounts/waitingRequests.test.ts
@@ -12,12 +12,11 @@
 import { MeshMetrics } from '../../../src/mesh/meshMetrics.js';
 import type { MeshConfig, MeshRoute, MeshSettings } from '../../../src/mesh/model.js';
 import { QuotaClient } from '../../../src/mesh/quotas/client.js';
-import { RequestMemory } from '../../../src/mesh/requestMemory.js';
 import { buildRouteTable } from '../../../src/mesh/routeTable.js';
 import { brandText, type NodeId } from '../../../src/types/ids.js';
 import { closeServer, openServer } from '../../../standins/http.js';
 import { wait } from '../../../standins/mesh/meshFleet.js';
-import { CALM_LOOP } from '../peerPortParts.js';
+import { CALM_LOOP, PEER_PORT_PARTS } from '../peerPortParts.js';
 import { buildAccount } from '../quotas/quotaMesh.js';
 
 const ACCOUNT = buildAccount('a', 100, 100);
@@ -80,7 +79,8 @@
     entry: new CallEntry({ gate, quotas }),
     loop: CALM_LOOP,
     accepts: new AcceptMonitor(),
-    memory: new RequestMemory(1024 * 1024),
+    memory: PEER_PORT_PARTS.memory,
+    clients: PEER_PORT_PARTS.nodes,
     names: HEADER_NAMES,
     log: SILENT_LOG,
     metrics,
--- a/test/mesh/peerPortParts.ts
+++ b/test/mesh/peerPortParts.ts
@@ -7,12 +7,17 @@
 import { LocalRunner } from '../../src/mesh/localRunner.js';
 import { MeshMetrics } from '../../src/mesh/meshMetrics.js';
 import type { PeerPortOptions } from '../../src/mesh/peerPort.js';
+import { ClientConnections } from '../../src/mesh/memory/clientConnections.js';
+import { computeAccountLimits, NODE_LIMITS } from '../../src/mesh/memory/limits.js';
+import { MemoryAccount } from '../../src/mesh/memory/memoryAccount.js';
 import { RequestMemory } from '../../src/mesh/requestMemory.js';
 import { RevisionExchange } from '../../src/mesh/revisionExchange.js';
 import type { SuspensionDetector } from '../../src/mesh/suspensionDetector.js';
 import { brandText } from '../../src/types/ids.js';
 
 /** An event loop that is never blocked. */
+const ACCOUNT = new MemoryAccount(computeAccountLimits(4096));
+
 export const CALM_LOOP = { waitForArrivals: () => undefined };
 
 export const SILENT_MONITOR = new CallMonitor({
@@ -36,7 +41,8 @@
   monitor: SILENT_MONITOR,
   loop: CALM_LOOP,
   log: SILENT_LOG,
-  memory: new RequestMemory(1024 * 1024 * 1024),
+  memory: new RequestMemory(ACCOUNT),
+  nodes: new ClientConnections(ACCOUNT, NODE_LIMITS),
 };
 
 /** Creates the runner of the instance `i-1`, which has one slot. */
