Make few immediate offers while a service has no free slots

Change: each node keeps, for each service, the share of its calls that found no free slot; above 0.8 only a tenth of the calls are offered immediately.

--- a/bench/selection/model.ts
+++ b/bench/selection/model.ts
@@ -3,6 +3,7 @@
  * code of the product without a network, on a played clock. Times are in milliseconds.
  */
 import { AdmissionQueue, type AdmissionItem } from '../../src/mesh/admission.js';
+import { BusyShares } from '../../src/mesh/busyShares.js';
 import { ImmediateOffers } from '../../src/mesh/immediateOffers.js';
 import {
   chooseInstance,
@@ -12,7 +13,7 @@
 } from '../../src/mesh/instanceSelection.js';
 import type { InstanceLoad } from '../../src/mesh/model.js';
 import { RequestLimit } from '../../src/mesh/requestLimit.js';
-import { brandText, type InstanceId } from '../../src/types/ids.js';
+import { brandText, type InstanceId, type ServiceName } from '../../src/types/ids.js';
 import { createRandom, Timeline } from './timeline.js';
 
 /** What a node does to know and to choose. */
@@ -71,6 +72,8 @@
 
 const HOP_MS = 1;
 
+const SERVICE: ServiceName = brandText('service');
+
 const MEAN_WEIGHT = 0.05;
 
 const INITIAL_MEAN_MS = 100;
@@ -150,6 +153,7 @@
       fullUntilMs: -Infinity,
     })),
   );
+  const busyShares = Array.from({ length: fleet.nodes }, () => new BusyShares(random));
   const latencies: number[] = [];
   let sent = 0;
   let offered = 0;
@@ -228,7 +232,12 @@
   const offer = (attempt: Attempt): void => {
     const { node, startedAtMs, offers, tried } = attempt;
     const candidates = listCandidates(node);
-    const isImmediate = policy.hasImmediateOffers === true && offers.isNext(candidates);
+    const isImmediate =
+      policy.hasImmediateOffers === true &&
+      offers.isNext(candidates) &&
+      (offers.countRefused() > 0 || busyShares[node]!.canOffer(SERVICE));
+    if (!isImmediate && offers.hasRefusedAll()) busyShares[node]!.record(SERVICE, true);
+    if (!isImmediate) offers.end();
     const listed = isImmediate
       ? offers.listUnasked(candidates)
       : offers.listForWaiting(candidates, (item) => !item.isFull && !tried.has(item.instance));
@@ -243,6 +252,7 @@
     sent += 1;
     knowledge.outstanding += 1;
     const receive = (isAnswered: boolean) => {
+      if (isImmediate && isAnswered) busyShares[node]!.record(SERVICE, false);
       knowledge.outstanding -= 1;
       knowledge.load = instance.getLoad();
       knowledge.loadAtMs = timeline.nowMs;
--- a/src/mesh/callRouter.ts
+++ b/src/mesh/callRouter.ts
@@ -18,6 +18,7 @@
   RunReport,
   RunResult,
 } from './model.js';
+import { BusyShares } from './busyShares.js';
 import { ImmediateOffers } from './immediateOffers.js';
 import { chooseInstance } from './instanceSelection.js';
 import type { OverloadThrottle } from './overloadThrottle.js';
@@ -83,6 +84,8 @@
 export class CallRouter {
   private attemptCount = 0;
 
+  private readonly busyShares = new BusyShares();
+
   constructor(private readonly options: CallRouterOptions) {}
 
   /** Runs a call. Never rejects, and resolves at the latest shortly after the deadline. */
@@ -139,12 +142,14 @@
       const canRetry = () => !isLastSend && this.canRetry(call, service, progress);
       const { result, timing } = await this.send(chosen, call, permission.untilMs, canRetry);
       trace.timing = timing;
-      if (result.kind === 'notRun' && result.reason === 'busy') {
+      const isBusy = result.kind === 'notRun' && result.reason === 'busy';
+      if (isBusy) {
         offers.recordBusy(instanceId);
         this.options.metrics.count('attempts_refused', 'reason="busy"');
         continue;
       }
       offers.end();
+      if (chosen.isImmediate) this.busyShares.record(service, false);
       progress.recordAttempt(instanceId);
       overloadThrottle.record(service, route, result);
       if (result.kind === 'notRun') this.recordRefusal(result, chosen.candidate, call);
@@ -173,11 +178,14 @@
   ): Choice | undefined {
     const candidates = this.listCandidates(call, service);
     const isFirst = call.trace.sends === 0;
-    if (offers.isNext(candidates) && this.canOfferAgain(call, service)) {
+    const isFirstOffer = offers.countRefused() === 0;
+    const canOffer = !isFirstOffer || this.busyShares.canOffer(service);
+    if (canOffer && offers.isNext(candidates) && this.canOfferAgain(call, service)) {
       const unasked = offers.listUnasked(candidates);
       const candidate = this.findInstance(unasked, call, progress, isFirst);
       if (candidate) return { candidate, isImmediate: true };
     }
+    if (offers.hasRefusedAll()) this.busyShares.record(service, true);
     offers.end();
     const isUsable = ({ peer, isFull, isUnreachable }: PeerCandidate) =>
       !isFull && !isUnreachable && !progress.wasAttempted(peer.record.instanceId);
--- a/src/mesh/immediateOffers.ts
+++ b/src/mesh/immediateOffers.ts
@@ -33,6 +33,11 @@
     return !this.hasEnded && this.busy.size < MAX_OFFERS && isSampled(candidates);
   }
 
+  /** Returns true when each offer was refused, and the call has not been sent on since. */
+  hasRefusedAll(): boolean {
+    return !this.hasEnded && this.busy.size > 0;
+  }
+
   /** Records that an instance has no free slot. */
   recordBusy(instanceId: InstanceId): void {
     this.busy.add(instanceId);
--- a/test/mesh/immediateOffers.test.ts
+++ b/test/mesh/immediateOffers.test.ts
@@ -5,10 +5,11 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { playFleet, type Fleet } from '../../bench/selection/model.js';
+import { BusyShares } from '../../src/mesh/busyShares.js';
 import { ImmediateOffers } from '../../src/mesh/immediateOffers.js';
 import type { Candidate } from '../../src/mesh/instanceSelection.js';
 import { decodeMetadata, encodeMetadata } from '../../src/mesh/peerMessages.js';
-import { brandText, type InstanceId } from '../../src/types/ids.js';
+import { brandText, type InstanceId, type ServiceName } from '../../src/types/ids.js';
 
 const FLEET: Fleet = {
   nodes: 85,
@@ -96,3 +97,21 @@
     assert.equal(resumed?.resumedProcessId, 'process');
   }
 });
+
+test('a service without free slots gets few immediate offers, and more once it has some', () => {
+  const service = brandText<ServiceName>('pads');
+  const shares = new BusyShares(() => 0.5);
+  assert.equal(shares.canOffer(service), true);
+  for (let call = 0; call < 100; call += 1) shares.record(service, true);
+  assert.equal(shares.canOffer(service), false);
+  assert.equal(new BusyShares(() => 0).canOffer(service), true);
+  for (let call = 0; call < 20; call += 1) shares.record(service, false);
+  assert.equal(shares.canOffer(service), true);
+});
+
+test('an overloaded fleet sends few offers more than without immediate ones', () => {
+  const fleet = { ...FLEET, load: 1.2 };
+  const sampled = playFleet(fleet, { name: 'sampled', isProduct: true });
+  const offered = playFleet(fleet, { name: 'offered', isProduct: true, hasImmediateOffers: true });
+  assert.ok(offered.offersPerRequest < sampled.offersPerRequest + 1);
+});
