Name methods of accounts and memory by the verbs of the page

A reader met giveBack, putBack, giveUp, permit, displace, hold, resize and reduce, which docs/verbs.md does not have, and get functions that add what they do not find. Tokens are returned, holdings are evicted, a call is reauthorized, run counts are scaled, and such functions are named getOrCreate. Test titles and variables follow; no assertion changed.

--- a/src/mesh/accounts/callEntry.ts
+++ b/src/mesh/accounts/callEntry.ts
@@ -29,7 +29,7 @@
 
 export interface CallEntryOptions {
   readonly gate: Pick<AccountGate, 'authorize'>;
-  readonly quotas: Pick<QuotaClient, 'refuseDenied' | 'take' | 'giveBack'>;
+  readonly quotas: Pick<QuotaClient, 'refuseDenied' | 'take' | 'returnToken'>;
 }
 
 function toRefusal({ kind, retryAfterMs }: QuotaRefusal): EntryRefusal {
@@ -72,7 +72,7 @@
   /**
    * Takes a token for an admitted request whose body has come; returns a refusal without one. A
    * token that is taken earlier would let requests run whose bodies were held back for later
-   * windows. Call `giveBack` if the request does not run.
+   * windows. Call `returnToken` if the request does not run.
    */
   async takeToken(
     identity: Identity | undefined,
@@ -84,7 +84,7 @@
   }
 
   /** Returns the token of a request that has not run and will not run. */
-  giveBack(identity: Identity | undefined): void {
-    if (identity) this.options.quotas.giveBack(identity.account);
+  returnToken(identity: Identity | undefined): void {
+    if (identity) this.options.quotas.returnToken(identity.account);
   }
 }
--- a/src/mesh/accounts/fairOrder.ts
+++ b/src/mesh/accounts/fairOrder.ts
@@ -108,7 +108,7 @@
 
   /** Counts a request that is started, queued or refused. */
   recordArrival(request: FairRequest): void {
-    const flow = this.getOrAddFlow(request);
+    const flow = this.getOrCreateFlow(request);
     flow.arrived += 1;
     this.arrived += 1;
     if (this.arrived < COUNT_WINDOW) return;
@@ -126,7 +126,7 @@
    */
   recordStart(request: FairRequest, waiting: Iterable<FairRequest>): void {
     const isUnderserved = this.isUnderserved(request);
-    const flow = this.getOrAddFlow(request);
+    const flow = this.getOrCreateFlow(request);
     const { expectedRunMs } = request;
     this.meanRunMs ??= expectedRunMs;
     this.meanRunMs += (expectedRunMs - this.meanRunMs) * MEAN_WEIGHT;
@@ -154,7 +154,7 @@
     this.virtualMs = Math.max(this.virtualMs, earliestMs);
   }
 
-  private getOrAddFlow(request: FairRequest): Flow {
+  private getOrCreateFlow(request: FairRequest): Flow {
     const { account } = request;
     const weight = account && this.getWeight(request);
     const known = this.flows.get(account?.name);
--- a/src/mesh/admission.ts
+++ b/src/mesh/admission.ts
@@ -112,7 +112,7 @@
     this.addFairOrder(item)?.recordArrival(item);
     if (decision.kind === 'start') this.recordStart(item, nowMs);
     if (decision.kind !== 'queued') return decision;
-    const refused = displaced && this.displace(displaced, nowMs);
+    const refused = displaced && this.removeDisplaced(displaced, nowMs);
     this.arrivals += 1;
     this.insert(entry);
     return refused ? { kind: 'queued', displaced: refused } : decision;
@@ -243,7 +243,7 @@
     return this.fairOrders.size > 0 && this.queue.some((queued) => queued.item.account);
   }
 
-  private displace(entry: QueueEntry<Item>, nowMs: number): DisplacedRequest<Item> {
+  private removeDisplaced(entry: QueueEntry<Item>, nowMs: number): DisplacedRequest<Item> {
     const { waitMs, cause } = this.computeWait(this.measureAhead(entry), nowMs);
     this.remove(entry.item);
     return { item: entry.item, reason: cause, retryAfterMs: waitMs };
--- a/src/mesh/callPort.ts
+++ b/src/mesh/callPort.ts
@@ -30,7 +30,7 @@
 /** Retry time while this process starts or stops, in milliseconds. */
 const NOT_SERVING_RETRY_MS = 500;
 
-/** Retry time of a request whose body was given up for others, in milliseconds. */
+/** Retry time of a request whose body was evicted for others, in milliseconds. */
 const NO_MEMORY_RETRY_MS = 1000;
 
 export interface CallPortOptions {
@@ -257,7 +257,7 @@
     };
     await options.loop.waitForArrivals(acceptWaitMs);
     const outcome = await router.run(call);
-    if (outcome.kind === 'notRun') options.entry.giveBack(identity);
+    if (outcome.kind === 'notRun') options.entry.returnToken(identity);
     writeOutcome(response, call, outcome);
   };
 
--- a/src/mesh/callRouter.ts
+++ b/src/mesh/callRouter.ts
@@ -128,7 +128,7 @@
       if (progress.isRefusedForRoom() && !this.canOfferAgain(call, service)) break;
       const chosen = this.choose(call, service, progress, offers);
       if (!chosen) break;
-      const permission = this.permit(call);
+      const permission = this.reauthorize(call);
       if (permission.kind === 'refused') {
         progress.recordUnauthorized();
         break;
@@ -157,7 +157,7 @@
   }
 
   /** Decides anew whether a call may be sent: since it entered, its key may have been removed. */
-  private permit({ identity, requestId }: PendingCall): Permission {
+  private reauthorize({ identity, requestId }: PendingCall): Permission {
     if (!identity) return { kind: 'permitted', untilMs: undefined };
     const authorization = this.options.gate.reauthorize(identity, requestId);
     return authorization.kind === 'account'
--- a/src/mesh/httpConnection.ts
+++ b/src/mesh/httpConnection.ts
@@ -304,7 +304,7 @@
   }
 
   private buildHeldBody(): HeldBody {
-    return { giveUp: () => this.endTooLarge() };
+    return { abort: () => this.endTooLarge() };
   }
 
   private handleInterim(status: number, pending: PendingExchange): void {
--- a/src/mesh/memory/clientConnections.ts
+++ b/src/mesh/memory/clientConnections.ts
@@ -72,7 +72,7 @@
   return message !== undefined && !message.complete;
 }
 
-function resize(client: Client, addedBytes: number): void {
+function addHeldBytes(client: Client, addedBytes: number): void {
   const holder = client;
   holder.heldBytes += addedBytes;
   holder.holding.set(CONNECTION_BYTES + holder.heldBytes);
@@ -85,15 +85,15 @@
 }
 
 /** Counts a response until the client has taken it. */
-function hold(client: Client, response: ServerResponse, bytes: number): void {
+function trackResponse(client: Client, response: ServerResponse, bytes: number): void {
   const holder = client;
   holder.unread += 1;
-  resize(client, bytes);
+  addHeldBytes(client, bytes);
   response.once('close', () => {
     holder.unread -= 1;
     // The last part has no callback of its own.
     holder.sentParts += 1;
-    resize(client, -bytes);
+    addHeldBytes(client, -bytes);
   });
 }
 
@@ -134,10 +134,10 @@
     client.message = message;
     client.stalledReads = 0;
     const headBytes = estimateHeadBytes(message);
-    resize(client, headBytes);
+    addHeldBytes(client, headBytes);
     response.once('close', () => {
       client.requests -= 1;
-      resize(client, -headBytes);
+      addHeldBytes(client, -headBytes);
       if (client.requests > 0 || !this.clients.has(socket)) return;
       client.idleAtBytes = socket.bytesRead;
       if (message.complete) client.message = undefined;
@@ -151,10 +151,10 @@
     const client = this.clients.get(response.req.socket);
     if (!client || body.length <= PART_BYTES) {
       response.end(body);
-      if (client && response.writableLength > 0) hold(client, response, body.length);
+      if (client && response.writableLength > 0) trackResponse(client, response, body.length);
       return;
     }
-    hold(client, response, body.length);
+    trackResponse(client, response, body.length);
     this.sendPart(client, response, body, 0);
   }
 
@@ -188,7 +188,7 @@
     this.clients.set(socket, client);
     this.untried.add(client);
     socket.once('close', () => this.remove(client));
-    resize(client, 0);
+    addHeldBytes(client, 0);
     if (this.clients.size > this.limits.maxConnections) this.closeOldest();
   }
 
--- a/src/mesh/memory/holding.ts
+++ b/src/mesh/memory/holding.ts
@@ -10,9 +10,9 @@
 
 export interface Holding {
   readonly bytes: number;
-  /** Sets the size; other holdings, or this one, may be given up when it has grown. */
+  /** Sets the size; other holdings, or this one, may be evicted when it has grown. */
   set(bytes: number): void;
-  /** Keeps this holding from being given up; it still counts. */
+  /** Keeps this holding from being evicted; it still counts. */
   pin(): void;
   /** Ends this holding; later changes of its size have no effect. */
   release(): void;
@@ -21,7 +21,7 @@
 export class AccountHolding implements Holding {
   bytes = 0;
 
-  /** Class under which it is indexed; undefined while it can't be given up. */
+  /** Class under which it is indexed; undefined while it can't be evicted. */
   sizeClass: number | undefined;
 
   isPinned = false;
@@ -30,7 +30,7 @@
 
   constructor(
     readonly kind: HoldingKind,
-    readonly giveUp: () => void,
+    readonly onEvict: () => void,
     private readonly onChange: (holding: AccountHolding, bytes: number) => void,
   ) {}
 
--- a/src/mesh/memory/memoryAccount.ts
+++ b/src/mesh/memory/memoryAccount.ts
@@ -1,5 +1,5 @@
 /**
- * Counts the memory that other parties make this process hold, and decides what is given up when it
+ * Counts the memory that other parties make this process hold, and decides what is evicted when it
  * exceeds the limits. It performs no I/O. Design: docs/design/memory.md
  */
 import { AccountHolding, HOLDING_KINDS, type Holding, type HoldingKind } from './holding.js';
@@ -33,9 +33,9 @@
 
   constructor(private readonly limits: AccountLimits) {}
 
-  /** Starts a holding of no bytes. `giveUp` is called at most once, after it was released. */
-  open(kind: HoldingKind, giveUp: () => void): Holding {
-    return new AccountHolding(kind, giveUp, (holding, bytes) => this.change(holding, bytes));
+  /** Starts a holding of no bytes. `onEvict` is called at most once, after it was released. */
+  open(kind: HoldingKind, onEvict: () => void): Holding {
+    return new AccountHolding(kind, onEvict, (holding, bytes) => this.change(holding, bytes));
   }
 
   /** Returns the bytes of all holdings. */
@@ -51,33 +51,33 @@
     holding.bytes = bytes;
     this.usedBytes += addedBytes;
     this.usedByKind[kind] += addedBytes;
-    const canGiveUp = bytes > 0 && !holding.isPinned && !holding.isReleased;
-    const sizeClass = canGiveUp ? computeSizeClass(bytes) : undefined;
+    const canEvict = bytes > 0 && !holding.isPinned && !holding.isReleased;
+    const sizeClass = canEvict ? computeSizeClass(bytes) : undefined;
     if (sizeClass !== holding.sizeClass) {
       const index = this.indexes[kind];
       if (holding.sizeClass !== undefined) index.remove(holding, holding.sizeClass);
       if (sizeClass !== undefined) index.add(holding, sizeClass);
       holding.sizeClass = sizeClass;
     }
-    if (addedBytes > 0) this.giveUpExcess(kind);
+    if (addedBytes > 0) this.evictExcess(kind);
   }
 
-  private giveUpExcess(kind: HoldingKind): void {
+  private evictExcess(kind: HoldingKind): void {
     while (this.usedByKind[kind] > this.limits[kind]) {
       const largest = this.findLargest([kind]);
       if (!largest || largest.bytes <= this.limits.total * SMALL_SHARE) break;
       largest.release();
-      largest.giveUp();
+      largest.onEvict();
     }
     while (this.usedBytes > this.limits.total) {
       const largest = this.findLargest(HOLDING_KINDS);
       if (!largest) return;
       largest.release();
-      largest.giveUp();
+      largest.onEvict();
     }
   }
 
-  /** Returns one of the largest holdings of these kinds that may be given up. */
+  /** Returns one of the largest holdings of these kinds that may be evicted. */
   private findLargest(kinds: readonly HoldingKind[]): AccountHolding | undefined {
     let found: AccountHolding | undefined;
     for (const kind of kinds) {
@@ -89,7 +89,7 @@
     return found;
   }
 
-  /** A body that is held alone is within the limits of the configuration: nothing is given up. */
+  /** A body that is held alone is within the limits of the configuration: nothing is evicted. */
   private isLoneBody({ kind, bytes }: AccountHolding): boolean {
     if (kind !== 'request' || bytes < this.usedByKind.request) return false;
     return this.usedBytes - bytes <= this.limits.total * LONE_BODY_SHARE;
--- a/src/mesh/quotas/client.ts
+++ b/src/mesh/quotas/client.ts
@@ -121,7 +121,7 @@
   async take(account: ClientAccount, cancellation?: Cancellation): Promise<QuotaDecision> {
     if (!hasLimit(account) || !this.options.isEnforced()) return GRANTED;
     const nowMs = this.readClock();
-    const state = this.getState(account.name);
+    const state = this.getOrCreateState(account.name);
     const { tokens } = state;
     tokens.recordRequest(nowMs);
     if (state.waiters.length === 0 && tokens.take(nowMs)) return GRANTED;
@@ -140,11 +140,11 @@
   }
 
   /** Puts back the token of a request that ended as not run. */
-  giveBack({ name }: Pick<ClientAccount, 'name'>): void {
+  returnToken({ name }: Pick<ClientAccount, 'name'>): void {
     const state = this.states.get(name);
     if (!state) return;
     const nowMs = this.readClock();
-    state.tokens.giveBack(nowMs);
+    state.tokens.returnToken(nowMs);
     this.settleGranted(state, nowMs);
   }
 
@@ -258,7 +258,7 @@
     return this.now();
   }
 
-  private getState(name: AccountName): AccountState {
+  private getOrCreateState(name: AccountName): AccountState {
     let state = this.states.get(name);
     if (!state) {
       state = { tokens: new LocalTokens(), waiters: [], denials: 0, loggedAtMs: -Infinity };
--- a/src/mesh/quotas/ledger.ts
+++ b/src/mesh/quotas/ledger.ts
@@ -276,7 +276,7 @@
       if (!bucket) continue;
       const had = before.get(account)?.tokens ?? 0;
       const held = state.leases.get(account)?.tokens ?? 0;
-      bucket.putBack(Math.max(0, Math.min(tokens, had - held)));
+      bucket.returnTokens(Math.max(0, Math.min(tokens, had - held)));
     }
     return before;
   }
--- a/src/mesh/quotas/localTokens.ts
+++ b/src/mesh/quotas/localTokens.ts
@@ -71,7 +71,7 @@
   }
 
   /** Puts back a token whose request has not run, while its lease lasts. */
-  giveBack(nowMs: number): void {
+  returnToken(nowMs: number): void {
     this.advanceTaken(nowMs);
     if (this.taken + this.takenBefore === 0) return;
     if (this.takenBefore > 0) this.takenBefore -= 1;
--- a/src/mesh/quotas/tokenBucket.ts
+++ b/src/mesh/quotas/tokenBucket.ts
@@ -94,7 +94,7 @@
   }
 
   /** Puts tokens back that a node has not used; the next refill applies the capacity. */
-  putBack(tokens: number): void {
+  returnTokens(tokens: number): void {
     this.level += tokens;
     this.totals.returned += tokens;
   }
--- a/src/mesh/readBody.ts
+++ b/src/mesh/readBody.ts
@@ -5,7 +5,7 @@
 
 const EMPTY_BODY = Buffer.alloc(0);
 
-/** Reason why a body could not be read; `no-memory` when it was given up for other bodies. */
+/** Reason why a body could not be read; `no-memory` when it was evicted for other bodies. */
 export type BodyError = 'too-large' | 'truncated' | 'no-memory';
 
 /** Returns the length of a body that a request names, in bytes; 0 if it names none. */
@@ -27,7 +27,7 @@
       body = undefined;
       resolve(result);
     };
-    held?.onGiveUp(() => settle('no-memory'));
+    held?.onEvict(() => settle('no-memory'));
     message.on('data', (part: Buffer) => {
       if (!body) {
         freeBlock(part);
--- a/src/mesh/requestMemory.ts
+++ b/src/mesh/requestMemory.ts
@@ -3,17 +3,17 @@
  * It performs no I/O.
  *
  * It is designed for callers that upload large bodies at the same time, each within its own limit.
- * The largest body that is still being read is given up first, so that the others are read on.
+ * The largest body that is still being read is evicted first, so that the others are read on.
  */
 import type { MemoryAccount } from './memory/memoryAccount.js';
 
 /** A body from its first byte until its request has ended. */
 export interface HeldRequestBody {
-  /** Registers a listener that is called when the body has to be given up. */
-  onGiveUp(listener: () => void): void;
+  /** Registers a listener that is called when the body is evicted. */
+  onEvict(listener: () => void): void;
   /** Records that `bytes` more are held. */
   grow(bytes: number): void;
-  /** Records that the body is complete: it is not given up any more. */
+  /** Records that the body is complete: it is no longer evicted. */
   complete(): void;
   /** Records that the body is no longer held. */
   release(): void;
@@ -24,11 +24,11 @@
 
   /** Starts to hold a body of no bytes yet. */
   open(): HeldRequestBody {
-    let giveUp = () => {};
-    const holding = this.account.open('request', () => giveUp());
+    let evictListener = () => {};
+    const holding = this.account.open('request', () => evictListener());
     return {
-      onGiveUp(listener) {
-        giveUp = listener;
+      onEvict(listener) {
+        evictListener = listener;
       },
       grow: (bytes) => holding.set(holding.bytes + bytes),
       complete: () => holding.pin(),
--- a/src/mesh/responseMemory.ts
+++ b/src/mesh/responseMemory.ts
@@ -2,7 +2,7 @@
  * Bounds the bytes of all responses that are being read, from the local instance, other nodes and
  * the store, however many requests there are. It performs no I/O.
  *
- * It is designed for a faulty instance that sends bodies without end. The largest body is given up
+ * It is designed for a faulty instance that sends bodies without end. The largest body is evicted
  * first, so that the responses to other requests are read on.
  */
 import type { Holding } from './memory/holding.js';
@@ -11,19 +11,19 @@
 /** A body that is being read. */
 export interface HeldBody {
   /** Ends its exchange, which releases it. */
-  readonly giveUp: () => void;
+  readonly abort: () => void;
 }
 
 export class ResponseMemory {
   private readonly bodies = new Map<HeldBody, Holding>();
 
-  /** With `canGiveUp` false the bodies count and others make room for them. */
+  /** With `canEvict` false the bodies count and others make room for them. */
   constructor(
     private readonly account: MemoryAccount,
-    private readonly canGiveUp = true,
+    private readonly canEvict = true,
   ) {}
 
-  /** Records that a body has grown by `bytes`, and gives up the largest bodies if need be. */
+  /** Records that a body has grown by `bytes`; over the limit the largest are evicted. */
   grow(body: HeldBody, bytes: number): void {
     const holding = this.bodies.get(body) ?? this.add(body);
     if (bytes > 0) holding.set(holding.bytes + bytes);
@@ -40,9 +40,9 @@
   private add(body: HeldBody): Holding {
     const holding = this.account.open('response', () => {
       this.bodies.delete(body);
-      body.giveUp();
+      body.abort();
     });
-    if (!this.canGiveUp) holding.pin();
+    if (!this.canEvict) holding.pin();
     this.bodies.set(body, holding);
     return holding;
   }
--- a/src/mesh/rollouts/runComparison.ts
+++ b/src/mesh/rollouts/runComparison.ts
@@ -236,7 +236,7 @@
   getReferencePerS(nowMs: number): number | undefined {
     const sinceMs = nowMs - this.recentFromMs;
     if (sinceMs < RECENT_MS) return undefined;
-    const { runs } = this.getReference(undefined).recent;
+    const { runs } = this.getOrCreateReference(undefined).recent;
     // Sum of the weights of a run at each time of the period.
     const windowMs = RECENT_MS * (1 - Math.exp(-sinceMs / RECENT_MS));
     return runs === 0 ? undefined : (1000 * runs) / windowMs;
@@ -252,7 +252,7 @@
     this.assessedAtMs = nowMs;
     const finding = this.assessTarget();
     for (const { recent } of this.references.values()) {
-      recent.reduce(Math.exp(-elapsedMs / RECENT_MS));
+      recent.scale(Math.exp(-elapsedMs / RECENT_MS));
     }
     return finding;
   }
@@ -280,13 +280,13 @@
   }
 
   private addReference(route: RouteName | undefined, added: RunCounts, isEarlier: boolean): void {
-    const { total, recent } = this.getReference(route);
+    const { total, recent } = this.getOrCreateReference(route);
     total.add(added, isEarlier ? Math.min(1, MAX_EARLIER_RUNS / added.runs) : 1);
     if (isEarlier) return;
     recent.add(added);
   }
 
-  private getReference(route: RouteName | undefined): Reference {
+  private getOrCreateReference(route: RouteName | undefined): Reference {
     let reference = this.references.get(route);
     if (!reference) {
       reference = { total: new RunTotals(), recent: new RunTotals() };
@@ -295,7 +295,7 @@
     return reference;
   }
 
-  private getTests(route: RouteName | undefined): RouteTests {
+  private getOrCreateTests(route: RouteName | undefined): RouteTests {
     let tests = this.tests.get(route);
     if (!tests) {
       tests = { failures: new SequentialTest(), slow: new SequentialTest() };
@@ -309,11 +309,15 @@
     this.unassessed = new Map();
     this.targetFailures += failures.get(undefined)?.events ?? 0;
     for (const [route, { runs, events }] of failures) {
-      const { total, recent } = this.getReference(route);
-      this.getTests(route).failures.record(runs, events, computeFailureShares(total, recent));
+      const { total, recent } = this.getOrCreateReference(route);
+      this.getOrCreateTests(route).failures.record(
+        runs,
+        events,
+        computeFailureShares(total, recent),
+      );
     }
     for (const [route, { runs, events }] of slow) {
-      this.getTests(route).slow.record(runs, events, SLOW_SHARES);
+      this.getOrCreateTests(route).slow.record(runs, events, SLOW_SHARES);
     }
     return this.findDecision();
   }
@@ -328,7 +332,7 @@
         overall.runs += counts.runs;
         overall.failures += counts.failures;
         addEvents(failures, route, counts.runs, limitFailures(counts));
-        const slowBucket = isWarm ? findSlowBucket(this.getReference(route)) : undefined;
+        const slowBucket = isWarm ? findSlowBucket(this.getOrCreateReference(route)) : undefined;
         if (slowBucket === undefined) continue;
         const slowRuns = countAbove(counts.times, slowBucket);
         addEvents(slow, route, counts.runs, slowRuns);
--- a/src/mesh/rollouts/runTotals.ts
+++ b/src/mesh/rollouts/runTotals.ts
@@ -20,7 +20,8 @@
     }
   }
 
-  reduce(factor: number): void {
+  /** Multiplies all counts by a factor. */
+  scale(factor: number): void {
     this.runs *= factor;
     this.failures *= factor;
     for (let index = 0; index < BUCKET_COUNT; index += 1) this.times[index]! *= factor;
--- a/test/mesh/accounts/callEntry.test.ts
+++ b/test/mesh/accounts/callEntry.test.ts
@@ -18,7 +18,7 @@
 async function admit(authorization: Authorization, quota: QuotaDecision) {
   const entry = new CallEntry({
     gate: { authorize: () => authorization },
-    quotas: { refuseDenied: () => undefined, take: async () => quota, giveBack: () => {} },
+    quotas: { refuseDenied: () => undefined, take: async () => quota, returnToken: () => {} },
   });
   const decision = entry.admit({} as MeshConfig, {} as MeshRoute, 'key', 'r-1');
   const refusal =
--- a/test/mesh/memory/memoryAccount.test.ts
+++ b/test/mesh/memory/memoryAccount.test.ts
@@ -9,54 +9,54 @@
 
 function setUp(limits = { total: 1000, request: 700, response: 300, connection: 1000 }) {
   const account = new MemoryAccount(limits);
-  const givenUp: string[] = [];
-  const open = (name: string, kind: HoldingKind) => account.open(kind, () => givenUp.push(name));
-  return { account, givenUp, open };
+  const evicted: string[] = [];
+  const open = (name: string, kind: HoldingKind) => account.open(kind, () => evicted.push(name));
+  return { account, evicted, open };
 }
 
 test('the largest holding of a kind makes room for its kind', () => {
-  const { givenUp, open } = setUp();
+  const { evicted, open } = setUp();
   open('connection', 'connection').set(400);
   open('small', 'response').set(20);
   open('large', 'response').set(270);
   open('late', 'response').set(20);
-  assert.deepEqual(givenUp, ['large']);
+  assert.deepEqual(evicted, ['large']);
 });
 
 test('the largest holding of all kinds makes room in the whole account', () => {
-  const { account, givenUp, open } = setUp();
+  const { account, evicted, open } = setUp();
   open('unread', 'connection').set(520);
   open('idle', 'connection').set(12);
   open('body', 'request').set(300);
   open('response', 'response').set(200);
-  assert.deepEqual(givenUp, ['unread']);
+  assert.deepEqual(evicted, ['unread']);
   assert.equal(account.countBytes(), 512);
 });
 
 test('of holdings of about one size the one that has been so for the longest time goes', () => {
-  const { givenUp, open } = setUp();
+  const { evicted, open } = setUp();
   const first = open('first', 'request');
   const second = open('second', 'request');
   second.set(300);
   first.set(350);
   open('third', 'request').set(100);
-  assert.deepEqual(givenUp, ['second']);
+  assert.deepEqual(evicted, ['second']);
 });
 
-test('a pinned holding counts until its release, and newcomers are given up for it', () => {
-  const { account, givenUp, open } = setUp();
+test('a pinned holding counts until its release, and newcomers are evicted for it', () => {
+  const { account, evicted, open } = setUp();
   const pinned = open('pinned', 'request');
   pinned.set(650);
   pinned.pin();
   open('new', 'request').set(100);
-  assert.deepEqual(givenUp, ['new']);
+  assert.deepEqual(evicted, ['new']);
   pinned.release();
   pinned.set(5000);
   assert.equal(account.countBytes(), 0);
 });
 
 test('holdings that shrink and end leave nothing counted', () => {
-  const { account, givenUp, open } = setUp();
+  const { account, evicted, open } = setUp();
   for (let index = 0; index < 100; index += 1) {
     const holding = open(`h-${index}`, 'connection');
     holding.set(900);
@@ -65,16 +65,16 @@
     holding.release();
   }
   assert.equal(account.countBytes(), 0);
-  assert.deepEqual(givenUp, []);
+  assert.deepEqual(evicted, []);
 });
 
 test('the smallest host has room for a lone body of the largest size, and others beside it', () => {
-  const { givenUp, open } = setUp(computeAccountLimits(250));
+  const { evicted, open } = setUp(computeAccountLimits(250));
   open('connections', 'connection').set(10 * MIB);
   const body = open('body', 'request');
   for (let bytes = 0; bytes <= 64 * MIB; bytes += MIB) body.set(bytes);
   open('response', 'response').set(8 * MIB);
-  assert.deepEqual(givenUp, []);
+  assert.deepEqual(evicted, []);
 });
 
 test('the limits of the smallest host leave memory for the program and its garbage', () => {
--- a/test/mesh/quotas/bound.test.ts
+++ b/test/mesh/quotas/bound.test.ts
@@ -73,7 +73,7 @@
       const onTick = (tickMs: number) => {
         for (const arrive of arrivals) arrive(tickMs);
         const recent = mesh.asks[mesh.asks.length - 1 - Math.floor(random() * 10)];
-        if (recent && random() < 0.03) mesh.giveBack(recent);
+        if (recent && random() < 0.03) mesh.returnToken(recent);
       };
       try {
         await mesh.run(CALM_START_MS, onTick);
--- a/test/mesh/quotas/client.test.ts
+++ b/test/mesh/quotas/client.test.ts
@@ -73,7 +73,7 @@
   answer(1);
   assert.equal((await first).kind, 'granted');
   advance(50);
-  client.giveBack(ACCOUNT);
+  client.returnToken(ACCOUNT);
   assert.equal((await client.take(ACCOUNT)).kind, 'granted', 'the same token serves another');
   void client.take(ACCOUNT);
   assert.equal(client.isWaiting(), true, 'and no more than one');
@@ -90,8 +90,8 @@
     answer(1, 0, lifeMs);
     await first;
     advance(waitMs);
-    client.giveBack(ACCOUNT);
-    client.giveBack(ACCOUNT);
+    client.returnToken(ACCOUNT);
+    client.returnToken(ACCOUNT);
     assert.deepEqual(client.listHolds(COORDINATOR), [], `after ${waitMs} ms`);
     client.close();
   }
--- a/test/mesh/quotas/quotaMesh.ts
+++ b/test/mesh/quotas/quotaMesh.ts
@@ -150,12 +150,12 @@
   }
 
   /** Ends a granted request as not run. */
-  giveBack(returned: Ask): void {
+  returnToken(returned: Ask): void {
     const ask = returned;
     const process = this.processes[ask.node];
     if (!process || ask.isReturned || ask.decision?.kind !== 'granted') return;
     ask.isReturned = true;
-    process.client.giveBack(ask.account);
+    process.client.returnToken(ask.account);
   }
 
   /** Runs the mesh; `onTick` is called once for each step with its length. */
--- a/test/mesh/requestMemory.test.ts
+++ b/test/mesh/requestMemory.test.ts
@@ -13,42 +13,42 @@
       connection: limitBytes,
     }),
   );
-  const givenUp: string[] = [];
+  const evicted: string[] = [];
   const open = (name: string) => {
     const held = memory.open();
-    held.onGiveUp(() => givenUp.push(name));
+    held.onEvict(() => evicted.push(name));
     return held;
   };
-  return { givenUp, open };
+  return { evicted, open };
 }
 
-test('the largest body that is being read is given up for the others', () => {
-  const { givenUp, open } = setUp(100);
+test('the largest body that is being read is evicted for the others', () => {
+  const { evicted, open } = setUp(100);
   const [large, small] = [open('large'), open('small')];
   large.grow(60);
   small.grow(40);
-  assert.deepEqual(givenUp, []);
+  assert.deepEqual(evicted, []);
   small.grow(1);
-  assert.deepEqual(givenUp, ['large']);
+  assert.deepEqual(evicted, ['large']);
   large.grow(90);
   small.grow(59);
-  assert.deepEqual(givenUp, ['large'], 'what was given up no longer counts');
+  assert.deepEqual(evicted, ['large'], 'what was evicted no longer counts');
 });
 
-test('a complete body counts until its request has ended, and is not given up', () => {
-  const { givenUp, open } = setUp(100);
+test('a complete body counts until its request has ended, and is not evicted', () => {
+  const { evicted, open } = setUp(100);
   const running = open('running');
   running.grow(90);
   running.complete();
   open('early').grow(20);
-  assert.deepEqual(givenUp, ['early']);
+  assert.deepEqual(evicted, ['early']);
   running.release();
   open('late').grow(100);
-  assert.deepEqual(givenUp, ['early']);
+  assert.deepEqual(evicted, ['early']);
 });
 
 test('a body that is held alone is read on, whatever its size', () => {
-  const { givenUp, open } = setUp(100);
+  const { evicted, open } = setUp(100);
   open('lone').grow(250);
-  assert.deepEqual(givenUp, []);
+  assert.deepEqual(evicted, []);
 });
--- a/test/mesh/responseMemory.test.ts
+++ b/test/mesh/responseMemory.test.ts
@@ -20,50 +20,50 @@
       connection: limitBytes,
     }),
   );
-  const givenUp: string[] = [];
+  const evicted: string[] = [];
   const createBody = (name: string): TestBody => ({
     name,
     bytes: 0,
-    giveUp: () => givenUp.push(name),
+    abort: () => evicted.push(name),
   });
   const grow = (target: TestBody, bytes: number) => {
     const body = target;
     body.bytes += bytes;
     memory.grow(body, bytes);
   };
-  return { memory, givenUp, createBody, grow };
+  return { memory, evicted, createBody, grow };
 }
 
-test('the largest body is given up, and the small ones are read on', () => {
-  const { givenUp, createBody, grow } = setUp(100);
+test('the largest body is evicted, and the small ones are read on', () => {
+  const { evicted, createBody, grow } = setUp(100);
   const [small, large, late] = ['small', 'large', 'late'].map(createBody);
   grow(small!, 10);
   grow(large!, 80);
   grow(late!, 10);
-  assert.deepEqual(givenUp, []);
+  assert.deepEqual(evicted, []);
   grow(late!, 10);
-  assert.deepEqual(givenUp, ['large']);
+  assert.deepEqual(evicted, ['large']);
   grow(small!, 70);
-  assert.deepEqual(givenUp, ['large']);
+  assert.deepEqual(evicted, ['large']);
 });
 
-test('a body larger than the whole limit is given up itself', () => {
-  const { givenUp, createBody, grow } = setUp(100);
+test('a body larger than the whole limit is evicted itself', () => {
+  const { evicted, createBody, grow } = setUp(100);
   const [small, huge] = ['small', 'huge'].map(createBody);
   grow(small!, 10);
   grow(huge!, 200);
-  assert.deepEqual(givenUp, ['huge']);
+  assert.deepEqual(evicted, ['huge']);
 });
 
 test('a body that was read no longer counts', () => {
-  const { memory, givenUp, createBody, grow } = setUp(100);
+  const { memory, evicted, createBody, grow } = setUp(100);
   for (let index = 0; index < 10; index += 1) {
     const body = createBody(`b-${index}`);
     grow(body, 90);
     memory.release(body);
     memory.release(body);
   }
-  assert.deepEqual(givenUp, []);
+  assert.deepEqual(evicted, []);
 });
 
 test('the limit leaves room for one body of the largest size, and grows with the memory', () => {
