Document the new modules and split their long functions

Classes and types of accounts, quotas, coordination, memory and rollouts had no doc comment, and some fields no meaning a reader could guess. They have one where it says more than the name. Two were wrong: reports of this node itself also make it active as coordinator, and connections that never had a request are not in the set of idle ones.

createCoordination, recordRuns of RunComparison and the handler of the call port are split into named functions; order of construction, decisions, log fields and headers are the same.

--- a/src/mesh/acceptMonitor.ts
+++ b/src/mesh/acceptMonitor.ts
@@ -9,6 +9,7 @@
 /** Turns of the loop without a connection after which none is waiting. */
 const IDLE_TURNS = 2;
 
+/** Waits of the connections of one server. */
 export class AcceptMonitor {
   /** Time since which each turn has accepted a connection; undefined while none is waiting. */
   private busySinceMs: number | undefined;
--- a/src/mesh/accounts/accountGate.ts
+++ b/src/mesh/accounts/accountGate.ts
@@ -37,6 +37,7 @@
   }
 }
 
+/** Applies `authorization.ts` to the configuration in force and the age of its evidence. */
 export class AccountGate {
   constructor(private readonly options: AccountGateOptions) {}
 
--- a/src/mesh/accounts/accountGuards.ts
+++ b/src/mesh/accounts/accountGuards.ts
@@ -21,6 +21,7 @@
   return Array.isArray(value) && value.every(isClientAccount);
 }
 
+/** True for changes as `diffAccounts` builds them; `count` is checked when they are applied. */
 export function isAccountChanges(value: unknown): value is AccountChanges {
   const { changed, removed, count } = (value ?? {}) as Partial<AccountChanges>;
   return (
--- a/src/mesh/accounts/authorization.ts
+++ b/src/mesh/accounts/authorization.ts
@@ -24,12 +24,14 @@
   readonly keyDigest: string;
 }
 
+/** Why a key was refused. */
 export type KeyRefusal =
   | 'key-missing'
   | 'key-unknown'
   /** Whether the configuration in force is the latest one is not known. */
   | 'config-unconfirmed';
 
+/** Decision on the key of a request. */
 export type Authorization =
   /** The request needs no key. */
   | { readonly kind: 'anonymous' }
--- a/src/mesh/accounts/callEntry.ts
+++ b/src/mesh/accounts/callEntry.ts
@@ -16,6 +16,7 @@
   /** No coordinator has answered in time. */
   | 'quota-unknown';
 
+/** Response to a request that does not enter; it has not run. */
 export interface EntryRefusal {
   readonly kind: 'refused';
   readonly status: 401 | 429 | 503;
@@ -23,6 +24,7 @@
   readonly retryAfterMs: number | undefined;
 }
 
+/** Decision before the body of a request is read. */
 export type EntryDecision =
   /** `identity` is undefined for a request that needs no key. */
   { readonly kind: 'admitted'; readonly identity: Identity | undefined } | EntryRefusal;
@@ -38,6 +40,7 @@
     : { kind: 'refused', status: 503, reason: 'quota-unknown', retryAfterMs };
 }
 
+/** Checks in two steps: `admit` before the body of a request is read, `takeToken` after it. */
 export class CallEntry {
   constructor(private readonly options: CallEntryOptions) {}
 
--- a/src/mesh/accounts/fairOrder.ts
+++ b/src/mesh/accounts/fairOrder.ts
@@ -28,7 +28,7 @@
 /** Number of arrivals after which the counts of served requests are halved. */
 const COUNT_WINDOW = 1000;
 
-/** Maximum number of accounts that are remembered, about the 1,000 of the design target. */
+/** Maximum number of accounts that are remembered; the design target is 1,000 accounts. */
 const MAX_FLOWS = 1024;
 
 /** Number of remembered accounts from which on those that have no lead are forgotten. */
--- a/src/mesh/bodyBuffer.ts
+++ b/src/mesh/bodyBuffer.ts
@@ -27,6 +27,7 @@
   return part.length * 2 > part.buffer.byteLength;
 }
 
+/** One body; a body that arrives in one part is not copied. */
 export class BodyBuffer {
   private block: Buffer = EMPTY_BODY;
 
--- a/src/mesh/callPort.ts
+++ b/src/mesh/callPort.ts
@@ -2,10 +2,12 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { isAmount, MAX_DURATION_MS } from '../utils/boundedValues.js';
+import type { LogFields } from '../utils/formatEvent.js';
 import type { AcceptMonitor } from './acceptMonitor.js';
+import type { Identity } from './accounts/authorization.js';
 import type { CallEntry, EntryRefusalReason } from './accounts/callEntry.js';
 import { isAtDeadline, type CallRouter } from './callRouter.js';
-import type { CallOutcome, PendingCall } from './pendingCall.js';
+import type { CallOutcome, CallTrace, PendingCall } from './pendingCall.js';
 import type { EventLog } from './eventLog.js';
 import { filterHeaders, getHeader, type HeaderNames } from './headers.js';
 import type { LoopMonitor } from './loopMonitor.js';
@@ -110,6 +112,48 @@
   response.end();
 }
 
+/** Returns the fields of the log line of a call that ends after `elapsedMs`. */
+function buildCallFields(
+  call: PendingCall,
+  outcome: CallOutcome,
+  elapsedMs: number,
+  configVersion: MeshConfig['version'] | undefined,
+): LogFields {
+  const { sends, acceptWaitMs, instance, loadAgeMs, sendTrace, timing } = call.trace;
+  return {
+    request: call.requestId,
+    route: call.route.name,
+    account: call.identity?.account.name,
+    outcome: outcome.kind,
+    reason: outcome.kind === 'answered' ? outcome.response.status : outcome.reason,
+    ms: Math.round(elapsedMs),
+    acceptMs: Math.round(acceptWaitMs) || undefined,
+    leftMs: Math.round(call.deadlineAtMs - performance.now()),
+    config: configVersion,
+    cancelled: call.cancellation.isCancelled() || undefined,
+    sends,
+    instance,
+    loadAgeMs: loadAgeMs === undefined ? undefined : Math.round(loadAgeMs),
+    connectMs: sendTrace?.connectMs === undefined ? undefined : Math.round(sendTrace.connectMs),
+    unsentBytes: sendTrace?.unsentBytes || undefined,
+    queueMs: timing && Math.round(timing.queueMs),
+    runMs: timing && Math.round(timing.runMs),
+    transitMs: timing?.transitMs,
+  };
+}
+
+/** Returns the trace of a call before its first attempt. */
+function createTrace(acceptWaitMs: number): CallTrace {
+  return {
+    sends: 0,
+    acceptWaitMs,
+    instance: undefined,
+    loadAgeMs: undefined,
+    sendTrace: undefined,
+    timing: undefined,
+  };
+}
+
 /** Creates the port; the caller binds its server. */
 export function createCallPort(options: CallPortOptions): CallPort {
   const { router, names, log, metrics } = options;
@@ -135,27 +179,7 @@
 
   const writeOutcome = (response: ServerResponse, call: PendingCall, outcome: CallOutcome) => {
     const elapsedMs = performance.now() - call.startedAtMs;
-    const { sends, acceptWaitMs, instance, loadAgeMs, sendTrace, timing } = call.trace;
-    const fields = {
-      request: call.requestId,
-      route: call.route.name,
-      account: call.identity?.account.name,
-      outcome: outcome.kind,
-      reason: outcome.kind === 'answered' ? outcome.response.status : outcome.reason,
-      ms: Math.round(elapsedMs),
-      acceptMs: Math.round(acceptWaitMs) || undefined,
-      leftMs: Math.round(call.deadlineAtMs - performance.now()),
-      config: options.getConfig()?.version,
-      cancelled: call.cancellation.isCancelled() || undefined,
-      sends,
-      instance,
-      loadAgeMs: loadAgeMs === undefined ? undefined : Math.round(loadAgeMs),
-      connectMs: sendTrace?.connectMs === undefined ? undefined : Math.round(sendTrace.connectMs),
-      unsentBytes: sendTrace?.unsentBytes || undefined,
-      queueMs: timing && Math.round(timing.queueMs),
-      runMs: timing && Math.round(timing.runMs),
-      transitMs: timing?.transitMs,
-    };
+    const fields = buildCallFields(call, outcome, elapsedMs, options.getConfig()?.version);
     log.write('info', 'call-ended', fields);
     metrics.count('calls', `outcome="${outcome.kind}"`);
     if (response.destroyed || response.req.socket.destroyed) return;
@@ -176,6 +200,19 @@
     }
   };
 
+  /** Returns the headers of a request as they go to an instance. */
+  const buildHeaders = (
+    rawHeaders: readonly string[],
+    { accounts = [] }: MeshConfig,
+    identity: Identity | undefined,
+  ): string[] => {
+    const stripped = accounts.length > 0 ? strippedWithAccounts : strippedRequestHeaders;
+    const headers = filterHeaders(rawHeaders, stripped);
+    headers.push(names.callerService, options.getSettings().service);
+    if (identity) headers.push(names.accountName, identity.account.name);
+    return headers;
+  };
+
   const serve = async (
     message: IncomingMessage,
     response: ServerResponse,
@@ -228,11 +265,7 @@
       writeRefusal(refusal.status, refusal.retryAfterMs, refusal.reason);
       return;
     }
-    const hasAccounts = (config.accounts ?? []).length > 0;
-    const stripped = hasAccounts ? strippedWithAccounts : strippedRequestHeaders;
-    const headers = filterHeaders(rawHeaders, stripped);
-    headers.push(names.callerService, options.getSettings().service);
-    if (identity) headers.push(names.accountName, identity.account.name);
+    const headers = buildHeaders(rawHeaders, config, identity);
     const receivedDeadlineMs = Number(getHeader(rawHeaders, names.deadline));
     const hasDeadline = isAmount(receivedDeadlineMs, MAX_DURATION_MS) && receivedDeadlineMs > 0;
     const remainingMs = hasDeadline ? receivedDeadlineMs : route.timeoutMs;
@@ -246,14 +279,7 @@
       objectiveAtMs: startedAtMs + route.objectiveMs - ageMs,
       cancellation,
       identity,
-      trace: {
-        sends: 0,
-        acceptWaitMs,
-        instance: undefined,
-        loadAgeMs: undefined,
-        sendTrace: undefined,
-        timing: undefined,
-      },
+      trace: createTrace(acceptWaitMs),
     };
     await options.loop.waitForArrivals(acceptWaitMs);
     const outcome = await router.run(call);
--- a/src/mesh/coordination/coordinator.ts
+++ b/src/mesh/coordination/coordinator.ts
@@ -18,6 +18,7 @@
   readonly metrics: Pick<MeshMetrics, 'count'>;
 }
 
+/** Any node answers reports; it is active as coordinator while reports arrive. */
 export class Coordinator {
   private inactivityTimer: NodeJS.Timeout | undefined;
 
--- a/src/mesh/coordination/coordinatorChoice.ts
+++ b/src/mesh/coordination/coordinatorChoice.ts
@@ -40,6 +40,7 @@
   readonly failures: number;
 }
 
+/** State of the choice at one node. */
 export class CoordinatorChoice {
   private current: NodeId | undefined;
 
--- a/src/mesh/coordination/createCoordination.ts
+++ b/src/mesh/coordination/createCoordination.ts
@@ -10,12 +10,7 @@
 import { SuspensionDetector } from '../suspensionDetector.js';
 import { Coordinator } from './coordinator.js';
 import { CoordinatorChoice } from './coordinatorChoice.js';
-import type {
-  CoordinatorAnswer,
-  CoordinatorReport,
-  DirectiveListener,
-  RolloutSource,
-} from './model.js';
+import type { DirectiveListener, RolloutSource } from './model.js';
 import { ReportLoop } from './reportLoop.js';
 import type { ReportAnswers } from './reportRequests.js';
 
@@ -72,42 +67,44 @@
   };
 }
 
-export function createCoordination(options: CoordinationOptions): Coordination {
-  const { getSettings, getConfig, directory, hasReceivedList, isStopping, log, metrics } = options;
-  const { nodeId } = getSettings();
-  const { detector = new SuspensionDetector() } = options;
-  const getPolicy = () => getSettings().quota;
-  const ledger = new Ledger({
-    getPolicy,
-    listKnownNodes: createNodeList(options),
-  });
-  const coordinator = new Coordinator({ tokens: ledger, rollouts: options.rollouts, log, metrics });
-  const quotas = new QuotaClient({
-    isEnforced: () => getPolicy() !== undefined,
-    countSuspensions: () => detector.count(),
-    log,
-  });
-  metrics.registerSource(() => listQuotaSamples(ledger, quotas));
+/** Returns a function that answers reports as coordinator. */
+function createAnswer(
+  ledger: Ledger,
+  coordinator: Coordinator,
+  detector: Pick<SuspensionDetector, 'count'>,
+): ReportAnswers['coordinator']['answer'] {
   let suspensions = detector.count();
-  const answer = (report: CoordinatorReport, nowMs: number, ageMs?: number): CoordinatorAnswer => {
+  return (report, nowMs, ageMs) => {
     const current = detector.count();
     // The nodes that were counted may have changed to another coordinator meanwhile.
     if (current !== suspensions) ledger.reset();
     suspensions = current;
     return coordinator.answer(report, nowMs, ageMs);
   };
-  const isEnabled = () => {
-    const config = getConfig();
-    if (!config) return false;
-    const { rollout, quota } = getSettings();
-    return (
-      rollout !== undefined || (quota !== undefined && config.accounts?.some(hasLimit) === true)
-    );
-  };
-  const loop = new ReportLoop({
+}
+
+/** Returns true when the configuration and the settings need a coordinator. */
+function isCoordinatorNeeded({
+  getConfig,
+  getSettings,
+}: Pick<CoordinationOptions, 'getConfig' | 'getSettings'>): boolean {
+  const config = getConfig();
+  if (!config) return false;
+  const { rollout, quota } = getSettings();
+  return rollout !== undefined || (quota !== undefined && config.accounts?.some(hasLimit) === true);
+}
+
+function createReportLoop(
+  options: CoordinationOptions,
+  client: QuotaClient,
+  answer: ReportAnswers['coordinator']['answer'],
+): ReportLoop {
+  const { getSettings, directory, hasReceivedList, log, metrics } = options;
+  const { nodeId } = getSettings();
+  return new ReportLoop({
     ownId: nodeId,
     process: options.processId,
-    isEnabled,
+    isEnabled: () => isCoordinatorNeeded(options),
     isReady: hasReceivedList,
     listTargets: () =>
       directory.listResponding(performance.now()).map(({ record, calls }) => ({
@@ -115,13 +112,33 @@
         linkMbps: record.linkMbps,
         calls,
       })),
-    choice: new CoordinatorChoice(nodeId, () => getPolicy()?.windowMs),
-    client: quotas,
+    choice: new CoordinatorChoice(nodeId, () => getSettings().quota?.windowMs),
+    client,
     answerOwn: (report, nowMs) => answer(report, nowMs, 0),
     directives: options.directives,
     log,
     metrics,
   });
+}
+
+/** Constructs the parts. Nothing is sent before `applyConfig`. */
+export function createCoordination(options: CoordinationOptions): Coordination {
+  const { getSettings, getConfig, hasReceivedList, isStopping, log, metrics } = options;
+  const { detector = new SuspensionDetector() } = options;
+  const getPolicy = () => getSettings().quota;
+  const ledger = new Ledger({
+    getPolicy,
+    listKnownNodes: createNodeList(options),
+  });
+  const coordinator = new Coordinator({ tokens: ledger, rollouts: options.rollouts, log, metrics });
+  const quotas = new QuotaClient({
+    isEnforced: () => getPolicy() !== undefined,
+    countSuspensions: () => detector.count(),
+    log,
+  });
+  metrics.registerSource(() => listQuotaSamples(ledger, quotas));
+  const answer = createAnswer(ledger, coordinator, detector);
+  const loop = createReportLoop(options, quotas, answer);
   return {
     quotas,
     reportAnswers: {
--- a/src/mesh/coordination/model.ts
+++ b/src/mesh/coordination/model.ts
@@ -91,7 +91,7 @@
 export interface RolloutSource {
   recordReport(report: CoordinatorReport, nowMs: number): void;
   listDirectives(nowMs: number): readonly RolloutDirective[];
-  /** Called when reports of other nodes begin or stop to arrive: only then are rollouts watched. */
+  /** Called when reports begin or stop to arrive: rollouts are watched only in between. */
   setActive(isActive: boolean): void;
 }
 
--- a/src/mesh/coordination/reportLoop.ts
+++ b/src/mesh/coordination/reportLoop.ts
@@ -62,6 +62,7 @@
 
 const NO_TOKENS = { needs: [], returns: [] };
 
+/** Sends the reports of this node; at most one report with needs is open at a time. */
 export class ReportLoop {
   private timer: NodeJS.Timeout | undefined;
 
--- a/src/mesh/memory/clientConnections.ts
+++ b/src/mesh/memory/clientConnections.ts
@@ -31,11 +31,11 @@
 export type CloseReason = 'memory' | 'connections' | 'pipelining' | 'stalled-body' | 'unread';
 
 export interface ClientLimits {
-  /** Number of connections at the same time. */
+  /** Maximum number of connections at the same time. */
   readonly maxConnections: number;
-  /** Number of requests on one connection that have no response yet. */
+  /** Maximum number of requests on one connection that have no response yet. */
   readonly maxRequests: number;
-  /** Time without progress after which a body or a response that is not read is given up. */
+  /** Time without progress after which the connection of a body or an unread response is closed. */
   readonly stallMs: number;
 }
 
@@ -50,11 +50,13 @@
   idleAtBytes: number;
   /** Latest request, whose body may still be arriving. */
   message: IncomingMessage | undefined;
-  /** Bytes received, and parts of responses sent, at the last check. */
+  /** Bytes received at the last check. */
   readBytes: number;
   /** Responses of which a part waits until the client reads. */
   unread: number;
+  /** Parts of responses that were handed to the connection, and responses that have ended. */
   sentParts: number;
+  /** `sentParts` at the last check. */
   checkedParts: number;
   /** Checks in a row without progress. */
   stalledReads: number;
@@ -97,12 +99,14 @@
   });
 }
 
+/** Connections of one server, in the memory account and within their own limits. */
 export class ClientConnections {
   private readonly clients = new Map<Socket, Client>();
 
-  /** Connections without a request now, and those that never had one, the oldest first. */
+  /** Connections without a request now that had one before, the longest idle one first. */
   private readonly idle = new Set<Client>();
 
+  /** Connections that have not sent a request yet, the oldest first. */
   private readonly untried = new Set<Client>();
 
   constructor(
--- a/src/mesh/memory/holding.ts
+++ b/src/mesh/memory/holding.ts
@@ -8,6 +8,7 @@
 
 export type HoldingKind = (typeof HOLDING_KINDS)[number];
 
+/** Bytes that are held for one party, as the code that holds them sees it. */
 export interface Holding {
   readonly bytes: number;
   /** Sets the size; other holdings, or this one, may be evicted when it has grown. */
@@ -18,6 +19,7 @@
   release(): void;
 }
 
+/** A holding with the state by which the memory account finds it. */
 export class AccountHolding implements Holding {
   bytes = 0;
 
--- a/src/mesh/memory/limits.ts
+++ b/src/mesh/memory/limits.ts
@@ -37,6 +37,7 @@
   readonly stallMs: number;
 }
 
+/** Limits of the memory account of a process that may use `memoryMb`. */
 export function computeAccountLimits(memoryMb: number): AccountLimits {
   const total = Math.max(MIN_RESPONSE_BYTES, memoryMb * BYTES_PER_MB * MEMORY_SHARE);
   return {
--- a/src/mesh/memory/memoryAccount.ts
+++ b/src/mesh/memory/memoryAccount.ts
@@ -13,9 +13,13 @@
 /** Part of the total limit beside which a lone request body may exceed its limit. */
 const LONE_BODY_SHARE = 0.25;
 
-/** Part of the total limit up to which a holding may exceed the limit of its kind. */
+/**
+ * Part of the total limit up to which a holding is not evicted for the limit of its kind, so that
+ * ordinary requests get through beside large bodies.
+ */
 const SMALL_SHARE = 1 / 1024;
 
+/** Evicts the largest holdings first; pinned and released ones are never evicted. */
 export class MemoryAccount {
   private usedBytes = 0;
 
--- a/src/mesh/memory/sizeClasses.ts
+++ b/src/mesh/memory/sizeClasses.ts
@@ -11,6 +11,7 @@
   return bytes < 1 ? 0 : Math.min(CLASS_COUNT - 1, Math.floor(Math.log2(bytes)));
 }
 
+/** Entries of one class are kept in the order in which they entered it. */
 export class SizeClasses<Entry> {
   private readonly classes = Array.from({ length: CLASS_COUNT }, () => new Set<Entry>());
 
--- a/src/mesh/model.ts
+++ b/src/mesh/model.ts
@@ -148,6 +148,7 @@
   readonly accounts?: readonly ClientAccount[] | undefined;
 }
 
+/** Announcement of an instance to the node on its host. */
 export interface Heartbeat {
   readonly instanceId: InstanceId;
   readonly service: ServiceName;
--- a/src/mesh/queueEntry.ts
+++ b/src/mesh/queueEntry.ts
@@ -15,6 +15,7 @@
   readonly account?: AccountShare | undefined;
 }
 
+/** A queued request with its place in the order of `compareEntries`. */
 export interface QueueEntry<Item extends AdmissionItem> {
   readonly item: Item;
   /** Group of the request; a lower number starts first. */
--- a/src/mesh/quotas/client.ts
+++ b/src/mesh/quotas/client.ts
@@ -25,6 +25,7 @@
 /** Whether a request may run. */
 export type QuotaDecision = { readonly kind: 'granted' } | QuotaRefusal;
 
+/** Why a request got no token, and when it may be sent again. */
 export type QuotaRefusal =
   /** The account has used its quota. */
   | { readonly kind: 'denied'; readonly retryAfterMs: number }
@@ -63,6 +64,7 @@
   return after.ratePerS > before.ratePerS || after.burst > before.burst;
 }
 
+/** Tokens, waiting requests and denials of the accounts in use at this node. */
 export class QuotaClient {
   private readonly states = new Map<AccountName, AccountState>();
 
--- a/src/mesh/quotas/ledger.ts
+++ b/src/mesh/quotas/ledger.ts
@@ -44,7 +44,9 @@
 interface NodeState {
   leases: Map<AccountName, NodeLease>;
   expiresAtMs: number;
+  /** Time at which the latest report was sent. */
   sentAtMs: number;
+  /** Time of the latest bridge of the node. */
   bridgedAtMs: number;
 }
 
@@ -86,6 +88,7 @@
   leases.clear();
 }
 
+/** Buckets of all accounts with a limit, with the leases of the nodes that report here. */
 export class Ledger implements TokenSource {
   private readonly buckets = new Map<AccountName, TokenBucket>();
 
@@ -96,6 +99,7 @@
   /** Nodes that are bridged, with the ends of their bridges. */
   private readonly bridges = new Map<NodeId, number>();
 
+  /** Sum of the parts of the known nodes of all bridges so far. */
   private bridgedTotal = 0;
 
   /** Favoured nodes by account, as of the list `favouredOf`. */
--- a/src/mesh/quotas/localTokens.ts
+++ b/src/mesh/quotas/localTokens.ts
@@ -13,12 +13,14 @@
  */
 const TAKEN_INTERVAL_MS = 200;
 
+/** Tokens of one grant. */
 interface Lot {
   tokens: number;
   readonly expiresAtMs: number;
   readonly coordinator: NodeId;
 }
 
+/** Tokens in lots by grant, and an estimate of the demand from recent requests. */
 export class LocalTokens {
   private lots: Lot[] = [];
 
@@ -29,10 +31,13 @@
 
   private demandAtMs = -Infinity;
 
+  /** Start of the present interval of taken tokens. */
   private takenStartMs = -Infinity;
 
+  /** Tokens taken in the present interval, less those that were returned. */
   private taken = 0;
 
+  /** The same of the interval before. */
   private takenBefore = 0;
 
   /** Records a request, whether it gets a token or not. */
--- a/src/mesh/quotas/nodeShares.ts
+++ b/src/mesh/quotas/nodeShares.ts
@@ -19,6 +19,7 @@
  */
 const KNOWN_RETENTION_MS = 10_000;
 
+/** Nodes that one coordinator counts, and the integral of its share over time. */
 export class NodeShares {
   private readonly countedUntil = new Map<NodeId, number>();
 
--- a/src/mesh/quotas/tokenBucket.ts
+++ b/src/mesh/quotas/tokenBucket.ts
@@ -25,6 +25,7 @@
   readonly bridgedTotal: number;
 }
 
+/** Starts empty; the tokens until the given totals are not added. */
 export class TokenBucket {
   private level = 0;
 
--- a/src/mesh/requestMemory.ts
+++ b/src/mesh/requestMemory.ts
@@ -19,6 +19,7 @@
   release(): void;
 }
 
+/** Request bodies of callers and of other nodes in the memory account. */
 export class RequestMemory {
   constructor(private readonly account: MemoryAccount) {}
 
--- a/src/mesh/responseMemory.ts
+++ b/src/mesh/responseMemory.ts
@@ -14,6 +14,7 @@
   readonly abort: () => void;
 }
 
+/** Response bodies of one source in the memory account. */
 export class ResponseMemory {
   private readonly bodies = new Map<HeldBody, Holding>();
 
--- a/src/mesh/rollouts/model.ts
+++ b/src/mesh/rollouts/model.ts
@@ -30,6 +30,7 @@
   readonly encodeStatus: (status: RolloutStatus) => unknown;
 }
 
+/** Final states are never changed again. */
 export function isFinalState(state: string | undefined): state is 'completed' | 'rolled_back' {
   return state === 'completed' || state === 'rolled_back';
 }
--- a/src/mesh/rollouts/rolloutCoordinator.ts
+++ b/src/mesh/rollouts/rolloutCoordinator.ts
@@ -57,6 +57,10 @@
   return one.service === other.service && one.targetVersion === other.targetVersion;
 }
 
+/**
+ * Handles the orders of all services. It reads the store only between `setActive(true)` and
+ * `setActive(false)`, and then forgets the orders: the store and the reports bring them back.
+ */
 export class RolloutCoordinator implements RolloutSource, RolloutListener {
   /** Orders by the names of their objects. */
   private readonly orders = new Map<string, OpenOrder>();
--- a/src/mesh/rollouts/rolloutFollower.ts
+++ b/src/mesh/rollouts/rolloutFollower.ts
@@ -9,6 +9,7 @@
 /** Reported for an instance without a version; no order can have it as its target. */
 const UNNAMED_VERSION = brandText<SoftwareVersion>('');
 
+/** Passes directives to the gate and reports what the counter has recorded. */
 export class RolloutFollower implements DirectiveListener {
   constructor(
     private readonly gate: RolloutGate,
--- a/src/mesh/rollouts/rolloutGate.ts
+++ b/src/mesh/rollouts/rolloutGate.ts
@@ -30,6 +30,7 @@
   readonly isTarget: boolean;
 }
 
+/** Version choice of one sender, which is drawn once for each call. */
 export class RolloutGate {
   private readonly directives = new Map<ServiceName, KnownDirective>();
 
--- a/src/mesh/rollouts/rolloutParts.ts
+++ b/src/mesh/rollouts/rolloutParts.ts
@@ -27,6 +27,7 @@
   readonly counter: RunCounter;
 }
 
+/** Call it only if the settings have a rollout policy; nothing of rollouts runs without it. */
 export function createRolloutParts(options: RolloutPartsOptions): RolloutParts {
   const { adapter, getSettings, instance, log, metrics } = options;
   const gate = new RolloutGate();
--- a/src/mesh/rollouts/rolloutSamples.ts
+++ b/src/mesh/rollouts/rolloutSamples.ts
@@ -2,6 +2,7 @@
 import type { MetricSample } from '../metricSamples.js';
 import type { RolloutCoordinator } from './rolloutCoordinator.js';
 
+/** Lists state and age of each rollout, and the runs and failures of its new and old instances. */
 export function listRolloutSamples(
   coordinator: Pick<RolloutCoordinator, 'listProgress'>,
 ): MetricSample[] {
--- a/src/mesh/rollouts/runComparison.ts
+++ b/src/mesh/rollouts/runComparison.ts
@@ -47,6 +47,7 @@
 /** Share of the runs of an instance that may count as failed at once beyond that. */
 const MAX_FAILURE_SHARE_AT_ONCE = 0.25;
 
+/** Runs above this quantile of the run times of the old version, with a margin, are slow. */
 const SLOW_QUANTILE = 0.9;
 
 /**
@@ -142,6 +143,14 @@
   };
 }
 
+/** Returns true when a route has fewer runs than before, as after a restart of the instance. */
+function hasFewerRuns(
+  before: KnownInstance['routes'] | undefined,
+  after: KnownInstance['routes'],
+): boolean {
+  return [...(before ?? [])].some(([route, { runs }]) => (after.get(route)?.runs ?? 0) < runs);
+}
+
 function addEvents(
   sums: EventSums,
   route: RouteName | undefined,
@@ -201,9 +210,7 @@
     const known = this.instances.get(instanceId);
     if (!known && this.instances.size >= MAX_INSTANCES) return;
     const after = new Map(routes.map((entry) => [entry.route, entry]));
-    const hasFallen = [...(known?.routes ?? [])].some(
-      ([route, before]) => (after.get(route)?.runs ?? 0) < before.runs,
-    );
+    const hasFallen = hasFewerRuns(known?.routes, after);
     // A single fall may be an older report that was held up on its way; counting the runs anew
     // would count them twice.
     if (known && hasFallen && !known.hasFallen) {
@@ -211,8 +218,7 @@
       return;
     }
     const before = hasFallen ? undefined : known?.routes;
-    const isFirst = before === undefined;
-    const firstRunAtMs = isFirst ? undefined : known?.firstRunAtMs;
+    const firstRunAtMs = before === undefined ? undefined : known?.firstRunAtMs;
     const instance: KnownInstance = {
       routes: after,
       firstRunAtMs: firstRunAtMs ?? (after.size > 0 ? nowMs : undefined),
@@ -225,9 +231,7 @@
       if (version === this.targetVersion) {
         this.addTarget(instanceId, instance, entry.route, added, nowMs);
       } else {
-        this.addReference(entry.route, added, isFirst);
-        this.addReference(undefined, added, isFirst);
-        if (!isFirst) this.recentFromMs = Math.min(this.recentFromMs, nowMs);
+        this.addReference(entry.route, added, before === undefined, nowMs);
       }
     }
   }
@@ -279,11 +283,19 @@
     counts.add(added);
   }
 
-  private addReference(route: RouteName | undefined, added: RunCounts, isEarlier: boolean): void {
-    const { total, recent } = this.getOrCreateReference(route);
-    total.add(added, isEarlier ? Math.min(1, MAX_EARLIER_RUNS / added.runs) : 1);
-    if (isEarlier) return;
-    recent.add(added);
+  /** Adds runs of an old instance; those of its first report, or after a restart, are earlier. */
+  private addReference(
+    route: RouteName,
+    added: RunCounts,
+    isEarlier: boolean,
+    nowMs: number,
+  ): void {
+    for (const key of [route, undefined]) {
+      const { total, recent } = this.getOrCreateReference(key);
+      total.add(added, isEarlier ? Math.min(1, MAX_EARLIER_RUNS / added.runs) : 1);
+      if (!isEarlier) recent.add(added);
+    }
+    if (!isEarlier) this.recentFromMs = Math.min(this.recentFromMs, nowMs);
   }
 
   private getOrCreateReference(route: RouteName | undefined): Reference {
--- a/src/mesh/rollouts/runTotals.ts
+++ b/src/mesh/rollouts/runTotals.ts
@@ -2,6 +2,7 @@
 import type { RouteRuns } from '../coordination/model.js';
 import { BUCKET_COUNT } from './runBuckets.js';
 
+/** Runs, failures and histogram of run times, without the route that they belong to. */
 export type RunCounts = Omit<RouteRuns, 'route'>;
 
 /** Counts of runs over some period. */
