--- a/src/mesh/accounts/callEntry.ts
+++ b/src/mesh/accounts/callEntry.ts
@@ -16,6 +16,7 @@
   /** No coordinator has answered in time. */
   | 'quota-unknown';
 
+/** Response to a request that does not enter; it has not run. */
 export interface EntryRefusal {
   readonly kind: 'refused';
   readonly status: 401 | 429 | 503;
@@ -23,13 +24,14 @@
   readonly retryAfterMs: number | undefined;
 }
 
+/** Decision before the body of a request is read. */
 export type EntryDecision =
   /** `identity` is undefined for a request that needs no key. */
   { readonly kind: 'admitted'; readonly identity: Identity | undefined } | EntryRefusal;
 
 export interface CallEntryOptions {
   readonly gate: Pick<AccountGate, 'authorize'>;
-  readonly quotas: Pick<QuotaClient, 'refuseDenied' | 'take' | 'giveBack'>;
+  readonly quotas: Pick<QuotaClient, 'refuseDenied' | 'take' | 'returnToken'>;
 }
 
 function toRefusal({ kind, retryAfterMs }: QuotaRefusal): EntryRefusal {
@@ -38,6 +40,7 @@
     : { kind: 'refused', status: 503, reason: 'quota-unknown', retryAfterMs };
 }
 
+/** Checks in two steps: `admit` before the body of a request is read, `takeToken` after it. */
 export class CallEntry {
   constructor(private readonly options: CallEntryOptions) {}
 
@@ -72,7 +75,7 @@
   /**
    * Takes a token for an admitted request whose body has come; returns a refusal without one. A
    * token that is taken earlier would let requests run whose bodies were held back for later
-   * windows. Call `giveBack` if the request does not run.
+   * windows. Call `returnToken` if the request does not run.
    */
   async takeToken(
     identity: Identity | undefined,
@@ -84,7 +87,7 @@
   }
 
   /** Returns the token of a request that has not run and will not run. */
-  giveBack(identity: Identity | undefined): void {
-    if (identity) this.options.quotas.giveBack(identity.account);
+  returnToken(identity: Identity | undefined): void {
+    if (identity) this.options.quotas.returnToken(identity.account);
   }
 }
--- a/src/mesh/memory/clientConnections.ts
+++ b/src/mesh/memory/clientConnections.ts
@@ -31,11 +31,11 @@
 export type CloseReason = 'memory' | 'connections' | 'pipelining' | 'stalled-body' | 'unread';
 
 export interface ClientLimits {
-  /** Number of connections at the same time. */
+  /** Maximum number of connections at the same time. */
   readonly maxConnections: number;
-  /** Number of requests on one connection that have no response yet. */
+  /** Maximum number of requests on one connection that have no response yet. */
   readonly maxRequests: number;
-  /** Time without progress after which a body or a response that is not read is given up. */
+  /** Time without progress after which the connection of a body or an unread response is closed. */
   readonly stallMs: number;
 }
 
@@ -50,11 +50,13 @@
   idleAtBytes: number;
   /** Latest request, whose body may still be arriving. */
   message: IncomingMessage | undefined;
-  /** Bytes received, and parts of responses sent, at the last check. */
+  /** Bytes received at the last check. */
   readBytes: number;
   /** Responses of which a part waits until the client reads. */
   unread: number;
+  /** Parts of responses that were handed to the connection, and responses that have ended. */
   sentParts: number;
+  /** `sentParts` at the last check. */
   checkedParts: number;
   /** Checks in a row without progress. */
   stalledReads: number;
@@ -72,7 +74,7 @@
   return message !== undefined && !message.complete;
 }
 
-function resize(client: Client, addedBytes: number): void {
+function addHeldBytes(client: Client, addedBytes: number): void {
   const holder = client;
   holder.heldBytes += addedBytes;
   holder.holding.set(CONNECTION_BYTES + holder.heldBytes);
@@ -85,24 +87,26 @@
 }
 
 /** Counts a response until the client has taken it. */
-function hold(client: Client, response: ServerResponse, bytes: number): void {
+function trackResponse(client: Client, response: ServerResponse, bytes: number): void {
   const holder = client;
   holder.unread += 1;
-  resize(client, bytes);
+  addHeldBytes(client, bytes);
   response.once('close', () => {
     holder.unread -= 1;
     // The last part has no callback of its own.
     holder.sentParts += 1;
-    resize(client, -bytes);
+    addHeldBytes(client, -bytes);
   });
 }
 
+/** Connections of one server, in the memory account and within their own limits. */
 export class ClientConnections {
   private readonly clients = new Map<Socket, Client>();
 
-  /** Connections without a request now, and those that never had one, the oldest first. */
+  /** Connections without a request now that had one before, the longest idle one first. */
   private readonly idle = new Set<Client>();
 
+  /** Connections that have not sent a request yet, the oldest first. */
   private readonly untried = new Set<Client>();
 
   constructor(
@@ -134,10 +138,10 @@
     client.message = message;
     client.stalledReads = 0;
     const headBytes = estimateHeadBytes(message);
-    resize(client, headBytes);
+    addHeldBytes(client, headBytes);
     response.once('close', () => {
       client.requests -= 1;
-      resize(client, -headBytes);
+      addHeldBytes(client, -headBytes);
       if (client.requests > 0 || !this.clients.has(socket)) return;
       client.idleAtBytes = socket.bytesRead;
       if (message.complete) client.message = undefined;
@@ -151,10 +155,10 @@
     const client = this.clients.get(response.req.socket);
     if (!client || body.length <= PART_BYTES) {
       response.end(body);
-      if (client && response.writableLength > 0) hold(client, response, body.length);
+      if (client && response.writableLength > 0) trackResponse(client, response, body.length);
       return;
     }
-    hold(client, response, body.length);
+    trackResponse(client, response, body.length);
     this.sendPart(client, response, body, 0);
   }
 
@@ -188,7 +192,7 @@
     this.clients.set(socket, client);
     this.untried.add(client);
     socket.once('close', () => this.remove(client));
-    resize(client, 0);
+    addHeldBytes(client, 0);
     if (this.clients.size > this.limits.maxConnections) this.closeOldest();
   }
 
--- a/src/mesh/quotas/client.ts
+++ b/src/mesh/quotas/client.ts
@@ -25,6 +25,7 @@
 /** Whether a request may run. */
 export type QuotaDecision = { readonly kind: 'granted' } | QuotaRefusal;
 
+/** Why a request got no token, and when it may be sent again. */
 export type QuotaRefusal =
   /** The account has used its quota. */
   | { readonly kind: 'denied'; readonly retryAfterMs: number }
@@ -63,6 +64,7 @@
   return after.ratePerS > before.ratePerS || after.burst > before.burst;
 }
 
+/** Tokens, waiting requests and denials of the accounts in use at this node. */
 export class QuotaClient {
   private readonly states = new Map<AccountName, AccountState>();
 
@@ -121,7 +123,7 @@
   async take(account: ClientAccount, cancellation?: Cancellation): Promise<QuotaDecision> {
     if (!hasLimit(account) || !this.options.isEnforced()) return GRANTED;
     const nowMs = this.readClock();
-    const state = this.getState(account.name);
+    const state = this.getOrCreateState(account.name);
     const { tokens } = state;
     tokens.recordRequest(nowMs);
     if (state.waiters.length === 0 && tokens.take(nowMs)) return GRANTED;
@@ -140,11 +142,11 @@
   }
 
   /** Puts back the token of a request that ended as not run. */
-  giveBack({ name }: Pick<ClientAccount, 'name'>): void {
+  returnToken({ name }: Pick<ClientAccount, 'name'>): void {
     const state = this.states.get(name);
     if (!state) return;
     const nowMs = this.readClock();
-    state.tokens.giveBack(nowMs);
+    state.tokens.returnToken(nowMs);
     this.settleGranted(state, nowMs);
   }
 
@@ -258,7 +260,7 @@
     return this.now();
   }
 
-  private getState(name: AccountName): AccountState {
+  private getOrCreateState(name: AccountName): AccountState {
     let state = this.states.get(name);
     if (!state) {
       state = { tokens: new LocalTokens(), waiters: [], denials: 0, loggedAtMs: -Infinity };
--- a/src/mesh/quotas/tokenBucket.ts
+++ b/src/mesh/quotas/tokenBucket.ts
@@ -25,6 +25,7 @@
   readonly bridgedTotal: number;
 }
 
+/** Starts empty; the tokens until the given totals are not added. */
 export class TokenBucket {
   private level = 0;
 
@@ -94,7 +95,7 @@
   }
 
   /** Puts tokens back that a node has not used; the next refill applies the capacity. */
-  putBack(tokens: number): void {
+  returnTokens(tokens: number): void {
     this.level += tokens;
     this.totals.returned += tokens;
   }
--- a/src/mesh/rollouts/runComparison.ts
+++ b/src/mesh/rollouts/runComparison.ts
@@ -47,6 +47,7 @@
 /** Share of the runs of an instance that may count as failed at once beyond that. */
 const MAX_FAILURE_SHARE_AT_ONCE = 0.25;
 
+/** Runs above this quantile of the run times of the old version, with a margin, are slow. */
 const SLOW_QUANTILE = 0.9;
 
 /**
@@ -142,6 +143,14 @@
   };
 }
 
+/** Returns true when a route has fewer runs than before, as after a restart of the instance. */
+function hasFewerRuns(
+  before: KnownInstance['routes'] | undefined,
+  after: KnownInstance['routes'],
+): boolean {
+  return [...(before ?? [])].some(([route, { runs }]) => (after.get(route)?.runs ?? 0) < runs);
+}
+
 function addEvents(
   sums: EventSums,
   route: RouteName | undefined,
@@ -201,9 +210,7 @@
     const known = this.instances.get(instanceId);
     if (!known && this.instances.size >= MAX_INSTANCES) return;
     const after = new Map(routes.map((entry) => [entry.route, entry]));
-    const hasFallen = [...(known?.routes ?? [])].some(
-      ([route, before]) => (after.get(route)?.runs ?? 0) < before.runs,
-    );
+    const hasFallen = hasFewerRuns(known?.routes, after);
     // A single fall may be an older report that was held up on its way; counting the runs anew
     // would count them twice.
     if (known && hasFallen && !known.hasFallen) {
@@ -211,8 +218,7 @@
       return;
     }
     const before = hasFallen ? undefined : known?.routes;
-    const isFirst = before === undefined;
-    const firstRunAtMs = isFirst ? undefined : known?.firstRunAtMs;
+    const firstRunAtMs = before === undefined ? undefined : known?.firstRunAtMs;
     const instance: KnownInstance = {
       routes: after,
       firstRunAtMs: firstRunAtMs ?? (after.size > 0 ? nowMs : undefined),
@@ -225,9 +231,7 @@
       if (version === this.targetVersion) {
         this.addTarget(instanceId, instance, entry.route, added, nowMs);
       } else {
-        this.addReference(entry.route, added, isFirst);
-        this.addReference(undefined, added, isFirst);
-        if (!isFirst) this.recentFromMs = Math.min(this.recentFromMs, nowMs);
+        this.addReference(entry.route, added, before === undefined, nowMs);
       }
     }
   }
@@ -236,7 +240,7 @@
   getReferencePerS(nowMs: number): number | undefined {
     const sinceMs = nowMs - this.recentFromMs;
     if (sinceMs < RECENT_MS) return undefined;
-    const { runs } = this.getReference(undefined).recent;
+    const { runs } = this.getOrCreateReference(undefined).recent;
     // Sum of the weights of a run at each time of the period.
     const windowMs = RECENT_MS * (1 - Math.exp(-sinceMs / RECENT_MS));
     return runs === 0 ? undefined : (1000 * runs) / windowMs;
@@ -252,7 +256,7 @@
     this.assessedAtMs = nowMs;
     const finding = this.assessTarget();
     for (const { recent } of this.references.values()) {
-      recent.reduce(Math.exp(-elapsedMs / RECENT_MS));
+      recent.scale(Math.exp(-elapsedMs / RECENT_MS));
     }
     return finding;
   }
@@ -279,14 +283,22 @@
     counts.add(added);
   }
 
-  private addReference(route: RouteName | undefined, added: RunCounts, isEarlier: boolean): void {
-    const { total, recent } = this.getReference(route);
-    total.add(added, isEarlier ? Math.min(1, MAX_EARLIER_RUNS / added.runs) : 1);
-    if (isEarlier) return;
-    recent.add(added);
+  /** Adds runs of an old instance; those of its first report, or after a restart, are earlier. */
+  private addReference(
+    route: RouteName,
+    added: RunCounts,
+    isEarlier: boolean,
+    nowMs: number,
+  ): void {
+    for (const key of [route, undefined]) {
+      const { total, recent } = this.getOrCreateReference(key);
+      total.add(added, isEarlier ? Math.min(1, MAX_EARLIER_RUNS / added.runs) : 1);
+      if (!isEarlier) recent.add(added);
+    }
+    if (!isEarlier) this.recentFromMs = Math.min(this.recentFromMs, nowMs);
   }
 
-  private getReference(route: RouteName | undefined): Reference {
+  private getOrCreateReference(route: RouteName | undefined): Reference {
     let reference = this.references.get(route);
     if (!reference) {
       reference = { total: new RunTotals(), recent: new RunTotals() };
@@ -295,7 +307,7 @@
     return reference;
   }
 
-  private getTests(route: RouteName | undefined): RouteTests {
+  private getOrCreateTests(route: RouteName | undefined): RouteTests {
     let tests = this.tests.get(route);
     if (!tests) {
       tests = { failures: new SequentialTest(), slow: new SequentialTest() };
@@ -309,11 +321,15 @@
     this.unassessed = new Map();
     this.targetFailures += failures.get(undefined)?.events ?? 0;
     for (const [route, { runs, events }] of failures) {
-      const { total, recent } = this.getReference(route);
-      this.getTests(route).failures.record(runs, events, computeFailureShares(total, recent));
+      const { total, recent } = this.getOrCreateReference(route);
+      this.getOrCreateTests(route).failures.record(
+        runs,
+        events,
+        computeFailureShares(total, recent),
+      );
     }
     for (const [route, { runs, events }] of slow) {
-      this.getTests(route).slow.record(runs, events, SLOW_SHARES);
+      this.getOrCreateTests(route).slow.record(runs, events, SLOW_SHARES);
     }
     return this.findDecision();
   }
@@ -328,7 +344,7 @@
         overall.runs += counts.runs;
         overall.failures += counts.failures;
         addEvents(failures, route, counts.runs, limitFailures(counts));
-        const slowBucket = isWarm ? findSlowBucket(this.getReference(route)) : undefined;
+        const slowBucket = isWarm ? findSlowBucket(this.getOrCreateReference(route)) : undefined;
         if (slowBucket === undefined) continue;
         const slowRuns = countAbove(counts.times, slowBucket);
         addEvents(slow, route, counts.runs, slowRuns);
--- a/src/mesh/rollouts/runTotals.ts
+++ b/src/mesh/rollouts/runTotals.ts
@@ -2,6 +2,7 @@
 import type { RouteRuns } from '../coordination/model.js';
 import { BUCKET_COUNT } from './runBuckets.js';
 
+/** Runs, failures and histogram of run times, without the route that they belong to. */
 export type RunCounts = Omit<RouteRuns, 'route'>;
 
 /** Counts of runs over some period. */
@@ -20,7 +21,8 @@
     }
   }
 
-  reduce(factor: number): void {
+  /** Multiplies all counts by a factor. */
+  scale(factor: number): void {
     this.runs *= factor;
     this.failures *= factor;
     for (let index = 0; index < BUCKET_COUNT; index += 1) this.times[index]! *= factor;
