--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -15,26 +15,11 @@
 import { CallMonitor } from './callMonitor.js';
 import { CallRouter } from './callRouter.js';
 import { ConfigAnswers } from './configAnswers.js';
-import { ConfigFetcher } from './configFetcher.js';
 import { ConfigHistory } from './configHistory.js';
 import { ConfigHolder } from './configHolder.js';
-import {
-  computeMaxResponseBytes,
-  listConfigSources,
-  listRemoteSources,
-  listStartSources,
-} from './configSources.js';
-import { computeMaxUnconfirmedMs, startConfirmations } from './confirmations.js';
 import { createCoordination } from './coordination/createCoordination.js';
 import { Directory } from './directory.js';
 import type { EventLog } from './eventLog.js';
-import { chooseWatchRole } from './followedSources.js';
-import {
-  createConfigFollower,
-  createNodesFollower,
-  toSourceNode,
-  type NodeFollower,
-} from './followers.js';
 import type { HeaderNames } from './headers.js';
 import { InstanceVerifier } from './instanceVerifier.js';
 import { KindPosition } from './kindPosition.js';
@@ -50,7 +35,7 @@
 import { NodeHistory } from './nodeHistory.js';
 import { NodeListener } from './nodeListener.js';
 import { startNodeMonitor } from './nodeMonitor.js';
-import { buildPublishedNode, NODE_KIND } from './nodeRecord.js';
+import { buildPublishedNode } from './nodeRecord.js';
 import { OverloadThrottle } from './overloadThrottle.js';
 import { createPeerPort } from './peerPort.js';
 import { Publisher } from './publisher.js';
@@ -67,11 +52,7 @@
 import { StoreContact } from './storeContact.js';
 import { SuspensionDetector } from './suspensionDetector.js';
 import { listRouteNames, TargetChooser } from './targets.js';
-import { watchKind } from './watchKind.js';
-import { chooseChangePauseMs, chooseWatchWaitMs, listConfirmers } from './primaryWatchers.js';
-
-/** Pause after a change of the configuration, whose versions are in force within seconds. */
-const CONFIG_PAUSE_MS = 300;
+import { startWatches } from './watches.js';
 
 /** Bound of the difference between the clock of this process and that of its instance. */
 const INSTANCE_CLOCK_MARGIN_MS = 1000;
@@ -346,83 +327,19 @@
     const { step, peer, message } = toStepError(thrown, 'metrics.listen', 'self');
     log.write('warn', 'metrics-unavailable', { step, peer, reason: message });
   });
-  const listResponding = () => directory.listResponding(performance.now());
-  const fetcher = new ConfigFetcher({
-    holder: config,
-    position: positions.config,
-    log,
-    listSources: () => {
-      const candidates = listResponding().map(toSourceNode);
-      const sources = listConfigSources(getSettings(), candidates);
-      // A node that is no source itself reads the store when those of its data centre cannot.
-      const remote = sources.length > 0 ? listRemoteSources(getSettings(), candidates) : [];
-      return [...sources, ...remote].map(({ calls }) => calls);
-    },
-    listStartSources: () => {
-      const candidates = nodes.hasReceivedList() ? listResponding().map(toSourceNode) : undefined;
-      return listStartSources(getSettings(), candidates)?.map(({ calls }) => calls);
-    },
-  });
-  const followerOptions = {
+  const stopConfirmations = startWatches({
+    configKind: adapter.configKind,
+    nodeId,
+    getSettings,
+    store,
     log,
-    own: getSettings,
-    listNodes: () => listResponding().map(toSourceNode),
-    chooseRole: chooseWatchRole,
-  };
-  const { configKind } = adapter;
-  const configFollower = createConfigFollower({ ...followerOptions, kind: configKind }, fetcher);
-  const nodesFollower = createNodesFollower(
-    { ...followerOptions, kind: NODE_KIND },
-    positions.nodes,
-  );
-  const chooseWaitMs = (follower: NodeFollower) => {
-    const records = listResponding().map(({ record }) => record);
-    const maxUnconfirmedMs = computeMaxUnconfirmedMs(getSettings().silenceLimitMs);
-    return chooseWatchWaitMs(nodeId, records, follower.getRole().kind, maxUnconfirmedMs);
-  };
-  const watchOptions = { store, log, isStopped: () => isStopping };
-  void watchKind({
-    ...watchOptions,
-    kind: configKind,
-    getWaitMs: () => chooseWaitMs(configFollower),
-    getPauseMs: () => CONFIG_PAUSE_MS,
-    listener: config,
-    position: positions.config,
-    contact: contacts.config,
-    follower: configFollower,
-    source: {
-      // Without an installed version there is nothing to which a change could be applied.
-      getMaxBytes: () =>
-        config.get() ? computeMaxResponseBytes(getSettings().linkMbps) : undefined,
-      fetch: (revision, canConfirm) => fetcher.fetch(revision, canConfirm),
-      fetchFirst: () => fetcher.fetchFirst(),
-    },
-  });
-  void watchKind({
-    ...watchOptions,
-    kind: NODE_KIND,
-    getWaitMs: () => chooseWaitMs(nodesFollower),
-    getPauseMs: () => chooseChangePauseMs(directory.countNodes(), nodesFollower.getRole().kind),
-    listener: {
-      applyList: (list) => nodeHistory.applyList(nodes.applyList(list)),
-      applyEvent: (event) => nodeHistory.applyEvent(nodes.applyEvent(event)),
-    },
-    position: positions.nodes,
-    contact: contacts.nodes,
-    follower: nodesFollower,
-  });
-  const stopConfirmations = startConfirmations({
-    positions: [positions.config, positions.nodes],
-    listConfirmers: () => {
-      const role = nodesFollower.getRole();
-      const nodesToAsk =
-        role.kind === 'follower'
-          ? role.sources
-          : listConfirmers(getSettings(), listResponding().map(toSourceNode));
-      return nodesToAsk.map(({ calls }) => calls);
-    },
-    getSilenceLimitMs: () => getSettings().silenceLimitMs,
-    isFollower: () => nodesFollower.getRole().kind === 'follower',
+    config,
+    nodes,
+    nodeHistory,
+    directory,
+    positions,
+    contacts,
+    isStopped: () => isStopping,
   });
   const recordPruner = startRecordPruner(directory, store, log);
   log.write('info', 'started', { service: settings.service, process: processId });
