Name the guarded failures in tests, and share the metadata of a call

Ten test files of the accounts and rollouts began with a topic and not with the failure that they guard against, two titles did not say what was checked, and a comment in peerPortParts stood above the wrong constant. Three files built the same metadata of a call; peerPortParts now has buildMetadata. No assertion or constant changed.

--- a/test/mesh/accounts/accountVersions.test.ts
+++ b/test/mesh/accounts/accountVersions.test.ts
@@ -63,7 +63,7 @@
   );
 });
 
-test('keys are neither held nor sent', () => {
+test('no key is in a decoded configuration or in a message to another node', () => {
   const config = decode(2, ACCOUNTS);
   const messages = [config.accounts, buildWhole(config, 1), diffConfigs(decode(1, []), config, 1)];
   assert.ok(!JSON.stringify(messages).includes(KEY));
--- a/test/mesh/callRouter.test.ts
+++ b/test/mesh/callRouter.test.ts
@@ -1,4 +1,4 @@
-/** Calls that end by an unexpected error of the router. */
+/** Guards against an unexpected error whose outcome is wrong about whether the call was sent. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { HEADER_NAMES } from '../../platform/names.js';
--- a/test/mesh/coordination/reportCodec.test.ts
+++ b/test/mesh/coordination/reportCodec.test.ts
@@ -1,4 +1,4 @@
-/** Messages between a node and its coordinator: all of it arrives, and odd values are refused. */
+/** Guards against reports and answers that lose content, and against odd values in them. */
 import assert from 'node:assert/strict';
 import { validateHeaderValue } from 'node:http';
 import { test } from 'node:test';
@@ -67,7 +67,7 @@
 const REPORT = { node: 'n', process: 'p', steadyMs: 1, mayBridge: false };
 const RUNS = { service: 's', version: 'v', instanceId: 'i', routes: [] };
 
-test('the shortest report is readable', async () => {
+test('a report whose empty lists are omitted is accepted', async () => {
   assert.ok(await decodeReport(JSON.stringify(REPORT), Buffer.alloc(0)));
 });
 
--- a/test/mesh/fairPassing.test.ts
+++ b/test/mesh/fairPassing.test.ts
@@ -1,4 +1,4 @@
-/** The account of a call reaches the queues of the node that runs it. */
+/** Guards against calls whose account does not reach the queues of the node that runs them. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { HEADER_NAMES } from '../../platform/names.js';
--- a/test/mesh/largeHeaders.test.ts
+++ b/test/mesh/largeHeaders.test.ts
@@ -6,9 +6,8 @@
 import { PeerCalls } from '../../src/mesh/peerCalls.js';
 import { createPeerPort } from '../../src/mesh/peerPort.js';
 import { Cancellation } from '../../src/mesh/signal.js';
-import { brandText } from '../../src/types/ids.js';
 import { closeServer, openServer } from '../../standins/http.js';
-import { NO_REVISIONS, PEER_PORT_PARTS } from './peerPortParts.js';
+import { NO_REVISIONS, PEER_PORT_PARTS, buildMetadata } from './peerPortParts.js';
 
 const PROCESS_ID = 'p-1';
 
@@ -43,16 +42,7 @@
           headers: ['Host', 'h', 'X-Large', 'x'.repeat(bytes)],
           body: Buffer.alloc(0),
         },
-        {
-          attemptId: 'p.1',
-          requestId: 'r',
-          route: brandText('route'),
-          instanceId: brandText('i-1'),
-          isIdempotent: false,
-          priority: 0,
-          deadlineAtMs,
-          objectiveAtMs: deadlineAtMs,
-        },
+        buildMetadata(deadlineAtMs),
         PROCESS_ID,
         new Cancellation(),
         () => {},
--- a/test/mesh/peerPortParts.ts
+++ b/test/mesh/peerPortParts.ts
@@ -6,6 +6,7 @@
 import { LocalInstance } from '../../src/mesh/localInstance.js';
 import { LocalRunner } from '../../src/mesh/localRunner.js';
 import { MeshMetrics } from '../../src/mesh/meshMetrics.js';
+import type { CallMetadata } from '../../src/mesh/model.js';
 import type { PeerPortOptions } from '../../src/mesh/peerPort.js';
 import { ClientConnections } from '../../src/mesh/memory/clientConnections.js';
 import { computeAccountLimits, NODE_LIMITS } from '../../src/mesh/memory/limits.js';
@@ -15,9 +16,10 @@
 import type { SuspensionDetector } from '../../src/mesh/suspensionDetector.js';
 import { brandText } from '../../src/types/ids.js';
 
-/** An event loop that is never blocked. */
+/** Large enough that no test reaches its limits. */
 const ACCOUNT = new MemoryAccount(computeAccountLimits(4096));
 
+/** An event loop that is never blocked. */
 export const CALM_LOOP = { waitForArrivals: () => undefined };
 
 export const SILENT_MONITOR = new CallMonitor({
@@ -45,6 +47,20 @@
   nodes: new ClientConnections(ACCOUNT, NODE_LIMITS),
 };
 
+/** Builds the metadata of a call that is not idempotent, for the instance `i-1`. */
+export function buildMetadata(deadlineAtMs: number, attemptId = 'p.1'): CallMetadata {
+  return {
+    attemptId,
+    requestId: 'r',
+    route: brandText('route'),
+    instanceId: brandText('i-1'),
+    isIdempotent: false,
+    priority: 0,
+    deadlineAtMs,
+    objectiveAtMs: deadlineAtMs,
+  };
+}
+
 /** Creates the runner of the instance `i-1`, which has one slot. */
 export function createRunner(
   instancePort: number,
--- a/test/mesh/quotas/client.test.ts
+++ b/test/mesh/quotas/client.test.ts
@@ -1,4 +1,7 @@
-/** The tokens of one node: waits, denials, and tokens that are given back. */
+/**
+ * Guards against tokens that a node uses twice or after their lease, and against requests that wait
+ * without an end.
+ */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { setImmediate as waitForImmediate } from 'node:timers/promises';
--- a/test/mesh/quotas/ledger.test.ts
+++ b/test/mesh/quotas/ledger.test.ts
@@ -1,4 +1,7 @@
-/** What a coordinator grants, and which nodes it counts. */
+/**
+ * Guards against grants beyond the share of a coordinator, and against nodes that two coordinators
+ * count at a time.
+ */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
--- a/test/mesh/rollouts/callRouter.test.ts
+++ b/test/mesh/rollouts/callRouter.test.ts
@@ -1,4 +1,7 @@
-/** Calls to a service with a rollout, over loopback: which version they reach. */
+/**
+ * Calls to a service with a rollout, over loopback. Guards against calls that reach a version
+ * beyond its share, and against calls that fail although the other version has room.
+ */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { HEADER_NAMES } from '../../../platform/names.js';
--- a/test/mesh/rollouts/coordinator.test.ts
+++ b/test/mesh/rollouts/coordinator.test.ts
@@ -1,4 +1,7 @@
-/** Decisions of the coordinator and their order in the store, on a played clock. */
+/**
+ * Decisions of the coordinator on a played clock. Guards against good versions that are rolled
+ * back, bad ones that are completed, and final states in the store that change.
+ */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { DURATION_MS, FAILING, GOOD, Stage, TARGET } from './stage.js';
--- a/test/mesh/rollouts/localRuns.test.ts
+++ b/test/mesh/rollouts/localRuns.test.ts
@@ -1,4 +1,4 @@
-/** Which exchanges with an instance count as its runs, over loopback. */
+/** Guards against a version that is judged by requests that it has not run. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { HEADER_NAMES } from '../../../platform/names.js';
--- a/test/mesh/rollouts/rolloutGate.test.ts
+++ b/test/mesh/rollouts/rolloutGate.test.ts
@@ -1,4 +1,4 @@
-/** Choice of the version at the sender of a call. */
+/** Guards against senders that exceed the share of a version or have no recent directive. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { RolloutState } from '../../../src/mesh/coordination/model.js';
--- a/test/mesh/rollouts/runCounter.test.ts
+++ b/test/mesh/rollouts/runCounter.test.ts
@@ -1,4 +1,4 @@
-/** Counts of the runs of the local instance and their report. */
+/** Guards against runs that count for another instance, and reports that grow without bound. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { InstanceState } from '../../../src/mesh/localInstance.js';
--- a/test/mesh/secondAttempts.test.ts
+++ b/test/mesh/secondAttempts.test.ts
@@ -8,10 +8,9 @@
 import { PeerCalls, type PeerReport } from '../../src/mesh/peerCalls.js';
 import { createPeerPort } from '../../src/mesh/peerPort.js';
 import { Cancellation } from '../../src/mesh/signal.js';
-import { brandText } from '../../src/types/ids.js';
 import { closeServer, openServer } from '../../standins/http.js';
 import { wait } from '../../standins/mesh/meshFleet.js';
-import { NO_REVISIONS, PEER_PORT_PARTS } from './peerPortParts.js';
+import { NO_REVISIONS, PEER_PORT_PARTS, buildMetadata } from './peerPortParts.js';
 
 const HOST = '127.0.0.1';
 const PROCESS_ID = 'p-1';
@@ -82,16 +81,7 @@
   const deadlineAtMs = performance.now() + DEADLINE_MS;
   const report = await calls.send(
     { method: 'POST', path: '/', headers: ['Host', 'h'], body: Buffer.from('body') },
-    {
-      attemptId: 'origin.1',
-      requestId: 'r',
-      route: brandText('route'),
-      instanceId: brandText('i-1'),
-      isIdempotent: false,
-      priority: 0,
-      deadlineAtMs,
-      objectiveAtMs: deadlineAtMs,
-    },
+    buildMetadata(deadlineAtMs, 'origin.1'),
     PROCESS_ID,
     cancellation,
     () => {},
--- a/test/mesh/slowConnects.test.ts
+++ b/test/mesh/slowConnects.test.ts
@@ -5,8 +5,7 @@
 import { test } from 'node:test';
 import { Worker } from 'node:worker_threads';
 import { Cancellation } from '../../src/mesh/signal.js';
-import { brandText } from '../../src/types/ids.js';
-import { createRunner } from './peerPortParts.js';
+import { buildMetadata, createRunner } from './peerPortParts.js';
 
 const HOST = '127.0.0.1';
 const DEADLINE_MS = 100;
@@ -52,16 +51,7 @@
   try {
     const { result } = await runner.run(
       { method: 'GET', path: '/x', headers: ['Host', 'h'], body: Buffer.alloc(0) },
-      {
-        attemptId: 'p.1',
-        requestId: 'r',
-        route: brandText('route'),
-        instanceId: brandText('i-1'),
-        isIdempotent: false,
-        priority: 0,
-        deadlineAtMs,
-        objectiveAtMs: deadlineAtMs,
-      },
+      buildMetadata(deadlineAtMs),
       new Cancellation(),
     );
     assert.equal(result.kind === 'notRun' && result.reason, 'deadline', JSON.stringify(result));
