Tell callers when to return to a node that its coordinator does not count yet

Cause: after a restart of all nodes the new coordinator has no tokens for a second, by which the tokens of the old one are over. Requests were refused as over the quota with a retry time of 50 ms, so that callers used up their retries within that second. That this is the cause of the whole loss is suspected, not traced.

Change: while its coordinator does not count a node, refusals are 503, not 429, since nothing is known of the account, and callers return after that time, spread over the 0.8 s in which the buckets fill.

--- a/src/mesh/accounts/callEntry.ts
+++ b/src/mesh/accounts/callEntry.ts
@@ -8,6 +8,9 @@
 /** Retry time of a request whose key cannot be decided on now, in milliseconds. */
 const UNCONFIRMED_RETRY_MS = 300;
 
+/** Time over which callers return to a node that its coordinator has begun to count. */
+const RETURN_SPREAD_MS = 800;
+
 /** Why a request was refused at its entry. */
 export type EntryRefusalReason =
   | KeyRefusal
@@ -32,12 +35,9 @@
 export interface CallEntryOptions {
   readonly gate: Pick<AccountGate, 'authorize'>;
   readonly quotas: Pick<QuotaClient, 'refuseDenied' | 'take' | 'returnToken'>;
-}
-
-function toRefusal({ kind, retryAfterMs }: QuotaRefusal): EntryRefusal {
-  return kind === 'denied'
-    ? { kind: 'refused', status: 429, reason: 'quota-denied', retryAfterMs }
-    : { kind: 'refused', status: 503, reason: 'quota-unknown', retryAfterMs };
+  /** Returns the time until the coordinator of the quotas counts this node, in milliseconds. */
+  readonly getUncountedMs: () => number;
+  readonly random?: () => number;
 }
 
 /** Checks in two steps: `admit` before the body of a request is read, `takeToken` after it. */
@@ -65,7 +65,7 @@
       case 'account': {
         const { identity } = authorization;
         const quota = quotas.refuseDenied(identity.account);
-        return quota ? toRefusal(quota) : { kind: 'admitted', identity };
+        return quota ? this.buildRefusal(quota) : { kind: 'admitted', identity };
       }
       default:
         throw new Error(`unknown decision ${JSON.stringify(authorization satisfies never)}`);
@@ -83,11 +83,27 @@
   ): Promise<EntryRefusal | undefined> {
     if (!identity) return undefined;
     const quota = await this.options.quotas.take(identity.account, cancellation);
-    return quota.kind === 'granted' ? undefined : toRefusal(quota);
+    return quota.kind === 'granted' ? undefined : this.buildRefusal(quota);
   }
 
   /** Returns the token of a request that has not run and will not run. */
   returnToken(identity: Identity | undefined): void {
     if (identity) this.options.quotas.returnToken(identity.account);
   }
+
+  /**
+   * A node that its coordinator does not count yet gets no tokens, whether the account has used its
+   * quota or not. Its callers come back after that, over the time in which the buckets fill.
+   */
+  private buildRefusal({ kind, retryAfterMs }: QuotaRefusal): EntryRefusal {
+    const { getUncountedMs, random = Math.random } = this.options;
+    const uncountedMs = getUncountedMs();
+    if (uncountedMs > 0) {
+      const spreadMs = uncountedMs + random() * RETURN_SPREAD_MS;
+      return { kind: 'refused', status: 503, reason: 'quota-unknown', retryAfterMs: spreadMs };
+    }
+    return kind === 'denied'
+      ? { kind: 'refused', status: 429, reason: 'quota-denied', retryAfterMs }
+      : { kind: 'refused', status: 503, reason: 'quota-unknown', retryAfterMs };
+  }
 }
--- a/src/mesh/coordination/createCoordination.ts
+++ b/src/mesh/coordination/createCoordination.ts
@@ -37,6 +37,8 @@
   /** Decides whether requests of accounts may run. */
   readonly quotas: QuotaClient;
   readonly reportAnswers: ReportAnswers;
+  /** Returns the time until the coordinator counts this node, in milliseconds; 0 if it does. */
+  getUncountedMs(): number;
   /** Applies an installed configuration. */
   applyConfig(config: MeshConfig): void;
   /** Applies changed settings. */
@@ -96,13 +98,13 @@
 
 function createReportLoop(
   options: CoordinationOptions,
+  choice: CoordinatorChoice,
   client: QuotaClient,
   answer: ReportAnswers['coordinator']['answer'],
 ): ReportLoop {
   const { getSettings, directory, hasReceivedList, log, metrics } = options;
-  const { nodeId } = getSettings();
   return new ReportLoop({
-    ownId: nodeId,
+    ownId: getSettings().nodeId,
     process: options.processId,
     isEnabled: () => isCoordinatorNeeded(options),
     isReady: hasReceivedList,
@@ -112,7 +114,7 @@
         linkMbps: record.linkMbps,
         calls,
       })),
-    choice: new CoordinatorChoice(nodeId, () => getSettings().quota?.windowMs),
+    choice,
     client,
     answerOwn: (report, nowMs) => answer(report, nowMs, 0),
     directives: options.directives,
@@ -126,6 +128,7 @@
   const { getSettings, getConfig, hasReceivedList, isStopping, log, metrics } = options;
   const { detector = new SuspensionDetector() } = options;
   const getPolicy = () => getSettings().quota;
+  const choice = new CoordinatorChoice(getSettings().nodeId, () => getPolicy()?.windowMs);
   const ledger = new Ledger({
     getPolicy,
     listKnownNodes: createNodeList(options),
@@ -138,13 +141,14 @@
   });
   metrics.registerSource(() => listQuotaSamples(ledger, quotas));
   const answer = createAnswer(ledger, coordinator, detector);
-  const loop = createReportLoop(options, quotas, answer);
+  const loop = createReportLoop(options, choice, quotas, answer);
   return {
     quotas,
     reportAnswers: {
       coordinator: { answer },
       isAnswering: () => !isStopping() && hasReceivedList() && getConfig() !== undefined,
     },
+    getUncountedMs: () => choice.getUncountedMs(performance.now()),
     applyConfig({ accounts = [] }) {
       ledger.applyAccounts(accounts, performance.now());
       quotas.applyAccounts(accounts);
--- a/src/mesh/node.ts
+++ b/src/mesh/node.ts
@@ -231,7 +231,11 @@
     getSettings,
     getConfig,
     router,
-    entry: new CallEntry({ gate, quotas: coordination.quotas }),
+    entry: new CallEntry({
+      gate,
+      quotas: coordination.quotas,
+      getUncountedMs: coordination.getUncountedMs,
+    }),
     accepts: new AcceptMonitor(),
     memory: requestMemory,
     clients: new ClientConnections(account, computeClientLimits(settings), (reason) => {
--- a/test/mesh/accounts/callEntry.test.ts
+++ b/test/mesh/accounts/callEntry.test.ts
@@ -15,9 +15,11 @@
 const ACCEPTED: Authorization = { kind: 'account', identity: IDENTITY, untilMs: undefined };
 const GRANTED: QuotaDecision = { kind: 'granted' };
 
-async function admit(authorization: Authorization, quota: QuotaDecision) {
+async function admit(authorization: Authorization, quota: QuotaDecision, uncountedMs = 0) {
   const entry = new CallEntry({
     gate: { authorize: () => authorization },
+    getUncountedMs: () => uncountedMs,
+    random: () => 0,
     quotas: { refuseDenied: () => undefined, take: async () => quota, returnToken: () => {} },
   });
   const decision = entry.admit({} as MeshConfig, {} as MeshRoute, 'key', 'r-1');
@@ -40,3 +42,10 @@
   assert.deepEqual(unknown, [503, 'quota-unknown', 200]);
   assert.equal(await admit(ACCEPTED, GRANTED), 'admitted');
 });
+
+test('a node that is not counted yet tells its callers when to return', async () => {
+  for (const kind of ['denied', 'unknown'] as const) {
+    const refused = await admit(ACCEPTED, { kind, retryAfterMs: 50 }, 700);
+    assert.deepEqual(refused, [503, 'quota-unknown', 700]);
+  }
+});
--- a/test/mesh/accounts/waitingRequests.test.ts
+++ b/test/mesh/accounts/waitingRequests.test.ts
@@ -76,7 +76,7 @@
     getSettings: () => ({ service: 'pads' }) as unknown as MeshSettings,
     getConfig: () => CONFIG,
     router,
-    entry: new CallEntry({ gate, quotas }),
+    entry: new CallEntry({ gate, quotas, getUncountedMs: () => 0 }),
     loop: CALM_LOOP,
     accepts: new AcceptMonitor(),
     memory: PEER_PORT_PARTS.memory,
