Merge and apply changes of routes and accounts with one piece of code

Cause: accountChanges.ts wrote again what configDelta.ts does with routes: combining two successive changes by name, and applying changes to the entries by name.

Change: namedChanges.ts does both, for routes and accounts. Messages, checks and results are the same.

--- a/src/mesh/accounts/accountChanges.ts
+++ b/src/mesh/accounts/accountChanges.ts
@@ -1,11 +1,10 @@
 /** Differences between the accounts of two versions of the configuration. It performs no I/O. */
 import type { AccountName } from '../../types/ids.js';
 import type { ClientAccount } from '../model.js';
+import { applyNamedChanges, mergeNamedChanges, type NamedChanges } from '../namedChanges.js';
 
 /** Accounts that were added, changed or removed. */
-export interface AccountChanges {
-  readonly changed: readonly ClientAccount[];
-  readonly removed: readonly AccountName[];
+export interface AccountChanges extends NamedChanges<AccountName, ClientAccount> {
   /** Number of accounts of the later version, which detects changes for another base. */
   readonly count: number;
 }
@@ -41,29 +40,18 @@
 
 /** Combines two successive changes. */
 export function mergeAccountChanges(first: AccountChanges, second: AccountChanges): AccountChanges {
-  const changed = mapAccounts(first.changed);
-  const removed = new Set(first.removed);
-  for (const name of second.removed) {
-    changed.delete(name);
-    removed.add(name);
-  }
-  for (const account of second.changed) {
-    changed.set(account.name, account);
-    removed.delete(account.name);
-  }
-  return { changed: [...changed.values()], removed: [...removed], count: second.count };
+  return { ...mergeNamedChanges(first, second), count: second.count };
 }
 
 /** Applies changes to the accounts that they start from; undefined if they do not fit. */
 export function applyAccountChanges(
   base: readonly ClientAccount[],
-  { changed, removed, count }: AccountChanges,
+  changes: AccountChanges,
 ): readonly ClientAccount[] | undefined {
+  const { changed, removed, count } = changes;
   if (changed.length === 0 && removed.length === 0) {
     return base.length === count ? base : undefined;
   }
-  const accounts = mapAccounts(base);
-  for (const name of removed) accounts.delete(name);
-  for (const account of changed) accounts.set(account.name, account);
+  const accounts = applyNamedChanges(mapAccounts(base), changes);
   return accounts.size === count ? [...accounts.values()] : undefined;
 }
--- a/src/mesh/configDelta.ts
+++ b/src/mesh/configDelta.ts
@@ -16,6 +16,7 @@
 import { isAccountChanges } from './accounts/accountGuards.js';
 import { checkContent, type ConfigContent } from './configContent.js';
 import type { HealthPath, MeshConfig, MeshRoute, RouteTarget } from './model.js';
+import { applyNamedChanges, mergeNamedChanges } from './namedChanges.js';
 import { buildRouteTable, mapRoutes } from './routeTable.js';
 
 const STEP = 'config.applyDelta';
@@ -94,22 +95,16 @@
 
 /** Combines the changes of two successive deltas. */
 export function mergeDeltas(first: ConfigDelta, second: ConfigDelta): ConfigDelta {
-  const routes = new Map(first.routes.map((route) => [route.name, route]));
-  const removed = new Set(first.removed);
-  for (const name of second.removed) {
-    routes.delete(name);
-    removed.add(name);
-  }
-  for (const route of second.routes) {
-    routes.set(route.name, route);
-    removed.delete(route.name);
-  }
+  const { changed, removed } = mergeNamedChanges(
+    { changed: first.routes, removed: first.removed },
+    { changed: second.routes, removed: second.removed },
+  );
   return {
     ...second,
     fromVersion: first.fromVersion,
     healthPaths: second.healthPaths ?? first.healthPaths,
-    routes: [...routes.values()],
-    removed: [...removed],
+    routes: changed,
+    removed,
     accounts: mergeAccountChanges(first.accounts, second.accounts),
   };
 }
@@ -125,9 +120,8 @@
   }
   const checked = checkContent(delta, STEP);
   if (checked.isErr()) return err(checked.error);
-  const byName = mapRoutes(base);
-  for (const name of delta.removed) byName.delete(name);
-  for (const route of delta.routes) byName.set(route.name, route);
+  const changes = { changed: delta.routes, removed: delta.removed };
+  const byName = applyNamedChanges(mapRoutes(base), changes);
   if (byName.size !== delta.routeCount) {
     return refuse(`results in ${byName.size} routes instead of ${delta.routeCount}`);
   }
