--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -63,7 +63,7 @@
 await wait(50);
 configure(2, [{ ...route, Timeout: '2400ms' }], [kept, removed]);
 lab.log('version 2 was acknowledged: another timeout');
-await wait(50);
+await wait(100);
 if (hasTrouble) {
   link.set('cut');
   lab.log('the machine is cut off');
