--- a/review/lib-2/lab.mjs
+++ b/review/lib-2/lab.mjs
@@ -23,6 +23,9 @@
 /** Answer time of the store, as the users' sheets name it. */
 const STORE_ANSWER_MS = 4;
 
+/** Range from which ports are drawn. */
+const PORTS = { min: 15_000, max: 32_000 };
+
 export const wait = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 
 /** True when the script applies its disruption. */
@@ -60,14 +63,20 @@
     console.log(line);
   }
 
+  /** Returns a free port below those of outgoing connections, which another process may draw. */
   async freePort() {
     for (;;) {
-      const server = createServer();
-      await new Promise((resolve) => server.listen(0, '127.0.0.1', resolve));
-      const { port } = server.address();
-      await new Promise((resolve) => server.close(resolve));
+      const { min, max } = PORTS;
+      const port = min + Math.floor(Math.random() * (max - min));
       if (this.usedPorts.has(port)) continue;
       this.usedPorts.add(port);
+      const server = createServer();
+      const isFree = await new Promise((resolve) => {
+        server.once('error', () => resolve(false));
+        server.listen(port, '127.0.0.1', () => resolve(true));
+      });
+      if (!isFree) continue;
+      await new Promise((resolve) => server.close(resolve));
       return port;
     }
   }
