--- a/review/lib-2/lab.mjs
+++ b/review/lib-2/lab.mjs
@@ -247,7 +247,7 @@
 
 /**
  * A link to a port: `open`, `cut` (nothing arrives, and what was sent arrives once it is open
- * again, as with TCP), or `silent` (open connections carry nothing any more, ever).
+ * again, as with TCP), or `refused` (open and new connections are reset).
  */
 export class Link {
   constructor(lab, targetPort) {
@@ -266,6 +266,7 @@
 
   set(state) {
     this.state = state;
+    if (state === 'refused') this.reset();
     if (state !== 'open') return;
     const held = this.held;
     this.held = [];
@@ -273,8 +274,9 @@
   }
 
   reset() {
-    for (const socket of this.sockets) socket.resetAndDestroy();
+    for (const socket of [...this.sockets]) socket.destroy();
     this.sockets.clear();
+    this.held = [];
   }
 
   carry(step) {
@@ -283,6 +285,11 @@
   }
 
   accept(client) {
+    if (this.state === 'refused') {
+      client.on('error', () => {});
+      client.resetAndDestroy();
+      return;
+    }
     const server = connect({ port: this.targetPort, host: '127.0.0.1', noDelay: true });
     client.setNoDelay(true);
     for (const [from, to] of [
