Collect large bodies in memory that is given back at once

On a host the process is killed, and every request on it is lost.

Cause: the block of a body came from the C library. Once a block of up to 32 MiB has been freed, the library takes blocks of that size from its heap, which keeps every page that was ever written to any of them: each body had a range of 16 MiB of its own, and the pages written to by evicted bodies stayed.

Change: a body of more than 64 KiB grows in a resizable ArrayBuffer, whose pages are mapped and unmapped one by one. A complete body moves to a buffer of the heap, or of more than 32 MiB, which the library maps by itself; it moves from its end on, so that it is never held twice. Blocks of the heap count whole.

--- a/src/mesh/bodyBuffer.ts
+++ b/src/mesh/bodyBuffer.ts
@@ -1,24 +1,18 @@
-/** Collects a body in one block that grows in few steps, whatever the size of its parts. */
+/** Collects a body in one block, whatever the size of its parts. */
 
 import { freeBlock } from './memory/freeBlock.js';
+import { GrowingBlock } from './memory/growingBlock.js';
+
+/** Size of a body up to which it is collected in the heap, in bytes. */
+const MAX_SMALL_BYTES = 64 * 1024;
 
 /** Size of the first block of a body that arrives in several parts, in bytes. */
 const MIN_BLOCK_BYTES = 16 * 1024;
 
-/** Factor by which a block grows up to `MAX_SMALL_BYTES`. */
-const GROWTH = 8;
-
-/**
- * Size beyond which a block gets the room of the largest body, or of the length that was named. The
- * operating system provides the pages of such a block as they are written and takes all of them
- * back when it is freed, while blocks of 1 to 32 MiB may stay in the heap of the allocator.
- */
-const MAX_SMALL_BYTES = 1024 * 1024;
-
 /** Largest body where the caller names no limit, in bytes. */
 const DEFAULT_MAX_BYTES = 64 * 1024 * 1024;
 
-/** Unit in which used memory of a large block is counted, in bytes. */
+/** Unit in which the memory of a large body is counted, in bytes. */
 const COUNTED_BYTES = 16 * 1024;
 
 const EMPTY_BODY = Buffer.alloc(0);
@@ -29,11 +23,15 @@
 
 /** One body; a body that arrives in one part is not copied. */
 export class BodyBuffer {
+  /** Block of a small or a complete body. */
   private block: Buffer = EMPTY_BODY;
 
   /** True when this body has allocated its block. */
   private isOwnBlock = false;
 
+  /** Block of a large body that is being read. */
+  private large: GrowingBlock | undefined;
+
   /** Bytes of the body so far. */
   bytes = 0;
 
@@ -43,62 +41,74 @@
     private readonly maxBytes = DEFAULT_MAX_BYTES,
   ) {}
 
-  /** Memory that the body takes: the block, as far as it was written, in whole units. */
+  /** Memory that the body takes: its block, and of a large one what was written. */
   get heldBytes(): number {
-    const writtenBytes = Math.ceil(this.bytes / COUNTED_BYTES) * COUNTED_BYTES;
-    return Math.min(this.block.length, writtenBytes);
+    if (!this.large) return this.block.length;
+    return Math.ceil(this.bytes / COUNTED_BYTES) * COUNTED_BYTES;
   }
 
   /** Appends a part; returns true if it was copied, and false if the body keeps it. */
   append(part: Buffer): boolean {
-    const bytes = this.bytes + part.length;
-    const isFirst = this.bytes === 0;
-    this.bytes = bytes;
+    const from = this.bytes;
+    this.bytes += part.length;
     // Most bodies arrive in one part.
-    if (isFirst && bytes >= this.expectedBytes && isMostOfItsMemory(part)) {
+    if (from === 0 && this.bytes >= this.expectedBytes && isMostOfItsMemory(part)) {
       this.block = part;
       return false;
     }
-    const from = bytes - part.length;
-    if (bytes > this.block.length) this.growBlock(bytes, from);
+    if (this.bytes > Math.max(MAX_SMALL_BYTES, this.block.length)) {
+      this.large ??= this.createLarge(from);
+      this.large.write(part, from);
+      return true;
+    }
+    if (this.bytes > this.block.length) this.growBlock(from);
     part.copy(this.block, from);
     return true;
   }
 
-  /** Returns the body. */
+  /** Returns the body, which must be complete. */
   toBuffer(): Buffer {
+    if (this.large) {
+      this.block = this.large.moveToBuffer(this.bytes);
+      this.large = undefined;
+    }
     return this.block.subarray(0, this.bytes);
   }
 
   /** Frees the memory of a body that nothing uses. */
   discard(): void {
+    this.large?.free();
+    this.large = undefined;
     this.freeOwnBlock();
-    this.block = EMPTY_BODY;
     this.bytes = 0;
   }
 
   private freeOwnBlock(): void {
     if (this.isOwnBlock) freeBlock(this.block);
     this.isOwnBlock = false;
+    this.block = EMPTY_BODY;
+  }
+
+  private createLarge(usedBytes: number): GrowingBlock {
+    const large = new GrowingBlock(this.maxBytes);
+    large.write(this.block.subarray(0, usedBytes), 0);
+    this.freeOwnBlock();
+    return large;
   }
 
-  private growBlock(neededBytes: number, usedBytes: number): void {
-    const grown = Buffer.allocUnsafeSlow(this.computeBlockBytes(neededBytes, usedBytes));
+  private growBlock(usedBytes: number): void {
+    const grown = Buffer.allocUnsafeSlow(this.computeBlockBytes(usedBytes === 0));
     this.block.copy(grown, 0, 0, usedBytes);
     this.freeOwnBlock();
     this.block = grown;
     this.isOwnBlock = true;
   }
 
-  private computeBlockBytes(neededBytes: number, usedBytes: number): number {
-    const { expectedBytes, maxBytes } = this;
-    const isFirst = usedBytes === 0;
+  private computeBlockBytes(isFirst: boolean): number {
+    const { bytes, expectedBytes } = this;
+    if (expectedBytes >= bytes) return Math.min(expectedBytes, MAX_SMALL_BYTES);
     // A part that is copied since it keeps a larger buffer alive is often the whole body.
-    if (isFirst && expectedBytes === 0) return neededBytes;
-    const limitBytes = expectedBytes >= neededBytes ? expectedBytes : maxBytes;
-    if (neededBytes > MAX_SMALL_BYTES) return Math.max(neededBytes, limitBytes);
-    const stepBytes = isFirst ? MAX_SMALL_BYTES : this.block.length * GROWTH;
-    const blockBytes = Math.min(MAX_SMALL_BYTES, Math.max(MIN_BLOCK_BYTES, stepBytes));
-    return Math.max(neededBytes, Math.min(blockBytes, limitBytes));
+    if (isFirst) return bytes;
+    return bytes <= MIN_BLOCK_BYTES ? MIN_BLOCK_BYTES : MAX_SMALL_BYTES;
   }
 }
