Refuse a body at once that is announced over the limit, and bound what is dropped

Seen by callers: a body announced as 10 GB was read up to 64 MiB before its 413, and of a refused request a body without an end was read for ever.

Cause: the length that a request names was only used to size its block; the rest of a refused body was drained without a bound.

Change: 413 as soon as the head is read; the connection is closed once more than `MaxBodyBytes` of the body of a refused request was dropped, whether the refusal came before or during the body.

--- a/src/mesh/callPort.ts
+++ b/src/mesh/callPort.ts
@@ -16,7 +16,7 @@
 import type { CallerLimits, HttpResponse, MeshConfig, MeshRoute, MeshSettings } from './model.js';
 import { OpenRequests } from './openRequests.js';
 import { NODE_HEADERS } from './peerMessages.js';
-import { readBody } from './readBody.js';
+import { discardBody, readBody } from './readBody.js';
 import { RequestAges } from './requestAges.js';
 import type { HeldRequestBody, RequestMemory } from './requestMemory.js';
 import type { Cancellation } from './signal.js';
@@ -229,7 +229,7 @@
       log.write('info', 'call-refused', fields);
       const labels = { status: String(status), ...(reason && { reason }) };
       metrics.count('refusals', formatLabels(labels));
-      message.resume();
+      discardBody(message, config?.limits.maxBodyBytes ?? 0);
       refuse(response, status, isLastResponse(response), requestId, names, retryAfterMs);
     };
     if (!config || isRefusing) {
--- a/src/mesh/readBody.ts
+++ b/src/mesh/readBody.ts
@@ -3,15 +3,25 @@
 import { freeBlock } from './memory/freeBlock.js';
 import type { HeldRequestBody } from './requestMemory.js';
 
-const EMPTY_BODY = Buffer.alloc(0);
-
 /** Reason why a body could not be read; `no-memory` when it was evicted for other bodies. */
 export type BodyError = 'too-large' | 'truncated' | 'no-memory';
 
 /** Returns the length of a body that a request names, in bytes; 0 if it names none. */
-function getLength({ headers }: IncomingMessage, maxBytes: number): number {
-  const length = Number(headers['content-length'] ?? 0);
-  return Number.isSafeInteger(length) && length <= maxBytes ? length : 0;
+function getLength({ headers }: IncomingMessage): number {
+  return Number(headers['content-length'] ?? 0);
+}
+
+/**
+ * Drops the rest of a body that is not needed, of at most `maxBytes`; the connection of a longer
+ * one is closed.
+ */
+export function discardBody(message: IncomingMessage, maxBytes: number): void {
+  let bytes = 0;
+  message.on('data', (part: Buffer) => {
+    bytes += part.length;
+    freeBlock(part);
+    if (bytes > maxBytes) message.destroy();
+  });
 }
 
 /** Reads the body of a request of at most `maxBytes`; `held` counts it while it is read. */
@@ -20,19 +30,19 @@
   maxBytes: number,
   held?: HeldRequestBody,
 ): Promise<Buffer | BodyError> {
+  const length = getLength(message);
+  if (length > maxBytes) return Promise.resolve('too-large');
   return new Promise((resolve) => {
-    let body: BodyBuffer | undefined = new BodyBuffer(getLength(message, maxBytes), maxBytes);
+    const body = new BodyBuffer(length, maxBytes);
+    let hasSettled = false;
     const settle = (result: Buffer | BodyError) => {
-      if (typeof result === 'string') body?.discard();
-      body = undefined;
+      if (hasSettled) return;
+      hasSettled = true;
+      if (typeof result === 'string') body.discard();
       resolve(result);
     };
-    held?.onEvict(() => settle('no-memory'));
     message.on('data', (part: Buffer) => {
-      if (!body) {
-        freeBlock(part);
-        return;
-      }
+      if (hasSettled) return;
       if (body.bytes + part.length > maxBytes) {
         settle('too-large');
         return;
@@ -42,9 +52,10 @@
       if (body.append(part)) freeBlock(part);
       if (body.heldBytes > heldBytes) held?.grow(body.heldBytes - heldBytes);
     });
+    held?.onEvict(() => settle('no-memory'));
     message.once('end', () => {
       held?.complete();
-      settle(body?.toBuffer() ?? EMPTY_BODY);
+      settle(body.toBuffer());
     });
     message.once('close', () => settle('truncated'));
     message.once('error', () => settle('truncated'));
