--- a/src/mesh/memory/growingBlock.ts
+++ b/src/mesh/memory/growingBlock.ts
@@ -27,7 +27,7 @@
   return new Memory(0, { maxByteLength });
 }
 
-function allocateBlock(bytes: number): Buffer {
+function createBlock(bytes: number): Buffer {
   if (bytes <= MAX_HEAP_BYTES) return Buffer.allocUnsafeSlow(bytes);
   return Buffer.allocUnsafeSlow(Math.max(MIN_MAPPED_BYTES, bytes)).subarray(0, bytes);
 }
@@ -55,7 +55,7 @@
 
   /** Moves the first bytes to a buffer from the end on, so that they are never held twice. */
   moveToBuffer(bytes: number): Buffer {
-    const moved = allocateBlock(bytes);
+    const moved = createBlock(bytes);
     let end = bytes;
     while (end > 0) {
       const start = Math.floor((end - 1) / UNIT_BYTES) * UNIT_BYTES;
