Drop bodies of refused requests also before there is a configuration

Cause: where no configuration names a limit, none of the body was to be dropped.

Change: 64 MiB then, the limit of the largest host.

Test: process.test, "uploads are refused on one connection ..."; with the fault in place the second request ends with ECONNRESET.

--- a/src/mesh/callPort.ts
+++ b/src/mesh/callPort.ts
@@ -32,6 +32,9 @@
 /** Retry time while this process starts or stops, in milliseconds. */
 const NOT_SERVING_RETRY_MS = 500;
 
+/** Part of a refused body that is dropped where no configuration limits bodies, in bytes. */
+const MAX_DROPPED_BYTES = 64 * 1024 * 1024;
+
 /** Retry time of a request whose body was evicted for others, in milliseconds. */
 const NO_MEMORY_RETRY_MS = 1000;
 
@@ -229,7 +232,7 @@
       log.write('info', 'call-refused', fields);
       const labels = { status: String(status), ...(reason && { reason }) };
       metrics.count('refusals', formatLabels(labels));
-      discardBody(message, config?.limits.maxBodyBytes ?? 0);
+      discardBody(message, config?.limits.maxBodyBytes ?? MAX_DROPPED_BYTES);
       refuse(response, status, isLastResponse(response), requestId, names, retryAfterMs);
     };
     if (!config || isRefusing) {
--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -1,6 +1,7 @@
 /** Runs a node as a process: settings file, signals, exit codes and log lines. */
 import assert from 'node:assert/strict';
 import { writeFile } from 'node:fs/promises';
+import { Agent } from 'node:http';
 import { test } from 'node:test';
 import { NODE_KIND } from '../../src/mesh/nodeRecord.js';
 import { CONFIG_KIND, CONFIG_NAME } from '../../platform/names.js';
@@ -248,3 +249,27 @@
     await started.exited;
   });
 });
+
+test('uploads are refused on one connection before there is a configuration', async () => {
+  await withSetup(async ({ options, store }) => {
+    store.removeObject(CONFIG_KIND, CONFIG_NAME);
+    const [calls = 0] = options.ports;
+    const started = startNodeProcess(options);
+    await waitUntil(async () => (await sendGet(calls, '/read/'))?.status === 503);
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    const body = 'x'.repeat(100_000);
+    const upload = { path: '/read/', id: 'u', method: 'POST', body, agent };
+    const headers = { 'Transfer-Encoding': 'chunked' };
+    try {
+      for (let requests = 0; requests < 3; requests += 1) {
+        const { status, headers: received } = await sendHttp(calls, { ...upload, headers });
+        assert.equal(status, 503);
+        assert.equal(received.connection, 'keep-alive');
+      }
+    } finally {
+      agent.destroy();
+      started.process.kill('SIGKILL');
+      await started.exited;
+    }
+  });
+});
